--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstrations, process-level fault runs and measurements."""
--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,170 @@
+"""The main job on loopback: `make demo`.
+
+Starts stand-ins and three routers, publishes the day's sheet, runs a streamed
+request of four stages, a call that may not be repeated through two routers,
+and a refusal; then stops everything.
+"""
+
+import argparse
+import json
+import sys
+import time
+
+from bench import deployments, fleet
+from standins import endpoint as standin
+
+_ROUTERS = 3
+_HOLD_S = 3600
+
+
+class DemoError(Exception):
+    """A step of the demonstration failed."""
+
+
+def main() -> int:
+    """Runs the demonstration; returns its exit status."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--deployment", choices=deployments.DEPLOYMENTS, default="association"
+    )
+    parser.add_argument(
+        "--hold", action="store_true", help="keep everything running"
+    )
+    args = parser.parse_args()
+    deployment = deployments.DEPLOYMENTS[args.deployment]
+    started = time.monotonic()
+    try:
+        with fleet.Fleet(
+            deployment.specs, deployment.data_centres, _ROUTERS
+        ) as running:
+            _run(running, deployment)
+            if args.hold:
+                _hold(running, deployment)
+    except (DemoError, fleet.FleetError) as exc:
+        print(f"demo failed: {exc}", file=sys.stderr)
+        return 1
+    except KeyboardInterrupt:
+        print("stopped")
+    print(f"all processes stopped after {time.monotonic() - started:.1f} s")
+    return 0
+
+
+def _run(running: fleet.Fleet, deployment: deployments.Deployment) -> None:
+    print(f"{deployment.name}: {len(running.processes)} processes started")
+    version = running.publish(deployment.sheet(), deployment.configuration())
+    running.wait_in_force(version)
+    running.wait_endpoints_known()
+    print(f"version {version} is in force on {len(running.routers)} routers")
+    _show_stream(running, deployment)
+    _show_once(running, deployment)
+    _show_refusal(running, deployment)
+    print()
+    print(_status(running))
+
+
+def _show_stream(
+    running: fleet.Fleet, deployment: deployments.Deployment
+) -> None:
+    prompt = "Draft a summary of the long dossier."
+    answer = fleet.run_pipeline(
+        running.routers[0],
+        deployment.long_pipeline,
+        prompt,
+        deployment.account,
+        stream=True,
+    )
+    text = answer.body.decode()
+    _expect(answer.status == 200, f"status {answer.status}: {text}")
+    *_, last = text.strip().split("\n\n")
+    _expect(last.startswith("event: end\n"), f"no end event: {last}")
+    output = json.loads(last.split("data: ", 1)[1])["output"]
+    expected = "".join(standin.token_text(prompt, i) for i in range(64))
+    _expect(output == expected, "the answer is not the request's own")
+    tokens = text.count("event: token")
+    print(f"\n{deployment.long_pipeline}: {tokens} tokens, whole")
+    print(f"  {output[:60]}...")
+
+
+def _show_once(
+    running: fleet.Fleet, deployment: deployments.Deployment
+) -> None:
+    key = fleet.new_key()
+    outputs = []
+    for router in running.routers[:2]:
+        answer = fleet.run_pipeline(
+            router,
+            deployment.once_pipeline,
+            "Kiyomizu gate, Tuesday",
+            deployment.account,
+            key,
+        )
+        _expect(answer.status == 200, f"{answer.status}: {answer.body!r}")
+        outputs.append(answer.json()["output"])
+        print(
+            f"{deployment.once_pipeline} through {router.name}: {outputs[-1]}"
+        )
+    _expect(outputs[0] == outputs[1], "two routers gave two answers")
+    total = sum(
+        fleet.counts(endpoint)["total"]
+        for endpoint in running.endpoints
+        if endpoint.spec.pool == deployment.once_pool
+    )
+    _expect(total == 1, f"the service ran it {total} times")
+    print(f"the service's books show {total} execution for key {key}")
+
+
+def _show_refusal(
+    running: fleet.Fleet, deployment: deployments.Deployment
+) -> None:
+    answer = fleet.run_pipeline(
+        running.routers[0],
+        deployment.long_pipeline,
+        "too hasty",
+        deployment.account,
+        headers={"Deadline-Ms": "5"},
+    )
+    problem = answer.json()
+    _expect(problem["outcome"] == "not_run", f"not refused: {problem}")
+    print(f"refused: {problem['detail']}; remedy: {problem['remedy']}")
+
+
+def _status(running: fleet.Fleet) -> str:
+    return running.run_tool(
+        "status",
+        "--router",
+        running.routers[0].address,
+        "--key-file",
+        str(running.key_file()),
+    )
+
+
+def _hold(running: fleet.Fleet, deployment: deployments.Deployment) -> None:
+    print("\nrunning; stop with Ctrl-C")
+    for router in running.routers:
+        print(f"  {router.name}: http://{router.address}")
+    address = running.routers[0].address
+    print(
+        f"\ncurl -N http://{address}/v1/pipelines/"
+        f"{deployment.long_pipeline}/runs \\\n"
+        f"  -H 'Authorization: Bearer {deployment.account}-key' \\\n"
+        "  -H 'Content-Type: application/json' \\\n"
+        '  -d \'{"input": "ridge", "stream": true}\'\n'
+        f"\ncurl http://{address}/v1/pipelines/"
+        f"{deployment.once_pipeline}/runs \\\n"
+        f"  -H 'Authorization: Bearer {deployment.account}-key' \\\n"
+        f"  -H 'Idempotency-Key: {fleet.new_key()}' \\\n"
+        '  -d \'{"input": "gate"}\'\n'
+        f"\ncurl http://{address}/v1/status "
+        f"-H 'Authorization: Bearer {fleet.OPERATOR_KEY}'",
+        flush=True,
+    )
+    time.sleep(_HOLD_S)
+
+
+def _expect(condition: bool, reason: str) -> None:
+    if not condition:
+        raise DemoError(reason)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/chervilarch/admission.py
@@ -0,0 +1,42 @@
+"""Pure admission: can a request be answered before its deadline?"""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+
+class StageNeed(NamedTuple):
+    """What one stage is expected to take.
+
+    Attributes:
+        units: size of the work.
+        unit_s: time of a work unit, 0 while unknown.
+        queued_units: work that waits before it.
+        limit: work units that run at a time.
+    """
+
+    units: float
+    unit_s: float
+    queued_units: float
+    limit: float
+
+
+def expected_s(needs: Sequence[StageNeed]) -> float:
+    """Returns the expected time of a chain of stages, waits included."""
+    return sum(service_s(need) + wait_s(need) for need in needs)
+
+
+def service_s(need: StageNeed) -> float:
+    """Returns the expected time of a stage once it runs."""
+    return need.units * need.unit_s
+
+
+def wait_s(need: StageNeed) -> float:
+    """Returns the expected wait before a stage runs."""
+    if need.limit <= 0:
+        return 0.0
+    return need.queued_units * need.unit_s / need.limit
+
+
+def can_finish(needs: Sequence[StageNeed], remaining_s: float) -> bool:
+    """Tells whether a request is worth starting."""
+    return expected_s(needs) <= remaining_s
--- /dev/null
+++ b/chervilarch/attempts.py
@@ -0,0 +1,130 @@
+"""One attempt at a stage: its request to an endpoint and its judged reply."""
+
+import enum
+from typing import Any, NamedTuple
+
+import msgspec
+
+from chervilarch import endpoints, request, rules, transfers
+
+_HTTP_OK = 200
+_MS_PER_S = 1000
+LOAD_HEADER = "x-load"
+
+
+class BadKind(enum.Enum):
+    """Why an attempt gave no usable answer."""
+
+    NOT_SENT = "not sent"
+    DECLINED = "declined"
+    LEAVING = "leaving"
+    REJECTED = "rejected"
+    FAILED = "failed"
+    LOST = "lost"
+    NOT_OWN = "not own"
+
+
+class Good(NamedTuple):
+    """A whole answer of this very attempt."""
+
+    output: Any
+
+
+class Bad(NamedTuple):
+    """No usable answer.
+
+    Attributes:
+        kind: what happened.
+        detail: words for the explanation.
+    """
+
+    kind: BadKind
+    detail: str
+
+    def surely_not_run(self) -> bool:
+        """Tells whether the endpoint certainly ran nothing."""
+        return self.kind in (
+            BadKind.NOT_SENT,
+            BadKind.DECLINED,
+            BadKind.LEAVING,
+        )
+
+
+class Attempt(NamedTuple):
+    """An attempt under way."""
+
+    attempt_id: str
+    slot: endpoints.Slot
+
+
+def build_exchange(
+    req: request.PipelineRequest,
+    stage: rules.Pool,
+    attempt: Attempt,
+    stage_input: Any,
+    timeout_s: float,
+    generated: list[str] | None = None,
+    fresh: bool = False,
+) -> transfers.Exchange:
+    """Returns the HTTP request of an attempt."""
+    payload = {
+        "attempt_id": attempt.attempt_id,
+        "request_id": req.id,
+        "request": req.input,
+        "input": stage_input,
+    }
+    if stage.protocol == rules.PROTOCOL_STREAM:
+        payload["max_tokens"] = req.max_tokens
+        payload["generated"] = generated or []
+    headers = [
+        "Content-Type: application/json",
+        f"X-Request-Id: {req.id}",
+        f"X-Attempt-Id: {attempt.attempt_id}",
+        f"X-Account: {req.account.name}",
+        f"X-Priority: {req.rule.priority}",
+        f"Deadline-Ms: {int(timeout_s * _MS_PER_S)}",
+    ]
+    if not stage.repeatable:
+        headers.append(f"Idempotency-Key: {req.headers.idempotency_key}")
+    return transfers.Exchange(
+        "POST",
+        f"http://{attempt.slot.endpoint.address}{stage.path}",
+        msgspec.json.encode(payload),
+        tuple(headers),
+        timeout_s,
+        fresh,
+    )
+
+
+def judge(result: transfers.TransferResult, attempt_id: str) -> Good | Bad:
+    """Decides what a transfer's result says of its attempt."""
+    if isinstance(result, transfers.TransferFailure):
+        kind = BadKind.LOST if result.sent else BadKind.NOT_SENT
+        return Bad(kind, f"{result.kind.value}: {result.detail}")
+    try:
+        reply = msgspec.json.decode(result.body, type=dict)
+    except msgspec.DecodeError as exc:
+        return Bad(BadKind.FAILED, f"status {result.status}, not JSON: {exc}")
+    if reply.get("attempt_id") != attempt_id:
+        return Bad(BadKind.NOT_OWN, "the reply names another attempt")
+    if result.status == _HTTP_OK:
+        if "output" not in reply:
+            return Bad(BadKind.FAILED, "the reply has no output")
+        return Good(reply["output"])
+    detail = str(reply.get("error", f"status {result.status}"))
+    if reply.get("ran") is False:
+        leaving = reply.get("error") == "leaving"
+        return Bad(BadKind.LEAVING if leaving else BadKind.DECLINED, detail)
+    if 400 <= result.status < 500:
+        return Bad(BadKind.REJECTED, detail)
+    return Bad(BadKind.FAILED, detail)
+
+
+def reported_load(result: transfers.TransferResult | None) -> float | None:
+    """Returns the load that a reply reports, or None."""
+    if not isinstance(result, transfers.Reply):
+        return None
+    try:
+        return float(result.headers[LOAD_HEADER])
+    except (KeyError, ValueError):
+        return None
--- /dev/null
+++ b/chervilarch/call_stage.py
@@ -0,0 +1,298 @@
+"""Runs a stage that answers with one reply: retries, hedges, or neither."""
+
+import concurrent.futures
+import random
+import time
+from typing import Any, NamedTuple
+
+from chervilarch import (
+    attempts,
+    controllers,
+    endpoints,
+    request,
+    rules,
+    transfers,
+)
+
+# A hedge starts when an attempt takes this many times its expected time.
+HEDGE_FACTOR = 2.0
+MIN_HEDGE_DELAY_S = 0.02
+# An attempt that takes this many times its expected time is given up.
+GIVE_UP_FACTOR = 12.0
+MIN_ATTEMPT_S = 1.0
+# No single attempt that can be repeated may spend more of what remains.
+MAX_ATTEMPT_SHARE = 0.6
+_BACKOFF_S = 0.02
+
+
+class Running(NamedTuple):
+    """An attempt whose transfer is under way."""
+
+    attempt: attempts.Attempt
+    call: transfers.Call
+    started_at: float
+
+
+class StageFailure(NamedTuple):
+    """A stage without an answer; `bad` is None if no endpoint was found."""
+
+    bad: attempts.Bad | None
+    is_late: bool = False
+
+
+StageResult = attempts.Good | StageFailure
+
+
+class StageRun:
+    """One stage of one request."""
+
+    def __init__(
+        self,
+        ctrl: controllers.Controllers,
+        req: request.PipelineRequest,
+        stage: rules.Pool,
+        stage_input: Any,
+        units: float,
+        reserve_s: float,
+    ):
+        self.ctrl = ctrl
+        self.req = req
+        self.stage = stage
+        self.stage_input = stage_input
+        self.units = units
+        self._reserve_s = reserve_s
+        self.tried: set[str] = set()
+
+    def remaining_s(self) -> float:
+        """Returns the time this stage may still take."""
+        now = self.ctrl.clock.monotonic()
+        return self.req.deadline_at - now - self._reserve_s
+
+    def acquire(self, timeout_s: float) -> endpoints.Slot | endpoints.NoSlot:
+        """Takes a slot on an endpoint that wasn't tried yet."""
+        work = endpoints.Work(
+            self.stage.name,
+            self.units,
+            self.req.rule.priority,
+            exclude=frozenset(self.tried),
+        )
+        slot = self.ctrl.endpoints.acquire(work, timeout_s)
+        if isinstance(slot, endpoints.NoSlot):
+            self.req.trace.note(
+                "no slot",
+                stage=self.stage.name,
+                pool_down=slot.is_pool_down,
+                waited_ms=round(slot.waited_s * 1000, 1),
+            )
+        return slot
+
+    def start(
+        self, slot: endpoints.Slot, timeout_s: float, fresh: bool
+    ) -> Running:
+        """Sends an attempt."""
+        attempt = attempts.Attempt(request.new_id(), slot)
+        exchange = attempts.build_exchange(
+            self.req,
+            self.stage,
+            attempt,
+            self.stage_input,
+            timeout_s,
+            fresh=fresh,
+        )
+        self.note_start(attempt, fresh=fresh)
+        call = self.ctrl.transfers.start_call(exchange)
+        return Running(attempt, call, self.ctrl.clock.monotonic())
+
+    def note_start(self, attempt: attempts.Attempt, **detail: Any) -> None:
+        """Counts an attempt that is about to be sent."""
+        self.req.any_dispatched = True
+        self.ctrl.metrics.count(f"stage.{self.stage.name}.attempts")
+        self.req.trace.note(
+            "attempt",
+            stage=self.stage.name,
+            endpoint=attempt.slot.endpoint.address,
+            attempt_id=attempt.attempt_id,
+            **detail,
+        )
+
+    def note_end(
+        self,
+        attempt: attempts.Attempt,
+        judged: attempts.Good | attempts.Bad,
+        elapsed_s: float,
+        result: transfers.TransferResult | None,
+    ) -> None:
+        """Counts an attempt's end and gives its slot back."""
+        slot = attempt.slot
+        load = attempts.reported_load(result)
+        if load is not None:
+            self.ctrl.endpoints.report_load(slot.endpoint.address, load)
+        self._finish(slot, judged, elapsed_s)
+        stage = f"stage.{self.stage.name}"
+        if isinstance(judged, attempts.Good):
+            self.ctrl.histograms.record(stage, elapsed_s)
+            verdict, detail = "good", ""
+        else:
+            self.ctrl.metrics.count(f"{stage}.{judged.kind.name.lower()}")
+            verdict, detail = judged.kind.value, judged.detail
+        self.req.trace.note(
+            "attempt ended",
+            attempt_id=attempt.attempt_id,
+            result=verdict,
+            detail=detail,
+        )
+
+    def collect(self, running: Running) -> attempts.Good | attempts.Bad:
+        """Judges a finished attempt and gives its slot back."""
+        result = running.call.future.result()
+        judged = attempts.judge(result, running.attempt.attempt_id)
+        elapsed_s = self.ctrl.clock.monotonic() - running.started_at
+        self.note_end(running.attempt, judged, elapsed_s, result)
+        if isinstance(judged, attempts.Bad):
+            self.tried.add(running.attempt.slot.endpoint.address)
+        return judged
+
+    def drop(self, running: Running) -> None:
+        """Cancels an attempt whose answer is no longer wanted."""
+        running.call.cancel()
+        elapsed_s = self.ctrl.clock.monotonic() - running.started_at
+        self.ctrl.endpoints.finish_unanswered(running.attempt.slot, elapsed_s)
+        self.ctrl.metrics.count(f"stage.{self.stage.name}.hedges_lost")
+
+    def _finish(
+        self,
+        slot: endpoints.Slot,
+        judged: attempts.Good | attempts.Bad,
+        elapsed_s: float,
+    ) -> None:
+        if isinstance(judged, attempts.Good):
+            self.ctrl.endpoints.finish(slot, elapsed_s, True)
+            return
+        if judged.kind is attempts.BadKind.LEAVING:
+            controllers.note_leaving(self.ctrl, slot.endpoint)
+        if judged.kind in (
+            attempts.BadKind.REJECTED,
+            attempts.BadKind.DECLINED,
+            attempts.BadKind.LEAVING,
+        ):
+            self.ctrl.endpoints.abandon(slot)
+            return
+        self.ctrl.endpoints.finish(slot, elapsed_s, False)
+
+
+def run_repeatable(run: StageRun) -> StageResult:
+    """Runs a stage that may be tried again and hedged."""
+    run.ctrl.retry_budget.earn()
+    run.ctrl.hedge_budget.earn()
+    bad = None
+    while True:
+        remaining_s = run.remaining_s()
+        if remaining_s <= 0:
+            return StageFailure(bad, is_late=True)
+        slot = run.acquire(remaining_s if not run.tried else 0.0)
+        if isinstance(slot, endpoints.NoSlot):
+            if run.tried and not slot.is_pool_down:
+                run.tried.clear()
+                time.sleep(random.uniform(0.5, 1.0) * _BACKOFF_S)
+                continue
+            return StageFailure(bad, is_late=run.remaining_s() <= 0)
+        judged = _race(run, slot)
+        if isinstance(judged, attempts.Good):
+            return judged
+        bad = judged
+        if bad.kind is attempts.BadKind.REJECTED:
+            return StageFailure(bad)
+        if bad.kind is not attempts.BadKind.LEAVING and not may_retry(run):
+            return StageFailure(bad, is_late=run.remaining_s() <= 0)
+
+
+def run_once(run: StageRun) -> StageResult:
+    """Runs a stage that may not be repeated.
+
+    Another endpoint is tried only if the first certainly ran nothing.
+    """
+    while True:
+        remaining_s = run.remaining_s()
+        if remaining_s <= 0:
+            return StageFailure(None, is_late=True)
+        slot = run.acquire(remaining_s)
+        if isinstance(slot, endpoints.NoSlot):
+            return StageFailure(None, is_late=run.remaining_s() <= 0)
+        # A fresh connection keeps libcurl from sending the call twice.
+        running = run.start(slot, run.remaining_s(), fresh=True)
+        judged = run.collect(running)
+        if isinstance(judged, attempts.Good):
+            return judged
+        if not judged.surely_not_run():
+            return StageFailure(judged)
+        if not may_retry(run):
+            return StageFailure(judged)
+
+
+def may_retry(run: StageRun) -> bool:
+    """Takes an attempt from the retry budget, if one is left."""
+    if not run.ctrl.retry_budget.spend():
+        run.ctrl.metrics.count("retries.denied")
+        run.req.trace.note("retry denied", reason="retry budget spent")
+        return False
+    run.ctrl.metrics.count("retries")
+    return True
+
+
+def _race(run: StageRun, slot: endpoints.Slot):
+    """Runs an attempt and, if it is slow, a second one beside it."""
+    expected_s = run.ctrl.endpoints.unit_s(run.stage.name) * run.units
+    first = run.start(slot, _attempt_bound_s(run, expected_s), bool(run.tried))
+    delay_s = max(MIN_HEDGE_DELAY_S, HEDGE_FACTOR * expected_s)
+    if expected_s > 0 and not _wait([first], delay_s):
+        second = _start_hedge(run, first)
+        if second is not None:
+            return _first_good(run, first, second)
+    return run.collect(first)
+
+
+def _attempt_bound_s(run: StageRun, expected_s: float) -> float:
+    remaining_s = max(0.001, run.remaining_s())
+    if expected_s <= 0:
+        return remaining_s
+    bound_s = max(MIN_ATTEMPT_S, GIVE_UP_FACTOR * expected_s)
+    return min(remaining_s, max(bound_s, MAX_ATTEMPT_SHARE * remaining_s))
+
+
+def _start_hedge(run: StageRun, first: Running) -> Running | None:
+    run.tried.add(first.attempt.slot.endpoint.address)
+    try:
+        slot = run.acquire(0.0)
+    finally:
+        run.tried.discard(first.attempt.slot.endpoint.address)
+    if isinstance(slot, endpoints.NoSlot):
+        return None
+    if not run.ctrl.hedge_budget.spend():
+        run.ctrl.endpoints.abandon(slot)
+        return None
+    run.ctrl.metrics.count("hedges")
+    run.req.trace.note("hedge", stage=run.stage.name)
+    return run.start(slot, max(0.001, run.remaining_s()), fresh=True)
+
+
+def _first_good(run: StageRun, first: Running, second: Running):
+    """Returns the first good answer of two attempts and drops the other."""
+    waiting = [first, second]
+    judged = None
+    while waiting:
+        for running in _wait(waiting, None):
+            waiting.remove(running)
+            judged = run.collect(running)
+            if isinstance(judged, attempts.Good):
+                for loser in waiting:
+                    run.drop(loser)
+                return judged
+    return judged
+
+
+def _wait(waiting: list[Running], timeout_s: float | None) -> list[Running]:
+    futures = [running.call.future for running in waiting]
+    done, _ = concurrent.futures.wait(
+        futures, timeout_s, concurrent.futures.FIRST_COMPLETED
+    )
+    return [running for running in waiting if running.call.future in done]
--- /dev/null
+++ b/chervilarch/choice.py
@@ -0,0 +1,125 @@
+"""Pure choice of an endpoint for one attempt.
+
+Two endpoints are drawn, weighted towards fast ones, and the one with the
+shorter expected wait is taken. Local counts and ages come first; reports of
+load count less the older they are.
+"""
+
+import random
+import zlib
+from collections.abc import Sequence
+from typing import NamedTuple
+
+# A load report loses half its weight in this time, in seconds.
+REPORT_HALF_LIFE_S = 1.0
+# An endpoint may hold this many times the mean work for the sake of a prefix.
+AFFINITY_BOUND = 1.25
+# Endpoints of other data centres look this much slower.
+REMOTE_PENALTY = 1.3
+# Above this share of its limit, the own data centre spills.
+SPILL_SHARE = 0.8
+MIN_LATENCY_S = 0.001
+
+
+class EndpointView(NamedTuple):
+    """What a host knows of an endpoint when it chooses.
+
+    Attributes:
+        address: "ip:port".
+        is_local: whether it is in this host's data centre.
+        in_flight: work units this host has running there.
+        limit: bound on `in_flight`.
+        latency_s: smoothed time of a work unit.
+        oldest_s: age of the oldest attempt still running, per work unit.
+        reported_load: queue and running work it last reported, less ours.
+        report_age_s: age of that report.
+        trust: 1.0 for a sound endpoint, less while it returns from ejection.
+    """
+
+    address: str
+    is_local: bool
+    in_flight: float
+    limit: float
+    latency_s: float
+    oldest_s: float = 0.0
+    reported_load: float = 0.0
+    report_age_s: float = float("inf")
+    trust: float = 1.0
+
+
+def expected_wait_s(view: EndpointView) -> float:
+    """Returns the expected time of one more work unit on an endpoint."""
+    # A straggler shows in the age of what it holds before any answer is late.
+    unit_s = max(MIN_LATENCY_S, view.latency_s, view.oldest_s)
+    weight = 0.5 ** (view.report_age_s / REPORT_HALF_LIFE_S)
+    load = view.in_flight + weight * max(0.0, view.reported_load)
+    penalty = 1.0 if view.is_local else REMOTE_PENALTY
+    return unit_s * (1.0 + load) * penalty / max(0.05, view.trust)
+
+
+def has_room(view: EndpointView, units: float) -> bool:
+    """Tells whether an endpoint may take more work; an idle one always may."""
+    return view.in_flight == 0 or view.in_flight + units <= view.limit
+
+
+def choose(
+    views: Sequence[EndpointView],
+    units: float,
+    rng: random.Random,
+    prefix: bytes = b"",
+) -> EndpointView | None:
+    """Chooses an endpoint with room, or None if none has.
+
+    Args:
+        views: sound endpoints of a pool that weren't tried yet.
+        units: size of the work.
+        rng: source of random numbers.
+        prefix: the start of a prompt that an endpoint may have cached.
+    """
+    roomy = [view for view in views if has_room(view, units)]
+    if not roomy:
+        return None
+    if prefix:
+        home = _prefix_home(views, prefix)
+        if _may_take_prefix(home, roomy):
+            return home
+    candidates = _prefer_local(roomy)
+    if len(candidates) > 2:
+        candidates = _draw_two(candidates, rng)
+    return min(candidates, key=expected_wait_s)
+
+
+def _draw_two(
+    views: list[EndpointView], rng: random.Random
+) -> list[EndpointView]:
+    weights = [
+        view.trust / max(MIN_LATENCY_S, view.latency_s, view.oldest_s)
+        for view in views
+    ]
+    first = rng.choices(range(len(views)), weights)[0]
+    weights[first] = 0.0
+    second = rng.choices(range(len(views)), weights)[0]
+    return [views[first], views[second]]
+
+
+def _prefer_local(views: list[EndpointView]) -> list[EndpointView]:
+    local = [
+        view
+        for view in views
+        if view.is_local and view.in_flight <= SPILL_SHARE * view.limit
+    ]
+    return local or views
+
+
+def _prefix_home(views: Sequence[EndpointView], prefix: bytes) -> EndpointView:
+    """Returns the endpoint with the highest hash, the same on every host."""
+    return max(
+        views, key=lambda view: zlib.crc32(prefix + view.address.encode())
+    )
+
+
+def _may_take_prefix(home: EndpointView, roomy: list[EndpointView]) -> bool:
+    if home not in roomy or home.trust < 1.0:
+        return False
+    mean = sum(view.in_flight for view in roomy) / len(roomy)
+    return home.in_flight + 1 <= AFFINITY_BOUND * (mean + 1)
--- /dev/null
+++ b/chervilarch/controllers.py
@@ -0,0 +1,151 @@
+"""All controllers of a router, in the order in which they are started.
+
+Each holds one kind of state and has its own thread or executor slot.
+"""
+
+import random
+from typing import NamedTuple
+
+from chervilarch import (
+    account_limits,
+    budgets,
+    calls_controller,
+    clocks,
+    config_controller,
+    configuration,
+    endpoints,
+    explanations,
+    gossip,
+    histograms,
+    hosts,
+    log_client,
+    membership,
+    metrics,
+    peers,
+    rules,
+    settings,
+    transfers,
+)
+
+
+class Controllers(NamedTuple):
+    """The state of a router, part by part."""
+
+    clock: clocks.Clock
+    metrics: metrics.Metrics
+    histograms: histograms.Histograms
+    explanations: explanations.Explanations
+    transfers: transfers.TransferThread
+    gossip: gossip.GossipController
+    configuration: config_controller.ConfigController
+    rules: "RulesInForce"
+    calls: calls_controller.CallsController
+    hosts: hosts.HostsController
+    endpoints: endpoints.EndpointTable
+    account_limits: account_limits.AccountLimits
+    peers: peers.PeerServer
+    retry_budget: budgets.Budget
+    hedge_budget: budgets.Budget
+
+
+class RulesInForce:
+    """The indexed form of the configuration in force."""
+
+    def __init__(self) -> None:
+        self.book: rules.RuleBook | None = None
+
+    def take(self, state: configuration.ConfigState) -> None:
+        """Indexes a new version."""
+        self.book = rules.RuleBook(state.document) if state.document else None
+
+
+def build(cfg: settings.Settings, clock: clocks.Clock) -> Controllers:
+    """Creates all controllers and connects them; nothing is started."""
+    rng = random.Random()
+    counters = metrics.Metrics(cfg.statsd_address)
+    transfer_thread = transfers.TransferThread()
+    log = log_client.LogClient(cfg.log_address, transfer_thread)
+    key = cfg.peer_key.encode()
+    own = membership.Member(
+        cfg.host,
+        cfg.peer_address,
+        cfg.data_centre,
+        gossip.first_incarnation(clock),
+        caller_address=cfg.caller_address,
+    )
+    fleet = gossip.GossipController(own, key, clock, counters, rng)
+    config = config_controller.ConfigController(
+        log,
+        clock,
+        counters,
+        turn=fleet.turn,
+        fetch=lambda address: peers.fetch_configuration(address, key),
+    )
+    table = endpoints.EndpointTable(cfg.data_centre, clock, counters, rng)
+    ctrl = Controllers(
+        clock=clock,
+        metrics=counters,
+        histograms=histograms.Histograms(),
+        explanations=explanations.Explanations(),
+        transfers=transfer_thread,
+        gossip=fleet,
+        configuration=config,
+        rules=RulesInForce(),
+        calls=calls_controller.CallsController(
+            log, clock, counters, writers=fleet.live_count
+        ),
+        hosts=hosts.HostsController(
+            cfg.host_list_address, transfer_thread, counters
+        ),
+        endpoints=table,
+        account_limits=account_limits.AccountLimits(clock, fleet),
+        peers=peers.PeerServer(
+            cfg.peer_address, key, counters, lambda: config.state
+        ),
+        retry_budget=budgets.Budget(budgets.RETRY_SHARE),
+        hedge_budget=budgets.Budget(budgets.HEDGE_SHARE),
+    )
+    _connect(ctrl)
+    return ctrl
+
+
+def start(ctrl: Controllers) -> None:
+    """Starts every controller."""
+    ctrl.transfers.start()
+    ctrl.peers.start()
+    ctrl.gossip.start()
+    ctrl.configuration.start()
+    ctrl.calls.start()
+    ctrl.hosts.start()
+    ctrl.account_limits.start()
+
+
+def stop(ctrl: Controllers) -> None:
+    """Stops every controller, in the reverse order."""
+    ctrl.account_limits.stop()
+    ctrl.hosts.stop()
+    ctrl.calls.stop()
+    ctrl.configuration.stop()
+    ctrl.gossip.stop()
+    ctrl.peers.stop()
+    ctrl.transfers.stop()
+
+
+def _connect(ctrl: Controllers) -> None:
+    ctrl.configuration.add_listener(ctrl.rules.take)
+    ctrl.configuration.on_progress = ctrl.gossip.set_config
+    ctrl.gossip.on_config = ctrl.configuration.note_peer
+    ctrl.gossip.on_leaving = ctrl.endpoints.mark_leaving
+    ctrl.hosts.add_listener(ctrl.gossip.take_list)
+    ctrl.hosts.add_listener(lambda entries: _take_endpoints(ctrl, entries))
+
+
+def _take_endpoints(ctrl: Controllers, entries: list[hosts.HostEntry]) -> None:
+    for endpoint in ctrl.endpoints.update_list(entries):
+        note_leaving(ctrl, endpoint)
+
+
+def note_leaving(ctrl: Controllers, endpoint: endpoints.EndpointId) -> None:
+    """Stops new work to an endpoint here and spreads the news."""
+    if ctrl.endpoints.mark_leaving(endpoint.address, endpoint.incarnation):
+        ctrl.gossip.spread_leaving(endpoint.address, endpoint.incarnation)
--- /dev/null
+++ b/chervilarch/endpoints.py
@@ -0,0 +1,379 @@
+"""Controller of the endpoints: which there are, how they do, who may go on.
+
+An attempt holds a slot on an endpoint. When none has room, it waits in its
+pool's queue, which is ordered by priority and then by age.
+"""
+
+import bisect
+import collections
+import itertools
+import random
+import threading
+from typing import NamedTuple
+
+from chervilarch import choice, clocks, hosts, limits, metrics, state_log
+
+# Consecutive failures after which an endpoint is ejected.
+EJECT_AFTER = 3
+EJECT_S = 2.0
+MAX_EJECT_S = 4.0
+# An endpoint back from ejection is trusted fully after this time.
+RETURN_S = 5.0
+_FIRST_TRUST = 0.1
+
+
+class EndpointId(NamedTuple):
+    """One run of an endpoint."""
+
+    address: str
+    incarnation: int
+
+
+class Work(NamedTuple):
+    """What an attempt needs of a pool.
+
+    Attributes:
+        pool: name of the pool.
+        units: predicted size, 1.0 for ordinary work.
+        priority: smaller goes first.
+        prefix: start of a prompt that an endpoint may have cached.
+        exclude: addresses that were tried already.
+    """
+
+    pool: str
+    units: float = 1.0
+    priority: int = 5
+    prefix: bytes = b""
+    exclude: frozenset[str] = frozenset()
+
+
+class _Endpoint:
+    """State of one endpoint; guarded by the table's lock."""
+
+    def __init__(self, entry: hosts.HostEntry, is_local: bool):
+        self.address = entry.address
+        self.pool = entry.pool
+        self.data_centre = entry.data_centre
+        self.incarnation = entry.incarnation
+        self.is_local = is_local
+        self.leaving = False
+        self.listed = True
+        self.learnt = limits.LimitState()
+        self.slots: dict[int, Slot] = {}
+        self.units = 0.0
+        self.failures = 0
+        self.ejections = 0
+        self.ejected_until = float("-inf")
+        self.load = 0.0
+        self.load_at = float("-inf")
+
+    def view(self, now: float, default_s: float) -> choice.EndpointView:
+        oldest_s = 0.0
+        if self.slots:
+            slot = next(iter(self.slots.values()))
+            oldest_s = (now - slot.started_at) / max(1.0, slot.work.units)
+        return choice.EndpointView(
+            self.address,
+            self.is_local,
+            self.units,
+            self.learnt.limit,
+            self.learnt.latency_s or default_s,
+            oldest_s,
+            self.load,
+            now - self.load_at,
+            self._trust(now),
+        )
+
+    def is_open(self, now: float) -> bool:
+        return self.listed and not self.leaving and now >= self.ejected_until
+
+    def _trust(self, now: float) -> float:
+        if self.ejections == 0:
+            return 1.0
+        back_s = now - self.ejected_until
+        return max(_FIRST_TRUST, min(1.0, back_s / RETURN_S))
+
+
+class Slot:
+    """The right to run one attempt on an endpoint."""
+
+    def __init__(
+        self, number: int, endpoint: EndpointId, work: Work, now: float
+    ):
+        self.number = number
+        self.endpoint = endpoint
+        self.work = work
+        self.started_at = now
+
+
+class NoSlot(NamedTuple):
+    """No endpoint could be had.
+
+    Attributes:
+        is_pool_down: whether the pool has no open endpoint at all.
+        waited_s: how long the attempt waited.
+    """
+
+    is_pool_down: bool
+    waited_s: float
+
+
+class _Waiter:
+    """An attempt in a pool's queue."""
+
+    def __init__(self, work: Work, number: int):
+        self.work = work
+        self.order = (work.priority, number)
+        self.ready = threading.Event()
+        self.slot: Slot | None = None
+
+
+class EndpointTable:
+    """All endpoints that this host knows."""
+
+    def __init__(
+        self,
+        data_centre: str,
+        clock: clocks.Clock,
+        counters: metrics.Metrics,
+        rng: random.Random,
+    ):
+        self._data_centre = data_centre
+        self._clock = clock
+        self._metrics = counters
+        self._rng = rng
+        self._lock = threading.Lock()
+        self._endpoints: dict[str, _Endpoint] = {}
+        self._pools: dict[str, list[_Endpoint]] = {}
+        self._left: dict[str, int] = {}
+        self._queues: dict[str, list[_Waiter]] = collections.defaultdict(list)
+        self._numbers = itertools.count()
+
+    def update_list(self, entries: list[hosts.HostEntry]) -> list[EndpointId]:
+        """Takes a reading of the host list; returns what newly leaves."""
+        news = []
+        listed = set()
+        with self._lock:
+            for entry in entries:
+                if entry.role != hosts.ROLE_ENDPOINT:
+                    continue
+                listed.add(entry.address)
+                if self._update_entry(entry):
+                    news.append(EndpointId(entry.address, entry.incarnation))
+            for endpoint in self._endpoints.values():
+                endpoint.listed = endpoint.address in listed
+            self._rebuild_pools()
+            for pool in list(self._queues):
+                self._serve_queue(pool)
+        return news
+
+    def mark_leaving(self, address: str, incarnation: int) -> bool:
+        """Stops new work to a run of an endpoint; tells whether that's news."""
+        with self._lock:
+            if self._left.get(address, -1) >= incarnation:
+                return False
+            self._left[address] = incarnation
+            endpoint = self._endpoints.get(address)
+            if endpoint is not None and endpoint.incarnation <= incarnation:
+                endpoint.leaving = True
+        self._metrics.count("endpoints.leaving")
+        state_log.log_change(
+            "endpoint leaving", address=address, incarnation=incarnation
+        )
+        return True
+
+    def acquire(self, work: Work, timeout_s: float) -> Slot | NoSlot:
+        """Takes a slot, waiting up to `timeout_s` in the pool's queue."""
+        now = self._clock.monotonic()
+        with self._lock:
+            slot = self._try_slot(work, now)
+            if slot is not None:
+                return slot
+            waiter = _Waiter(work, next(self._numbers))
+            bisect.insort(
+                self._queues[work.pool], waiter, key=lambda item: item.order
+            )
+        waiter.ready.wait(max(0.0, timeout_s))
+        with self._lock:
+            if waiter.slot is not None:
+                return waiter.slot
+            self._queues[work.pool].remove(waiter)
+            is_down = not self._open_endpoints(work.pool, now)
+        return NoSlot(is_down, self._clock.monotonic() - now)
+
+    def finish(self, slot: Slot, elapsed_s: float, succeeded: bool) -> None:
+        """Gives a slot back with how the attempt went."""
+        now = self._clock.monotonic()
+        with self._lock:
+            endpoint = self._remove_slot(slot)
+            if endpoint is None:
+                return
+            unit_s = elapsed_s / max(1.0, slot.work.units)
+            if succeeded:
+                endpoint.failures = 0
+                endpoint.learnt = limits.after_answer(
+                    endpoint.learnt, unit_s, endpoint.units + slot.work.units
+                )
+                if now - endpoint.ejected_until > RETURN_S:
+                    endpoint.ejections = 0
+            else:
+                self._note_failure(endpoint, now)
+            self._serve_queue(slot.work.pool)
+
+    def abandon(self, slot: Slot) -> None:
+        """Gives a slot back with nothing learnt, as after a lost hedge."""
+        with self._lock:
+            if self._remove_slot(slot) is not None:
+                self._serve_queue(slot.work.pool)
+
+    def finish_unanswered(self, slot: Slot, elapsed_s: float) -> None:
+        """Gives back a slot whose attempt was cancelled before its answer."""
+        with self._lock:
+            endpoint = self._remove_slot(slot)
+            if endpoint is None:
+                return
+            # The answer would have taken at least this long.
+            unit_s = elapsed_s / max(1.0, slot.work.units)
+            if unit_s > endpoint.learnt.latency_s > 0:
+                endpoint.learnt = limits.after_answer(
+                    endpoint.learnt, unit_s, endpoint.units + slot.work.units
+                )
+            self._serve_queue(slot.work.pool)
+
+    def unit_s(self, pool: str) -> float:
+        """Returns a pool's mean time of a work unit, 0 while unknown."""
+        return self.pool_capacity(pool)[1]
+
+    def report_load(self, address: str, load: float) -> None:
+        """Takes the load that an endpoint reported."""
+        with self._lock:
+            endpoint = self._endpoints.get(address)
+            if endpoint is not None:
+                endpoint.load = load - endpoint.units
+                endpoint.load_at = self._clock.monotonic()
+
+    def queue_units(self, pool: str) -> float:
+        """Returns the work that waits for a pool."""
+        with self._lock:
+            return sum(waiter.work.units for waiter in self._queues[pool])
+
+    def pool_capacity(self, pool: str) -> tuple[float, float]:
+        """Returns a pool's limit in work units and its mean unit time."""
+        now = self._clock.monotonic()
+        with self._lock:
+            endpoints = self._open_endpoints(pool, now)
+            if not endpoints:
+                return 0.0, 0.0
+            limit = sum(endpoint.learnt.limit for endpoint in endpoints)
+            return limit, _mean_latency_s(endpoints)
+
+    def describe(self) -> list[dict]:
+        """Returns the state of each endpoint for the status page."""
+        now = self._clock.monotonic()
+        with self._lock:
+            return [
+                {
+                    "address": endpoint.address,
+                    "pool": endpoint.pool,
+                    "data_centre": endpoint.data_centre,
+                    "incarnation": endpoint.incarnation,
+                    "open": endpoint.is_open(now),
+                    "leaving": endpoint.leaving,
+                    "in_flight": len(endpoint.slots),
+                    "limit": round(endpoint.learnt.limit, 1),
+                    "latency_ms": round(endpoint.learnt.latency_s * 1000, 2),
+                    "reported_load": endpoint.load,
+                }
+                for endpoint in self._endpoints.values()
+            ]
+
+    def _update_entry(self, entry: hosts.HostEntry) -> bool:
+        endpoint = self._endpoints.get(entry.address)
+        if endpoint is None or endpoint.incarnation < entry.incarnation:
+            is_local = entry.data_centre == self._data_centre
+            endpoint = _Endpoint(entry, is_local)
+            self._endpoints[entry.address] = endpoint
+        left = self._left.get(entry.address, -1)
+        endpoint.leaving = endpoint.incarnation <= left
+        if entry.state != hosts.LEAVING or endpoint.leaving:
+            return False
+        return endpoint.incarnation == entry.incarnation
+
+    def _rebuild_pools(self) -> None:
+        self._pools = collections.defaultdict(list)
+        for endpoint in self._endpoints.values():
+            self._pools[endpoint.pool].append(endpoint)
+
+    def _open_endpoints(self, pool: str, now: float) -> list[_Endpoint]:
+        return [
+            endpoint
+            for endpoint in self._pools.get(pool, ())
+            if endpoint.is_open(now)
+        ]
+
+    def _try_slot(self, work: Work, now: float) -> Slot | None:
+        open_endpoints = self._open_endpoints(work.pool, now)
+        default_s = _mean_latency_s(open_endpoints)
+        views = [
+            endpoint.view(now, default_s)
+            for endpoint in open_endpoints
+            if endpoint.address not in work.exclude
+        ]
+        chosen = choice.choose(views, work.units, self._rng, work.prefix)
+        if chosen is None:
+            return None
+        endpoint = self._endpoints[chosen.address]
+        endpoint_id = EndpointId(endpoint.address, endpoint.incarnation)
+        slot = Slot(next(self._numbers), endpoint_id, work, now)
+        endpoint.slots[slot.number] = slot
+        endpoint.units += work.units
+        return slot
+
+    def _remove_slot(self, slot: Slot) -> _Endpoint | None:
+        endpoint = self._endpoints.get(slot.endpoint.address)
+        if endpoint is None or slot.number not in endpoint.slots:
+            return None
+        del endpoint.slots[slot.number]
+        endpoint.units -= slot.work.units
+        return endpoint
+
+    def _note_failure(self, endpoint: _Endpoint, now: float) -> None:
+        endpoint.failures += 1
+        endpoint.learnt = limits.after_failure(endpoint.learnt)
+        if endpoint.failures < EJECT_AFTER or now < endpoint.ejected_until:
+            return
+        eject_s = min(MAX_EJECT_S, EJECT_S * 2**endpoint.ejections)
+        endpoint.ejections += 1
+        endpoint.failures = 0
+        endpoint.ejected_until = now + eject_s
+        self._metrics.count("endpoints.ejected")
+        state_log.log_fault(
+            "endpoint ejected",
+            address=endpoint.address,
+            pool=endpoint.pool,
+            seconds=eject_s,
+        )
+
+    def _serve_queue(self, pool: str) -> None:
+        queue = self._queues[pool]
+        now = self._clock.monotonic()
+        while queue:
+            slot = self._try_slot(queue[0].work, now)
+            if slot is None:
+                return
+            waiter = queue.pop(0)
+            waiter.slot = slot
+            waiter.ready.set()
+
+
+def _mean_latency_s(endpoints: list[_Endpoint]) -> float:
+    """Returns the mean time of a work unit where it is known, else 0."""
+    known = [
+        endpoint.learnt
+        for endpoint in endpoints
+        if endpoint.learnt.latency_s > 0
+    ]
+    if not known:
+        return 0.0
+    weighted = sum(learnt.latency_s * learnt.limit for learnt in known)
+    return weighted / sum(learnt.limit for learnt in known)
--- /dev/null
+++ b/chervilarch/environment.py
@@ -0,0 +1,20 @@
+"""What a program takes from outside: streams, arguments' home and clock."""
+
+import sys
+from typing import NamedTuple, TextIO
+
+from chervilarch import clocks
+
+
+class Environment(NamedTuple):
+    """Everything a command touches besides its arguments."""
+
+    stdin: TextIO
+    stdout: TextIO
+    stderr: TextIO
+    clock: clocks.Clock
+
+
+def system_environment() -> Environment:
+    """Returns the environment of the running process."""
+    return Environment(sys.stdin, sys.stdout, sys.stderr, clocks.SystemClock())
--- /dev/null
+++ b/chervilarch/exits.py
@@ -0,0 +1,16 @@
+"""Exit statuses of every program."""
+
+import enum
+
+
+class ExitStatus(enum.IntEnum):
+    """What a program's exit status means."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    BAD_SETTINGS = 3
+    BAD_SHEET = 4
+    CONFLICT = 5
+    UNAVAILABLE = 6
+    TIMED_OUT = 7
--- /dev/null
+++ b/chervilarch/explanations.py
@@ -0,0 +1,71 @@
+"""What was decided for each recent request, for `explain REQUEST-ID`."""
+
+import collections
+import threading
+from typing import Any, TypedDict
+
+from chervilarch import clocks
+
+MAX_REQUESTS = 5000
+MAX_STEPS = 200
+
+
+class Step(TypedDict):
+    """One decision.
+
+    `at_ms` counts from the request's arrival.
+    """
+
+    at_ms: float
+    step: str
+    detail: dict[str, Any]
+
+
+class Trace:
+    """Decisions made for one request."""
+
+    def __init__(self, request_id: str, clock: clocks.Clock):
+        self.request_id = request_id
+        self.account = ""
+        self.refusal = ""
+        self._clock = clock
+        self._start = clock.monotonic()
+        self._steps: list[tuple[float, str, dict[str, Any]]] = []
+
+    def note(self, step: str, **detail: Any) -> None:
+        """Adds a decision."""
+        if len(self._steps) < MAX_STEPS:
+            at_s = self._clock.monotonic() - self._start
+            self._steps.append((at_s, step, detail))
+
+    def steps(self) -> list[Step]:
+        """Returns the decisions in order."""
+        return [
+            Step(at_ms=round(at_s * 1000, 2), step=step, detail=detail)
+            for at_s, step, detail in list(self._steps)
+        ]
+
+
+class Explanations:
+    """Traces of the most recent requests."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._traces: collections.OrderedDict[str, Trace] = (
+            collections.OrderedDict()
+        )
+
+    def add(self, trace: Trace) -> None:
+        """Keeps a trace, dropping the oldest when full."""
+        with self._lock:
+            self._traces[trace.request_id] = trace
+            if len(self._traces) > MAX_REQUESTS:
+                self._traces.popitem(last=False)
+
+    def find(self, request_id: str, account: str | None) -> Trace | None:
+        """Returns an account's trace, or any if `account` is None."""
+        with self._lock:
+            trace = self._traces.get(request_id)
+        if trace is None or (account is not None and trace.account != account):
+            return None
+        return trace
--- /dev/null
+++ b/chervilarch/filters.py
@@ -0,0 +1,217 @@
+"""The filter chain that every request passes, in order.
+
+A filter returns an outcome, either its own or that of the filters after it.
+"""
+
+from collections.abc import Callable
+
+from chervilarch import (
+    admission,
+    controllers,
+    idempotency,
+    keys,
+    outcomes,
+    request,
+    settings,
+    stages,
+)
+
+Next = Callable[[], outcomes.Outcome]
+_MS_PER_S = 1000
+
+
+class FilterContext:
+    """What filters work with."""
+
+    def __init__(
+        self,
+        ctrl: controllers.Controllers,
+        cfg: settings.Settings,
+        req: request.PipelineRequest,
+    ):
+        self.ctrl = ctrl
+        self.cfg = cfg
+        self.req = req
+
+
+Filter = Callable[[FilterContext, Next], outcomes.Outcome]
+
+
+def check_freshness(ctx: FilterContext, following: Next) -> outcomes.Outcome:
+    """Refuses while the configuration is missing or may be out of date."""
+    if ctx.ctrl.rules.book is None:
+        return outcomes.NotRun(
+            outcomes.Reason.NO_CONFIGURATION,
+            "this host has no configuration yet",
+            "send the request to another host",
+        )
+    age_s = ctx.ctrl.configuration.contact_age_s()
+    if age_s > ctx.cfg.bounds.stale_after_s:
+        return outcomes.NotRun(
+            outcomes.Reason.STALE_CONFIGURATION,
+            f"this host has heard neither log nor peers for {age_s:.0f} s",
+            "send the request to another host",
+        )
+    return following()
+
+
+def identify_account(ctx: FilterContext, following: Next) -> outcomes.Outcome:
+    """Finds the account of the caller's key."""
+    key = ctx.req.headers.key
+    account = find_account(ctx.ctrl, ctx.cfg, key) if key else None
+    if account is None:
+        return outcomes.Rejected(
+            outcomes.Reason.UNAUTHENTICATED,
+            "the Authorization header names no known key",
+            'send "Authorization: Bearer KEY" with the account\'s key',
+        )
+    ctx.req.account = account
+    ctx.req.trace.account = account.name
+    return following()
+
+
+def find_account(
+    ctrl: controllers.Controllers, cfg: settings.Settings, key: str
+):
+    """Returns the account of a caller's key, from sheet or settings."""
+    book = ctrl.rules.book
+    if book is None:
+        return None
+    account = book.account_of_key(key)
+    if account is None and cfg.caller_keys:
+        name = cfg.caller_keys.get(keys.key_digest(key), "")
+        account = book.account(name)
+    return account
+
+
+def find_rule(ctx: FilterContext, following: Next) -> outcomes.Outcome:
+    """Finds the pipeline and the rule in force for the account now."""
+    req = ctx.req
+    book = ctx.ctrl.rules.book
+    pipeline = book.pipelines.get(req.pipeline_name)
+    if pipeline is None:
+        return outcomes.Rejected(
+            outcomes.Reason.UNKNOWN_PIPELINE,
+            f"there is no pipeline {req.pipeline_name!r}",
+            "name one of: " + ", ".join(sorted(book.pipelines)),
+        )
+    wall = ctx.ctrl.clock.wall()
+    rule = book.rule_in_force(pipeline.name, req.account.name, wall)
+    if rule is None:
+        return outcomes.Rejected(
+            outcomes.Reason.FORBIDDEN,
+            f"the day's sheet has no row in force for pipeline "
+            f"{pipeline.name!r} and account {req.account.name!r}",
+            "ask the operators for a row, or come back within its times",
+        )
+    req.pipeline = pipeline
+    req.rule = rule
+    req.trace.note(
+        "rule",
+        priority=rule.priority,
+        deadline_s=rule.deadline_s,
+        version=ctx.ctrl.configuration.state.version,
+    )
+    return following()
+
+
+def set_deadline(ctx: FilterContext, following: Next) -> outcomes.Outcome:
+    """Takes the earlier of the rule's deadline and the caller's."""
+    req = ctx.req
+    allowed_s = req.rule.deadline_s
+    if req.headers.deadline_ms is not None:
+        allowed_s = min(allowed_s, req.headers.deadline_ms / _MS_PER_S)
+    req.deadline_at = req.arrived_at + allowed_s
+    return following()
+
+
+def limit_account(ctx: FilterContext, following: Next) -> outcomes.Outcome:
+    """Keeps an account within its limit over the fleet."""
+    req = ctx.req
+    limit = req.rule.limit_per_s
+    if not ctx.ctrl.account_limits.admit(req.account.name, limit):
+        return outcomes.NotRun(
+            outcomes.Reason.ACCOUNT_LIMIT,
+            f"account {req.account.name!r} is over {limit:g} requests a second",
+            "send more slowly, or ask the operators for a higher limit",
+        )
+    return following()
+
+
+def admit(ctx: FilterContext, following: Next) -> outcomes.Outcome:
+    """Refuses at once what can't be answered before its deadline."""
+    req = ctx.req
+    remaining_s = req.deadline_at - ctx.ctrl.clock.monotonic()
+    needs = stages.stage_needs(ctx.ctrl, req, req.pipeline.stages)
+    service_s = sum(admission.service_s(need) for need in needs)
+    expected_s = admission.expected_s(needs)
+    req.trace.note(
+        "admission",
+        expected_ms=round(expected_s * _MS_PER_S, 1),
+        remaining_ms=round(remaining_s * _MS_PER_S, 1),
+    )
+    if admission.can_finish(needs, remaining_s):
+        return following()
+    if service_s > remaining_s:
+        return outcomes.NotRun(
+            outcomes.Reason.DEADLINE_TOO_SHORT,
+            f"the stages take about {service_s:.2f} s, "
+            f"{remaining_s:.2f} s remain",
+            "allow a longer deadline",
+        )
+    return outcomes.NotRun(
+        outcomes.Reason.OVERLOADED,
+        f"an answer would take about {expected_s:.2f} s, "
+        f"{remaining_s:.2f} s remain",
+        "send the request again a little later",
+    )
+
+
+def run_stages(ctx: FilterContext, following: Next) -> outcomes.Outcome:
+    """Runs the pipeline's stages; the last filter."""
+    return stages.run_pipeline(ctx.ctrl, ctx.req)
+
+
+def claim_call(ctx: FilterContext, following: Next) -> outcomes.Outcome:
+    """Lets a pipeline that may not be repeated run at most once."""
+    if ctx.req.pipeline.is_repeatable():
+        return following()
+    return idempotency.run_claimed(ctx.ctrl, ctx.req, following)
+
+
+def guard_not_run(ctx: FilterContext, following: Next) -> outcomes.Outcome:
+    """Says "not run" of a key only if no earlier attempt can have run."""
+    outcome = following()
+    if isinstance(outcome, outcomes.NotRun):
+        return idempotency.prove_not_run(ctx.ctrl, ctx.req, outcome)
+    return outcome
+
+
+CHAIN: tuple[Filter, ...] = (
+    guard_not_run,
+    check_freshness,
+    identify_account,
+    find_rule,
+    set_deadline,
+    limit_account,
+    admit,
+    claim_call,
+    run_stages,
+)
+
+
+def run_chain(
+    ctx: FilterContext, chain: tuple[Filter, ...] = CHAIN
+) -> outcomes.Outcome:
+    """Passes a request through the filters."""
+    first, *rest = chain
+    outcome = first(ctx, lambda: run_chain(ctx, tuple(rest)))
+    if not isinstance(outcome, outcomes.Answer) and not ctx.req.trace.refusal:
+        ctx.req.trace.refusal = first.__name__
+        ctx.req.trace.note(
+            "refused",
+            filter=first.__name__,
+            outcome=outcomes.outcome_name(outcome),
+            reason=outcome.reason.value,
+        )
+    return outcome
--- /dev/null
+++ b/chervilarch/gossip.py
@@ -0,0 +1,371 @@
+"""Controller of the fleet's membership: gossip by UDP between routers."""
+
+import collections
+import random
+import select
+import socket
+import threading
+from collections.abc import Callable
+from typing import NamedTuple
+
+from chervilarch import (
+    clocks,
+    hosts,
+    membership,
+    messages,
+    metrics,
+    state_log,
+)
+
+_LEAVING_SENDS = 12
+_MAX_LEAVING = 8
+_MAX_USES = 8
+_DEAD_PROBE_PERIODS = 4
+_REPLAY_WINDOW = 1024
+_INCARNATION_PER_S = 1000
+_WAIT_S = 0.05
+
+
+class _Probe(NamedTuple):
+    """A ping that waits for its ack."""
+
+    member: membership.Member
+    sent_at: float
+    asked_helpers: bool
+
+
+class PeerUse(NamedTuple):
+    """A peer's demand for an account and when it was heard."""
+
+    per_second: float
+    heard_at: float
+
+
+class ReplayGuard:
+    """Remembers which datagrams of each sender were heard."""
+
+    def __init__(self) -> None:
+        self._senders: dict[str, tuple[int, int, set[int]]] = {}
+
+    def is_new(self, name: str, start: int, sequence: int) -> bool:
+        """Tells whether a datagram is heard for the first time.
+
+        Args:
+            name: the sender's name.
+            start: the sender's first incarnation since it started.
+            sequence: the datagram's number within that start.
+        """
+        held_start, highest, seen = self._senders.get(name, (-1, 0, set()))
+        if start < held_start:
+            return False
+        if start > held_start:
+            highest, seen = 0, set()
+        if sequence in seen or sequence <= highest - _REPLAY_WINDOW:
+            return False
+        seen.add(sequence)
+        highest = max(highest, sequence)
+        if len(seen) > 2 * _REPLAY_WINDOW:
+            seen = {item for item in seen if item > highest - _REPLAY_WINDOW}
+        self._senders[name] = (start, highest, seen)
+        return True
+
+
+def first_incarnation(clock: clocks.Clock) -> int:
+    """Returns a number that grows with each start of a process."""
+    return int(clock.wall() * _INCARNATION_PER_S)
+
+
+class GossipController:
+    """Probes peers, spreads news and tells listeners of changes."""
+
+    def __init__(
+        self,
+        own: membership.Member,
+        key: bytes,
+        clock: clocks.Clock,
+        counters: metrics.Metrics,
+        rng: random.Random,
+    ):
+        self._key = key
+        self._clock = clock
+        self._metrics = counters
+        self._rng = rng
+        self._lock = threading.Lock()
+        self._fleet = membership.Membership(own, rng)
+        self._sequence = 0
+        self._probe_number = 0
+        self._probes: dict[int, _Probe] = {}
+        self._relays: dict[int, tuple[str, int]] = {}
+        self._leaving: dict[messages.LeavingEndpoint, int] = {}
+        self._uses: tuple[messages.AccountUse, ...] = ()
+        self._peer_uses: dict[str, dict[str, PeerUse]] = (
+            collections.defaultdict(dict)
+        )
+        self._guard = ReplayGuard()
+        self._periods = 0
+        self._next_period = 0.0
+        self._address = _split(own.address)
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._stop = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name="gossip", daemon=True
+        )
+        self.on_config: Callable[[str, int, int], None] = _ignore
+        self.on_leaving: Callable[[str, int], bool] = _ignore
+        self.bytes_sent = 0
+
+    def start(self) -> None:
+        """Binds the socket and starts the thread."""
+        self._socket.bind(self._address)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Tells some peers that this router leaves, then stops."""
+        with self._lock:
+            self._fleet.own = self._fleet.own._replace(
+                status=membership.Status.LEFT
+            )
+            for member in self._fleet.live()[1:9]:
+                self._send("ping", member.address)
+        self._stop.set()
+        self._thread.join()
+        self._socket.close()
+
+    def members(self) -> list[membership.Member]:
+        """Returns every known member, this router first."""
+        with self._lock:
+            return self._fleet.members()
+
+    def live_count(self) -> int:
+        """Returns how many routers may be serving, this one included."""
+        with self._lock:
+            return len(self._fleet.live())
+
+    def turn(self) -> int:
+        """Returns this router's place in the order of live names."""
+        with self._lock:
+            names = sorted(member.name for member in self._fleet.live())
+            return names.index(self._fleet.own.name)
+
+    def set_config(self, version: int, through: int) -> None:
+        """Sets what this router says of its configuration."""
+        with self._lock:
+            self._fleet.set_config(version, through)
+
+    def set_uses(self, uses: list[messages.AccountUse]) -> None:
+        """Sets this router's rates for its busiest accounts."""
+        uses.sort(key=lambda use: -use.per_second)
+        self._uses = tuple(uses[:_MAX_USES])
+
+    def peer_rates(self, account: str, max_age_s: float) -> list[float]:
+        """Returns the demand for an account that peers lately reported."""
+        oldest = self._clock.monotonic() - max_age_s
+        with self._lock:
+            return [
+                uses[account].per_second if account in uses else 0.0
+                for name, uses in self._peer_uses.items()
+                if uses.get("", PeerUse(0, 0)).heard_at >= oldest
+            ]
+
+    def spread_leaving(self, address: str, incarnation: int) -> None:
+        """Spreads that an endpoint gets no new work."""
+        with self._lock:
+            news = messages.LeavingEndpoint(address, incarnation)
+            self._leaving.setdefault(news, _LEAVING_SENDS)
+
+    def take_list(self, entries: list[hosts.HostEntry]) -> None:
+        """Seeds the membership from the platform's list."""
+        now = self._clock.monotonic()
+        with self._lock:
+            for entry in entries:
+                if entry.role == hosts.ROLE_ROUTER:
+                    self._fleet.seed(
+                        membership.Member(
+                            entry.name, entry.address, entry.data_centre, 0
+                        ),
+                        now,
+                    )
+
+    def _run(self) -> None:
+        while not self._stop.is_set():
+            readable, _, _ = select.select([self._socket], [], [], _WAIT_S)
+            if readable:
+                self._receive()
+            now = self._clock.monotonic()
+            with self._lock:
+                self._check_probes(now)
+                if now >= self._next_period:
+                    self._next_period = now + membership.PROBE_PERIOD_S
+                    self._run_period(now)
+
+    def _run_period(self, now: float) -> None:
+        self._periods += 1
+        for change in self._fleet.expire(now):
+            self._note_change(change)
+        member = self._fleet.next_probe()
+        if member is not None:
+            self._probe(member, now)
+        if self._periods % _DEAD_PROBE_PERIODS == 0:
+            dead = self._fleet.next_dead()
+            if dead is not None:
+                self._send("ping", dead.address, about=dead)
+
+    def _probe(self, member: membership.Member, now: float) -> None:
+        self._probe_number += 1
+        self._probes[self._probe_number] = _Probe(member, now, False)
+        self._send(
+            "ping", member.address, probe=self._probe_number, about=member
+        )
+
+    def _check_probes(self, now: float) -> None:
+        for number, probe in list(self._probes.items()):
+            age_s = now - probe.sent_at
+            if age_s >= membership.PROBE_PERIOD_S:
+                del self._probes[number]
+                self._note_change(self._fleet.suspect(probe.member.name, now))
+            elif age_s >= membership.ACK_TIMEOUT_S and not probe.asked_helpers:
+                self._probes[number] = probe._replace(asked_helpers=True)
+                for helper in self._fleet.helpers(probe.member):
+                    self._send(
+                        "indirectPing",
+                        helper.address,
+                        probe=number,
+                        subject=probe.member.address,
+                    )
+
+    def _receive(self) -> None:
+        try:
+            frame, source = self._socket.recvfrom(65536)
+        except OSError:
+            return
+        gossip = messages.decode_gossip(self._key, frame)
+        if isinstance(gossip, messages.BadFrame):
+            self._metrics.count("gossip.bad_frame")
+            return
+        with self._lock:
+            self._take(gossip)
+        if gossip.sender.status is not membership.Status.LEFT:
+            self.on_config(
+                gossip.sender.address,
+                gossip.sender.config_through,
+                gossip.sender.config_version,
+            )
+        for endpoint in gossip.leaving:
+            if self.on_leaving(endpoint.address, endpoint.incarnation):
+                self.spread_leaving(endpoint.address, endpoint.incarnation)
+
+    def _take(self, gossip: messages.Gossip) -> None:
+        sender = gossip.sender
+        if gossip.target != self._fleet.own.address:
+            self._metrics.count("gossip.wrong_target")
+            return
+        if not self._guard.is_new(
+            sender.name, sender.incarnation, gossip.sequence
+        ):
+            self._metrics.count("gossip.replayed")
+            return
+        now = self._clock.monotonic()
+        self._note_change(self._fleet.observe(sender, now))
+        for member in gossip.members:
+            self._note_change(self._fleet.observe(member, now))
+        self._take_uses(sender.name, gossip.uses, now)
+        if gossip.kind == "ping":
+            self._send("ack", sender.address, probe=gossip.probe, about=sender)
+        elif gossip.kind == "ack":
+            self._take_ack(gossip)
+        else:
+            self._relay_probe(gossip)
+
+    def _take_ack(self, gossip: messages.Gossip) -> None:
+        relay = self._relays.pop(gossip.probe, None)
+        if relay is not None:
+            address, number = relay
+            self._send("ack", address, probe=number)
+            return
+        probe = self._probes.get(gossip.probe)
+        if probe is not None:
+            del self._probes[gossip.probe]
+
+    def _relay_probe(self, gossip: messages.Gossip) -> None:
+        self._probe_number += 1
+        self._relays[self._probe_number] = (
+            gossip.sender.address,
+            gossip.probe,
+        )
+        if len(self._relays) > _REPLAY_WINDOW:
+            self._relays.pop(next(iter(self._relays)))
+        self._send("ping", gossip.subject, probe=self._probe_number)
+
+    def _take_uses(
+        self, name: str, uses: tuple[messages.AccountUse, ...], now: float
+    ) -> None:
+        held = {use.account: PeerUse(use.per_second, now) for use in uses}
+        # The empty name says when the peer was last heard at all.
+        held[""] = PeerUse(0.0, now)
+        self._peer_uses[name] = held
+
+    def _send(
+        self,
+        kind: str,
+        address: str,
+        probe: int = 0,
+        subject: str = "",
+        about: membership.Member | None = None,
+    ) -> None:
+        self._sequence += 1
+        gossip = messages.Gossip(
+            kind=kind,
+            sender=self._fleet.own,
+            target=address,
+            sequence=self._sequence,
+            probe=probe,
+            subject=subject,
+            members=self._news(about),
+            leaving=self._take_leaving(),
+            uses=self._uses,
+        )
+        frame = messages.encode_gossip(self._key, gossip)
+        self.bytes_sent += len(frame)
+        try:
+            self._socket.sendto(frame, _split(address))
+        except OSError:
+            self._metrics.count("gossip.send_failed")
+
+    def _news(
+        self, about: membership.Member | None
+    ) -> tuple[membership.Member, ...]:
+        news = self._fleet.take_news()
+        held = self._fleet.find(about.name) if about else None
+        # Whoever is held dead or suspect must hear it to refute it.
+        if held is not None and held.status is not membership.Status.ALIVE:
+            news = (held, *news)
+        return news
+
+    def _take_leaving(self) -> tuple[messages.LeavingEndpoint, ...]:
+        chosen = list(self._leaving)[:_MAX_LEAVING]
+        for news in chosen:
+            self._leaving[news] -= 1
+            if self._leaving[news] <= 0:
+                del self._leaving[news]
+        return tuple(chosen)
+
+    def _note_change(self, change: membership.Change | None) -> None:
+        if change is None:
+            return
+        status = change.member.status.value
+        self._metrics.count(f"members.{status}")
+        state_log.log_change(
+            f"member {status}",
+            name=change.member.name,
+            address=change.member.address,
+            incarnation=change.member.incarnation,
+        )
+
+
+def _ignore(*_args) -> bool:
+    return False
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, port = address.rsplit(":", 1)
+    return host, int(port)
--- /dev/null
+++ b/chervilarch/keys.py
@@ -0,0 +1,14 @@
+"""Hashes under which secret keys are kept."""
+
+import hashlib
+import hmac
+
+
+def key_digest(key: str) -> str:
+    """Returns the hash of a caller's or operator's key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def matches(key: str, digest: str) -> bool:
+    """Tells whether a key has a hash, in constant time."""
+    return hmac.compare_digest(key_digest(key), digest)
--- /dev/null
+++ b/chervilarch/log_client.py
@@ -0,0 +1,123 @@
+"""Client of the platform's append-only log, over HTTP and JSON."""
+
+from typing import Any, NamedTuple
+
+import msgspec
+
+from chervilarch import records, transfers
+
+READ_LIMIT = 1000
+LONG_POLL_S = 5.0
+REPLY_MARGIN_S = 2.0
+APPEND_TIMEOUT_S = 2.0
+_MS_PER_S = 1000
+
+
+class LogPage(NamedTuple):
+    """Records read from a stream.
+
+    Attributes:
+        first_offset: first offset that the log still holds.
+        next_offset: offset that the next append will get.
+        records: the records read, in offset order.
+        time: the log's clock, seconds since the Unix epoch.
+        retention_s: how long the log keeps records.
+    """
+
+    first_offset: int
+    next_offset: int
+    records: list[records.Record]
+    time: float
+    retention_s: float
+
+
+class LogError(NamedTuple):
+    """The log gave no usable reply.
+
+    Attributes:
+        reason: what was seen.
+        sent: whether the request may have taken effect.
+    """
+
+    reason: str
+    sent: bool
+
+
+class LogClient:
+    """Reads and appends; decides nothing from an append's answer."""
+
+    def __init__(self, address: str, transfer_thread: transfers.TransferThread):
+        self._base = f"http://{address}/streams"
+        self._transfers = transfer_thread
+
+    def read(
+        self, stream: str, offset: int, wait_s: float = LONG_POLL_S
+    ) -> LogPage | LogError:
+        """Reads records from an offset, waiting up to `wait_s` for one."""
+        wait_ms = int(wait_s * _MS_PER_S)
+        url = (
+            f"{self._base}/{stream}/records"
+            f"?from={max(0, offset)}&limit={READ_LIMIT}&wait_ms={wait_ms}"
+        )
+        result = self._transfers.call(
+            transfers.Exchange("GET", url, timeout_s=wait_s + REPLY_MARGIN_S)
+        )
+        return _parse_page(result)
+
+    def append(self, stream: str, bodies: list[records.Body]) -> int | LogError:
+        """Appends records as one group.
+
+        Returns:
+            The first offset. It is a hint: only reading back decides.
+        """
+        payload = {"records": [records.encode(body) for body in bodies]}
+        # A fresh connection keeps libcurl from sending the append twice.
+        result = self._transfers.call(
+            transfers.Exchange(
+                "POST",
+                f"{self._base}/{stream}/records",
+                msgspec.json.encode(payload),
+                ("Content-Type: application/json",),
+                APPEND_TIMEOUT_S,
+                fresh=True,
+            )
+        )
+        reply = _parse_reply(result)
+        if isinstance(reply, LogError):
+            return reply
+        offset = reply.get("offset")
+        if not isinstance(offset, int):
+            return LogError("the append's reply names no offset", True)
+        return offset
+
+
+def _parse_reply(result: transfers.TransferResult) -> dict[str, Any] | LogError:
+    if isinstance(result, transfers.TransferFailure):
+        return LogError(f"{result.kind.value}: {result.detail}", result.sent)
+    if result.status != 200:
+        return LogError(f"HTTP status {result.status}", True)
+    try:
+        return msgspec.json.decode(result.body, type=dict)
+    except msgspec.DecodeError as exc:
+        return LogError(f"not JSON: {exc}", True)
+
+
+def _parse_page(result: transfers.TransferResult) -> LogPage | LogError:
+    reply = _parse_reply(result)
+    if isinstance(reply, LogError):
+        return reply
+    try:
+        return LogPage(
+            reply["first_offset"],
+            reply["next_offset"],
+            [
+                records.Record(
+                    item["offset"], item["time"], records.decode(item["body"])
+                )
+                for item in reply["records"]
+            ],
+            reply["time"],
+            reply["retention_s"],
+        )
+    except (KeyError, TypeError) as exc:
+        return LogError(f"the reply lacks {exc}", True)
--- /dev/null
+++ b/chervilarch/messages.py
@@ -0,0 +1,211 @@
+"""Codec of the messages between routers.
+
+Frames are Cap'n Proto messages after a keyed BLAKE2b hash, so that nobody
+without the fleet's key is heard.
+"""
+
+import hashlib
+import hmac
+import pathlib
+from typing import NamedTuple
+
+import capnp
+
+from chervilarch import membership
+
+MAC_BYTES = 16
+MAX_DATAGRAM_BYTES = 1400
+_SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("peer.capnp")))
+
+
+class LeavingEndpoint(NamedTuple):
+    """An endpoint incarnation that gets no new work."""
+
+    address: str
+    incarnation: int
+
+
+class AccountUse(NamedTuple):
+    """Requests a second that a router saw from an account."""
+
+    account: str
+    per_second: float
+
+
+class Gossip(NamedTuple):
+    """One gossip datagram.
+
+    Attributes:
+        kind: "ping", "ack" or "indirectPing".
+        sender: the sending router as it sees itself.
+        target: address of the router that it is meant for.
+        sequence: grows with each datagram of a sender's incarnation.
+        probe: number that an ack carries back.
+        subject: address to be probed by an indirect ping.
+        members: news of other routers.
+        leaving: endpoints that are leaving.
+        uses: the sender's rate for its busiest accounts.
+    """
+
+    kind: str
+    sender: membership.Member
+    target: str
+    sequence: int
+    probe: int
+    subject: str = ""
+    members: tuple[membership.Member, ...] = ()
+    leaving: tuple[LeavingEndpoint, ...] = ()
+    uses: tuple[AccountUse, ...] = ()
+
+
+class TransferRequest(NamedTuple):
+    """Asks a router for the configuration it holds."""
+
+    nonce: int
+    target: str
+
+
+class TransferReply(NamedTuple):
+    """A router's folded configuration; `document` is JSON."""
+
+    nonce: int
+    through: int
+    version: int
+    document: bytes
+
+
+class BadFrame(NamedTuple):
+    """Bytes that are no message of this fleet."""
+
+    reason: str
+
+
+def seal(key: bytes, payload: bytes) -> bytes:
+    """Puts the keyed hash before a payload."""
+    return _mac(key, payload) + payload
+
+
+def unseal(key: bytes, frame: bytes) -> bytes | BadFrame:
+    """Checks the keyed hash and returns the payload."""
+    mac, payload = frame[:MAC_BYTES], frame[MAC_BYTES:]
+    if not hmac.compare_digest(mac, _mac(key, payload)):
+        return BadFrame("wrong key")
+    return payload
+
+
+def encode_gossip(key: bytes, gossip: Gossip) -> bytes:
+    """Returns the sealed datagram of a gossip message."""
+    msg = _SCHEMA.Gossip.new_message()
+    msg.kind = gossip.kind
+    _fill_member(msg.sender, gossip.sender)
+    msg.target = gossip.target
+    msg.sequence = gossip.sequence
+    msg.probe = gossip.probe
+    msg.subject = gossip.subject
+    members = msg.init("members", len(gossip.members))
+    for slot, member in zip(members, gossip.members, strict=True):
+        _fill_member(slot, member)
+    leaving = msg.init("leaving", len(gossip.leaving))
+    for slot, endpoint in zip(leaving, gossip.leaving, strict=True):
+        slot.address = endpoint.address
+        slot.incarnation = endpoint.incarnation
+    uses = msg.init("uses", len(gossip.uses))
+    for slot, use in zip(uses, gossip.uses, strict=True):
+        slot.account = use.account
+        slot.perSecond = use.per_second
+    return seal(key, msg.to_bytes_packed())
+
+
+def decode_gossip(key: bytes, frame: bytes) -> Gossip | BadFrame:
+    """Returns the message of a sealed datagram."""
+    payload = unseal(key, frame)
+    if isinstance(payload, BadFrame):
+        return payload
+    try:
+        msg = _SCHEMA.Gossip.from_bytes_packed(payload)
+        return Gossip(
+            kind=str(msg.kind),
+            sender=_read_member(msg.sender),
+            target=msg.target,
+            sequence=msg.sequence,
+            probe=msg.probe,
+            subject=msg.subject,
+            members=tuple(_read_member(slot) for slot in msg.members),
+            leaving=tuple(
+                LeavingEndpoint(slot.address, slot.incarnation)
+                for slot in msg.leaving
+            ),
+            uses=tuple(
+                AccountUse(slot.account, slot.perSecond) for slot in msg.uses
+            ),
+        )
+    except (capnp.KjException, ValueError) as exc:
+        return BadFrame(f"malformed gossip: {exc}")
+
+
+def encode_request(key: bytes, req: TransferRequest) -> bytes:
+    """Returns the sealed frame of a transfer request."""
+    msg = _SCHEMA.TransferRequest.new_message(
+        nonce=req.nonce, target=req.target
+    )
+    return seal(key, msg.to_bytes_packed())
+
+
+def decode_request(key: bytes, frame: bytes) -> TransferRequest | BadFrame:
+    """Returns the transfer request of a sealed frame."""
+    payload = unseal(key, frame)
+    if isinstance(payload, BadFrame):
+        return payload
+    try:
+        msg = _SCHEMA.TransferRequest.from_bytes_packed(payload)
+        return TransferRequest(msg.nonce, msg.target)
+    except (capnp.KjException, ValueError) as exc:
+        return BadFrame(f"malformed request: {exc}")
+
+
+def encode_reply(key: bytes, reply: TransferReply) -> bytes:
+    """Returns the sealed frame of a transfer reply."""
+    msg = _SCHEMA.TransferReply.new_message(**reply._asdict())
+    return seal(key, msg.to_bytes_packed())
+
+
+def decode_reply(key: bytes, frame: bytes) -> TransferReply | BadFrame:
+    """Returns the transfer reply of a sealed frame."""
+    payload = unseal(key, frame)
+    if isinstance(payload, BadFrame):
+        return payload
+    try:
+        msg = _SCHEMA.TransferReply.from_bytes_packed(payload)
+        return TransferReply(
+            msg.nonce, msg.through, msg.version, bytes(msg.document)
+        )
+    except (capnp.KjException, ValueError) as exc:
+        return BadFrame(f"malformed reply: {exc}")
+
+
+def _mac(key: bytes, payload: bytes) -> bytes:
+    return hashlib.blake2b(payload, key=key, digest_size=MAC_BYTES).digest()
+
+
+def _fill_member(slot, member: membership.Member) -> None:
+    slot.name = member.name
+    slot.address = member.address
+    slot.dataCentre = member.data_centre
+    slot.incarnation = member.incarnation
+    slot.status = member.status.value
+    slot.configVersion = member.config_version
+    slot.configThrough = member.config_through
+    slot.callerAddress = member.caller_address
+
+
+def _read_member(slot) -> membership.Member:
+    return membership.Member(
+        name=slot.name,
+        address=slot.address,
+        data_centre=slot.dataCentre,
+        incarnation=slot.incarnation,
+        status=membership.Status(str(slot.status)),
+        config_version=slot.configVersion,
+        config_through=slot.configThrough,
+        caller_address=slot.callerAddress,
+    )
--- /dev/null
+++ b/chervilarch/outcomes.py
@@ -0,0 +1,214 @@
+"""Outcomes of a request, and what each looks like over HTTP.
+
+An outcome is a value with a reason and a remedy, not an exception. "Not run"
+means that no stage was dispatched.
+"""
+
+import enum
+from functools import singledispatch
+from typing import Any, NamedTuple, TypedDict
+
+
+class Reason(enum.Enum):
+    """Why a request got no answer; the value is part of the protocol."""
+
+    BAD_REQUEST = "bad-request"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    UNKNOWN_PIPELINE = "unknown-pipeline"
+    NOT_IN_FORCE = "not-in-force"
+    BAD_KEY = "bad-idempotency-key"
+    KEY_REUSED = "idempotency-key-reused"
+    KEY_OUT_OF_WINDOW = "idempotency-key-out-of-window"
+    ACCOUNT_LIMIT = "account-limit"
+    OVERLOADED = "overloaded"
+    DEADLINE_TOO_SHORT = "deadline-too-short"
+    DEADLINE_PASSED = "deadline-passed"
+    NO_CONFIGURATION = "no-configuration"
+    STALE_CONFIGURATION = "stale-configuration"
+    LOG_UNAVAILABLE = "log-unavailable"
+    IN_PROGRESS = "in-progress"
+    NO_ENDPOINT = "no-endpoint"
+    STAGE_FAILED = "stage-failed"
+    CONNECTION_LOST = "connection-lost"
+    ANSWER_NOT_KEPT = "answer-not-kept"
+    INTERNAL = "internal"
+
+
+class Answer(NamedTuple):
+    """The whole answer of a pipeline."""
+
+    output: Any
+
+
+class Rejected(NamedTuple):
+    """The request itself is wrong; nothing was run for it."""
+
+    reason: Reason
+    detail: str
+    remedy: str
+
+
+class NotRun(NamedTuple):
+    """No stage was dispatched for this request."""
+
+    reason: Reason
+    detail: str
+    remedy: str
+    retry_after_s: float = 1.0
+
+
+class RanInPart(NamedTuple):
+    """Some repeatable stages ran; there is no answer."""
+
+    reason: Reason
+    detail: str
+    remedy: str
+    stage: str = ""
+
+
+class Unknown(NamedTuple):
+    """A call that may not be repeated may or may not have run."""
+
+    reason: Reason
+    detail: str
+    remedy: str
+
+
+class TooLate(NamedTuple):
+    """The deadline passed while repeatable stages ran."""
+
+    reason: Reason
+    detail: str
+    remedy: str
+    stage: str = ""
+
+
+Outcome = Answer | Rejected | NotRun | RanInPart | Unknown | TooLate
+
+
+class Problem(TypedDict):
+    """Problem details as in RFC 9457, with this system's members."""
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    outcome: str
+    reason: str
+    remedy: str
+    retry_safe: bool
+    request_id: str
+
+
+_REJECTED_STATUS = {
+    Reason.UNAUTHENTICATED: 401,
+    Reason.FORBIDDEN: 403,
+    Reason.UNKNOWN_PIPELINE: 404,
+    Reason.KEY_REUSED: 422,
+}
+_NOT_RUN_STATUS = {Reason.ACCOUNT_LIMIT: 429}
+
+
+@singledispatch
+def outcome_name(outcome: Any) -> str:
+    """Returns the outcome's name in the protocol."""
+    raise TypeError(f"{type(outcome).__name__} is not an outcome")
+
+
+@outcome_name.register
+def _(outcome: Answer) -> str:
+    return "answer"
+
+
+@outcome_name.register
+def _(outcome: Rejected) -> str:
+    return "rejected"
+
+
+@outcome_name.register
+def _(outcome: NotRun) -> str:
+    return "not_run"
+
+
+@outcome_name.register
+def _(outcome: RanInPart) -> str:
+    return "ran_in_part"
+
+
+@outcome_name.register
+def _(outcome: Unknown) -> str:
+    return "unknown"
+
+
+@outcome_name.register
+def _(outcome: TooLate) -> str:
+    return "too_late"
+
+
+@singledispatch
+def http_status(outcome: Any) -> int:
+    """Returns the HTTP status that an outcome is sent with."""
+    raise TypeError(f"{type(outcome).__name__} is not an outcome")
+
+
+@http_status.register
+def _(outcome: Answer) -> int:
+    return 200
+
+
+@http_status.register
+def _(outcome: Rejected) -> int:
+    return _REJECTED_STATUS.get(outcome.reason, 400)
+
+
+@http_status.register
+def _(outcome: NotRun) -> int:
+    return _NOT_RUN_STATUS.get(outcome.reason, 503)
+
+
+@http_status.register
+def _(outcome: RanInPart) -> int:
+    return 502
+
+
+@http_status.register
+def _(outcome: Unknown) -> int:
+    return 500
+
+
+@http_status.register
+def _(outcome: TooLate) -> int:
+    return 504
+
+
+@singledispatch
+def is_retry_safe(outcome: Any) -> bool:
+    """Tells whether sending the same request again can do no harm."""
+    return True
+
+
+@is_retry_safe.register
+def _(outcome: Rejected) -> bool:
+    return False
+
+
+@is_retry_safe.register
+def _(outcome: Unknown) -> bool:
+    # The same key may be sent again; the call is then still run at most once.
+    return outcome.reason is not Reason.KEY_OUT_OF_WINDOW
+
+
+def problem(outcome: Outcome, request_id: str) -> Problem:
+    """Returns the problem document of an outcome other than an answer."""
+    return Problem(
+        type=f"urn:chervilarch:problem:{outcome.reason.value}",
+        title=outcome.reason.value.replace("-", " "),
+        status=http_status(outcome),
+        detail=outcome.detail,
+        outcome=outcome_name(outcome),
+        reason=outcome.reason.value,
+        remedy=outcome.remedy,
+        retry_safe=is_retry_safe(outcome),
+        request_id=request_id,
+    )
--- /dev/null
+++ b/chervilarch/peer.capnp
@@ -0,0 +1,61 @@
+@0xc3a5f0d1b7e24986;
+
+# Messages between routers. Every frame is preceded by a keyed hash.
+
+enum MemberStatus {
+  alive @0;
+  suspect @1;
+  dead @2;
+  left @3;
+}
+
+struct MemberUpdate {
+  name @0 :Text;
+  address @1 :Text;
+  dataCentre @2 :Text;
+  incarnation @3 :UInt64;
+  status @4 :MemberStatus;
+  configVersion @5 :Int64;
+  configThrough @6 :Int64;
+  callerAddress @7 :Text;
+}
+
+struct LeavingEndpoint {
+  address @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct AccountUse {
+  account @0 :Text;
+  perSecond @1 :Float32;
+}
+
+enum GossipKind {
+  ping @0;
+  ack @1;
+  indirectPing @2;
+}
+
+struct Gossip {
+  kind @0 :GossipKind;
+  sender @1 :MemberUpdate;
+  target @2 :Text;
+  sequence @3 :UInt64;
+  probe @4 :UInt64;
+  subject @5 :Text;
+  members @6 :List(MemberUpdate);
+  leaving @7 :List(LeavingEndpoint);
+  uses @8 :List(AccountUse);
+}
+
+struct TransferRequest {
+  nonce @0 :UInt64;
+  target @1 :Text;
+}
+
+struct TransferReply {
+  nonce @0 :UInt64;
+  through @1 :Int64;
+  version @2 :Int64;
+  document @3 :Data;
+}
--- /dev/null
+++ b/chervilarch/request.py
@@ -0,0 +1,60 @@
+"""A caller's request on its way through the filter chain."""
+
+import uuid
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from chervilarch import explanations, rules
+
+
+class CallerHeaders(NamedTuple):
+    """What a caller says of a request in its headers.
+
+    Attributes:
+        key: the account's secret key, "" for none.
+        idempotency_key: "" for none.
+        first_attempt: whether the caller never sent this key before.
+        deadline_ms: longest wait that the caller asks for, or None.
+    """
+
+    key: str = ""
+    idempotency_key: str = ""
+    first_attempt: bool = False
+    deadline_ms: float | None = None
+
+
+class PipelineRequest:
+    """One request; filters fill in what they learn."""
+
+    def __init__(
+        self,
+        pipeline_name: str,
+        body: bytes,
+        document: dict[str, Any],
+        headers: CallerHeaders,
+        trace: explanations.Trace,
+        arrived_at: float,
+    ):
+        self.id = trace.request_id
+        self.pipeline_name = pipeline_name
+        self.body = body
+        self.input = document["input"]
+        self.max_tokens: int = document.get("max_tokens", 64)
+        self.wants_stream: bool = document.get("stream", False)
+        self.headers = headers
+        self.trace = trace
+        self.arrived_at = arrived_at
+        self.account: rules.Account | None = None
+        self.pipeline: rules.Pipeline | None = None
+        self.rule: rules.Rule | None = None
+        self.deadline_at = float("inf")
+        self.claim_id = ""
+        self.dispatched_once = False
+        self.not_run_proved = False
+        self.any_dispatched = False
+        self.emit: Callable[[list[str], int], None] | None = None
+
+
+def new_id() -> str:
+    """Returns a new unique id for a request or an attempt."""
+    return uuid.uuid4().hex
--- /dev/null
+++ b/chervilarch/router.py
@@ -0,0 +1,192 @@
+"""`chervilarch-router`: the daemon on entry hosts."""
+
+import argparse
+import signal
+import socket
+import sys
+import threading
+from collections.abc import Sequence
+
+from cheroot import wsgi
+
+from chervilarch import (
+    controllers,
+    drain,
+    environment,
+    router_args,
+    server,
+    settings,
+    state_log,
+)
+from chervilarch.exits import ExitStatus
+
+MAX_HEADER_BYTES = 32 * 1024
+LISTEN_BACKLOG = 1024
+_SOCKET_TIMEOUT_S = 10
+_SHUTDOWN_TIMEOUT_S = 5
+_RESULTS_TIMEOUT_S = 5.0
+_POLL_S = 0.05
+
+
+class Router:
+    """A running daemon: its controllers, its server and its signals."""
+
+    def __init__(self, cfg: settings.Settings, env: environment.Environment):
+        self._env = env
+        self._gate = drain.Gate()
+        self._ctrl = controllers.build(cfg, env.clock)
+        self._app = server.Application(self._ctrl, cfg, self._gate)
+        self._server = _build_server(cfg, self._app)
+        self._stop_asked = threading.Event()
+        self._thread = threading.Thread(
+            target=self._server.serve, name="server", daemon=True
+        )
+
+    def start(self) -> None:
+        """Starts serving.
+
+        Raises:
+            OSError: an address can't be bound.
+        """
+        self._server.prepare()
+        controllers.start(self._ctrl)
+        self._thread.start()
+        state_log.log_change("router started", host=self._app.cfg.host)
+
+    def run(self) -> None:
+        """Waits for a shutdown to be asked for, then drains."""
+        self._stop_asked.wait()
+        state_log.log_change("drain started", in_flight=self._gate.in_flight())
+        self._gate.begin_drain()
+        threading.Event().wait(self._app.cfg.bounds.drain_notice_s)
+        self._gate.wait_idle()
+        self._wait_for_results()
+        self._server.stop()
+        self._thread.join(_SHUTDOWN_TIMEOUT_S)
+        self._gate.wait_idle()
+        controllers.stop(self._ctrl)
+        state_log.log_change("router stopped")
+
+    def ask_stop(self) -> None:
+        """Begins a graceful shutdown; a second call changes nothing."""
+        self._stop_asked.set()
+
+    def reload(self, cfg: settings.Settings) -> None:
+        """Takes over the settings that can change while serving."""
+        old = self._app.cfg
+        fixed = settings.fixed_changes(old, cfg)
+        changes = {name: getattr(cfg, name) for name in settings.LIVE_FIELDS}
+        self._app.cfg = old._replace(**changes)
+        state_log.set_up(self._env.stderr, cfg.log_json)
+        state_log.log_change(
+            "settings read again", needs_restart=",".join(fixed) or "nothing"
+        )
+
+    def _wait_for_results(self) -> None:
+        """Gives the log time to take the results of finished calls."""
+        deadline = self._env.clock.monotonic() + _RESULTS_TIMEOUT_S
+        while self._ctrl.calls.unconfirmed():
+            if self._env.clock.monotonic() > deadline:
+                state_log.log_fault(
+                    "results not recorded", count=self._ctrl.calls.unconfirmed()
+                )
+                return
+            threading.Event().wait(_POLL_S)
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Runs the program; returns its exit status."""
+    args = router_args.build_parser().parse_args(argv)
+    return run(args, environment.system_environment())
+
+
+def run(args: argparse.Namespace, env: environment.Environment) -> int:
+    """Runs a router until it is asked to stop."""
+    cfg = settings.load(args.settings)
+    if isinstance(cfg, settings.SettingsError):
+        return _fail(env, cfg.faults)
+    if args.check:
+        print(f"{args.settings}: settings are good", file=env.stdout)
+        return ExitStatus.OK
+    state_log.set_up(env.stderr, cfg.log_json)
+    sys.setswitchinterval(0.001)
+    router = Router(cfg, env)
+    try:
+        router.start()
+    except OSError as exc:
+        return _fail(env, [_address_fault(args, cfg, exc)])
+    signal.signal(signal.SIGTERM, lambda *_: router.ask_stop())
+    signal.signal(signal.SIGINT, lambda *_: router.ask_stop())
+    signal.signal(signal.SIGHUP, lambda *_: _reload(router, args, env))
+    router.run()
+    return ExitStatus.OK
+
+
+def _reload(
+    router: Router, args: argparse.Namespace, env: environment.Environment
+) -> None:
+    cfg = settings.load(args.settings)
+    if isinstance(cfg, settings.SettingsError):
+        state_log.log_fault("settings refused", faults="; ".join(cfg.faults))
+        return
+    router.reload(cfg)
+
+
+def _build_server(
+    cfg: settings.Settings, app: server.Application
+) -> wsgi.Server:
+    host, port = cfg.caller_address.rsplit(":", 1)
+    result = wsgi.Server(
+        (host, int(port)),
+        app,
+        numthreads=cfg.bounds.threads,
+        max=cfg.bounds.threads,
+        request_queue_size=LISTEN_BACKLOG,
+        timeout=_SOCKET_TIMEOUT_S,
+        shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
+    )
+    result.max_request_header_size = MAX_HEADER_BYTES
+    result.max_request_body_size = 0
+    result.error_log = _log_server_error
+    return result
+
+
+def _log_server_error(
+    msg: str = "", level: int = 20, traceback: bool = False
+) -> None:
+    if level >= 40 or traceback:
+        state_log.log_fault("server error", detail=msg, traceback=traceback)
+
+
+def _address_fault(
+    args: argparse.Namespace, cfg: settings.Settings, exc: OSError
+) -> str:
+    for name in ("caller_address", "peer_address"):
+        if not _can_bind(getattr(cfg, name)):
+            value = getattr(cfg, name)
+            return (
+                f"{args.settings}: $.{name} is {value!r}: it can't be bound "
+                "here; give an address of this host with a free port"
+            )
+    return f"{args.settings}: an address can't be bound: {exc}; free its port"
+
+
+def _can_bind(address: str) -> bool:
+    host, port = address.rsplit(":", 1)
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((host, int(port)))
+        except OSError:
+            return False
+    return True
+
+
+def _fail(env: environment.Environment, faults: list[str]) -> int:
+    for fault in faults:
+        print(f"chervilarch-router: {fault}", file=env.stderr)
+    return ExitStatus.BAD_SETTINGS
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/chervilarch/server.py
@@ -0,0 +1,388 @@
+"""The WSGI application towards callers, the balancer and operators."""
+
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+import werkzeug
+from werkzeug import exceptions, routing
+
+from chervilarch import (
+    controllers,
+    drain,
+    event_stream,
+    explanations,
+    filters,
+    keys,
+    outcomes,
+    request,
+    settings,
+    status_report,
+)
+from chervilarch.outcomes import Reason
+
+MAX_TOKENS = 65536
+_REQUEST_ID_HEADER = "X-Request-Id"
+_JSON = "application/json"
+_PROBLEM = "application/problem+json"
+_READ_BYTES = 65536
+# Threads kept free for health checks and refusals.
+SPARE_THREADS = 16
+
+_URLS = routing.Map(
+    [
+        routing.Rule("/healthz", endpoint="health", methods=["GET"]),
+        routing.Rule("/readyz", endpoint="ready", methods=["GET"]),
+        routing.Rule(
+            "/v1/pipelines/<name>/runs", endpoint="run", methods=["POST"]
+        ),
+        routing.Rule(
+            "/v1/requests/<request_id>/explanation",
+            endpoint="explain",
+            methods=["GET"],
+        ),
+        routing.Rule("/v1/status", endpoint="status", methods=["GET"]),
+    ]
+)
+
+
+class Application:
+    """Serves each request with the filter chain."""
+
+    def __init__(
+        self,
+        ctrl: controllers.Controllers,
+        cfg: settings.Settings,
+        gate: drain.Gate,
+    ):
+        self.ctrl = ctrl
+        self.cfg = cfg
+        self.gate = gate
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable
+    ) -> Iterable[bytes]:
+        """Serves one request; see PEP 3333."""
+        with self.gate.enter():
+            if self.gate.is_draining():
+                start_response = _closing(start_response)
+            try:
+                return self._serve(environ, start_response)
+            except exceptions.HTTPException as exc:
+                return exc.get_response(environ)(environ, start_response)
+
+    def _serve(
+        self, environ: dict[str, Any], start_response: Callable
+    ) -> Iterable[bytes]:
+        adapter = _URLS.bind_to_environ(environ)
+        endpoint, values = adapter.match()
+        req = werkzeug.Request(environ)
+        if endpoint == "run":
+            exchange = _Exchange(self, environ, start_response)
+            return exchange.run(req, values["name"])
+        handlers = {
+            "health": self._health,
+            "ready": self._ready,
+            "explain": self._explain,
+            "status": self._status,
+        }
+        response = handlers[endpoint](req, **values)
+        return response(environ, start_response)
+
+    def _health(self, req: werkzeug.Request) -> werkzeug.Response:
+        return werkzeug.Response("ok\n", mimetype="text/plain")
+
+    def _ready(self, req: werkzeug.Request) -> werkzeug.Response:
+        reason = self.not_ready_reason()
+        if reason:
+            return werkzeug.Response(
+                f"not ready: {reason}\n", 503, mimetype="text/plain"
+            )
+        return werkzeug.Response("ready\n", mimetype="text/plain")
+
+    def not_ready_reason(self) -> str:
+        """Returns why the balancer should send nothing here, or ""."""
+        if self.gate.is_draining():
+            return "shutting down"
+        if self.ctrl.rules.book is None:
+            return "no configuration yet"
+        age_s = self.ctrl.configuration.contact_age_s()
+        if age_s > self.cfg.bounds.stale_after_s:
+            return f"neither log nor peers heard for {age_s:.0f} s"
+        return ""
+
+    def _explain(
+        self, req: werkzeug.Request, request_id: str
+    ) -> werkzeug.Response:
+        key = _bearer_key(req)
+        account = None
+        if not self._is_operator(key):
+            found = filters.find_account(self.ctrl, self.cfg, key)
+            if found is None:
+                return _unauthenticated()
+            account = found.name
+        trace = self.ctrl.explanations.find(request_id, account)
+        if trace is None:
+            raise exceptions.NotFound(
+                "no such request here lately; ask the host that served it"
+            )
+        return _json_response(
+            {
+                "request_id": trace.request_id,
+                "account": trace.account,
+                "steps": trace.steps(),
+            }
+        )
+
+    def _status(self, req: werkzeug.Request) -> werkzeug.Response:
+        if not self._is_operator(_bearer_key(req)):
+            return _unauthenticated()
+        report = status_report.build(self.ctrl, self.cfg)
+        report["not_ready_reason"] = self.not_ready_reason()
+        report["in_flight"] = self.gate.in_flight()
+        return _json_response(report)
+
+    def _is_operator(self, key: str) -> bool:
+        return bool(key) and keys.matches(key, self.cfg.operator_key_sha256)
+
+
+class _Exchange:
+    """One pipeline run over HTTP."""
+
+    def __init__(
+        self,
+        app: Application,
+        environ: dict[str, Any],
+        start_response: Callable,
+    ):
+        self._ctrl = app.ctrl
+        self._cfg = app.cfg
+        self._gate = app.gate
+        self._environ = environ
+        self._start_response = start_response
+        self._write: Callable[[bytes], Any] | None = None
+        self._trace = explanations.Trace(request.new_id(), app.ctrl.clock)
+        self._arrived_at = app.ctrl.clock.monotonic()
+
+    def run(self, req: werkzeug.Request, name: str) -> Iterable[bytes]:
+        """Runs a pipeline and answers the caller."""
+        self._ctrl.explanations.add(self._trace)
+        parsed = self._parse(req, name)
+        if isinstance(parsed, outcomes.Rejected):
+            return self._answer(parsed, False)
+        if parsed.wants_stream:
+            parsed.emit = self._emit_tokens
+        ctx = filters.FilterContext(self._ctrl, self._cfg, parsed)
+        try:
+            outcome = self._outcome(ctx)
+        except (OSError, ConnectionError):
+            self._ctrl.metrics.count("callers.gone")
+            raise
+        self._count(parsed, outcome)
+        return self._answer(outcome, parsed.wants_stream)
+
+    def _outcome(self, ctx: filters.FilterContext) -> outcomes.Outcome:
+        if self._gate.in_flight() > self._cfg.bounds.threads - SPARE_THREADS:
+            outcome = outcomes.NotRun(
+                Reason.OVERLOADED,
+                "this host serves as many requests as it can",
+                "send the request again a little later",
+            )
+            return filters.guard_not_run(ctx, lambda: outcome)
+        return filters.run_chain(ctx)
+
+    def _parse(
+        self, req: werkzeug.Request, name: str
+    ) -> request.PipelineRequest | outcomes.Rejected:
+        body = self._read_body()
+        if isinstance(body, outcomes.Rejected):
+            return body
+        try:
+            document = msgspec.json.decode(body)
+        except msgspec.DecodeError as exc:
+            return _bad(f"the body is not JSON: {exc}", "send a JSON object")
+        fault = _document_fault(document)
+        if fault is not None:
+            return fault
+        headers = _caller_headers(req)
+        if isinstance(headers, outcomes.Rejected):
+            return headers
+        return request.PipelineRequest(
+            name, body, document, headers, self._trace, self._arrived_at
+        )
+
+    def _read_body(self) -> bytes | outcomes.Rejected:
+        bounds = self._cfg.bounds
+        limit = bounds.max_body_bytes
+        source = self._environ["wsgi.input"]
+        length = self._environ.get("CONTENT_LENGTH")
+        if length and int(length) > limit:
+            return _bad(f"the body is over {limit} bytes", "send less")
+        deadline = time.monotonic() + bounds.body_timeout_s
+        body = bytearray()
+        while not length or len(body) < int(length):
+            wanted = int(length) - len(body) if length else _READ_BYTES
+            chunk = source.read(min(_READ_BYTES, wanted))
+            if not chunk:
+                break
+            body += chunk
+            if len(body) > limit:
+                return _bad(f"the body is over {limit} bytes", "send less")
+            if time.monotonic() > deadline:
+                return _bad("the body came too slowly", "send it faster")
+        if length and len(body) < int(length):
+            return _bad("the body ended early", "send the whole body")
+        return bytes(body)
+
+    def _count(
+        self, req: request.PipelineRequest, outcome: outcomes.Outcome
+    ) -> None:
+        elapsed_s = self._ctrl.clock.monotonic() - self._arrived_at
+        name = outcomes.outcome_name(outcome)
+        if isinstance(outcome, outcomes.Answer):
+            self._ctrl.metrics.count("outcome.answer")
+        else:
+            self._ctrl.metrics.count(f"outcome.{name}.{outcome.reason.value}")
+        self._trace.note("ended", outcome=name)
+        if req.rule is None:
+            return
+        histograms = self._ctrl.histograms
+        histograms.record(f"account.{req.account.name}.{name}", elapsed_s)
+        histograms.record(f"class.{req.rule.priority}.{name}", elapsed_s)
+        histograms.record(f"pipeline.{req.pipeline.name}.{name}", elapsed_s)
+        self._ctrl.metrics.time(f"pipeline.{req.pipeline.name}", elapsed_s)
+
+    def _emit_tokens(self, texts: list[str], start: int) -> None:
+        if self._write is None:
+            self._begin_stream()
+        self._write(
+            b"".join(
+                event_stream.encode_event(
+                    "token",
+                    msgspec.json.encode({"index": start + i, "text": text}),
+                )
+                for i, text in enumerate(texts)
+            )
+        )
+
+    def _begin_stream(self) -> None:
+        headers = [
+            ("Content-Type", "text/event-stream"),
+            (_REQUEST_ID_HEADER, self._trace.request_id),
+            ("Cache-Control", "no-store"),
+        ]
+        self._write = self._start_response("200 OK", headers)
+
+    def _answer(
+        self, outcome: outcomes.Outcome, wants_stream: bool
+    ) -> Iterable[bytes]:
+        is_answer = isinstance(outcome, outcomes.Answer)
+        if self._write is None and not (wants_stream and is_answer):
+            response = self._whole_response(outcome)
+            return response(self._environ, self._start_response)
+        if self._write is None:
+            self._begin_stream()
+        if is_answer:
+            data = {
+                "request_id": self._trace.request_id,
+                "output": outcome.output,
+            }
+            return [event_stream.encode_event("end", msgspec.json.encode(data))]
+        document = outcomes.problem(outcome, self._trace.request_id)
+        data = msgspec.json.encode(document)
+        return [event_stream.encode_event("error", data)]
+
+    def _whole_response(self, outcome: outcomes.Outcome) -> werkzeug.Response:
+        request_id = self._trace.request_id
+        if isinstance(outcome, outcomes.Answer):
+            document: Any = {
+                "request_id": request_id,
+                "output": outcome.output,
+            }
+            response = _json_response(document)
+        else:
+            document = outcomes.problem(outcome, request_id)
+            response = _json_response(document, document["status"], _PROBLEM)
+        if isinstance(outcome, outcomes.NotRun):
+            response.headers["Retry-After"] = f"{outcome.retry_after_s:.0f}"
+        if isinstance(outcome, outcomes.Rejected):
+            # What is left of a refused body is not read.
+            response.headers["Connection"] = "close"
+        response.headers[_REQUEST_ID_HEADER] = request_id
+        return response
+
+
+def _caller_headers(
+    req: werkzeug.Request,
+) -> request.CallerHeaders | outcomes.Rejected:
+    deadline = req.headers.get("Deadline-Ms")
+    try:
+        deadline_ms = None if deadline is None else float(deadline)
+    except ValueError:
+        deadline_ms = float("nan")
+    if deadline_ms is not None and not 0 < deadline_ms < float("inf"):
+        return _bad(
+            f"the Deadline-Ms header is {deadline!r}",
+            "send a number of milliseconds above 0",
+        )
+    return request.CallerHeaders(
+        _bearer_key(req),
+        req.headers.get("Idempotency-Key", "").strip().strip('"'),
+        req.headers.get("Idempotency-Attempt", "").strip() == "1",
+        deadline_ms,
+    )
+
+
+def _document_fault(document: Any) -> outcomes.Rejected | None:
+    if not isinstance(document, dict) or "input" not in document:
+        return _bad('the body has no "input"', 'send {"input": ...}')
+    unknown = set(document) - {"input", "stream", "max_tokens"}
+    if unknown:
+        return _bad(
+            f"the body has unknown fields: {', '.join(sorted(unknown))}",
+            'send only "input", "stream" and "max_tokens"',
+        )
+    if not isinstance(document.get("stream", False), bool):
+        return _bad('"stream" is not a boolean', "send true or false")
+    tokens = document.get("max_tokens", 1)
+    is_number = isinstance(tokens, int) and not isinstance(tokens, bool)
+    if not is_number or not 1 <= tokens <= MAX_TOKENS:
+        return _bad('"max_tokens" is out of range', f"send 1 to {MAX_TOKENS}")
+    return None
+
+
+def _bearer_key(req: werkzeug.Request) -> str:
+    scheme, _, key = req.headers.get("Authorization", "").partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
+
+
+def _bad(detail: str, remedy: str) -> outcomes.Rejected:
+    return outcomes.Rejected(Reason.BAD_REQUEST, detail, remedy)
+
+
+def _json_response(
+    document: Any, status: int = 200, mimetype: str = _JSON
+) -> werkzeug.Response:
+    data = msgspec.json.encode(document)
+    return werkzeug.Response(data, status, mimetype=mimetype)
+
+
+def _unauthenticated() -> werkzeug.Response:
+    outcome = outcomes.Rejected(
+        Reason.UNAUTHENTICATED,
+        "the Authorization header names no operator or account here",
+        'send "Authorization: Bearer KEY"',
+    )
+    document = outcomes.problem(outcome, "")
+    return _json_response(document, document["status"], _PROBLEM)
+
+
+def _closing(start_response: Callable) -> Callable:
+    """Adds `Connection: close` to every response."""
+
+    def closing(status: str, headers: list, *args: Any) -> Callable:
+        kept = [item for item in headers if item[0].lower() != "connection"]
+        return start_response(status, [*kept, ("Connection", "close")], *args)
+
+    return closing
--- /dev/null
+++ b/chervilarch/settings.py
@@ -0,0 +1,95 @@
+"""Settings of a router: one JSON file, checked before anything starts."""
+
+import json
+import pathlib
+from typing import Any, NamedTuple
+
+from chervilarch import schemas
+
+
+class Bounds(NamedTuple):
+    """Bounds that a deployment may set.
+
+    Attributes:
+        threads: requests served at a time.
+        max_body_bytes: longest request body.
+        body_timeout_s: longest time for a caller to send a body.
+        drain_notice_s: time for the balancer to turn away on shutdown.
+        stale_after_s: time without log and peers after which requests are
+            refused.
+    """
+
+    threads: int = 192
+    max_body_bytes: int = 4 * 1024 * 1024
+    body_timeout_s: float = 10.0
+    drain_notice_s: float = 2.0
+    stale_after_s: float = 15.0
+
+
+class Settings(NamedTuple):
+    """Everything a router is told before it starts."""
+
+    host: str
+    data_centre: str
+    caller_address: str
+    peer_address: str
+    log_address: str
+    host_list_address: str
+    peer_key: str
+    operator_key_sha256: str
+    statsd_address: str | None = None
+    caller_keys: dict[str, str] = {}
+    log_json: bool = False
+    bounds: Bounds = Bounds()
+
+
+class SettingsError(NamedTuple):
+    """Why settings can't be used; each line names a remedy."""
+
+    faults: list[str]
+
+
+# Fields that a running router takes over on SIGHUP.
+LIVE_FIELDS = ("operator_key_sha256", "caller_keys", "log_json")
+
+
+def load(path: pathlib.Path) -> Settings | SettingsError:
+    """Reads and checks a settings file."""
+    document = read_json(path)
+    if isinstance(document, SettingsError):
+        return document
+    faults = schemas.check(document, schemas.SETTINGS)
+    if faults:
+        return SettingsError([f"{path}: {fault}" for fault in faults])
+    return parse(document)
+
+
+def parse(document: dict[str, Any]) -> Settings:
+    """Returns the settings of a checked document."""
+    fields = dict(document)
+    fields["bounds"] = Bounds(**fields.get("bounds", {}))
+    return Settings(**fields)
+
+
+def read_json(path: pathlib.Path) -> Any | SettingsError:
+    """Reads a JSON file."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except OSError as exc:
+        reason = exc.strerror or str(exc)
+        return SettingsError([f"{path}: {reason}; give a readable file"])
+    except UnicodeDecodeError:
+        return SettingsError([f"{path}: not UTF-8; save it as UTF-8"])
+    try:
+        return json.loads(text)
+    except ValueError as exc:
+        return SettingsError([f"{path}: not JSON: {exc}; correct the file"])
+
+
+def fixed_changes(old: Settings, new: Settings) -> list[str]:
+    """Returns the changed fields that need a restart."""
+    return [
+        name
+        for name in Settings._fields
+        if name not in LIVE_FIELDS and getattr(old, name) != getattr(new, name)
+    ]
--- /dev/null
+++ b/chervilarch/stream_stage.py
@@ -0,0 +1,123 @@
+"""Runs a stage that streams tokens, resuming the stream when it breaks."""
+
+from chervilarch import attempts, call_stage, endpoints, request, tokens
+from chervilarch.transfers import ByteStream, TransferFailure
+
+# Silence between tokens after which a stream is given up.
+MAX_SILENCE_S = 1.5
+# The first token may wait for this share of what remains.
+FIRST_TOKEN_SHARE = 0.5
+MIN_FIRST_TOKEN_S = 2.0
+_HTTP_OK = 200
+
+
+def run_stream(run: call_stage.StageRun) -> call_stage.StageResult:
+    """Collects all tokens of a stage, over as many attempts as it takes."""
+    run.ctrl.retry_budget.earn()
+    sequence = tokens.TokenSequence()
+    bad = None
+    while True:
+        remaining_s = run.remaining_s()
+        if remaining_s <= 0:
+            return call_stage.StageFailure(bad, is_late=True)
+        slot = run.acquire(remaining_s if not run.tried else 0.0)
+        if isinstance(slot, endpoints.NoSlot):
+            if run.tried and not slot.is_pool_down:
+                run.tried.clear()
+                continue
+            late = run.remaining_s() <= 0
+            return call_stage.StageFailure(bad, is_late=late)
+        judged = _run_attempt(run, slot, sequence)
+        if isinstance(judged, attempts.Good):
+            return judged
+        bad = judged
+        run.tried.add(slot.endpoint.address)
+        if bad.kind is attempts.BadKind.REJECTED:
+            return call_stage.StageFailure(bad)
+        if not call_stage.may_retry(run):
+            late = run.remaining_s() <= 0
+            return call_stage.StageFailure(bad, is_late=late)
+
+
+def _run_attempt(
+    run: call_stage.StageRun,
+    slot: endpoints.Slot,
+    sequence: tokens.TokenSequence,
+) -> attempts.Good | attempts.Bad:
+    """Reads one attempt's stream to its end or its first fault."""
+    attempt = attempts.Attempt(request.new_id(), slot)
+    resumed_from = len(sequence.texts)
+    exchange = attempts.build_exchange(
+        run.req,
+        run.stage,
+        attempt,
+        run.stage_input,
+        run.remaining_s(),
+        generated=sequence.texts,
+        fresh=bool(run.tried),
+    )
+    run.note_start(attempt, resumed_from=resumed_from)
+    sequence.begin_attempt(attempt.attempt_id)
+    started_at = run.ctrl.clock.monotonic()
+    stream = run.ctrl.transfers.open_stream(exchange)
+    try:
+        judged = _read(run, stream, sequence, attempt.attempt_id)
+    finally:
+        stream.cancel()
+    elapsed_s = run.ctrl.clock.monotonic() - started_at
+    run.note_end(attempt, judged, elapsed_s, stream.result)
+    return judged
+
+
+def _read(
+    run: call_stage.StageRun,
+    stream: ByteStream,
+    sequence: tokens.TokenSequence,
+    attempt_id: str,
+) -> attempts.Good | attempts.Bad:
+    wait_s = max(MIN_FIRST_TOKEN_S, FIRST_TOKEN_SHARE * run.remaining_s())
+    while True:
+        remaining_s = run.remaining_s()
+        if remaining_s <= 0:
+            return attempts.Bad(attempts.BadKind.LOST, "deadline passed")
+        chunk = stream.read(min(wait_s, remaining_s))
+        if chunk is None:
+            return attempts.Bad(attempts.BadKind.LOST, "the stream is silent")
+        if chunk == b"":
+            return _judge_end(stream, attempt_id)
+        wait_s = MAX_SILENCE_S
+        start = len(sequence.texts)
+        fault = sequence.feed(chunk)
+        _emit(run.req, sequence, start)
+        if fault is not None:
+            return attempts.Bad(_FAULT_KINDS[fault], fault.value)
+        if sequence.ended:
+            return attempts.Good("".join(sequence.texts))
+
+
+_FAULT_KINDS = {
+    tokens.StreamFault.NOT_OWN: attempts.BadKind.NOT_OWN,
+    tokens.StreamFault.GAP: attempts.BadKind.FAILED,
+    tokens.StreamFault.MALFORMED: attempts.BadKind.FAILED,
+    tokens.StreamFault.SHORT: attempts.BadKind.FAILED,
+    tokens.StreamFault.OVERFLOW: attempts.BadKind.FAILED,
+    tokens.StreamFault.ENGINE: attempts.BadKind.FAILED,
+}
+
+
+def _judge_end(stream: ByteStream, attempt_id: str) -> attempts.Bad:
+    """Judges a transfer that ended without the stream's end event."""
+    result = stream.result
+    if isinstance(result, TransferFailure) or result.status != _HTTP_OK:
+        judged = attempts.judge(result, attempt_id)
+        if isinstance(judged, attempts.Bad):
+            return judged
+    return attempts.Bad(attempts.BadKind.LOST, "the stream has no end event")
+
+
+def _emit(
+    req: request.PipelineRequest, sequence: tokens.TokenSequence, start: int
+) -> None:
+    """Hands new tokens to the caller at once."""
+    if req.emit is not None and len(sequence.texts) > start:
+        req.emit(sequence.texts[start:], start)
--- /dev/null
+++ b/chervilarch/transfers.py
@@ -0,0 +1,409 @@
+"""One thread that drives every outgoing HTTP transfer with libcurl.
+
+Callers get a `concurrent.futures.Future` for a whole reply, or a `ByteStream`
+for a streamed one. No thread waits inside a transfer.
+"""
+
+import collections
+import enum
+import selectors
+import socket
+import threading
+from collections.abc import Callable
+from concurrent.futures import Future
+from typing import NamedTuple
+
+import pycurl
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_REPLY_BYTES = 8 * 1024 * 1024
+MAX_IDLE_CONNECTIONS = 512
+CONNECTION_MAX_IDLE_S = 20
+CONNECTION_MAX_AGE_S = 300
+STREAM_BUFFER_BYTES = 256 * 1024
+_IDLE_WAIT_S = 5.0
+_MS_PER_S = 1000
+
+
+class FailureKind(enum.Enum):
+    """Why a transfer gave no whole reply."""
+
+    REFUSED = "refused"
+    TIMED_OUT = "timed_out"
+    BROKEN = "broken"
+    TOO_LARGE = "too_large"
+    CANCELLED = "cancelled"
+
+
+class Exchange(NamedTuple):
+    """One HTTP request to be sent.
+
+    Attributes:
+        method: HTTP method.
+        url: absolute URL whose host is an IP number.
+        body: request body, empty for none.
+        headers: header lines, "Name: value".
+        timeout_s: bound on the whole transfer in seconds.
+        fresh: whether a new connection is opened and closed afterwards, so
+            that libcurl can't send the request a second time by itself.
+    """
+
+    method: str
+    url: str
+    body: bytes = b""
+    headers: tuple[str, ...] = ()
+    timeout_s: float = 10.0
+    fresh: bool = False
+
+
+class Reply(NamedTuple):
+    """A whole HTTP reply."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    elapsed_s: float
+
+
+class TransferFailure(NamedTuple):
+    """A transfer without a whole reply.
+
+    Attributes:
+        kind: what went wrong.
+        detail: libcurl's words.
+        sent: whether any byte of the request may have left this host.
+    """
+
+    kind: FailureKind
+    detail: str
+    sent: bool
+
+
+TransferResult = Reply | TransferFailure
+
+_KINDS = {
+    pycurl.E_COULDNT_CONNECT: FailureKind.REFUSED,
+    pycurl.E_OPERATION_TIMEDOUT: FailureKind.TIMED_OUT,
+    pycurl.E_WRITE_ERROR: FailureKind.TOO_LARGE,
+}
+
+
+class ByteStream:
+    """Bytes of a streamed reply, handed over with back pressure."""
+
+    def __init__(self, resume: Callable[[], None], cancel: Callable[[], None]):
+        self._cond = threading.Condition()
+        self._chunks: collections.deque[bytes] = collections.deque()
+        self._size = 0
+        self._paused = False
+        self._resume = resume
+        self._cancel = cancel
+        self.result: TransferResult | None = None
+        self.status = 0
+
+    def offer(self, chunk: bytes) -> bool:
+        """Takes a chunk from the transfer thread; False asks it to pause."""
+        with self._cond:
+            if self._size >= STREAM_BUFFER_BYTES:
+                self._paused = True
+                return False
+            self._chunks.append(chunk)
+            self._size += len(chunk)
+            self._cond.notify()
+            return True
+
+    def finish(self, result: TransferResult) -> None:
+        """Marks the end of the transfer."""
+        with self._cond:
+            self.result = result
+            self._cond.notify()
+
+    def read(self, timeout_s: float) -> bytes | None:
+        """Returns all bytes at hand, b"" at the end, None after a timeout."""
+        with self._cond:
+            self._cond.wait_for(
+                lambda: self._chunks or self.result is not None, timeout_s
+            )
+            data = b"".join(self._chunks)
+            self._chunks.clear()
+            self._size = 0
+            paused, self._paused = self._paused, False
+            ended = self.result is not None
+        if paused:
+            self._resume()
+        if data:
+            return data
+        return b"" if ended else None
+
+    def cancel(self) -> None:
+        """Stops the transfer and closes its connection."""
+        self._cancel()
+
+
+class _Transfer:
+    """State of one running transfer; touched by the transfer thread only."""
+
+    def __init__(self, exchange: Exchange, on_done: Callable):
+        self.exchange = exchange
+        self.on_done = on_done
+        self.stream: ByteStream | None = None
+        self.curl: pycurl.Curl | None = None
+        self.body = bytearray()
+        self.headers: dict[str, str] = {}
+        self.status = 0
+        self.done = False
+
+    def take_header(self, line: bytes) -> None:
+        text = line.decode("latin-1").strip()
+        if text.startswith("HTTP/"):
+            self.headers.clear()
+            self.status = int(text.split(" ", 2)[1])
+            if self.stream is not None:
+                self.stream.status = self.status
+            return
+        name, sep, value = text.partition(":")
+        if sep:
+            self.headers[name.strip().lower()] = value.strip()
+
+    def take_body(self, chunk: bytes) -> int:
+        if self.stream is not None and self.status == 200:
+            taken = self.stream.offer(chunk)
+            return len(chunk) if taken else pycurl.WRITEFUNC_PAUSE
+        if len(self.body) + len(chunk) > MAX_REPLY_BYTES:
+            return 0
+        self.body += chunk
+        return len(chunk)
+
+
+class TransferThread:
+    """Drives a `pycurl.CurlMulti` from one thread."""
+
+    def __init__(self) -> None:
+        self._commands: collections.deque[Callable[[], None]] = (
+            collections.deque()
+        )
+        self._wake_recv, self._wake_send = socket.socketpair()
+        self._wake_recv.setblocking(False)
+        self._wake_send.setblocking(False)
+        self._awake = False
+        self._stopping = False
+        self._timeout_s: float | None = None
+        self._selector = selectors.DefaultSelector()
+        self._selector.register(self._wake_recv, selectors.EVENT_READ)
+        self._multi = pycurl.CurlMulti()
+        self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch)
+        self._multi.setopt(pycurl.M_TIMERFUNCTION, self._set_timer)
+        self._multi.setopt(pycurl.M_MAXCONNECTS, MAX_IDLE_CONNECTIONS)
+        self._running: dict[pycurl.Curl, _Transfer] = {}
+        self._spare: list[pycurl.Curl] = []
+        self._thread = threading.Thread(
+            target=self._run, name="transfers", daemon=True
+        )
+
+    def start(self) -> None:
+        """Starts the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Cancels what runs and stops the thread."""
+        self._command(self._begin_stop)
+        self._thread.join()
+
+    def submit(self, exchange: Exchange) -> "Future[TransferResult]":
+        """Sends a request; the future always resolves, never raises."""
+        return self.start_call(exchange).future
+
+    def call(self, exchange: Exchange) -> TransferResult:
+        """Sends a request and waits for its result."""
+        return self.submit(exchange).result()
+
+    def start_call(self, exchange: Exchange) -> "Call":
+        """Sends a request that can be cancelled."""
+        fut: Future[TransferResult] = Future()
+        transfer = _Transfer(exchange, fut.set_result)
+        self._command(lambda: self._begin(transfer))
+        return Call(fut, lambda: self._command(lambda: self._abort(transfer)))
+
+    def open_stream(self, exchange: Exchange) -> ByteStream:
+        """Sends a request whose reply body is handed over as it comes."""
+        transfer = _Transfer(exchange, lambda result: None)
+        stream = ByteStream(
+            resume=lambda: self._command(lambda: self._unpause(transfer)),
+            cancel=lambda: self._command(lambda: self._abort(transfer)),
+        )
+        transfer.stream = stream
+        transfer.on_done = stream.finish
+        self._command(lambda: self._begin(transfer))
+        return stream
+
+    def _command(self, command: Callable[[], None]) -> None:
+        self._commands.append(command)
+        if not self._awake:
+            self._awake = True
+            self._wake_send.send(b"\0")
+
+    def _run(self) -> None:
+        while not self._stopping:
+            wait_s = self._timeout_s
+            if wait_s is None:
+                wait_s = _IDLE_WAIT_S
+            ready = self._selector.select(wait_s)
+            self._run_commands()
+            if self._timeout_s is not None and not ready:
+                self._timeout_s = None
+                self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+            for key, mask in ready:
+                if key.fileobj is not self._wake_recv:
+                    self._act(key.fd, mask)
+            if self._timeout_s == 0:
+                self._timeout_s = None
+                self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+            self._collect()
+        self._close()
+
+    def _act(self, fd: int, mask: int) -> None:
+        bits = 0
+        if mask & selectors.EVENT_READ:
+            bits |= pycurl.CSELECT_IN
+        if mask & selectors.EVENT_WRITE:
+            bits |= pycurl.CSELECT_OUT
+        self._multi.socket_action(fd, bits)
+
+    def _run_commands(self) -> None:
+        try:
+            self._wake_recv.recv(4096)
+        except BlockingIOError:
+            pass
+        self._awake = False
+        while self._commands:
+            self._commands.popleft()()
+
+    def _watch(self, action: int, fd: int, multi, data) -> None:
+        if action == pycurl.POLL_REMOVE:
+            try:
+                self._selector.unregister(fd)
+            except (KeyError, ValueError):
+                pass
+            return
+        events = 0
+        if action in (pycurl.POLL_IN, pycurl.POLL_INOUT):
+            events |= selectors.EVENT_READ
+        if action in (pycurl.POLL_OUT, pycurl.POLL_INOUT):
+            events |= selectors.EVENT_WRITE
+        if not events:
+            return
+        try:
+            self._selector.modify(fd, events)
+        except KeyError:
+            self._selector.register(fd, events)
+
+    def _set_timer(self, timeout_ms: int) -> None:
+        self._timeout_s = None if timeout_ms < 0 else timeout_ms / _MS_PER_S
+
+    def _begin(self, transfer: _Transfer) -> None:
+        if self._stopping or transfer.done:
+            self._finish_early(transfer)
+            return
+        curl = self._spare.pop() if self._spare else pycurl.Curl()
+        transfer.curl = curl
+        _configure(curl, transfer)
+        self._running[curl] = transfer
+        self._multi.add_handle(curl)
+
+    def _finish_early(self, transfer: _Transfer) -> None:
+        if not transfer.done:
+            transfer.done = True
+            transfer.on_done(
+                TransferFailure(FailureKind.CANCELLED, "stopped", False)
+            )
+
+    def _unpause(self, transfer: _Transfer) -> None:
+        if transfer.curl is not None and not transfer.done:
+            transfer.curl.pause(pycurl.PAUSE_CONT)
+
+    def _abort(self, transfer: _Transfer) -> None:
+        if transfer.done:
+            return
+        if transfer.curl is None:
+            self._finish_early(transfer)
+            return
+        sent = _was_sent(transfer.curl)
+        failure = TransferFailure(FailureKind.CANCELLED, "cancelled", sent)
+        # Removing an unfinished handle closes its connection.
+        self._release(transfer, failure)
+
+    def _collect(self) -> None:
+        queued = 1
+        while queued:
+            queued, done, failed = self._multi.info_read()
+            for curl in done:
+                transfer = self._running[curl]
+                reply = Reply(
+                    transfer.status,
+                    transfer.headers,
+                    bytes(transfer.body),
+                    curl.getinfo(pycurl.TOTAL_TIME),
+                )
+                self._release(transfer, reply)
+            for curl, code, text in failed:
+                kind = _KINDS.get(code, FailureKind.BROKEN)
+                failure = TransferFailure(kind, text, _was_sent(curl))
+                self._release(self._running[curl], failure)
+
+    def _release(self, transfer: _Transfer, result: TransferResult) -> None:
+        curl = transfer.curl
+        del self._running[curl]
+        self._multi.remove_handle(curl)
+        curl.reset()
+        self._spare.append(curl)
+        transfer.curl = None
+        transfer.done = True
+        transfer.on_done(result)
+
+    def _begin_stop(self) -> None:
+        self._stopping = True
+
+    def _close(self) -> None:
+        for transfer in list(self._running.values()):
+            self._abort(transfer)
+        for curl in self._spare:
+            curl.close()
+        self._multi.close()
+        self._selector.close()
+        self._wake_recv.close()
+        self._wake_send.close()
+
+
+class Call:
+    """A request in flight that can be cancelled."""
+
+    def __init__(self, fut: "Future[TransferResult]", cancel: Callable):
+        self.future = fut
+        self.cancel = cancel
+
+
+def _was_sent(curl: pycurl.Curl) -> bool:
+    """Tells whether any byte of the request may have left this host."""
+    return curl.getinfo(pycurl.REQUEST_SIZE) > 0
+
+
+def _configure(curl: pycurl.Curl, transfer: _Transfer) -> None:
+    exchange = transfer.exchange
+    curl.setopt(pycurl.URL, exchange.url)
+    curl.setopt(pycurl.NOSIGNAL, 1)
+    curl.setopt(pycurl.PROXY, "")
+    curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+    curl.setopt(pycurl.HTTPHEADER, [*exchange.headers, "Expect:"])
+    if exchange.body or exchange.method == "POST":
+        curl.setopt(pycurl.POST, 1)
+        curl.setopt(pycurl.POSTFIELDS, exchange.body)
+    curl.setopt(pycurl.CUSTOMREQUEST, exchange.method)
+    timeout_ms = max(1, int(exchange.timeout_s * _MS_PER_S))
+    curl.setopt(pycurl.TIMEOUT_MS, timeout_ms)
+    curl.setopt(pycurl.CONNECTTIMEOUT_MS, int(CONNECT_TIMEOUT_S * _MS_PER_S))
+    curl.setopt(pycurl.MAXAGE_CONN, CONNECTION_MAX_IDLE_S)
+    curl.setopt(pycurl.MAXLIFETIME_CONN, CONNECTION_MAX_AGE_S)
+    curl.setopt(pycurl.FRESH_CONNECT, int(exchange.fresh))
+    curl.setopt(pycurl.FORBID_REUSE, int(exchange.fresh))
+    curl.setopt(pycurl.HEADERFUNCTION, transfer.take_header)
+    curl.setopt(pycurl.WRITEFUNCTION, transfer.take_body)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around chervilarch, for tests and trials."""
--- /dev/null
+++ b/standins/faults.py
@@ -0,0 +1,91 @@
+"""Fault switch that every stand-in has, as an aiohttp middleware.
+
+`POST /faults` with {"mode": ..., "delay_s": ..., "times": ...} sets it:
+"none", "down" (connections are dropped), "slow" (answers come late),
+"lost" (the effect takes place, its answer is dropped), "frozen" (nothing is
+answered). `times` bounds how many requests the fault meets.
+"""
+
+import asyncio
+from typing import NamedTuple
+
+from aiohttp import web
+
+_FOREVER_S = 3600.0
+
+
+class Fault(NamedTuple):
+    """The fault in force."""
+
+    mode: str = "none"
+    delay_s: float = 0.0
+    times: int | None = None
+
+
+class Switch:
+    """Holds the fault in force and counts the requests it met."""
+
+    def __init__(self) -> None:
+        self.fault = Fault()
+        self.met = 0
+
+    def take(self) -> Fault:
+        """Returns the fault for the next request."""
+        fault = self.fault
+        if fault.mode == "none":
+            return fault
+        if fault.times is not None:
+            if fault.times <= 0:
+                return Fault()
+            self.fault = fault._replace(times=fault.times - 1)
+        self.met += 1
+        return fault
+
+    async def set(self, request: web.Request) -> web.Response:
+        """Handles `POST /faults`."""
+        self.fault = Fault(**await request.json())
+        return web.json_response({"met": self.met})
+
+
+def middleware(switch: Switch):
+    """Returns a middleware that applies the switch to all other paths."""
+
+    @web.middleware
+    async def apply(request: web.Request, handler):
+        if request.path in ("/faults", "/counts", "/control"):
+            return await handler(request)
+        fault = switch.take()
+        if fault.mode == "down":
+            return drop(request)
+        if fault.mode == "frozen":
+            await asyncio.sleep(_FOREVER_S)
+        if fault.mode == "slow":
+            await asyncio.sleep(fault.delay_s)
+        response = await handler(request)
+        if fault.mode == "lost":
+            return drop(request)
+        return response
+
+    return apply
+
+
+def drop(request: web.Request) -> web.Response:
+    """Closes the connection without an answer."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
+
+
+def run(app: web.Application, address: str) -> None:
+    """Serves until the process is ended."""
+    host, port = address.rsplit(":", 1)
+    web.run_app(
+        app,
+        host=host,
+        port=int(port),
+        print=None,
+        access_log=None,
+        handle_signals=True,
+        shutdown_timeout=0.1,
+        reuse_address=True,
+    )
--- /dev/null
+++ b/tests/test_records.py
@@ -0,0 +1,26 @@
+"""Log records keep their meaning through encoding and decoding."""
+
+import pytest
+
+from chervilarch import records
+
+BODIES = [
+    records.Publish("p1", -1, [{"op": "add", "path": "/a", "value": 1}], "m"),
+    records.Snapshot(3, 2, {"a": 1}),
+    records.Claim("c1", "buyers", "key", "digest"),
+    records.Release("c1", "buyers", "key"),
+    records.Result("c1", "buyers", "key", "answer", {"booking": 1}),
+]
+
+
+@pytest.mark.parametrize("body", BODIES, ids=lambda body: type(body).__name__)
+def test_every_record_survives_a_round_trip(body):
+    assert records.decode(records.encode(body)) == body
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [None, [], "x", {}, {"kind": "claim"}, {"kind": "claim", "claim_id": 1}],
+)
+def test_a_record_of_another_shape_is_unreadable(fields):
+    assert isinstance(records.decode(fields), records.Unreadable)
