Measure one router's cost; pace streams, count attempts against limits

Ruled out: the router's processor (39% busy) and the driver. The endpoint limit counted work units, so a stream of 400 tokens filled an engine alone. Change: limits count attempts, work units only weigh the expected wait. Streams have a transfer thread of their own that hands over together what comes within 3 ms. Conclusion: 3 ms pacing is kept.

--- a/chervilarch/admission.py
+++ b/chervilarch/admission.py
@@ -11,7 +11,7 @@
         units: size of the work.
         unit_s: time of a work unit, 0 while unknown.
         queued_units: work that waits before it.
-        limit: work units that run at a time.
+        limit: attempts that run at a time.
     """
 
     units: float
--- a/chervilarch/choice.py
+++ b/chervilarch/choice.py
@@ -27,7 +27,8 @@
     Attributes:
         address: "ip:port".
         is_local: whether it is in this host's data centre.
-        in_flight: work units this host has running there.
+        in_flight: attempts this host has running there.
+        units: work units of those attempts.
         limit: bound on `in_flight`.
         latency_s: smoothed time of a work unit.
         oldest_s: age of the oldest attempt still running, per work unit.
@@ -38,7 +39,8 @@
 
     address: str
     is_local: bool
-    in_flight: float
+    in_flight: int
+    units: float
     limit: float
     latency_s: float
     oldest_s: float = 0.0
@@ -52,19 +54,18 @@
     # A straggler shows in the age of what it holds before any answer is late.
     unit_s = max(MIN_LATENCY_S, view.latency_s, view.oldest_s)
     weight = 0.5 ** (view.report_age_s / REPORT_HALF_LIFE_S)
-    load = view.in_flight + weight * max(0.0, view.reported_load)
+    load = view.units + weight * max(0.0, view.reported_load)
     penalty = 1.0 if view.is_local else REMOTE_PENALTY
     return unit_s * (1.0 + load) * penalty / max(0.05, view.trust)
 
 
-def has_room(view: EndpointView, units: float) -> bool:
-    """Tells whether an endpoint may take more work; an idle one always may."""
-    return view.in_flight == 0 or view.in_flight + units <= view.limit
+def has_room(view: EndpointView) -> bool:
+    """Tells whether an endpoint may take one more attempt."""
+    return view.in_flight + 1 <= max(1.0, view.limit)
 
 
 def choose(
     views: Sequence[EndpointView],
-    units: float,
     rng: random.Random,
     prefix: bytes = b"",
 ) -> EndpointView | None:
@@ -72,11 +73,10 @@
 
     Args:
         views: sound endpoints of a pool that weren't tried yet.
-        units: size of the work.
         rng: source of random numbers.
         prefix: the start of a prompt that an endpoint may have cached.
     """
-    roomy = [view for view in views if has_room(view, units)]
+    roomy = [view for view in views if has_room(view)]
     if not roomy:
         return None
     if prefix:
@@ -121,5 +121,5 @@
 def _may_take_prefix(home: EndpointView, roomy: list[EndpointView]) -> bool:
     if home not in roomy or home.trust < 1.0:
         return False
-    mean = sum(view.in_flight for view in roomy) / len(roomy)
-    return home.in_flight + 1 <= AFFINITY_BOUND * (mean + 1)
+    mean = sum(view.units for view in roomy) / len(roomy)
+    return home.units + 1 <= AFFINITY_BOUND * (mean + 1)
--- a/chervilarch/controllers.py
+++ b/chervilarch/controllers.py
@@ -27,6 +27,9 @@
     transfers,
 )
 
+# Tokens that arrive within this time are handed over together.
+STREAM_PACE_S = 0.003
+
 
 class Controllers(NamedTuple):
     """The state of a router, part by part."""
@@ -36,6 +39,7 @@
     histograms: histograms.Histograms
     explanations: explanations.Explanations
     transfers: transfers.TransferThread
+    streams: transfers.TransferThread
     gossip: gossip.GossipController
     configuration: config_controller.ConfigController
     rules: "RulesInForce"
@@ -88,6 +92,7 @@
         histograms=histograms.Histograms(),
         explanations=explanations.Explanations(),
         transfers=transfer_thread,
+        streams=transfers.TransferThread("streams", STREAM_PACE_S),
         gossip=fleet,
         configuration=config,
         rules=RulesInForce(),
@@ -112,6 +117,7 @@
 def start(ctrl: Controllers) -> None:
     """Starts every controller."""
     ctrl.transfers.start()
+    ctrl.streams.start()
     ctrl.peers.start()
     ctrl.gossip.start()
     ctrl.configuration.start()
@@ -128,6 +134,7 @@
     ctrl.configuration.stop()
     ctrl.gossip.stop()
     ctrl.peers.stop()
+    ctrl.streams.stop()
     ctrl.transfers.stop()
 
 
--- a/chervilarch/endpoints.py
+++ b/chervilarch/endpoints.py
@@ -75,6 +75,7 @@
         return choice.EndpointView(
             self.address,
             self.is_local,
+            len(self.slots),
             self.units,
             self.learnt.limit,
             self.learnt.latency_s or default_s,
@@ -212,7 +213,7 @@
             if succeeded:
                 endpoint.failures = 0
                 endpoint.learnt = limits.after_answer(
-                    endpoint.learnt, unit_s, endpoint.units + slot.work.units
+                    endpoint.learnt, unit_s, len(endpoint.slots) + 1
                 )
                 if now - endpoint.ejected_until > RETURN_S:
                     endpoint.ejections = 0
@@ -236,7 +237,7 @@
             unit_s = elapsed_s / max(1.0, slot.work.units)
             if unit_s > endpoint.learnt.latency_s > 0:
                 endpoint.learnt = limits.after_answer(
-                    endpoint.learnt, unit_s, endpoint.units + slot.work.units
+                    endpoint.learnt, unit_s, len(endpoint.slots) + 1
                 )
             self._serve_queue(slot.work.pool)
 
@@ -249,7 +250,7 @@
         with self._lock:
             endpoint = self._endpoints.get(address)
             if endpoint is not None:
-                endpoint.load = load - endpoint.units
+                endpoint.load = load - len(endpoint.slots)
                 endpoint.load_at = self._clock.monotonic()
 
     def queue_units(self, pool: str) -> float:
@@ -319,7 +320,7 @@
             for endpoint in open_endpoints
             if endpoint.address not in work.exclude
         ]
-        chosen = choice.choose(views, work.units, self._rng, work.prefix)
+        chosen = choice.choose(views, self._rng, work.prefix)
         if chosen is None:
             return None
         endpoint = self._endpoints[chosen.address]
--- a/chervilarch/limits.py
+++ b/chervilarch/limits.py
@@ -19,7 +19,7 @@
     """What is learnt of an endpoint from its answers.
 
     Attributes:
-        limit: work units that may run there at a time.
+        limit: attempts that may run there at a time.
         base_s: time of a work unit without load; 0 before the first answer.
         latency_s: smoothed time of a work unit.
     """
@@ -30,7 +30,7 @@
 
 
 def after_answer(
-    state: LimitState, unit_s: float, in_flight: float
+    state: LimitState, unit_s: float, in_flight: int
 ) -> LimitState:
     """Returns the state after an answer that took `unit_s` a work unit."""
     if state.base_s == 0.0:
--- a/chervilarch/router.py
+++ b/chervilarch/router.py
@@ -109,7 +109,7 @@
         print(f"{args.settings}: settings are good", file=env.stdout)
         return ExitStatus.OK
     state_log.set_up(env.stderr, cfg.log_json)
-    sys.setswitchinterval(0.001)
+    sys.setswitchinterval(0.005)
     router = Router(cfg, env)
     try:
         router.start()
--- a/chervilarch/stream_stage.py
+++ b/chervilarch/stream_stage.py
@@ -59,7 +59,7 @@
     run.note_start(attempt, resumed_from=resumed_from)
     sequence.begin_attempt(attempt.attempt_id)
     started_at = run.ctrl.clock.monotonic()
-    stream = run.ctrl.transfers.open_stream(exchange)
+    stream = run.ctrl.streams.open_stream(exchange)
     try:
         judged = _read(run, stream, sequence, attempt.attempt_id)
     finally:
--- a/chervilarch/transfers.py
+++ b/chervilarch/transfers.py
@@ -9,6 +9,7 @@
 import selectors
 import socket
 import threading
+import time
 from collections.abc import Callable
 from concurrent.futures import Future
 from typing import NamedTuple
@@ -178,7 +179,15 @@
 class TransferThread:
     """Drives a `pycurl.CurlMulti` from one thread."""
 
-    def __init__(self) -> None:
+    def __init__(self, name: str = "transfers", pace_s: float = 0.0) -> None:
+        """Creates the thread.
+
+        Args:
+            name: the thread's name.
+            pace_s: time between rounds of a busy thread; what arrives within
+                it is handed over together.
+        """
+        self._pace_s = pace_s
         self._commands: collections.deque[Callable[[], None]] = (
             collections.deque()
         )
@@ -197,7 +206,7 @@
         self._running: dict[pycurl.Curl, _Transfer] = {}
         self._spare: list[pycurl.Curl] = []
         self._thread = threading.Thread(
-            target=self._run, name="transfers", daemon=True
+            target=self._run, name=name, daemon=True
         )
 
     def start(self) -> None:
@@ -259,6 +268,8 @@
                 self._timeout_s = None
                 self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
             self._collect()
+            if self._pace_s and ready:
+                time.sleep(self._pace_s)
         self._close()
 
     def _act(self, fd: int, mask: int) -> None:
