--- a/chervilarch/config_controller.py
+++ b/chervilarch/config_controller.py
@@ -21,6 +21,8 @@
 
 # How long the log gets to deliver a version that a peer already has.
 PEER_GRACE_S = 0.3
+# Without an answer for this time, the log counts as unreachable.
+LOG_SILENCE_S = 1.0
 # A snapshot is due when the newest base is older than this share of retention.
 SNAPSHOT_SHARE = 0.3
 _CHECK_PERIOD_S = 0.2
@@ -72,7 +74,7 @@
         self._has_base = False
         self._retained: list[records.Record] = []
         self._read_offset = 0
-        self._gap_first = 0
+        self._log_lacks_base = False
         self._offer: PeerOffer | None = None
         self._retention_s = float("inf")
         self._log_time = 0.0
@@ -179,6 +181,7 @@
         own = self.state
         if base is None and own.through >= page.first_offset - 1:
             base = own
+        self._log_lacks_base = base is None
         if base is None:
             return
         self.state = configuration.newer(own, base)
@@ -240,6 +243,8 @@
             return
         if self._clock.monotonic() - offer.heard_at < PEER_GRACE_S:
             return
+        if not self._may_take_from_peers():
+            return
         self._offer = None
         state = self._fetch(offer.address)
         if state is None:
@@ -248,6 +253,16 @@
         self._metrics.count("configuration.peer_fetch")
         self.adopt(state)
 
+    def _may_take_from_peers(self) -> bool:
+        """Tells whether the log itself can't give a first configuration.
+
+        A peer may lag behind the log, so a fresh host reads the log first.
+        """
+        with self._lock:
+            if self._has_base or self._log_lacks_base:
+                return True
+        return self.follower.contact_age_s() > LOG_SILENCE_S
+
     def _write_due_snapshot(self) -> None:
         with self._lock:
             state, base_time = self.state, self._base_time
