--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -145,6 +145,7 @@
         log_options: tuple[str, ...] = (),
         bounds: dict[str, Any] | None = None,
         host_lag_s: float = 0.2,
+        router_argv: tuple[str, ...] = ("chervilarch.router",),
     ):
         self._specs = specs
         self._data_centres = data_centres
@@ -152,6 +153,7 @@
         self._log_options = log_options
         self._bounds = {"drain_notice_s": 0.3, **(bounds or {})}
         self._host_lag_s = host_lag_s
+        self._router_argv = router_argv
         self._stack = contextlib.ExitStack()
         self.folder = pathlib.Path()
         self.log_address = ""
@@ -275,7 +277,7 @@
                 }
             )
         )
-        argv = [sys.executable, "-m", "chervilarch.router"]
+        argv = [sys.executable, "-m", *self._router_argv]
         argv += ["--settings", str(path)]
         process = self._start_process(name, argv)
         router = Router(name, address, peer_address, data_centre, process)
--- /dev/null
+++ b/bench/measure.py
@@ -0,0 +1,35 @@
+"""`make bench`: every measure with its bound, baselines and verdict."""
+
+import argparse
+
+from bench import overhead, policy, report
+
+MEASURES = {
+    "attainment": policy.attainment,
+    "crest": policy.crest,
+    "hol": policy.head_of_line,
+    "straggler": policy.straggler,
+    "overhead": overhead.measure,
+}
+
+
+def main() -> None:
+    """Runs the measures and prints them."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--only", choices=MEASURES, action="append")
+    parser.add_argument(
+        "--product-only", action="store_true", help="run no baselines"
+    )
+    args = parser.parse_args()
+    results = []
+    for name in args.only or MEASURES:
+        measure = MEASURES[name]
+        if args.product_only and name != "overhead":
+            results += measure((policy.PRODUCT,))
+        else:
+            results += measure()
+    report.print_measures(results)
+
+
+if __name__ == "__main__":
+    main()
--- a/chervilarch/admission.py
+++ b/chervilarch/admission.py
@@ -10,13 +10,13 @@
     Attributes:
         units: size of the work.
         unit_s: time of a work unit, 0 while unknown.
-        queued_units: work that waits before it.
+        backlog: attempts before this one beyond what may run at a time.
         limit: attempts that run at a time.
     """
 
     units: float
     unit_s: float
-    queued_units: float
+    backlog: float
     limit: float
 
 
@@ -34,7 +34,7 @@
     """Returns the expected wait before a stage runs."""
     if need.limit <= 0:
         return 0.0
-    return need.queued_units * need.unit_s / need.limit
+    return max(0.0, need.backlog) * need.unit_s / need.limit
 
 
 def can_finish(needs: Sequence[StageNeed], remaining_s: float) -> bool:
--- a/chervilarch/call_stage.py
+++ b/chervilarch/call_stage.py
@@ -7,6 +7,7 @@
 
 from chervilarch import (
     attempts,
+    budgets,
     controllers,
     endpoints,
     request,
@@ -14,14 +15,16 @@
     transfers,
 )
 
-# A hedge starts when an attempt takes this many times its expected time.
-HEDGE_FACTOR = 2.0
+# A hedge starts when an attempt takes this many times its expected time, or
+# its expected time and this many deviations.
+HEDGE_FACTOR = 1.2
+HEDGE_DEVIATIONS = 4.0
 MIN_HEDGE_DELAY_S = 0.02
-# An attempt that takes this many times its expected time is given up.
-GIVE_UP_FACTOR = 12.0
-MIN_ATTEMPT_S = 1.0
-# No single attempt that can be repeated may spend more of what remains.
-MAX_ATTEMPT_SHARE = 0.6
+# Without hedge budget, a second attempt starts after this many hedge delays.
+BACKUP_FACTOR = 6.0
+MIN_BACKUP_S = 0.5
+# A second attempt waits no longer than this share of what remains.
+BACKUP_SHARE = 0.3
 _BACKOFF_S = 0.02
 
 
@@ -75,6 +78,7 @@
             self.units,
             self.req.rule.priority,
             exclude=frozenset(self.tried),
+            finish_by=self.req.deadline_at - self._reserve_s,
         )
         slot = self.ctrl.endpoints.acquire(work, timeout_s)
         if isinstance(slot, endpoints.NoSlot):
@@ -240,38 +244,51 @@
 
 
 def _race(run: StageRun, slot: endpoints.Slot):
-    """Runs an attempt and, if it is slow, a second one beside it."""
-    expected_s = run.ctrl.endpoints.unit_s(run.stage.name) * run.units
-    first = run.start(slot, _attempt_bound_s(run, expected_s), bool(run.tried))
-    delay_s = max(MIN_HEDGE_DELAY_S, HEDGE_FACTOR * expected_s)
-    if expected_s > 0 and not _wait([first], delay_s):
-        second = _start_hedge(run, first)
-        if second is not None:
-            return _first_good(run, first, second)
-    return run.collect(first)
-
-
-def _attempt_bound_s(run: StageRun, expected_s: float) -> float:
+    """Runs an attempt and, if it is slow, a second one beside it.
+
+    The first goes on, so that work that really takes long is not lost.
+    """
     remaining_s = max(0.001, run.remaining_s())
-    if expected_s <= 0:
-        return remaining_s
-    bound_s = max(MIN_ATTEMPT_S, GIVE_UP_FACTOR * expected_s)
-    return min(remaining_s, max(bound_s, MAX_ATTEMPT_SHARE * remaining_s))
-
-
-def _start_hedge(run: StageRun, first: Running) -> Running | None:
-    run.tried.add(first.attempt.slot.endpoint.address)
-    try:
-        slot = run.acquire(0.0)
-    finally:
-        run.tried.discard(first.attempt.slot.endpoint.address)
+    first = run.start(slot, remaining_s, bool(run.tried))
+    hedge_s = _hedge_delay_s(slot, remaining_s)
+    if _wait([first], hedge_s):
+        return run.collect(first)
+    second = _start_second(run, first, run.ctrl.hedge_budget, "hedges")
+    if second is None:
+        backup_s = max(MIN_BACKUP_S, BACKUP_FACTOR * hedge_s) - hedge_s
+        if _wait([first], min(backup_s, BACKUP_SHARE * remaining_s)):
+            return run.collect(first)
+        second = _start_second(run, first, run.ctrl.retry_budget, "backups")
+    if second is None:
+        return run.collect(first)
+    return _first_good(run, first, second)
+
+
+def _hedge_delay_s(slot: endpoints.Slot, remaining_s: float) -> float:
+    """Returns after what time an attempt counts as slow."""
+    if slot.expected_s <= 0:
+        return BACKUP_SHARE * remaining_s
+    return max(
+        HEDGE_FACTOR * slot.expected_s + MIN_HEDGE_DELAY_S,
+        slot.expected_s + HEDGE_DEVIATIONS * slot.deviation_s,
+    )
+
+
+def _start_second(
+    run: StageRun, first: Running, budget: budgets.Budget, counter: str
+) -> Running | None:
+    """Sends a second attempt elsewhere, if the budget has one left."""
+    address = first.attempt.slot.endpoint.address
+    run.tried.add(address)
+    slot = run.acquire(0.0)
+    run.tried.discard(address)
     if isinstance(slot, endpoints.NoSlot):
         return None
-    if not run.ctrl.hedge_budget.spend():
+    if not budget.spend():
         run.ctrl.endpoints.abandon(slot)
         return None
-    run.ctrl.metrics.count("hedges")
-    run.req.trace.note("hedge", stage=run.stage.name)
+    run.ctrl.metrics.count(counter)
+    run.req.trace.note("second attempt", stage=run.stage.name, why=counter)
     return run.start(slot, max(0.001, run.remaining_s()), fresh=True)
 
 
--- a/chervilarch/choice.py
+++ b/chervilarch/choice.py
@@ -59,6 +59,13 @@
     return unit_s * (1.0 + load) * penalty / max(0.05, view.trust)
 
 
+def timely(
+    views: Sequence[EndpointView], units: float, remaining_s: float
+) -> list[EndpointView]:
+    """Returns the endpoints that can be expected to finish in time."""
+    return [view for view in views if view.latency_s * units <= remaining_s]
+
+
 def has_room(view: EndpointView) -> bool:
     """Tells whether an endpoint may take one more attempt."""
     return view.in_flight + 1 <= max(1.0, view.limit)
--- a/chervilarch/endpoints.py
+++ b/chervilarch/endpoints.py
@@ -38,6 +38,7 @@
         priority: smaller goes first.
         prefix: start of a prompt that an endpoint may have cached.
         exclude: addresses that were tried already.
+        finish_by: monotonic time by which the work must be done.
     """
 
     pool: str
@@ -45,6 +46,21 @@
     priority: int = 5
     prefix: bytes = b""
     exclude: frozenset[str] = frozenset()
+    finish_by: float = float("inf")
+
+
+class PoolEstimate(NamedTuple):
+    """What a pool is expected to do with one more attempt.
+
+    Attributes:
+        limit: attempts that may run at a time.
+        unit_s: mean time of a work unit, 0 while unknown.
+        backlog: attempts under way, waiting or on their way, beyond `limit`.
+    """
+
+    limit: float
+    unit_s: float
+    backlog: float
 
 
 class _Endpoint:
@@ -66,6 +82,12 @@
         self.ejected_until = float("-inf")
         self.load = 0.0
         self.load_at = float("-inf")
+        self.answered_at = float("-inf")
+
+    def latency_s(self, now: float) -> float:
+        """Returns the present time of a work unit, 0 while unknown."""
+        silent_s = max(0.0, now - self.answered_at)
+        return limits.present_latency_s(self.learnt, silent_s)
 
     def view(self, now: float, default_s: float) -> choice.EndpointView:
         oldest_s = 0.0
@@ -78,7 +100,7 @@
             len(self.slots),
             self.units,
             self.learnt.limit,
-            self.learnt.latency_s or default_s,
+            self.latency_s(now) or default_s,
             oldest_s,
             self.load,
             now - self.load_at,
@@ -105,6 +127,8 @@
         self.endpoint = endpoint
         self.work = work
         self.started_at = now
+        self.expected_s = 0.0
+        self.deviation_s = 0.0
 
 
 class NoSlot(NamedTuple):
@@ -148,6 +172,7 @@
         self._pools: dict[str, list[_Endpoint]] = {}
         self._left: dict[str, int] = {}
         self._queues: dict[str, list[_Waiter]] = collections.defaultdict(list)
+        self._pledged: collections.Counter[str] = collections.Counter()
         self._numbers = itertools.count()
 
     def update_list(self, entries: list[hosts.HostEntry]) -> list[EndpointId]:
@@ -194,7 +219,7 @@
             bisect.insort(
                 self._queues[work.pool], waiter, key=lambda item: item.order
             )
-        waiter.ready.wait(max(0.0, timeout_s))
+        waiter.ready.wait(self._wait_bound_s(work, timeout_s, now))
         with self._lock:
             if waiter.slot is not None:
                 return waiter.slot
@@ -212,6 +237,7 @@
             unit_s = elapsed_s / max(1.0, slot.work.units)
             if succeeded:
                 endpoint.failures = 0
+                endpoint.answered_at = now
                 endpoint.learnt = limits.after_answer(
                     endpoint.learnt, unit_s, len(endpoint.slots) + 1
                 )
@@ -236,15 +262,12 @@
             # The answer would have taken at least this long.
             unit_s = elapsed_s / max(1.0, slot.work.units)
             if unit_s > endpoint.learnt.latency_s > 0:
+                endpoint.answered_at = self._clock.monotonic()
                 endpoint.learnt = limits.after_answer(
                     endpoint.learnt, unit_s, len(endpoint.slots) + 1
                 )
             self._serve_queue(slot.work.pool)
 
-    def unit_s(self, pool: str) -> float:
-        """Returns a pool's mean time of a work unit, 0 while unknown."""
-        return self.pool_capacity(pool)[1]
-
     def report_load(self, address: str, load: float) -> None:
         """Takes the load that an endpoint reported."""
         with self._lock:
@@ -253,20 +276,21 @@
                 endpoint.load = load - len(endpoint.slots)
                 endpoint.load_at = self._clock.monotonic()
 
-    def queue_units(self, pool: str) -> float:
-        """Returns the work that waits for a pool."""
+    def pledge(self, pool: str, attempts: int) -> None:
+        """Counts attempts that will come to a pool, or came if negative."""
         with self._lock:
-            return sum(waiter.work.units for waiter in self._queues[pool])
+            self._pledged[pool] += attempts
 
-    def pool_capacity(self, pool: str) -> tuple[float, float]:
-        """Returns a pool's limit in work units and its mean unit time."""
+    def estimate(self, pool: str) -> PoolEstimate:
+        """Returns what to expect of a pool."""
         now = self._clock.monotonic()
         with self._lock:
             endpoints = self._open_endpoints(pool, now)
-            if not endpoints:
-                return 0.0, 0.0
             limit = sum(endpoint.learnt.limit for endpoint in endpoints)
-            return limit, _mean_latency_s(endpoints)
+            ahead = self._pledged[pool] + len(self._queues[pool])
+            ahead += sum(len(endpoint.slots) for endpoint in endpoints)
+            unit_s = _mean_latency_s(endpoints, now)
+        return PoolEstimate(limit, unit_s, ahead + 1 - limit)
 
     def describe(self) -> list[dict]:
         """Returns the state of each endpoint for the status page."""
@@ -314,22 +338,36 @@
 
     def _try_slot(self, work: Work, now: float) -> Slot | None:
         open_endpoints = self._open_endpoints(work.pool, now)
-        default_s = _mean_latency_s(open_endpoints)
+        default_s = _mean_latency_s(open_endpoints, now)
         views = [
             endpoint.view(now, default_s)
             for endpoint in open_endpoints
             if endpoint.address not in work.exclude
         ]
-        chosen = choice.choose(views, self._rng, work.prefix)
+        timely = choice.timely(views, work.units, work.finish_by - now)
+        chosen = choice.choose(timely, self._rng, work.prefix)
         if chosen is None:
             return None
         endpoint = self._endpoints[chosen.address]
         endpoint_id = EndpointId(endpoint.address, endpoint.incarnation)
         slot = Slot(next(self._numbers), endpoint_id, work, now)
+        slot.expected_s = chosen.latency_s * work.units
+        slot.deviation_s = endpoint.learnt.deviation_s * work.units
         endpoint.slots[slot.number] = slot
         endpoint.units += work.units
         return slot
 
+    def _wait_bound_s(self, work: Work, timeout_s: float, now: float) -> float:
+        """Returns how long waiting for a slot still makes sense."""
+        with self._lock:
+            known = [
+                endpoint.learnt.base_s
+                for endpoint in self._open_endpoints(work.pool, now)
+                if endpoint.learnt.base_s > 0
+            ]
+        latest = work.finish_by - min(known, default=0.0) * work.units
+        return max(0.0, min(timeout_s, latest - now))
+
     def _remove_slot(self, slot: Slot) -> _Endpoint | None:
         endpoint = self._endpoints.get(slot.endpoint.address)
         if endpoint is None or slot.number not in endpoint.slots:
@@ -367,14 +405,10 @@
             waiter.ready.set()
 
 
-def _mean_latency_s(endpoints: list[_Endpoint]) -> float:
+def _mean_latency_s(endpoints: list[_Endpoint], now: float) -> float:
     """Returns the mean time of a work unit where it is known, else 0."""
-    known = [
-        endpoint.learnt
-        for endpoint in endpoints
-        if endpoint.learnt.latency_s > 0
-    ]
+    known = [item for item in endpoints if item.learnt.latency_s > 0]
     if not known:
         return 0.0
-    weighted = sum(learnt.latency_s * learnt.limit for learnt in known)
-    return weighted / sum(learnt.limit for learnt in known)
+    weighted = sum(item.latency_s(now) * item.learnt.limit for item in known)
+    return weighted / sum(item.learnt.limit for item in known)
--- a/chervilarch/limits.py
+++ b/chervilarch/limits.py
@@ -1,18 +1,32 @@
-"""Pure adaptive limit on the work that one endpoint is given at a time."""
+"""Pure adaptive limit on the attempts that one endpoint is given at a time.
+
+The limit follows the ratio of the present time of a work unit to the time
+without load: waiting is done in the router's queue, where any endpoint may
+take the work, rather than in an endpoint's own.
+"""
 
-import math
 from typing import NamedTuple
 
 MIN_LIMIT = 1.0
 MAX_LIMIT = 256.0
-FIRST_LIMIT = 8.0
-# Latency may be this many times the unloaded one before the limit shrinks.
-_TOLERANCE = 2.0
-_SMOOTHING = 0.1
-_FAILURE_FACTOR = 0.9
-# The unloaded latency is forgotten slowly, so that a slower one is learnt.
-_BASE_DRIFT = 0.002
-_LATENCY_GAIN = 0.2
+FIRST_LIMIT = 4.0
+# Below this ratio of present to unloaded time the limit grows.
+GROW_BELOW = 1.4
+# Above this one it shrinks.
+SHRINK_ABOVE = 1.7
+# Times shorter than this say nothing about load, in seconds.
+NOISE_S = 0.005
+_SHRINK_FACTOR = 0.9
+_GROWTH = 0.5
+# The limit grows only while at least this share of it is used.
+_USED_SHARE = 0.7
+# The unloaded time is forgotten slowly, so that a slower one is learnt.
+_BASE_DRIFT = 0.0005
+_RISE_GAIN = 0.5
+_FALL_GAIN = 0.25
+_DEVIATION_GAIN = 0.25
+# An estimate that no answer renews nears the unloaded time, in seconds.
+FORGET_HALF_LIFE_S = 2.0
 
 
 class LimitState(NamedTuple):
@@ -22,11 +36,13 @@
         limit: attempts that may run there at a time.
         base_s: time of a work unit without load; 0 before the first answer.
         latency_s: smoothed time of a work unit.
+        deviation_s: smoothed distance of answers from `latency_s`.
     """
 
     limit: float = FIRST_LIMIT
     base_s: float = 0.0
     latency_s: float = 0.0
+    deviation_s: float = 0.0
 
 
 def after_answer(
@@ -34,28 +50,43 @@
 ) -> LimitState:
     """Returns the state after an answer that took `unit_s` a work unit."""
     if state.base_s == 0.0:
-        return LimitState(state.limit, unit_s, unit_s)
+        return LimitState(state.limit, unit_s, unit_s, unit_s / 2)
     base_s = min(unit_s, state.base_s * (1 + _BASE_DRIFT))
-    latency_s = _smooth_latency(state.latency_s, unit_s)
-    gradient = max(0.5, min(1.0, _TOLERANCE * base_s / latency_s))
-    wanted = state.limit * gradient + math.sqrt(state.limit)
-    if wanted > state.limit and in_flight < state.limit / 2:
-        # A limit that isn't used says nothing about a higher one.
-        wanted = state.limit
-    limit = state.limit + _SMOOTHING * (wanted - state.limit)
-    return LimitState(_clamp(limit), base_s, latency_s)
+    distance_s = abs(unit_s - state.latency_s)
+    deviation_s = state.deviation_s + _DEVIATION_GAIN * (
+        distance_s - state.deviation_s
+    )
+    latency_s = _smooth(state.latency_s, unit_s)
+    limit = _follow(state.limit, base_s, latency_s, in_flight)
+    return LimitState(limit, base_s, latency_s, deviation_s)
 
 
 def after_failure(state: LimitState) -> LimitState:
     """Returns the state after a failed or timed-out attempt."""
-    return state._replace(limit=_clamp(state.limit * _FAILURE_FACTOR))
+    return state._replace(limit=_clamp(state.limit * _SHRINK_FACTOR))
+
+
+def present_latency_s(state: LimitState, silent_s: float) -> float:
+    """Returns the time of a work unit when the last answer is long ago."""
+    weight = 0.5 ** (silent_s / FORGET_HALF_LIFE_S)
+    return state.base_s + weight * (state.latency_s - state.base_s)
+
+
+def _follow(
+    limit: float, base_s: float, latency_s: float, in_flight: int
+) -> float:
+    if latency_s > SHRINK_ABOVE * base_s + NOISE_S:
+        return _clamp(limit * _SHRINK_FACTOR)
+    is_used = in_flight >= _USED_SHARE * limit
+    if is_used and latency_s < GROW_BELOW * base_s + NOISE_S:
+        return _clamp(limit + _GROWTH / limit)
+    return limit
 
 
-def _smooth_latency(latency_s: float, unit_s: float) -> float:
+def _smooth(latency_s: float, unit_s: float) -> float:
     """Rises at once with a slow answer and falls gradually."""
-    if unit_s > latency_s:
-        return latency_s + 0.5 * (unit_s - latency_s)
-    return latency_s + _LATENCY_GAIN * (unit_s - latency_s)
+    gain = _RISE_GAIN if unit_s > latency_s else _FALL_GAIN
+    return latency_s + gain * (unit_s - latency_s)
 
 
 def _clamp(limit: float) -> float:
--- a/chervilarch/stages.py
+++ b/chervilarch/stages.py
@@ -15,7 +15,7 @@
 )
 
 # Input of this size counts as one work unit of a call stage.
-BYTES_PER_UNIT = 16 * 1024
+BYTES_PER_UNIT = 4096
 # So many tokens count as one work unit of a stream stage.
 TOKENS_PER_UNIT = 64
 _RETRY = "send the request again"
@@ -37,10 +37,12 @@
     """Returns what stages are expected to take."""
     needs = []
     for stage in stages:
-        limit, unit_s = ctrl.endpoints.pool_capacity(stage.name)
-        queued = ctrl.endpoints.queue_units(stage.name)
-        units = work_units(req, stage)
-        needs.append(admission.StageNeed(units, unit_s, queued, limit))
+        pool = ctrl.endpoints.estimate(stage.name)
+        needs.append(
+            admission.StageNeed(
+                work_units(req, stage), pool.unit_s, pool.backlog, pool.limit
+            )
+        )
     return needs
 
 
@@ -48,6 +50,21 @@
     ctrl: controllers.Controllers, req: request.PipelineRequest
 ) -> outcomes.Outcome:
     """Runs all stages and returns the outcome."""
+    pledged = [stage.name for stage in req.pipeline.stages]
+    for pool in pledged:
+        ctrl.endpoints.pledge(pool, 1)
+    try:
+        return _run_stages(ctrl, req, pledged)
+    finally:
+        for pool in pledged:
+            ctrl.endpoints.pledge(pool, -1)
+
+
+def _run_stages(
+    ctrl: controllers.Controllers,
+    req: request.PipelineRequest,
+    pledged: list[str],
+) -> outcomes.Outcome:
     value: Any = None
     for index, stage in enumerate(req.pipeline.stages):
         later = req.pipeline.stages[index + 1 :]
@@ -57,6 +74,8 @@
         run = call_stage.StageRun(
             ctrl, req, stage, value, work_units(req, stage), reserve_s
         )
+        # From here on the attempt itself counts in the pool.
+        ctrl.endpoints.pledge(pledged.pop(0), -1)
         result = _run_stage(run)
         if isinstance(result, call_stage.StageFailure):
             return _failure(req, stage, result)
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -20,6 +20,8 @@
 
 _LOAD_HISTORY = 4096
 _PREFIX_CHARS = 64
+# Input of this size takes one work unit.
+BYTES_PER_UNIT = 4096
 
 
 def token_text(prompt: object, index: int) -> str:
@@ -152,7 +154,7 @@
     async def _call(
         self, request: web.Request, payload: dict, fault: str
     ) -> web.StreamResponse:
-        size = max(1.0, len(json.dumps(payload["request"])) / 16384)
+        size = max(1.0, len(json.dumps(payload["request"])) / BYTES_PER_UNIT)
         start = time.monotonic()
         await asyncio.sleep(self.unit_s() * size)
         self._busy_s += time.monotonic() - start
