Serve waiters that can finish, pause below limit 1, suspect slow endpoints

Cause: at the crest requests were sent to endpoints that could no longer answer in time, three routers kept three attempts on two slots, and an endpoint that lost to a second attempt was chosen again at once. Ruled out: processor shortage; model servers had idle slots. Stand-in pools cancel work when the caller goes. The log's retention is checked against the keys' age (test failed first: a log that forgets sooner was taken for current). An internal fault gives a typed outcome instead of an empty 500.

--- a/bench/faults_answers.py
+++ b/bench/faults_answers.py
@@ -128,7 +128,13 @@
 ) -> None:
     """Calls ready routers as a balancer would send requests to them."""
     rng = random.Random(_SEED + number)
-    kinds = [("survey", True), ("survey", False), ("encode", False)]
+    # The last runs far longer than the drain's notice.
+    kinds = [
+        ("survey", True, 32),
+        ("survey", False, 32),
+        ("encode", False, 32),
+        ("generate", True, 250),
+    ]
     while not stop.is_set():
         ready = [item for item in running.routers if _is_ready(item)]
         if not ready:
@@ -137,8 +143,10 @@
         if number % 4 == 0:
             answer = scenario.send(router, "book", "gate", fleet.new_key())
         else:
-            pipeline, stream = rng.choice(kinds)
-            answer = scenario.send(router, pipeline, "x", stream=stream)
+            pipeline, stream, tokens = rng.choice(kinds)
+            answer = scenario.send(
+                router, pipeline, "x", stream=stream, tokens=tokens
+            )
         told.append((router.name, answer))
 
 
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,6 +1,7 @@
 """Starts a deployment of routers and stand-ins as processes on loopback."""
 
 import contextlib
+import itertools
 import json
 import os
 import pathlib
@@ -27,6 +28,13 @@
 _STOP_TIMEOUT_S = 15.0
 
 
+_FIRST_PORT = 12000
+_LAST_PORT = 32000
+_PORTS = itertools.cycle(
+    range(_FIRST_PORT + os.getpid() % 1000 * 20, _LAST_PORT)
+)
+
+
 class FleetError(Exception):
     """A deployment did not come up or down as asked."""
 
@@ -384,21 +392,27 @@
 
 
 def free_address() -> str:
-    """Returns a loopback address whose port is free for TCP and UDP."""
+    """Returns a loopback address whose port is free for TCP and UDP.
+
+    Ports lie below those that the kernel gives to outgoing connections.
+    """
     while True:
-        with (
-            socket.socket() as tcp,
-            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+        port = next(_PORTS)
+        if _can_bind(port, socket.SOCK_STREAM) and _can_bind(
+            port, socket.SOCK_DGRAM
         ):
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
-            try:
-                udp.bind(("127.0.0.1", port))
-            except OSError:
-                continue
             return f"127.0.0.1:{port}"
 
 
+def _can_bind(port: int, kind: socket.SocketKind) -> bool:
+    with socket.socket(socket.AF_INET, kind) as sock:
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
 def call(
     address: str,
     method: str,
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -193,7 +193,10 @@
                 start_s,
                 deadline_s=deadline_s,
             )
+        busy_s = _busy_s(run)
         samples = load.run(listed)
+        busy_s = _busy_s(run) - busy_s
+        print(f"  model servers worked {busy_s:.1f} s in slots")
         begin = 3.0 + rise_s
         during = [s for s in samples if begin <= s.at_s < begin + crest_s]
         after = [s for s in samples if s.at_s >= begin + crest_s + 5.0]
@@ -255,6 +258,8 @@
                 long_share=0.02,
             )
         )
+        _note_times(run, "hol without", without)
+        _note_times(run, "hol short", [s for s in beside if s.label == "short"])
         return Result({"without": without, "beside": beside}, counters(run))
 
     results = compare(use, policies)
@@ -290,6 +295,8 @@
         during = load.run(shots(run, rate, 20.0, random.Random(6)))
         for timer in timers:
             timer.join()
+        _note_times(run, "straggler without", without)
+        _note_times(run, "straggler during", during)
         return Result({"without": without, "during": during}, counters(run))
 
     results = compare(use, policies)
@@ -311,6 +318,15 @@
     ]
 
 
+def _busy_s(run: Run) -> float:
+    """Returns the time that model servers' slots have worked."""
+    return sum(
+        fleet.counts(item)["busy_s"]
+        for item in run.running.endpoints
+        if item.spec.pool == "model"
+    )
+
+
 def _note(
     run: Run, name: str, deadline_s: float, samples: list[load.Sample]
 ) -> None:
@@ -326,6 +342,16 @@
     )
 
 
+def _note_times(run: Run, name: str, samples: list[load.Sample]) -> None:
+    """Prints the percentiles of a part's times."""
+    times = [sample.elapsed_s * 1000 for sample in samples]
+    p50, p95, p99_ms = (load.percentile(times, q) for q in (50, 95, 99))
+    print(
+        f"  {name} under {run.policy}: p50 {p50:.0f}, p95 {p95:.0f}, "
+        f"p99 {p99_ms:.0f} ms of {len(times)}"
+    )
+
+
 def _measure(
     name: str,
     values: dict[str, float],
--- a/bench/scenario.py
+++ b/bench/scenario.py
@@ -80,6 +80,7 @@
     key: str = "",
     stream: bool = False,
     timeout_s: float = 15.0,
+    tokens: int = 32,
     **headers: str,
 ) -> Told:
     """Runs a pipeline and returns what the caller was told."""
@@ -91,7 +92,7 @@
         router.address,
         "POST",
         f"/v1/pipelines/{pipeline}/runs",
-        {"input": prompt, "stream": stream, "max_tokens": 32},
+        {"input": prompt, "stream": stream, "max_tokens": tokens},
         sent,
         timeout_s,
     )
--- a/chervilarch/admission.py
+++ b/chervilarch/admission.py
@@ -9,13 +9,15 @@
 
     Attributes:
         units: size of the work.
-        unit_s: time of a work unit, 0 while unknown.
+        unit_s: mean time of a work unit, 0 while unknown.
+        best_s: least time of a work unit, 0 while unknown.
         backlog: attempts before this one beyond what may run at a time.
         limit: attempts that run at a time.
     """
 
     units: float
     unit_s: float
+    best_s: float
     backlog: float
     limit: float
 
@@ -26,8 +28,8 @@
 
 
 def service_s(need: StageNeed) -> float:
-    """Returns the expected time of a stage once it runs."""
-    return need.units * need.unit_s
+    """Returns the least time of a stage once it runs."""
+    return need.units * need.best_s
 
 
 def wait_s(need: StageNeed) -> float:
--- a/chervilarch/calls_controller.py
+++ b/chervilarch/calls_controller.py
@@ -82,6 +82,7 @@
         self._building: calls.CallState | None = calls.CallState()
         self._read_offset = 0
         self._pruned_at = 0.0
+        self._retention_s = 0.0
         self._outbox: collections.deque[records.Body] = collections.deque()
         self._undecided: dict[str, Future[ClaimResult]] = {}
         self._abandoned: dict[str, records.Claim] = {}
@@ -116,6 +117,8 @@
         """Tells whether the whole window is seen up to a moment ago."""
         with self._cond:
             whole = self._building is None
+            # A log that forgets sooner could hide an earlier claim.
+            whole = whole and self._retention_s >= calls.MIN_RETENTION_S
         # A long poll may be under way since the log was last asked.
         return whole and self.follower.contact_age_s() <= (
             log_client.LONG_POLL_S + MAX_VIEW_AGE_S
@@ -215,6 +218,7 @@
                 # Records expired unread: the window is built anew.
                 self._building = calls.CallState()
                 self._metrics.count("calls.window_rebuilt")
+            self._retention_s = page.retention_s
             state = self._building or self._state
             for record in page.records:
                 if isinstance(record.body, records.Unreadable):
--- a/chervilarch/choice.py
+++ b/chervilarch/choice.py
@@ -31,10 +31,13 @@
         units: work units of those attempts.
         limit: bound on `in_flight`.
         latency_s: smoothed time of a work unit.
+        base_s: time of a work unit without load.
         oldest_s: age of the oldest attempt still running, per work unit.
         reported_load: queue and running work it last reported, less ours.
         report_age_s: age of that report.
-        trust: 1.0 for a sound endpoint, less while it returns from ejection.
+        trust: 1.0 for a sound endpoint, less while it is suspected to be slow
+            or returns from ejection.
+        is_pausing: whether its limit asks to wait before the next attempt.
     """
 
     address: str
@@ -43,10 +46,12 @@
     units: float
     limit: float
     latency_s: float
+    base_s: float
     oldest_s: float = 0.0
     reported_load: float = 0.0
     report_age_s: float = float("inf")
     trust: float = 1.0
+    is_pausing: bool = False
 
 
 def expected_wait_s(view: EndpointView) -> float:
@@ -63,11 +68,13 @@
     views: Sequence[EndpointView], units: float, remaining_s: float
 ) -> list[EndpointView]:
     """Returns the endpoints that can be expected to finish in time."""
-    return [view for view in views if view.latency_s * units <= remaining_s]
+    return [view for view in views if view.base_s * units <= remaining_s]
 
 
 def has_room(view: EndpointView) -> bool:
     """Tells whether an endpoint may take one more attempt."""
+    if view.is_pausing:
+        return False
     return view.in_flight + 1 <= max(1.0, view.limit)
 
 
--- a/chervilarch/endpoints.py
+++ b/chervilarch/endpoints.py
@@ -4,7 +4,6 @@
 pool's queue, which is ordered by priority and then by age.
 """
 
-import bisect
 import collections
 import itertools
 import random
@@ -20,6 +19,15 @@
 # An endpoint back from ejection is trusted fully after this time.
 RETURN_S = 5.0
 _FIRST_TRUST = 0.1
+# How long an endpoint is trusted little after it lost to a second attempt.
+SUSPECT_S = 1.0
+MAX_SUSPECT_S = 8.0
+# An answer within this many unloaded times clears a suspicion.
+_CLEARING_RATIO = 2.0
+# A waiter's time left, in unloaded times, below which it gives way.
+_SLACK = 1.35
+# How often the first waiter of a queue looks for an endpoint by itself.
+_LOOK_PERIOD_S = 0.01
 
 
 class EndpointId(NamedTuple):
@@ -55,11 +63,13 @@
     Attributes:
         limit: attempts that may run at a time.
         unit_s: mean time of a work unit, 0 while unknown.
+        best_s: least time of a work unit, 0 while unknown.
         backlog: attempts under way, waiting or on their way, beyond `limit`.
     """
 
     limit: float
     unit_s: float
+    best_s: float
     backlog: float
 
 
@@ -83,6 +93,9 @@
         self.load = 0.0
         self.load_at = float("-inf")
         self.answered_at = float("-inf")
+        self.started_at = float("-inf")
+        self.suspicions = 0
+        self.suspect_until = float("-inf")
 
     def latency_s(self, now: float) -> float:
         """Returns the present time of a work unit, 0 while unknown."""
@@ -101,16 +114,40 @@
             self.units,
             self.learnt.limit,
             self.latency_s(now) or default_s,
+            self.learnt.base_s,
             oldest_s,
             self.load,
             now - self.load_at,
             self._trust(now),
+            now - self.started_at < limits.pause_s(self.learnt),
         )
 
     def is_open(self, now: float) -> bool:
         return self.listed and not self.leaving and now >= self.ejected_until
 
+    def suspect(self, now: float) -> None:
+        """Trusts the endpoint little for a while, longer each time."""
+        if now < self.suspect_until:
+            return
+        period_s = min(MAX_SUSPECT_S, SUSPECT_S * 2**self.suspicions)
+        self.suspicions += 1
+        self.suspect_until = now + period_s
+
+    def note_success(self, unit_s: float, now: float) -> None:
+        """Learns from an answer."""
+        self.failures = 0
+        self.answered_at = now
+        in_flight = len(self.slots) + 1
+        self.learnt = limits.after_answer(self.learnt, unit_s, in_flight)
+        if unit_s <= _CLEARING_RATIO * self.learnt.base_s:
+            self.suspicions = 0
+            self.suspect_until = float("-inf")
+        if now - self.ejected_until > RETURN_S:
+            self.ejections = 0
+
     def _trust(self, now: float) -> float:
+        if now < self.suspect_until:
+            return _FIRST_TRUST
         if self.ejections == 0:
             return 1.0
         back_s = now - self.ejected_until
@@ -216,10 +253,8 @@
             if slot is not None:
                 return slot
             waiter = _Waiter(work, next(self._numbers))
-            bisect.insort(
-                self._queues[work.pool], waiter, key=lambda item: item.order
-            )
-        waiter.ready.wait(self._wait_bound_s(work, timeout_s, now))
+            self._queues[work.pool].append(waiter)
+        self._await_slot(waiter, now + self._wait_bound_s(work, timeout_s, now))
         with self._lock:
             if waiter.slot is not None:
                 return waiter.slot
@@ -236,13 +271,7 @@
                 return
             unit_s = elapsed_s / max(1.0, slot.work.units)
             if succeeded:
-                endpoint.failures = 0
-                endpoint.answered_at = now
-                endpoint.learnt = limits.after_answer(
-                    endpoint.learnt, unit_s, len(endpoint.slots) + 1
-                )
-                if now - endpoint.ejected_until > RETURN_S:
-                    endpoint.ejections = 0
+                endpoint.note_success(unit_s, now)
             else:
                 self._note_failure(endpoint, now)
             self._serve_queue(slot.work.pool)
@@ -259,13 +288,12 @@
             endpoint = self._remove_slot(slot)
             if endpoint is None:
                 return
+            now = self._clock.monotonic()
             # The answer would have taken at least this long.
             unit_s = elapsed_s / max(1.0, slot.work.units)
             if unit_s > endpoint.learnt.latency_s > 0:
-                endpoint.answered_at = self._clock.monotonic()
-                endpoint.learnt = limits.after_answer(
-                    endpoint.learnt, unit_s, len(endpoint.slots) + 1
-                )
+                endpoint.note_success(unit_s, now)
+            endpoint.suspect(now)
             self._serve_queue(slot.work.pool)
 
     def report_load(self, address: str, load: float) -> None:
@@ -281,16 +309,29 @@
         with self._lock:
             self._pledged[pool] += attempts
 
-    def estimate(self, pool: str) -> PoolEstimate:
-        """Returns what to expect of a pool."""
+    def estimate(
+        self, pool: str, units: float, remaining_s: float
+    ) -> PoolEstimate:
+        """Returns what to expect of the endpoints that could be in time."""
         now = self._clock.monotonic()
         with self._lock:
-            endpoints = self._open_endpoints(pool, now)
+            endpoints = [
+                endpoint
+                for endpoint in self._open_endpoints(pool, now)
+                if endpoint.learnt.base_s * units <= remaining_s
+            ]
             limit = sum(endpoint.learnt.limit for endpoint in endpoints)
             ahead = self._pledged[pool] + len(self._queues[pool])
             ahead += sum(len(endpoint.slots) for endpoint in endpoints)
             unit_s = _mean_latency_s(endpoints, now)
-        return PoolEstimate(limit, unit_s, ahead + 1 - limit)
+            known = [
+                endpoint.learnt.base_s
+                for endpoint in endpoints
+                if endpoint.learnt.base_s > 0
+            ]
+        return PoolEstimate(
+            limit, unit_s, min(known, default=0.0), ahead + 1 - limit
+        )
 
     def describe(self) -> list[dict]:
         """Returns the state of each endpoint for the status page."""
@@ -354,18 +395,29 @@
         slot.expected_s = chosen.latency_s * work.units
         slot.deviation_s = endpoint.learnt.deviation_s * work.units
         endpoint.slots[slot.number] = slot
+        endpoint.started_at = now
         endpoint.units += work.units
         return slot
 
+    def _await_slot(self, waiter: _Waiter, until: float) -> None:
+        """Waits until the waiter has a slot or its time is over."""
+        pool = waiter.work.pool
+        while True:
+            left_s = until - self._clock.monotonic()
+            if waiter.ready.wait(max(0.0, min(left_s, _LOOK_PERIOD_S))):
+                return
+            if left_s <= 0:
+                return
+            with self._lock:
+                # Pauses and ejections end without any other event.
+                if self._queues[pool] and self._queues[pool][0] is waiter:
+                    self._serve_queue(pool)
+
     def _wait_bound_s(self, work: Work, timeout_s: float, now: float) -> float:
         """Returns how long waiting for a slot still makes sense."""
         with self._lock:
-            known = [
-                endpoint.learnt.base_s
-                for endpoint in self._open_endpoints(work.pool, now)
-                if endpoint.learnt.base_s > 0
-            ]
-        latest = work.finish_by - min(known, default=0.0) * work.units
+            base_s = self._least_base_s(work.pool, now)
+        latest = work.finish_by - base_s * work.units
         return max(0.0, min(timeout_s, latest - now))
 
     def _remove_slot(self, slot: Slot) -> _Endpoint | None:
@@ -394,16 +446,44 @@
         )
 
     def _serve_queue(self, pool: str) -> None:
+        """Gives slots to waiters, in the order of `_serving_order`."""
         queue = self._queues[pool]
+        if not queue:
+            return
         now = self._clock.monotonic()
-        while queue:
-            slot = self._try_slot(queue[0].work, now)
+        for waiter in self._serving_order(pool, now):
+            slot = self._try_slot(waiter.work, now)
             if slot is None:
                 return
-            waiter = queue.pop(0)
+            queue.remove(waiter)
             waiter.slot = slot
             waiter.ready.set()
 
+    def _serving_order(self, pool: str, now: float) -> list[_Waiter]:
+        """Returns the waiters by priority, then age.
+
+        Whoever could only just finish gives way to those who surely can:
+        serving the oldest first under overload makes every answer late.
+        """
+        base_s = self._least_base_s(pool, now) * _SLACK
+
+        def order(waiter: _Waiter) -> tuple[int, bool, int]:
+            left_s = waiter.work.finish_by - now
+            is_thin = left_s < base_s * waiter.work.units
+            priority, number = waiter.order
+            return priority, is_thin, number
+
+        return sorted(self._queues[pool], key=order)
+
+    def _least_base_s(self, pool: str, now: float) -> float:
+        """Returns the least unloaded time of a work unit, 0 if unknown."""
+        known = [
+            endpoint.learnt.base_s
+            for endpoint in self._open_endpoints(pool, now)
+            if endpoint.learnt.base_s > 0
+        ]
+        return min(known, default=0.0)
+
 
 def _mean_latency_s(endpoints: list[_Endpoint], now: float) -> float:
     """Returns the mean time of a work unit where it is known, else 0."""
--- a/chervilarch/limits.py
+++ b/chervilarch/limits.py
@@ -7,7 +7,8 @@
 
 from typing import NamedTuple
 
-MIN_LIMIT = 1.0
+# Below 1 the endpoint is idle between attempts, for other hosts' sake.
+MIN_LIMIT = 0.2
 MAX_LIMIT = 256.0
 FIRST_LIMIT = 4.0
 # Below this ratio of present to unloaded time the limit grows.
@@ -72,6 +73,13 @@
     return state.base_s + weight * (state.latency_s - state.base_s)
 
 
+def pause_s(state: LimitState) -> float:
+    """Returns the least time between starts that a limit below 1 asks for."""
+    if state.limit >= 1.0:
+        return 0.0
+    return state.latency_s / state.limit
+
+
 def _follow(
     limit: float, base_s: float, latency_s: float, in_flight: int
 ) -> float:
@@ -79,7 +87,7 @@
         return _clamp(limit * _SHRINK_FACTOR)
     is_used = in_flight >= _USED_SHARE * limit
     if is_used and latency_s < GROW_BELOW * base_s + NOISE_S:
-        return _clamp(limit + _GROWTH / limit)
+        return _clamp(limit + _GROWTH / max(1.0, limit))
     return limit
 
 
--- a/chervilarch/server.py
+++ b/chervilarch/server.py
@@ -1,6 +1,7 @@
 """The WSGI application towards callers, the balancer and operators."""
 
 import time
+import traceback
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -18,6 +19,7 @@
     outcomes,
     request,
     settings,
+    state_log,
     status_report,
 )
 from chervilarch.outcomes import Reason
@@ -176,9 +178,11 @@
         ctx = filters.FilterContext(self._ctrl, self._cfg, parsed)
         try:
             outcome = self._outcome(ctx)
-        except (OSError, ConnectionError):
+        except OSError:
             self._ctrl.metrics.count("callers.gone")
             raise
+        except Exception as exc:  # noqa: BLE001
+            outcome = self._internal_fault(parsed, exc)
         self._count(parsed, outcome)
         return self._answer(outcome, parsed.wants_stream)
 
@@ -192,6 +196,25 @@
             return filters.guard_not_run(ctx, lambda: outcome)
         return filters.run_chain(ctx)
 
+    def _internal_fault(
+        self, req: request.PipelineRequest, exc: Exception
+    ) -> outcomes.Outcome:
+        """Returns a typed outcome for a fault of the router's own."""
+        self._ctrl.metrics.count("internal_faults")
+        state_log.log_fault(
+            "internal fault",
+            request_id=req.id,
+            traceback="".join(traceback.format_exception(exc)),
+        )
+        kind = outcomes.Unknown
+        if not req.claim_id:
+            kind = outcomes.RanInPart if req.any_dispatched else outcomes.NotRun
+        return kind(
+            Reason.INTERNAL,
+            "the router met a fault of its own",
+            f"report request {req.id}; the router's log tells more",
+        )
+
     def _parse(
         self, req: werkzeug.Request, name: str
     ) -> request.PipelineRequest | outcomes.Rejected:
--- a/chervilarch/sheet.py
+++ b/chervilarch/sheet.py
@@ -126,7 +126,12 @@
 def _read_lines(text: str) -> list[tuple[int, list[str]]]:
     """Returns numbered rows of stripped cells, without empty rows."""
     delimiter = _find_delimiter(text)
-    reader = csv.reader(io.StringIO(text, newline=""), delimiter=delimiter)
+    # A blank before a quote would otherwise make the quote part of the cell.
+    reader = csv.reader(
+        io.StringIO(text, newline=""),
+        delimiter=delimiter,
+        skipinitialspace=True,
+    )
     lines = []
     for number, cells in enumerate(reader, 1):
         stripped = [cell.replace("\u00a0", " ").strip() for cell in cells]
@@ -153,7 +158,7 @@
             faults.append(SheetFault(number, name, name, remedy))
         elif name and name in names[:index]:
             faults.append(SheetFault(number, name, name, "give it only once"))
-    return faults
+    return sorted(faults)
 
 
 class _RowReader:
--- a/chervilarch/stages.py
+++ b/chervilarch/stages.py
@@ -36,11 +36,13 @@
 ) -> list[admission.StageNeed]:
     """Returns what stages are expected to take."""
     needs = []
+    remaining_s = req.deadline_at - ctrl.clock.monotonic()
     for stage in stages:
-        pool = ctrl.endpoints.estimate(stage.name)
+        units = work_units(req, stage)
+        pool = ctrl.endpoints.estimate(stage.name, units, remaining_s)
         needs.append(
             admission.StageNeed(
-                work_units(req, stage), pool.unit_s, pool.backlog, pool.limit
+                units, pool.unit_s, pool.best_s, pool.backlog, pool.limit
             )
         )
     return needs
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -296,7 +296,9 @@
 def main() -> None:
     """Runs the stand-in."""
     args = build_parser().parse_args()
-    faults.run(build_app(args), args.address)
+    # A service runs its calls to the end; engines and pools cancel.
+    cancels = args.kind != "service"
+    faults.run(build_app(args), args.address, cancels)
 
 
 if __name__ == "__main__":
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -76,8 +76,14 @@
     return web.Response()
 
 
-def run(app: web.Application, address: str) -> None:
-    """Serves until the process is ended."""
+def run(app: web.Application, address: str, cancels_work: bool = False) -> None:
+    """Serves until the process is ended.
+
+    Args:
+        app: the stand-in.
+        address: where to listen.
+        cancels_work: whether work ends when its caller goes away.
+    """
     host, port = address.rsplit(":", 1)
     web.run_app(
         app,
@@ -88,4 +94,5 @@
         handle_signals=True,
         shutdown_timeout=0.1,
         reuse_address=True,
+        handler_cancellation=cancels_work,
     )
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,139 @@
+"""Only whole answers of the very attempt count; outcomes tell the truth."""
+
+import json
+
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from chervilarch import attempts, event_stream, outcomes, tokens, transfers
+from chervilarch.outcomes import Reason
+
+
+def token(index, attempt="a", text=None):
+    data = {"attempt_id": attempt, "index": index, "text": text or f"t{index}"}
+    return b"event: token\ndata: %s\n\n" % json.dumps(data).encode()
+
+
+def end(count, attempt="a"):
+    data = {"attempt_id": attempt, "tokens": count}
+    return b"event: end\ndata: %s\n\n" % json.dumps(data).encode()
+
+
+@pytest.fixture
+def sequence():
+    made = tokens.TokenSequence()
+    made.begin_attempt("a")
+    return made
+
+
+WHOLE = token(0) + token(1) + token(2) + end(3)
+
+
+@pytest.mark.parametrize("size", [1, 2, 7, 1000])
+def test_a_stream_is_whole_however_it_is_cut(sequence, size):
+    for start in range(0, len(WHOLE), size):
+        assert sequence.feed(WHOLE[start : start + size]) is None
+    assert sequence.ended
+    assert sequence.texts == ["t0", "t1", "t2"]
+
+
+@pytest.mark.parametrize(
+    ("data", "fault"),
+    [
+        (token(0) + token(2), tokens.StreamFault.GAP),
+        (token(0, attempt="b"), tokens.StreamFault.NOT_OWN),
+        (token(0) + end(2), tokens.StreamFault.SHORT),
+        (end(0, attempt="b"), tokens.StreamFault.NOT_OWN),
+        (b"event: token\ndata: {}\n\n", tokens.StreamFault.MALFORMED),
+        (b"event: error\ndata: {}\n\n", tokens.StreamFault.ENGINE),
+    ],
+)
+def test_a_stream_that_is_not_whole_is_noticed(sequence, data, fault):
+    assert sequence.feed(data) is fault
+    assert not sequence.ended
+
+
+def test_a_resumed_stream_has_no_token_twice(sequence):
+    sequence.feed(token(0) + token(1) + token(1))
+    sequence.begin_attempt("b")
+    sequence.feed(token(1, "b") + token(2, "b") + end(3, "b"))
+    assert sequence.texts == ["t0", "t1", "t2"]
+    assert sequence.ended
+
+
+@seed(2)
+@settings(max_examples=300, deadline=None, database=None)
+@given(st.binary(max_size=400))
+def test_any_bytes_make_no_token(data):
+    made = tokens.TokenSequence()
+    made.begin_attempt("attempt id that no random bytes hold")
+    made.feed(data)
+    made.feed(b"\n\n")
+    assert made.texts == []
+    assert not made.ended
+
+
+def test_an_endless_event_is_refused():
+    parser = event_stream.EventParser()
+    block = b"x" * event_stream.MAX_EVENT_BYTES
+    parser.feed(block)
+    assert isinstance(parser.feed(block), event_stream.EventOverflow)
+
+
+def reply(status, document):
+    return transfers.Reply(status, {}, json.dumps(document).encode(), 0.0)
+
+
+@pytest.mark.parametrize(
+    ("result", "kind", "surely_not_run"),
+    [
+        (
+            transfers.TransferFailure(transfers.FailureKind.REFUSED, "", False),
+            attempts.BadKind.NOT_SENT,
+            True,
+        ),
+        (
+            transfers.TransferFailure(transfers.FailureKind.BROKEN, "", True),
+            attempts.BadKind.LOST,
+            False,
+        ),
+        (reply(200, {"attempt_id": "b"}), attempts.BadKind.NOT_OWN, False),
+        (reply(200, {"attempt_id": "a"}), attempts.BadKind.FAILED, False),
+        (reply(500, {"attempt_id": "a"}), attempts.BadKind.FAILED, False),
+        (reply(422, {"attempt_id": "a"}), attempts.BadKind.REJECTED, False),
+        (
+            reply(503, {"attempt_id": "a", "ran": False}),
+            attempts.BadKind.DECLINED,
+            True,
+        ),
+        (
+            reply(503, {"attempt_id": "b", "ran": False}),
+            attempts.BadKind.NOT_OWN,
+            False,
+        ),
+    ],
+)
+def test_replies_are_judged(result, kind, surely_not_run):
+    judged = attempts.judge(result, "a")
+    assert judged.kind is kind
+    assert judged.surely_not_run() is surely_not_run
+
+
+OUTCOMES = [
+    (outcomes.Rejected(Reason.BAD_REQUEST, "d", "r"), 400, False),
+    (outcomes.NotRun(Reason.OVERLOADED, "d", "r"), 503, True),
+    (outcomes.NotRun(Reason.ACCOUNT_LIMIT, "d", "r"), 429, True),
+    (outcomes.RanInPart(Reason.STAGE_FAILED, "d", "r"), 502, True),
+    (outcomes.Unknown(Reason.CONNECTION_LOST, "d", "r"), 500, True),
+    (outcomes.Unknown(Reason.KEY_OUT_OF_WINDOW, "d", "r"), 500, False),
+    (outcomes.TooLate(Reason.DEADLINE_PASSED, "d", "r"), 504, True),
+]
+
+
+@pytest.mark.parametrize(("outcome", "status", "retry_safe"), OUTCOMES)
+def test_each_outcome_has_its_problem(outcome, status, retry_safe):
+    document = outcomes.problem(outcome, "id")
+    assert document["status"] == status
+    assert document["retry_safe"] is retry_safe
+    assert document["remedy"] == "r"
--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,157 @@
+"""Claims: the first by offset holds, nobody takes over, keys grow old."""
+
+import threading
+
+import pytest
+from helpers import FakeLog, new_key
+
+from chervilarch import calls, calls_controller, clocks, metrics, records
+
+CALL = calls.CallKey("buyers", new_key())
+MADE_AT = calls.key_time(CALL.key)
+
+
+def claim(name, digest="d", call=CALL):
+    return records.Claim(name, call.account, call.key, digest)
+
+
+def fold_all(*bodies, time=MADE_AT):
+    state = calls.CallState()
+    for offset, body in enumerate(bodies):
+        calls.fold(state, records.Record(offset, time, body))
+    return state
+
+
+def test_the_first_claim_holds():
+    state = fold_all(claim("a"), claim("b"))
+    assert state.holds(CALL, "a")
+    assert not state.holds(CALL, "b")
+
+
+def test_only_the_holder_releases():
+    state = fold_all(claim("a"), records.Release("b", *CALL))
+    assert state.holds(CALL, "a")
+    state = fold_all(claim("a"), records.Release("a", *CALL), claim("b"))
+    assert state.holds(CALL, "b")
+
+
+def test_a_result_outlasts_a_release():
+    result = records.Result("a", *CALL, "answer", 1)
+    state = fold_all(claim("a"), result, records.Release("a", *CALL))
+    assert state.entry(CALL).result == result
+
+
+def test_a_released_key_stays_with_its_request():
+    state = fold_all(
+        claim("a"), records.Release("a", *CALL), claim("b", digest="other")
+    )
+    assert not state.holds(CALL, "b")
+
+
+@pytest.mark.parametrize(
+    "age_s", [calls.MAX_KEY_AGE_S + 1, -calls.MAX_KEY_LEAD_S - 1]
+)
+def test_a_key_out_of_its_window_is_never_claimed(age_s):
+    assert not fold_all(claim("a"), time=MADE_AT + age_s).holds(CALL, "a")
+
+
+def test_accounts_do_not_share_keys():
+    other = calls.CallKey("overseers", CALL.key)
+    state = fold_all(claim("a"), claim("b", call=other))
+    assert state.holds(CALL, "a")
+    assert state.holds(other, "b")
+
+
+def test_old_entries_are_dropped():
+    state = fold_all(claim("a"))
+    state.log_time = MADE_AT + calls.MIN_RETENTION_S + 1
+    assert calls.prune(state) == 1
+
+
+@pytest.mark.parametrize(
+    "key", ["", "x", "01800000-0000-4000-8000-000000000000", "0" * 32]
+)
+def test_only_a_canonical_uuid7_has_a_time(key):
+    assert calls.key_time(key) is None
+
+
+@pytest.fixture
+def log():
+    return FakeLog()
+
+
+@pytest.fixture
+def controller(log):
+    clock = clocks.ManualClock(MADE_AT)
+    log.now = MADE_AT
+    made = calls_controller.CallsController(
+        log, clock, metrics.Metrics(None), writers=lambda: 1
+    )
+    made.follower.last_contact = clock.monotonic()
+    made.take_page(log.page(0))
+    return made
+
+
+def claim_in_background(controller, timeout_s):
+    results = []
+    thread = threading.Thread(
+        target=lambda: results.append(controller.claim(CALL, "d", timeout_s))
+    )
+    thread.start()
+    return thread, results
+
+
+def wait_for_claim(controller):
+    while not controller._outbox:
+        threading.Event().wait(0.001)
+    return controller._outbox.popleft()
+
+
+def test_a_claim_is_decided_by_reading_it_back(log, controller):
+    thread, results = claim_in_background(controller, 30)
+    body = wait_for_claim(controller)
+    assert not results
+    log.append("calls", [body])
+    controller.take_page(log.page(0))
+    thread.join()
+    assert results == [calls_controller.Won(body.claim_id)]
+
+
+def test_a_claim_behind_another_does_not_win(log, controller):
+    thread, results = claim_in_background(controller, 30)
+    body = wait_for_claim(controller)
+    log.append("calls", [claim("other"), body])
+    controller.take_page(log.page(0))
+    thread.join()
+    assert results[0].entry.claim_id == "other"
+
+
+def test_an_abandoned_claim_that_turns_up_is_released(log, controller):
+    thread, results = claim_in_background(controller, 0)
+    thread.join()
+    assert results == [calls_controller.Rejection.LOG_UNAVAILABLE]
+    thread, results = claim_in_background(controller, 0.05)
+    body = wait_for_claim(controller)
+    thread.join()
+    log.append("calls", [body])
+    controller.take_page(log.page(0))
+    group = controller._take_group()
+    assert records.Release(body.claim_id, *CALL) in group
+
+
+def test_a_log_that_forgets_too_soon_takes_no_claims(log, controller):
+    log.retention_s = calls.MIN_RETENTION_S - 1
+    controller.take_page(log.page(0))
+    assert not controller.is_current()
+    rejection = controller.claim(CALL, "d", 30)
+    assert rejection is calls_controller.Rejection.LOG_UNAVAILABLE
+
+
+def test_appends_of_a_large_fleet_stay_bounded():
+    for writers in (1, 8, 350):
+        rate = writers / calls_controller.append_period_s(writers)
+        assert rate <= max(
+            calls_controller.FLEET_APPENDS_PER_S,
+            writers / calls_controller.MIN_APPEND_PERIOD_S,
+        )
+    assert 350 / calls_controller.append_period_s(350) <= 201
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,141 @@
+"""The fleet's membership and the messages that carry it."""
+
+import random
+
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from chervilarch import gossip, membership, messages
+from chervilarch.membership import Member, Status
+
+KEY = b"a key of the fleet"
+
+
+def member(name, incarnation=1, status=Status.ALIVE, **fields):
+    return Member(
+        name, f"10.0.0.1:{ord(name[0])}", "a", incarnation, status, **fields
+    )
+
+
+@pytest.fixture
+def fleet():
+    made = membership.Membership(member("own"), random.Random(1))
+    for name in "bcd":
+        made.observe(member(name), 0.0)
+    return made
+
+
+def status_of(fleet, name):
+    return fleet.find(name).status
+
+
+def test_a_suspicion_becomes_a_death_after_its_time(fleet):
+    fleet.suspect("b", 10.0)
+    fleet.expire(10.1)
+    assert status_of(fleet, "b") is Status.SUSPECT
+    fleet.expire(10.0 + fleet.suspect_timeout_s())
+    assert status_of(fleet, "b") is Status.DEAD
+
+
+def test_a_false_suspicion_is_refuted(fleet):
+    fleet.suspect("b", 10.0)
+    fleet.observe(member("b", incarnation=2), 10.5)
+    fleet.expire(99.0)
+    assert status_of(fleet, "b") is Status.ALIVE
+
+
+def test_a_router_refutes_what_is_said_of_itself(fleet):
+    fleet.observe(member("own", status=Status.DEAD), 1.0)
+    assert fleet.own.incarnation == 2
+    assert fleet.own.status is Status.ALIVE
+
+
+def test_old_news_changes_nothing(fleet):
+    fleet.observe(member("b", incarnation=5), 1.0)
+    fleet.observe(member("b", incarnation=4, status=Status.DEAD), 2.0)
+    assert status_of(fleet, "b") is Status.ALIVE
+
+
+def test_the_order_of_news_does_not_matter():
+    news = [
+        member("b", i, status)
+        for i in (1, 2)
+        for status in (Status.ALIVE, Status.SUSPECT, Status.DEAD)
+    ]
+    ends = set()
+    for number in range(50):
+        made = membership.Membership(member("own"), random.Random(1))
+        random.Random(number).shuffle(news)
+        for item in news:
+            made.observe(item, 0.0)
+        ends.add(made.find("b"))
+    assert len(ends) == 1
+
+
+def test_every_live_member_is_probed_in_a_round(fleet):
+    fleet.observe(member("d", status=Status.DEAD), 1.0)
+    assert {fleet.next_probe().name for _ in range(2)} == {"b", "c"}
+
+
+def test_news_is_sent_a_bounded_number_of_times(fleet):
+    sent = 0
+    while fleet.take_news():
+        sent += 1
+    assert 0 < sent < 20
+
+
+GOSSIP = messages.Gossip(
+    "ping",
+    member("own", config_version=3, config_through=5),
+    "10.0.0.2:1",
+    7,
+    8,
+    "",
+    (member("b"),),
+    (messages.LeavingEndpoint("10.0.0.3:1", 4),),
+    (messages.AccountUse("buyers", 2.5),),
+)
+
+
+def test_gossip_survives_a_round_trip():
+    frame = messages.encode_gossip(KEY, GOSSIP)
+    assert messages.decode_gossip(KEY, frame) == GOSSIP
+
+
+def test_gossip_fits_a_datagram():
+    full = GOSSIP._replace(
+        members=(member("b"),) * membership.MAX_NEWS_PER_MESSAGE,
+        leaving=GOSSIP.leaving * 8,
+        uses=GOSSIP.uses * 8,
+    )
+    frame = messages.encode_gossip(KEY, full)
+    assert len(frame) <= messages.MAX_DATAGRAM_BYTES
+
+
+def test_another_key_is_not_heard():
+    frame = messages.encode_gossip(b"another key of a fleet", GOSSIP)
+    assert isinstance(messages.decode_gossip(KEY, frame), messages.BadFrame)
+
+
+@seed(1)
+@settings(max_examples=300, deadline=None, database=None)
+@given(st.binary(max_size=1500))
+def test_any_bytes_are_refused(data):
+    assert isinstance(messages.decode_gossip(KEY, data), messages.BadFrame)
+    sealed = messages.seal(KEY, data)
+    for decode in (
+        messages.decode_gossip,
+        messages.decode_request,
+        messages.decode_reply,
+    ):
+        decode(KEY, sealed)
+
+
+def test_a_replayed_datagram_is_noticed():
+    guard = gossip.ReplayGuard()
+    assert guard.is_new("b", 1, 5)
+    assert not guard.is_new("b", 1, 5)
+    assert guard.is_new("b", 1, 4)
+    assert guard.is_new("b", 2, 5)
+    assert not guard.is_new("b", 1, 6)
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,216 @@
+"""Pure decisions: choice, limits, admission, shares and budgets."""
+
+import random
+
+import pytest
+
+from chervilarch import (
+    admission,
+    budgets,
+    choice,
+    clocks,
+    endpoints,
+    hosts,
+    limits,
+    metrics,
+    shares,
+)
+
+
+def view(address, **fields):
+    values = {
+        "is_local": True,
+        "in_flight": 0,
+        "units": 0.0,
+        "limit": 4.0,
+        "latency_s": 0.1,
+        "base_s": 0.1,
+        **fields,
+    }
+    return choice.EndpointView(address, **values)
+
+
+def shares_of(views, draws=2000, **kwargs):
+    rng = random.Random(1)
+    chosen = [choice.choose(views, rng, **kwargs) for _ in range(draws)]
+    return {
+        item.address: sum(c.address == item.address for c in chosen) / draws
+        for item in views
+    }
+
+
+def test_faster_endpoints_get_more():
+    views = [view("a"), view("b", latency_s=0.4), view("c")]
+    got = shares_of(views)
+    assert got["b"] < 0.05
+
+
+def test_an_old_attempt_marks_a_straggler():
+    views = [view("a"), view("b", oldest_s=2.0), view("c")]
+    assert shares_of(views)["b"] < 0.05
+
+
+def test_a_full_endpoint_is_passed_over():
+    views = [view("a", in_flight=4), view("b", in_flight=3)]
+    assert shares_of(views) == {"a": 0.0, "b": 1.0}
+    assert choice.choose(views[:1], random.Random(1)) is None
+
+
+def test_an_old_report_counts_less():
+    fresh = view("a", reported_load=10.0, report_age_s=0.0)
+    old = view("a", reported_load=10.0, report_age_s=5.0)
+    assert choice.expected_wait_s(old) < choice.expected_wait_s(fresh) / 3
+
+
+def test_the_own_data_centre_goes_first_and_spills():
+    views = [view("a"), view("b", is_local=False)]
+    assert shares_of(views)["a"] == 1.0
+    views = [view("a", in_flight=4), view("b", is_local=False)]
+    assert shares_of(views)["b"] == 1.0
+
+
+def test_a_prefix_keeps_its_endpoint_until_it_is_loaded():
+    views = [view(name) for name in "abcdef"]
+    got = shares_of(views, prefix=b"a long dossier")
+    home = max(got, key=got.get)
+    assert got[home] == 1.0
+    loaded = [
+        item._replace(units=4.0, in_flight=2) if item.address == home else item
+        for item in views
+    ]
+    assert shares_of(loaded, prefix=b"a long dossier")[home] < 1.0
+
+
+def test_only_endpoints_in_time_are_considered():
+    views = [view("a"), view("b", base_s=1.0)]
+    assert [v.address for v in choice.timely(views, 1.0, 0.5)] == ["a"]
+
+
+def learn(unit_s, answers, in_flight=8, state=None):
+    state = state or limits.after_answer(limits.LimitState(), 0.1, 1)
+    for _ in range(answers):
+        state = limits.after_answer(state, unit_s, in_flight)
+    return state
+
+
+def test_a_limit_grows_while_answers_are_quick():
+    assert learn(0.1, 50).limit > limits.FIRST_LIMIT
+
+
+def test_a_limit_shrinks_under_load():
+    assert learn(0.4, 30).limit < 1.0
+
+
+def test_an_unused_limit_does_not_grow():
+    assert learn(0.1, 50, in_flight=1).limit == limits.FIRST_LIMIT
+
+
+def test_an_estimate_without_answers_nears_the_unloaded_time():
+    state = learn(0.4, 10)
+    assert limits.present_latency_s(state, 60.0) == pytest.approx(
+        state.base_s, rel=0.01
+    )
+
+
+def test_admission_counts_waits_and_service():
+    needs = [admission.StageNeed(1.0, 0.2, 0.1, 4.0, 8.0)]
+    assert admission.expected_s(needs) == pytest.approx(0.2)
+    assert admission.can_finish(needs, 0.25)
+    assert not admission.can_finish(needs, 0.15)
+
+
+def test_an_unknown_pool_is_tried():
+    assert admission.can_finish([admission.StageNeed(1, 0, 0, 5, 0)], 0.01)
+
+
+@pytest.mark.parametrize("hosts_count", [1, 3, 8])
+def test_host_shares_never_exceed_the_fleet_limit(hosts_count):
+    rng = random.Random(hosts_count)
+    for _ in range(200):
+        rates = [
+            rng.choice([0.0, rng.random() * 50]) for _ in range(hosts_count)
+        ]
+        total = sum(
+            shares.host_rate(
+                100.0, rate, rates[:i] + rates[i + 1 :], hosts_count
+            )
+            for i, rate in enumerate(rates)
+        )
+        assert total <= 100.0 + 1e-6
+
+
+def test_silent_hosts_keep_their_part_in_a_partition():
+    alone = shares.host_rate(100.0, 50.0, [], 4)
+    assert alone <= 25.0 + 1e-6
+
+
+def test_a_bucket_gives_no_more_than_its_rate():
+    bucket, taken = shares.Bucket(10.0, 0.0), 0
+    for step in range(1000):
+        bucket, admitted = shares.take(bucket, 10.0, step / 100)
+        taken += admitted
+    assert taken <= 10 + 10 * 10
+
+
+def test_a_budget_bounds_extra_attempts():
+    budget = budgets.Budget(0.1, saved=0.0)
+    extra = 0
+    for _ in range(1000):
+        budget.earn()
+        extra += budget.spend()
+    assert extra <= 100
+
+
+@pytest.fixture
+def clock():
+    return clocks.ManualClock()
+
+
+@pytest.fixture
+def table(clock):
+    return endpoints.EndpointTable(
+        "a", clock, metrics.Metrics(None), random.Random(1)
+    )
+
+
+def entry(address, state="live", incarnation=1):
+    return hosts.HostEntry(
+        address, address, "endpoint", "pool", "a", state, incarnation
+    )
+
+
+def test_a_leaving_endpoint_gets_nothing(table):
+    table.update_list([entry("x")])
+    table.mark_leaving("x", 1)
+    assert isinstance(
+        table.acquire(endpoints.Work("pool"), 0), endpoints.NoSlot
+    )
+    table.update_list([entry("x", incarnation=2)])
+    assert isinstance(table.acquire(endpoints.Work("pool"), 0), endpoints.Slot)
+
+
+def test_a_leaving_run_stays_left_when_the_list_lags(table):
+    table.update_list([entry("x", "leaving")])
+    table.mark_leaving("x", 1)
+    table.update_list([entry("x", "live")])
+    assert table.acquire(endpoints.Work("pool"), 0).is_pool_down
+
+
+def test_failures_eject_and_time_returns(table, clock):
+    table.update_list([entry("x")])
+    for _ in range(endpoints.EJECT_AFTER):
+        slot = table.acquire(endpoints.Work("pool"), 0)
+        table.finish(slot, 0.1, False)
+    assert table.acquire(endpoints.Work("pool"), 0).is_pool_down
+    clock.advance(endpoints.MAX_EJECT_S)
+    assert isinstance(table.acquire(endpoints.Work("pool"), 0), endpoints.Slot)
+
+
+def test_a_waiter_is_served_when_a_slot_comes_back(table):
+    table.update_list([entry("x")])
+    slots = [table.acquire(endpoints.Work("pool"), 0) for _ in range(4)]
+    assert isinstance(
+        table.acquire(endpoints.Work("pool"), 0), endpoints.NoSlot
+    )
+    table.finish(slots[0], 0.1, True)
+    assert isinstance(table.acquire(endpoints.Work("pool"), 0), endpoints.Slot)
