--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,121 @@
+"""What an idle fleet costs a router: processor, memory and bytes a second.
+
+Slopes over the number of routers, endpoints and accounts, for
+docs/CAPACITY.md.
+"""
+
+import json
+import pathlib
+import time
+from typing import NamedTuple
+
+from bench import fleet, overhead, report
+from chervilarch import keys
+
+_SETTLE_S = 6.0
+_WATCH_S = 10.0
+_ROUTERS = (2, 4, 8, 16, 32)
+_ENDPOINTS = (6, 60, 300)
+_ACCOUNTS = (5, 500, 20000)
+MAX_CORE_SHARE = 0.015
+MAX_MEMORY_MB = 128.0
+MAX_BYTES_PER_S = 8192.0
+
+
+class Cost(NamedTuple):
+    """Cost of one router, the mean over a fleet."""
+
+    core_share: float
+    memory_mb: float
+    sent_per_s: float
+    start_s: float
+
+
+def _write_accounts(folder: pathlib.Path, accounts: int) -> pathlib.Path:
+    path = overhead.write_configuration(
+        folder, {"encode": overhead.call_pool("encode")}, {"one": ["encode"]}
+    )
+    document = json.loads(path.read_text())
+    document["accounts"] = {
+        f"account-{number}": {
+            "key_sha256": keys.key_digest(str(number)),
+            "weight": 1,
+        }
+        for number in range(accounts)
+    }
+    path.write_text(json.dumps(document))
+    return path
+
+
+def cost(routers: int, endpoints: int, accounts: int) -> Cost:
+    """Measures an idle fleet."""
+    with fleet.Fleet([], ["a"], routers, bounds={"threads": 16}) as running:
+        version = running.publish(
+            None, _write_accounts(running.folder, accounts)
+        )
+        _list_endpoints(running, endpoints)
+        started = time.monotonic()
+        running.wait_in_force(version)
+        start_s = time.monotonic() - started
+        time.sleep(_SETTLE_S)
+        before = [fleet.status(item)["usage"] for item in running.routers]
+        watched = time.monotonic()
+        time.sleep(_WATCH_S)
+        after = [fleet.status(item)["usage"] for item in running.routers]
+        elapsed_s = time.monotonic() - watched
+    return Cost(
+        _mean_rate(before, after, "cpu_s", elapsed_s),
+        sum(item["max_rss_kb"] for item in after) / len(after) / 1024,
+        _mean_rate(before, after, "gossip_bytes_sent", elapsed_s),
+        start_s,
+    )
+
+
+def _mean_rate(
+    before: list[dict], after: list[dict], name: str, elapsed_s: float
+) -> float:
+    total = sum(b[name] - a[name] for a, b in zip(before, after, strict=True))
+    return total / len(before) / elapsed_s
+
+
+def _list_endpoints(running: fleet.Fleet, count: int) -> None:
+    """Puts endpoints on the host list that are never called."""
+    entries = [
+        {
+            "name": f"server-{number}",
+            "address": f"127.1.{number // 250}.{number % 250 + 1}:9",
+            "role": "endpoint",
+            "pool": "encode",
+            "data_centre": "a",
+            "state": "live",
+            "incarnation": 1,
+        }
+        for number in range(count)
+    ]
+    fleet.call(running.hosts_address, "PUT", "/hosts", {"hosts": entries})
+
+
+def measure() -> list[report.Measure]:
+    """Measures all sizes."""
+    sizes = [(routers, 6, 5) for routers in _ROUTERS]
+    sizes += [(2, endpoints, 5) for endpoints in _ENDPOINTS[1:]]
+    sizes += [(2, 6, accounts) for accounts in _ACCOUNTS[1:]]
+    measures = []
+    for size in sizes:
+        found = cost(*size)
+        name = "control {} routers, {} endpoints, {} accounts: ".format(*size)
+        measures += [
+            report.Measure(
+                name + "core share", found.core_share, at_most=MAX_CORE_SHARE
+            ),
+            report.Measure(name + "MB", found.memory_mb, at_most=MAX_MEMORY_MB),
+            report.Measure(
+                name + "bytes/s sent", found.sent_per_s, at_most=MAX_BYTES_PER_S
+            ),
+        ]
+        print(f"  {name}{found}", flush=True)
+    return measures
+
+
+if __name__ == "__main__":
+    report.print_measures(measure())
