Split the large modules; a deadline that comes first is load, not failure

Change: endpoint_state, caller_input and exchanges stand alone. An attempt that is lost before four times its expected time only lowers the limit.

--- a/chervilarch/attempts.py
+++ b/chervilarch/attempts.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from chervilarch import endpoints, request, rules, transfers
+from chervilarch import endpoint_state, exchanges, request, rules
 
 _HTTP_OK = 200
 _MS_PER_S = 1000
@@ -54,7 +54,7 @@
     """An attempt under way."""
 
     attempt_id: str
-    slot: endpoints.Slot
+    slot: endpoint_state.Slot
 
 
 def build_exchange(
@@ -65,7 +65,7 @@
     timeout_s: float,
     generated: list[str] | None = None,
     fresh: bool = False,
-) -> transfers.Exchange:
+) -> exchanges.Exchange:
     """Returns the HTTP request of an attempt."""
     payload = {
         "attempt_id": attempt.attempt_id,
@@ -86,7 +86,7 @@
     ]
     if not stage.repeatable:
         headers.append(f"Idempotency-Key: {req.headers.idempotency_key}")
-    return transfers.Exchange(
+    return exchanges.Exchange(
         "POST",
         f"http://{attempt.slot.endpoint.address}{stage.path}",
         msgspec.json.encode(payload),
@@ -96,9 +96,9 @@
     )
 
 
-def judge(result: transfers.TransferResult, attempt_id: str) -> Good | Bad:
+def judge(result: exchanges.TransferResult, attempt_id: str) -> Good | Bad:
     """Decides what a transfer's result says of its attempt."""
-    if isinstance(result, transfers.TransferFailure):
+    if isinstance(result, exchanges.TransferFailure):
         kind = BadKind.LOST if result.sent else BadKind.NOT_SENT
         return Bad(kind, f"{result.kind.value}: {result.detail}")
     try:
@@ -120,9 +120,9 @@
     return Bad(BadKind.FAILED, detail)
 
 
-def reported_load(result: transfers.TransferResult | None) -> float | None:
+def reported_load(result: exchanges.TransferResult | None) -> float | None:
     """Returns the load that a reply reports, or None."""
-    if not isinstance(result, transfers.Reply):
+    if not isinstance(result, exchanges.Reply):
         return None
     try:
         return float(result.headers[LOAD_HEADER])
--- a/chervilarch/call_stage.py
+++ b/chervilarch/call_stage.py
@@ -9,12 +9,17 @@
     attempts,
     budgets,
     controllers,
+    endpoint_state,
     endpoints,
+    exchanges,
     request,
     rules,
     transfers,
 )
 
+# An attempt without an answer for this many times its expected time counts as
+# a failure of the endpoint rather than as load.
+SILENT_FACTOR = 4.0
 # A hedge starts when an attempt takes this many times its expected time, or
 # its expected time and this many deviations.
 HEDGE_FACTOR = 1.2
@@ -71,9 +76,11 @@
         now = self.ctrl.clock.monotonic()
         return self.req.deadline_at - now - self._reserve_s
 
-    def acquire(self, timeout_s: float) -> endpoints.Slot | endpoints.NoSlot:
+    def acquire(
+        self, timeout_s: float
+    ) -> endpoint_state.Slot | endpoints.NoSlot:
         """Takes a slot on an endpoint that wasn't tried yet."""
-        work = endpoints.Work(
+        work = endpoint_state.Work(
             self.stage.name,
             self.units,
             self.req.rule.priority,
@@ -91,7 +98,7 @@
         return slot
 
     def start(
-        self, slot: endpoints.Slot, timeout_s: float, fresh: bool
+        self, slot: endpoint_state.Slot, timeout_s: float, fresh: bool
     ) -> Running:
         """Sends an attempt."""
         attempt = attempts.Attempt(request.new_id(), slot)
@@ -124,7 +131,7 @@
         attempt: attempts.Attempt,
         judged: attempts.Good | attempts.Bad,
         elapsed_s: float,
-        result: transfers.TransferResult | None,
+        result: exchanges.TransferResult | None,
     ) -> None:
         """Counts an attempt's end and gives its slot back."""
         slot = attempt.slot
@@ -165,7 +172,7 @@
 
     def _finish(
         self,
-        slot: endpoints.Slot,
+        slot: endpoint_state.Slot,
         judged: attempts.Good | attempts.Bad,
         elapsed_s: float,
     ) -> None:
@@ -181,6 +188,11 @@
         ):
             self.ctrl.endpoints.abandon(slot)
             return
+        is_lost = judged.kind is attempts.BadKind.LOST
+        if is_lost and elapsed_s < SILENT_FACTOR * slot.expected_s:
+            # The deadline came first; that is load, not a failure.
+            self.ctrl.endpoints.finish_late(slot, elapsed_s)
+            return
         self.ctrl.endpoints.finish(slot, elapsed_s, False)
 
 
@@ -243,7 +255,7 @@
     return True
 
 
-def _race(run: StageRun, slot: endpoints.Slot):
+def _race(run: StageRun, slot: endpoint_state.Slot):
     """Runs an attempt and, if it is slow, a second one beside it.
 
     The first goes on, so that work that really takes long is not lost.
@@ -264,7 +276,7 @@
     return _first_good(run, first, second)
 
 
-def _hedge_delay_s(slot: endpoints.Slot, remaining_s: float) -> float:
+def _hedge_delay_s(slot: endpoint_state.Slot, remaining_s: float) -> float:
     """Returns after what time an attempt counts as slow."""
     if slot.expected_s <= 0:
         return BACKUP_SHARE * remaining_s
--- /dev/null
+++ b/chervilarch/caller_input.py
@@ -0,0 +1,92 @@
+"""What callers send: body, headers and document, read within bounds."""
+
+import time
+from typing import Any
+
+import werkzeug
+
+from chervilarch import outcomes, request, settings
+from chervilarch.outcomes import Reason
+
+MAX_TOKENS = 65536
+_READ_BYTES = 65536
+
+
+def read_body(
+    environ: dict[str, Any], bounds: settings.Bounds
+) -> bytes | outcomes.Rejected:
+    """Reads a request body within its bounds of size and time."""
+    limit = bounds.max_body_bytes
+    source = environ["wsgi.input"]
+    length = environ.get("CONTENT_LENGTH")
+    if length and int(length) > limit:
+        return bad_request(f"the body is over {limit} bytes", "send less")
+    deadline = time.monotonic() + bounds.body_timeout_s
+    body = bytearray()
+    while not length or len(body) < int(length):
+        wanted = int(length) - len(body) if length else _READ_BYTES
+        chunk = source.read(min(_READ_BYTES, wanted))
+        if not chunk:
+            break
+        body += chunk
+        if len(body) > limit:
+            return bad_request(f"the body is over {limit} bytes", "send less")
+        if time.monotonic() > deadline:
+            return bad_request("the body came too slowly", "send it faster")
+    if length and len(body) < int(length):
+        return bad_request("the body ended early", "send the whole body")
+    return bytes(body)
+
+
+def read_headers(
+    req: werkzeug.Request,
+) -> request.CallerHeaders | outcomes.Rejected:
+    """Reads what the caller says of a request in its headers."""
+    deadline = req.headers.get("Deadline-Ms")
+    try:
+        deadline_ms = None if deadline is None else float(deadline)
+    except ValueError:
+        deadline_ms = float("nan")
+    if deadline_ms is not None and not 0 < deadline_ms < float("inf"):
+        return bad_request(
+            f"the Deadline-Ms header is {deadline!r}",
+            "send a number of milliseconds above 0",
+        )
+    return request.CallerHeaders(
+        bearer_key(req),
+        req.headers.get("Idempotency-Key", "").strip().strip('"'),
+        req.headers.get("Idempotency-Attempt", "").strip() == "1",
+        deadline_ms,
+    )
+
+
+def document_fault(document: Any) -> outcomes.Rejected | None:
+    """Returns what is wrong with a request's document, or None."""
+    if not isinstance(document, dict) or "input" not in document:
+        return bad_request('the body has no "input"', 'send {"input": ...}')
+    unknown = set(document) - {"input", "stream", "max_tokens"}
+    if unknown:
+        return bad_request(
+            f"the body has unknown fields: {', '.join(sorted(unknown))}",
+            'send only "input", "stream" and "max_tokens"',
+        )
+    if not isinstance(document.get("stream", False), bool):
+        return bad_request('"stream" is not a boolean', "send true or false")
+    tokens = document.get("max_tokens", 1)
+    is_number = isinstance(tokens, int) and not isinstance(tokens, bool)
+    if not is_number or not 1 <= tokens <= MAX_TOKENS:
+        return bad_request(
+            '"max_tokens" is out of range', f"send 1 to {MAX_TOKENS}"
+        )
+    return None
+
+
+def bearer_key(req: werkzeug.Request) -> str:
+    """Returns the key of the Authorization header, "" for none."""
+    scheme, _, key = req.headers.get("Authorization", "").partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
+
+
+def bad_request(detail: str, remedy: str) -> outcomes.Rejected:
+    """Returns the refusal of a request that is itself wrong."""
+    return outcomes.Rejected(Reason.BAD_REQUEST, detail, remedy)
--- a/chervilarch/controllers.py
+++ b/chervilarch/controllers.py
@@ -13,6 +13,7 @@
     clocks,
     config_controller,
     configuration,
+    endpoint_state,
     endpoints,
     explanations,
     gossip,
@@ -152,7 +153,9 @@
         note_leaving(ctrl, endpoint)
 
 
-def note_leaving(ctrl: Controllers, endpoint: endpoints.EndpointId) -> None:
+def note_leaving(
+    ctrl: Controllers, endpoint: endpoint_state.EndpointId
+) -> None:
     """Stops new work to an endpoint here and spreads the news."""
     if ctrl.endpoints.mark_leaving(endpoint.address, endpoint.incarnation):
         ctrl.gossip.spread_leaving(endpoint.address, endpoint.incarnation)
--- /dev/null
+++ b/chervilarch/endpoint_state.py
@@ -0,0 +1,157 @@
+"""State of one endpoint, and of the attempts that hold its slots."""
+
+from typing import NamedTuple
+
+from chervilarch import choice, hosts, limits
+
+# Consecutive failures after which an endpoint is ejected.
+EJECT_AFTER = 3
+EJECT_S = 2.0
+MAX_EJECT_S = 4.0
+# An endpoint back from ejection is trusted fully after this time.
+RETURN_S = 5.0
+_FIRST_TRUST = 0.1
+# How long an endpoint is trusted little after it lost to a second attempt.
+SUSPECT_S = 1.0
+MAX_SUSPECT_S = 8.0
+# An answer within this many unloaded times clears a suspicion.
+_CLEARING_RATIO = 2.0
+
+
+class EndpointId(NamedTuple):
+    """One run of an endpoint."""
+
+    address: str
+    incarnation: int
+
+
+class Work(NamedTuple):
+    """What an attempt needs of a pool.
+
+    Attributes:
+        pool: name of the pool.
+        units: predicted size, 1.0 for ordinary work.
+        priority: smaller goes first.
+        prefix: start of a prompt that an endpoint may have cached.
+        exclude: addresses that were tried already.
+        finish_by: monotonic time by which the work must be done.
+    """
+
+    pool: str
+    units: float = 1.0
+    priority: int = 5
+    prefix: bytes = b""
+    exclude: frozenset[str] = frozenset()
+    finish_by: float = float("inf")
+
+
+class Slot:
+    """The right to run one attempt on an endpoint."""
+
+    def __init__(
+        self, number: int, endpoint: EndpointId, work: Work, now: float
+    ):
+        self.number = number
+        self.endpoint = endpoint
+        self.work = work
+        self.started_at = now
+        self.expected_s = 0.0
+        self.deviation_s = 0.0
+
+
+class Endpoint:
+    """State of one endpoint; guarded by the table's lock."""
+
+    def __init__(self, entry: hosts.HostEntry, is_local: bool):
+        self.address = entry.address
+        self.pool = entry.pool
+        self.data_centre = entry.data_centre
+        self.incarnation = entry.incarnation
+        self.is_local = is_local
+        self.leaving = False
+        self.listed = True
+        self.learnt = limits.LimitState()
+        self.slots: dict[int, Slot] = {}
+        self.units = 0.0
+        self.failures = 0
+        self.ejections = 0
+        self.ejected_until = float("-inf")
+        self.load = 0.0
+        self.load_at = float("-inf")
+        self.answered_at = float("-inf")
+        self.started_at = float("-inf")
+        self.suspicions = 0
+        self.suspect_until = float("-inf")
+
+    def latency_s(self, now: float) -> float:
+        """Returns the present time of a work unit, 0 while unknown."""
+        silent_s = max(0.0, now - self.answered_at)
+        return limits.present_latency_s(self.learnt, silent_s)
+
+    def view(self, now: float, default_s: float) -> choice.EndpointView:
+        """Returns what the choice looks at; `default_s` stands for unknown."""
+        oldest_s = 0.0
+        if self.slots:
+            slot = next(iter(self.slots.values()))
+            oldest_s = (now - slot.started_at) / max(1.0, slot.work.units)
+        return choice.EndpointView(
+            self.address,
+            self.is_local,
+            len(self.slots),
+            self.units,
+            self.learnt.limit,
+            self.latency_s(now) or default_s,
+            self.learnt.base_s,
+            oldest_s,
+            self.load,
+            now - self.load_at,
+            self._trust(now),
+            now - self.started_at < limits.pause_s(self.learnt),
+        )
+
+    def is_open(self, now: float) -> bool:
+        """Tells whether the endpoint may get new work at all."""
+        return self.listed and not self.leaving and now >= self.ejected_until
+
+    def suspect(self, now: float) -> None:
+        """Trusts the endpoint little for a while, longer each time."""
+        if now < self.suspect_until:
+            return
+        period_s = min(MAX_SUSPECT_S, SUSPECT_S * 2**self.suspicions)
+        self.suspicions += 1
+        self.suspect_until = now + period_s
+
+    def note_success(self, unit_s: float, now: float) -> None:
+        """Learns from an answer."""
+        self.failures = 0
+        self.answered_at = now
+        in_flight = len(self.slots) + 1
+        self.learnt = limits.after_answer(self.learnt, unit_s, in_flight)
+        if unit_s <= _CLEARING_RATIO * self.learnt.base_s:
+            self.suspicions = 0
+            self.suspect_until = float("-inf")
+        if now - self.ejected_until > RETURN_S:
+            self.ejections = 0
+
+    def note_at_least(self, slot: Slot, elapsed_s: float, now: float) -> None:
+        """Learns from an attempt that would have taken longer than this."""
+        unit_s = elapsed_s / max(1.0, slot.work.units)
+        if unit_s > self.learnt.latency_s > 0:
+            self.note_success(unit_s, now)
+
+    def _trust(self, now: float) -> float:
+        if now < self.suspect_until:
+            return _FIRST_TRUST
+        if self.ejections == 0:
+            return 1.0
+        back_s = now - self.ejected_until
+        return max(_FIRST_TRUST, min(1.0, back_s / RETURN_S))
+
+
+def mean_latency_s(endpoints: list[Endpoint], now: float) -> float:
+    """Returns the mean time of a work unit where it is known, else 0."""
+    known = [item for item in endpoints if item.learnt.latency_s > 0]
+    if not known:
+        return 0.0
+    weighted = sum(item.latency_s(now) * item.learnt.limit for item in known)
+    return weighted / sum(item.learnt.limit for item in known)
--- a/chervilarch/endpoints.py
+++ b/chervilarch/endpoints.py
@@ -10,53 +10,22 @@
 import threading
 from typing import NamedTuple
 
-from chervilarch import choice, clocks, hosts, limits, metrics, state_log
-
-# Consecutive failures after which an endpoint is ejected.
-EJECT_AFTER = 3
-EJECT_S = 2.0
-MAX_EJECT_S = 4.0
-# An endpoint back from ejection is trusted fully after this time.
-RETURN_S = 5.0
-_FIRST_TRUST = 0.1
-# How long an endpoint is trusted little after it lost to a second attempt.
-SUSPECT_S = 1.0
-MAX_SUSPECT_S = 8.0
-# An answer within this many unloaded times clears a suspicion.
-_CLEARING_RATIO = 2.0
+from chervilarch import (
+    choice,
+    clocks,
+    endpoint_state,
+    hosts,
+    limits,
+    metrics,
+    state_log,
+)
+
 # A waiter's time left, in unloaded times, below which it gives way.
 _SLACK = 1.35
 # How often the first waiter of a queue looks for an endpoint by itself.
 _LOOK_PERIOD_S = 0.01
 
 
-class EndpointId(NamedTuple):
-    """One run of an endpoint."""
-
-    address: str
-    incarnation: int
-
-
-class Work(NamedTuple):
-    """What an attempt needs of a pool.
-
-    Attributes:
-        pool: name of the pool.
-        units: predicted size, 1.0 for ordinary work.
-        priority: smaller goes first.
-        prefix: start of a prompt that an endpoint may have cached.
-        exclude: addresses that were tried already.
-        finish_by: monotonic time by which the work must be done.
-    """
-
-    pool: str
-    units: float = 1.0
-    priority: int = 5
-    prefix: bytes = b""
-    exclude: frozenset[str] = frozenset()
-    finish_by: float = float("inf")
-
-
 class PoolEstimate(NamedTuple):
     """What a pool is expected to do with one more attempt.
 
@@ -73,101 +42,6 @@
     backlog: float
 
 
-class _Endpoint:
-    """State of one endpoint; guarded by the table's lock."""
-
-    def __init__(self, entry: hosts.HostEntry, is_local: bool):
-        self.address = entry.address
-        self.pool = entry.pool
-        self.data_centre = entry.data_centre
-        self.incarnation = entry.incarnation
-        self.is_local = is_local
-        self.leaving = False
-        self.listed = True
-        self.learnt = limits.LimitState()
-        self.slots: dict[int, Slot] = {}
-        self.units = 0.0
-        self.failures = 0
-        self.ejections = 0
-        self.ejected_until = float("-inf")
-        self.load = 0.0
-        self.load_at = float("-inf")
-        self.answered_at = float("-inf")
-        self.started_at = float("-inf")
-        self.suspicions = 0
-        self.suspect_until = float("-inf")
-
-    def latency_s(self, now: float) -> float:
-        """Returns the present time of a work unit, 0 while unknown."""
-        silent_s = max(0.0, now - self.answered_at)
-        return limits.present_latency_s(self.learnt, silent_s)
-
-    def view(self, now: float, default_s: float) -> choice.EndpointView:
-        oldest_s = 0.0
-        if self.slots:
-            slot = next(iter(self.slots.values()))
-            oldest_s = (now - slot.started_at) / max(1.0, slot.work.units)
-        return choice.EndpointView(
-            self.address,
-            self.is_local,
-            len(self.slots),
-            self.units,
-            self.learnt.limit,
-            self.latency_s(now) or default_s,
-            self.learnt.base_s,
-            oldest_s,
-            self.load,
-            now - self.load_at,
-            self._trust(now),
-            now - self.started_at < limits.pause_s(self.learnt),
-        )
-
-    def is_open(self, now: float) -> bool:
-        return self.listed and not self.leaving and now >= self.ejected_until
-
-    def suspect(self, now: float) -> None:
-        """Trusts the endpoint little for a while, longer each time."""
-        if now < self.suspect_until:
-            return
-        period_s = min(MAX_SUSPECT_S, SUSPECT_S * 2**self.suspicions)
-        self.suspicions += 1
-        self.suspect_until = now + period_s
-
-    def note_success(self, unit_s: float, now: float) -> None:
-        """Learns from an answer."""
-        self.failures = 0
-        self.answered_at = now
-        in_flight = len(self.slots) + 1
-        self.learnt = limits.after_answer(self.learnt, unit_s, in_flight)
-        if unit_s <= _CLEARING_RATIO * self.learnt.base_s:
-            self.suspicions = 0
-            self.suspect_until = float("-inf")
-        if now - self.ejected_until > RETURN_S:
-            self.ejections = 0
-
-    def _trust(self, now: float) -> float:
-        if now < self.suspect_until:
-            return _FIRST_TRUST
-        if self.ejections == 0:
-            return 1.0
-        back_s = now - self.ejected_until
-        return max(_FIRST_TRUST, min(1.0, back_s / RETURN_S))
-
-
-class Slot:
-    """The right to run one attempt on an endpoint."""
-
-    def __init__(
-        self, number: int, endpoint: EndpointId, work: Work, now: float
-    ):
-        self.number = number
-        self.endpoint = endpoint
-        self.work = work
-        self.started_at = now
-        self.expected_s = 0.0
-        self.deviation_s = 0.0
-
-
 class NoSlot(NamedTuple):
     """No endpoint could be had.
 
@@ -183,11 +57,11 @@
 class _Waiter:
     """An attempt in a pool's queue."""
 
-    def __init__(self, work: Work, number: int):
+    def __init__(self, work: endpoint_state.Work, number: int):
         self.work = work
         self.order = (work.priority, number)
         self.ready = threading.Event()
-        self.slot: Slot | None = None
+        self.slot: endpoint_state.Slot | None = None
 
 
 class EndpointTable:
@@ -205,14 +79,16 @@
         self._metrics = counters
         self._rng = rng
         self._lock = threading.Lock()
-        self._endpoints: dict[str, _Endpoint] = {}
-        self._pools: dict[str, list[_Endpoint]] = {}
+        self._endpoints: dict[str, endpoint_state.Endpoint] = {}
+        self._pools: dict[str, list[endpoint_state.Endpoint]] = {}
         self._left: dict[str, int] = {}
         self._queues: dict[str, list[_Waiter]] = collections.defaultdict(list)
         self._pledged: collections.Counter[str] = collections.Counter()
         self._numbers = itertools.count()
 
-    def update_list(self, entries: list[hosts.HostEntry]) -> list[EndpointId]:
+    def update_list(
+        self, entries: list[hosts.HostEntry]
+    ) -> list[endpoint_state.EndpointId]:
         """Takes a reading of the host list; returns what newly leaves."""
         news = []
         listed = set()
@@ -222,7 +98,11 @@
                     continue
                 listed.add(entry.address)
                 if self._update_entry(entry):
-                    news.append(EndpointId(entry.address, entry.incarnation))
+                    news.append(
+                        endpoint_state.EndpointId(
+                            entry.address, entry.incarnation
+                        )
+                    )
             for endpoint in self._endpoints.values():
                 endpoint.listed = endpoint.address in listed
             self._rebuild_pools()
@@ -245,7 +125,9 @@
         )
         return True
 
-    def acquire(self, work: Work, timeout_s: float) -> Slot | NoSlot:
+    def acquire(
+        self, work: endpoint_state.Work, timeout_s: float
+    ) -> endpoint_state.Slot | NoSlot:
         """Takes a slot, waiting up to `timeout_s` in the pool's queue."""
         now = self._clock.monotonic()
         with self._lock:
@@ -262,7 +144,9 @@
             is_down = not self._open_endpoints(work.pool, now)
         return NoSlot(is_down, self._clock.monotonic() - now)
 
-    def finish(self, slot: Slot, elapsed_s: float, succeeded: bool) -> None:
+    def finish(
+        self, slot: endpoint_state.Slot, elapsed_s: float, succeeded: bool
+    ) -> None:
         """Gives a slot back with how the attempt went."""
         now = self._clock.monotonic()
         with self._lock:
@@ -276,23 +160,32 @@
                 self._note_failure(endpoint, now)
             self._serve_queue(slot.work.pool)
 
-    def abandon(self, slot: Slot) -> None:
+    def abandon(self, slot: endpoint_state.Slot) -> None:
         """Gives a slot back with nothing learnt, as after a lost hedge."""
         with self._lock:
             if self._remove_slot(slot) is not None:
                 self._serve_queue(slot.work.pool)
 
-    def finish_unanswered(self, slot: Slot, elapsed_s: float) -> None:
+    def finish_late(self, slot: endpoint_state.Slot, elapsed_s: float) -> None:
+        """Gives back a slot whose attempt met its deadline under load."""
+        with self._lock:
+            endpoint = self._remove_slot(slot)
+            if endpoint is None:
+                return
+            endpoint.note_at_least(slot, elapsed_s, self._clock.monotonic())
+            endpoint.learnt = limits.after_failure(endpoint.learnt)
+            self._serve_queue(slot.work.pool)
+
+    def finish_unanswered(
+        self, slot: endpoint_state.Slot, elapsed_s: float
+    ) -> None:
         """Gives back a slot whose attempt was cancelled before its answer."""
         with self._lock:
             endpoint = self._remove_slot(slot)
             if endpoint is None:
                 return
             now = self._clock.monotonic()
-            # The answer would have taken at least this long.
-            unit_s = elapsed_s / max(1.0, slot.work.units)
-            if unit_s > endpoint.learnt.latency_s > 0:
-                endpoint.note_success(unit_s, now)
+            endpoint.note_at_least(slot, elapsed_s, now)
             endpoint.suspect(now)
             self._serve_queue(slot.work.pool)
 
@@ -323,7 +216,7 @@
             limit = sum(endpoint.learnt.limit for endpoint in endpoints)
             ahead = self._pledged[pool] + len(self._queues[pool])
             ahead += sum(len(endpoint.slots) for endpoint in endpoints)
-            unit_s = _mean_latency_s(endpoints, now)
+            unit_s = endpoint_state.mean_latency_s(endpoints, now)
             known = [
                 endpoint.learnt.base_s
                 for endpoint in endpoints
@@ -357,7 +250,7 @@
         endpoint = self._endpoints.get(entry.address)
         if endpoint is None or endpoint.incarnation < entry.incarnation:
             is_local = entry.data_centre == self._data_centre
-            endpoint = _Endpoint(entry, is_local)
+            endpoint = endpoint_state.Endpoint(entry, is_local)
             self._endpoints[entry.address] = endpoint
         left = self._left.get(entry.address, -1)
         endpoint.leaving = endpoint.incarnation <= left
@@ -370,16 +263,20 @@
         for endpoint in self._endpoints.values():
             self._pools[endpoint.pool].append(endpoint)
 
-    def _open_endpoints(self, pool: str, now: float) -> list[_Endpoint]:
+    def _open_endpoints(
+        self, pool: str, now: float
+    ) -> list[endpoint_state.Endpoint]:
         return [
             endpoint
             for endpoint in self._pools.get(pool, ())
             if endpoint.is_open(now)
         ]
 
-    def _try_slot(self, work: Work, now: float) -> Slot | None:
+    def _try_slot(
+        self, work: endpoint_state.Work, now: float
+    ) -> endpoint_state.Slot | None:
         open_endpoints = self._open_endpoints(work.pool, now)
-        default_s = _mean_latency_s(open_endpoints, now)
+        default_s = endpoint_state.mean_latency_s(open_endpoints, now)
         views = [
             endpoint.view(now, default_s)
             for endpoint in open_endpoints
@@ -390,8 +287,10 @@
         if chosen is None:
             return None
         endpoint = self._endpoints[chosen.address]
-        endpoint_id = EndpointId(endpoint.address, endpoint.incarnation)
-        slot = Slot(next(self._numbers), endpoint_id, work, now)
+        endpoint_id = endpoint_state.EndpointId(
+            endpoint.address, endpoint.incarnation
+        )
+        slot = endpoint_state.Slot(next(self._numbers), endpoint_id, work, now)
         slot.expected_s = chosen.latency_s * work.units
         slot.deviation_s = endpoint.learnt.deviation_s * work.units
         endpoint.slots[slot.number] = slot
@@ -413,14 +312,18 @@
                 if self._queues[pool] and self._queues[pool][0] is waiter:
                     self._serve_queue(pool)
 
-    def _wait_bound_s(self, work: Work, timeout_s: float, now: float) -> float:
+    def _wait_bound_s(
+        self, work: endpoint_state.Work, timeout_s: float, now: float
+    ) -> float:
         """Returns how long waiting for a slot still makes sense."""
         with self._lock:
             base_s = self._least_base_s(work.pool, now)
         latest = work.finish_by - base_s * work.units
         return max(0.0, min(timeout_s, latest - now))
 
-    def _remove_slot(self, slot: Slot) -> _Endpoint | None:
+    def _remove_slot(
+        self, slot: endpoint_state.Slot
+    ) -> endpoint_state.Endpoint | None:
         endpoint = self._endpoints.get(slot.endpoint.address)
         if endpoint is None or slot.number not in endpoint.slots:
             return None
@@ -428,12 +331,20 @@
         endpoint.units -= slot.work.units
         return endpoint
 
-    def _note_failure(self, endpoint: _Endpoint, now: float) -> None:
+    def _note_failure(
+        self, endpoint: endpoint_state.Endpoint, now: float
+    ) -> None:
         endpoint.failures += 1
         endpoint.learnt = limits.after_failure(endpoint.learnt)
-        if endpoint.failures < EJECT_AFTER or now < endpoint.ejected_until:
+        if (
+            endpoint.failures < endpoint_state.EJECT_AFTER
+            or now < endpoint.ejected_until
+        ):
             return
-        eject_s = min(MAX_EJECT_S, EJECT_S * 2**endpoint.ejections)
+        eject_s = min(
+            endpoint_state.MAX_EJECT_S,
+            endpoint_state.EJECT_S * 2**endpoint.ejections,
+        )
         endpoint.ejections += 1
         endpoint.failures = 0
         endpoint.ejected_until = now + eject_s
@@ -483,12 +394,3 @@
             if endpoint.learnt.base_s > 0
         ]
         return min(known, default=0.0)
-
-
-def _mean_latency_s(endpoints: list[_Endpoint], now: float) -> float:
-    """Returns the mean time of a work unit where it is known, else 0."""
-    known = [item for item in endpoints if item.learnt.latency_s > 0]
-    if not known:
-        return 0.0
-    weighted = sum(item.latency_s(now) * item.learnt.limit for item in known)
-    return weighted / sum(item.learnt.limit for item in known)
--- a/chervilarch/hosts.py
+++ b/chervilarch/hosts.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from chervilarch import metrics, state_log, transfers
+from chervilarch import exchanges, metrics, state_log, transfers
 
 POLL_PERIOD_S = 1.0
 _TIMEOUT_S = 2.0
@@ -77,9 +77,9 @@
     def read(self) -> list[HostEntry] | HostListError:
         """Reads the list once."""
         result = self._transfers.call(
-            transfers.Exchange("GET", self._url, timeout_s=_TIMEOUT_S)
+            exchanges.Exchange("GET", self._url, timeout_s=_TIMEOUT_S)
         )
-        if isinstance(result, transfers.TransferFailure):
+        if isinstance(result, exchanges.TransferFailure):
             return HostListError(f"{result.kind.value}: {result.detail}")
         if result.status != 200:
             return HostListError(f"HTTP status {result.status}")
--- a/chervilarch/log_client.py
+++ b/chervilarch/log_client.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from chervilarch import records, transfers
+from chervilarch import exchanges, records, transfers
 
 READ_LIMIT = 1000
 LONG_POLL_S = 5.0
@@ -60,7 +60,7 @@
             f"?from={max(0, offset)}&limit={READ_LIMIT}&wait_ms={wait_ms}"
         )
         result = self._transfers.call(
-            transfers.Exchange("GET", url, timeout_s=wait_s + REPLY_MARGIN_S)
+            exchanges.Exchange("GET", url, timeout_s=wait_s + REPLY_MARGIN_S)
         )
         return _parse_page(result)
 
@@ -73,7 +73,7 @@
         payload = {"records": [records.encode(body) for body in bodies]}
         # A fresh connection keeps libcurl from sending the append twice.
         result = self._transfers.call(
-            transfers.Exchange(
+            exchanges.Exchange(
                 "POST",
                 f"{self._base}/{stream}/records",
                 msgspec.json.encode(payload),
@@ -91,8 +91,8 @@
         return offset
 
 
-def _parse_reply(result: transfers.TransferResult) -> dict[str, Any] | LogError:
-    if isinstance(result, transfers.TransferFailure):
+def _parse_reply(result: exchanges.TransferResult) -> dict[str, Any] | LogError:
+    if isinstance(result, exchanges.TransferFailure):
         return LogError(f"{result.kind.value}: {result.detail}", result.sent)
     if result.status != 200:
         return LogError(f"HTTP status {result.status}", True)
@@ -102,7 +102,7 @@
         return LogError(f"not JSON: {exc}", True)
 
 
-def _parse_page(result: transfers.TransferResult) -> LogPage | LogError:
+def _parse_page(result: exchanges.TransferResult) -> LogPage | LogError:
     reply = _parse_reply(result)
     if isinstance(reply, LogError):
         return reply
--- a/chervilarch/operator_client.py
+++ b/chervilarch/operator_client.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from chervilarch import log_client, records, transfers
+from chervilarch import exchanges, log_client, records, transfers
 
 _TIMEOUT_S = 3.0
 _HTTP_OK = 200
@@ -61,14 +61,14 @@
     thread: transfers.TransferThread, url: str, key: str
 ) -> dict[str, Any] | NoReport:
     result = thread.call(
-        transfers.Exchange(
+        exchanges.Exchange(
             "GET",
             url,
             headers=(f"Authorization: Bearer {key}",),
             timeout_s=_TIMEOUT_S,
         )
     )
-    if isinstance(result, transfers.TransferFailure):
+    if isinstance(result, exchanges.TransferFailure):
         return NoReport(f"{result.kind.value}: {result.detail}")
     if result.status != _HTTP_OK:
         return NoReport(f"HTTP status {result.status}")
--- a/chervilarch/server.py
+++ b/chervilarch/server.py
@@ -1,6 +1,5 @@
 """The WSGI application towards callers, the balancer and operators."""
 
-import time
 import traceback
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -10,6 +9,7 @@
 from werkzeug import exceptions, routing
 
 from chervilarch import (
+    caller_input,
     controllers,
     drain,
     event_stream,
@@ -24,11 +24,9 @@
 )
 from chervilarch.outcomes import Reason
 
-MAX_TOKENS = 65536
 _REQUEST_ID_HEADER = "X-Request-Id"
 _JSON = "application/json"
 _PROBLEM = "application/problem+json"
-_READ_BYTES = 65536
 # Threads kept free for health checks and refusals.
 SPARE_THREADS = 16
 
@@ -117,7 +115,7 @@
     def _explain(
         self, req: werkzeug.Request, request_id: str
     ) -> werkzeug.Response:
-        key = _bearer_key(req)
+        key = caller_input.bearer_key(req)
         account = None
         if not self._is_operator(key):
             found = filters.find_account(self.ctrl, self.cfg, key)
@@ -138,7 +136,7 @@
         )
 
     def _status(self, req: werkzeug.Request) -> werkzeug.Response:
-        if not self._is_operator(_bearer_key(req)):
+        if not self._is_operator(caller_input.bearer_key(req)):
             return _unauthenticated()
         report = status_report.build(self.ctrl, self.cfg)
         report["not_ready_reason"] = self.not_ready_reason()
@@ -218,46 +216,25 @@
     def _parse(
         self, req: werkzeug.Request, name: str
     ) -> request.PipelineRequest | outcomes.Rejected:
-        body = self._read_body()
+        body = caller_input.read_body(self._environ, self._cfg.bounds)
         if isinstance(body, outcomes.Rejected):
             return body
         try:
             document = msgspec.json.decode(body)
         except msgspec.DecodeError as exc:
-            return _bad(f"the body is not JSON: {exc}", "send a JSON object")
-        fault = _document_fault(document)
+            return caller_input.bad_request(
+                f"the body is not JSON: {exc}", "send a JSON object"
+            )
+        fault = caller_input.document_fault(document)
         if fault is not None:
             return fault
-        headers = _caller_headers(req)
+        headers = caller_input.read_headers(req)
         if isinstance(headers, outcomes.Rejected):
             return headers
         return request.PipelineRequest(
             name, body, document, headers, self._trace, self._arrived_at
         )
 
-    def _read_body(self) -> bytes | outcomes.Rejected:
-        bounds = self._cfg.bounds
-        limit = bounds.max_body_bytes
-        source = self._environ["wsgi.input"]
-        length = self._environ.get("CONTENT_LENGTH")
-        if length and int(length) > limit:
-            return _bad(f"the body is over {limit} bytes", "send less")
-        deadline = time.monotonic() + bounds.body_timeout_s
-        body = bytearray()
-        while not length or len(body) < int(length):
-            wanted = int(length) - len(body) if length else _READ_BYTES
-            chunk = source.read(min(_READ_BYTES, wanted))
-            if not chunk:
-                break
-            body += chunk
-            if len(body) > limit:
-                return _bad(f"the body is over {limit} bytes", "send less")
-            if time.monotonic() > deadline:
-                return _bad("the body came too slowly", "send it faster")
-        if length and len(body) < int(length):
-            return _bad("the body ended early", "send the whole body")
-        return bytes(body)
-
     def _count(
         self, req: request.PipelineRequest, outcome: outcomes.Outcome
     ) -> None:
@@ -336,54 +313,6 @@
         return response
 
 
-def _caller_headers(
-    req: werkzeug.Request,
-) -> request.CallerHeaders | outcomes.Rejected:
-    deadline = req.headers.get("Deadline-Ms")
-    try:
-        deadline_ms = None if deadline is None else float(deadline)
-    except ValueError:
-        deadline_ms = float("nan")
-    if deadline_ms is not None and not 0 < deadline_ms < float("inf"):
-        return _bad(
-            f"the Deadline-Ms header is {deadline!r}",
-            "send a number of milliseconds above 0",
-        )
-    return request.CallerHeaders(
-        _bearer_key(req),
-        req.headers.get("Idempotency-Key", "").strip().strip('"'),
-        req.headers.get("Idempotency-Attempt", "").strip() == "1",
-        deadline_ms,
-    )
-
-
-def _document_fault(document: Any) -> outcomes.Rejected | None:
-    if not isinstance(document, dict) or "input" not in document:
-        return _bad('the body has no "input"', 'send {"input": ...}')
-    unknown = set(document) - {"input", "stream", "max_tokens"}
-    if unknown:
-        return _bad(
-            f"the body has unknown fields: {', '.join(sorted(unknown))}",
-            'send only "input", "stream" and "max_tokens"',
-        )
-    if not isinstance(document.get("stream", False), bool):
-        return _bad('"stream" is not a boolean', "send true or false")
-    tokens = document.get("max_tokens", 1)
-    is_number = isinstance(tokens, int) and not isinstance(tokens, bool)
-    if not is_number or not 1 <= tokens <= MAX_TOKENS:
-        return _bad('"max_tokens" is out of range', f"send 1 to {MAX_TOKENS}")
-    return None
-
-
-def _bearer_key(req: werkzeug.Request) -> str:
-    scheme, _, key = req.headers.get("Authorization", "").partition(" ")
-    return key.strip() if scheme.lower() == "bearer" else ""
-
-
-def _bad(detail: str, remedy: str) -> outcomes.Rejected:
-    return outcomes.Rejected(Reason.BAD_REQUEST, detail, remedy)
-
-
 def _json_response(
     document: Any, status: int = 200, mimetype: str = _JSON
 ) -> werkzeug.Response:
--- a/chervilarch/stream_stage.py
+++ b/chervilarch/stream_stage.py
@@ -1,7 +1,14 @@
 """Runs a stage that streams tokens, resuming the stream when it breaks."""
 
-from chervilarch import attempts, call_stage, endpoints, request, tokens
-from chervilarch.transfers import ByteStream, TransferFailure
+from chervilarch import (
+    attempts,
+    call_stage,
+    endpoint_state,
+    endpoints,
+    request,
+    tokens,
+)
+from chervilarch.exchanges import ByteStream, TransferFailure
 
 # Silence between tokens after which a stream is given up.
 MAX_SILENCE_S = 1.5
@@ -41,7 +48,7 @@
 
 def _run_attempt(
     run: call_stage.StageRun,
-    slot: endpoints.Slot,
+    slot: endpoint_state.Slot,
     sequence: tokens.TokenSequence,
 ) -> attempts.Good | attempts.Bad:
     """Reads one attempt's stream to its end or its first fault."""
--- a/chervilarch/transfers.py
+++ b/chervilarch/transfers.py
@@ -5,149 +5,40 @@
 """
 
 import collections
-import enum
 import selectors
 import socket
 import threading
 import time
 from collections.abc import Callable
 from concurrent.futures import Future
-from typing import NamedTuple
 
 import pycurl
 
+from chervilarch import exchanges
+
 CONNECT_TIMEOUT_S = 1.0
 MAX_REPLY_BYTES = 8 * 1024 * 1024
 MAX_IDLE_CONNECTIONS = 512
 CONNECTION_MAX_IDLE_S = 20
 CONNECTION_MAX_AGE_S = 300
-STREAM_BUFFER_BYTES = 256 * 1024
 _IDLE_WAIT_S = 5.0
 _MS_PER_S = 1000
 
 
-class FailureKind(enum.Enum):
-    """Why a transfer gave no whole reply."""
-
-    REFUSED = "refused"
-    TIMED_OUT = "timed_out"
-    BROKEN = "broken"
-    TOO_LARGE = "too_large"
-    CANCELLED = "cancelled"
-
-
-class Exchange(NamedTuple):
-    """One HTTP request to be sent.
-
-    Attributes:
-        method: HTTP method.
-        url: absolute URL whose host is an IP number.
-        body: request body, empty for none.
-        headers: header lines, "Name: value".
-        timeout_s: bound on the whole transfer in seconds.
-        fresh: whether a new connection is opened and closed afterwards, so
-            that libcurl can't send the request a second time by itself.
-    """
-
-    method: str
-    url: str
-    body: bytes = b""
-    headers: tuple[str, ...] = ()
-    timeout_s: float = 10.0
-    fresh: bool = False
-
-
-class Reply(NamedTuple):
-    """A whole HTTP reply."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-    elapsed_s: float
-
-
-class TransferFailure(NamedTuple):
-    """A transfer without a whole reply.
-
-    Attributes:
-        kind: what went wrong.
-        detail: libcurl's words.
-        sent: whether any byte of the request may have left this host.
-    """
-
-    kind: FailureKind
-    detail: str
-    sent: bool
-
-
-TransferResult = Reply | TransferFailure
-
 _KINDS = {
-    pycurl.E_COULDNT_CONNECT: FailureKind.REFUSED,
-    pycurl.E_OPERATION_TIMEDOUT: FailureKind.TIMED_OUT,
-    pycurl.E_WRITE_ERROR: FailureKind.TOO_LARGE,
+    pycurl.E_COULDNT_CONNECT: exchanges.FailureKind.REFUSED,
+    pycurl.E_OPERATION_TIMEDOUT: exchanges.FailureKind.TIMED_OUT,
+    pycurl.E_WRITE_ERROR: exchanges.FailureKind.TOO_LARGE,
 }
 
 
-class ByteStream:
-    """Bytes of a streamed reply, handed over with back pressure."""
-
-    def __init__(self, resume: Callable[[], None], cancel: Callable[[], None]):
-        self._cond = threading.Condition()
-        self._chunks: collections.deque[bytes] = collections.deque()
-        self._size = 0
-        self._paused = False
-        self._resume = resume
-        self._cancel = cancel
-        self.result: TransferResult | None = None
-        self.status = 0
-
-    def offer(self, chunk: bytes) -> bool:
-        """Takes a chunk from the transfer thread; False asks it to pause."""
-        with self._cond:
-            if self._size >= STREAM_BUFFER_BYTES:
-                self._paused = True
-                return False
-            self._chunks.append(chunk)
-            self._size += len(chunk)
-            self._cond.notify()
-            return True
-
-    def finish(self, result: TransferResult) -> None:
-        """Marks the end of the transfer."""
-        with self._cond:
-            self.result = result
-            self._cond.notify()
-
-    def read(self, timeout_s: float) -> bytes | None:
-        """Returns all bytes at hand, b"" at the end, None after a timeout."""
-        with self._cond:
-            self._cond.wait_for(
-                lambda: self._chunks or self.result is not None, timeout_s
-            )
-            data = b"".join(self._chunks)
-            self._chunks.clear()
-            self._size = 0
-            paused, self._paused = self._paused, False
-            ended = self.result is not None
-        if paused:
-            self._resume()
-        if data:
-            return data
-        return b"" if ended else None
-
-    def cancel(self) -> None:
-        """Stops the transfer and closes its connection."""
-        self._cancel()
-
-
 class _Transfer:
     """State of one running transfer; touched by the transfer thread only."""
 
-    def __init__(self, exchange: Exchange, on_done: Callable):
+    def __init__(self, exchange: exchanges.Exchange, on_done: Callable):
         self.exchange = exchange
         self.on_done = on_done
-        self.stream: ByteStream | None = None
+        self.stream: exchanges.ByteStream | None = None
         self.curl: pycurl.Curl | None = None
         self.body = bytearray()
         self.headers: dict[str, str] = {}
@@ -218,25 +109,27 @@
         self._command(self._begin_stop)
         self._thread.join()
 
-    def submit(self, exchange: Exchange) -> "Future[TransferResult]":
+    def submit(
+        self, exchange: exchanges.Exchange
+    ) -> "Future[exchanges.TransferResult]":
         """Sends a request; the future always resolves, never raises."""
         return self.start_call(exchange).future
 
-    def call(self, exchange: Exchange) -> TransferResult:
+    def call(self, exchange: exchanges.Exchange) -> exchanges.TransferResult:
         """Sends a request and waits for its result."""
         return self.submit(exchange).result()
 
-    def start_call(self, exchange: Exchange) -> "Call":
+    def start_call(self, exchange: exchanges.Exchange) -> "Call":
         """Sends a request that can be cancelled."""
-        fut: Future[TransferResult] = Future()
+        fut: Future[exchanges.TransferResult] = Future()
         transfer = _Transfer(exchange, fut.set_result)
         self._command(lambda: self._begin(transfer))
         return Call(fut, lambda: self._command(lambda: self._abort(transfer)))
 
-    def open_stream(self, exchange: Exchange) -> ByteStream:
+    def open_stream(self, exchange: exchanges.Exchange) -> exchanges.ByteStream:
         """Sends a request whose reply body is handed over as it comes."""
         transfer = _Transfer(exchange, lambda result: None)
-        stream = ByteStream(
+        stream = exchanges.ByteStream(
             resume=lambda: self._command(lambda: self._unpause(transfer)),
             cancel=lambda: self._command(lambda: self._abort(transfer)),
         )
@@ -325,7 +218,9 @@
         if not transfer.done:
             transfer.done = True
             transfer.on_done(
-                TransferFailure(FailureKind.CANCELLED, "stopped", False)
+                exchanges.TransferFailure(
+                    exchanges.FailureKind.CANCELLED, "stopped", False
+                )
             )
 
     def _unpause(self, transfer: _Transfer) -> None:
@@ -339,7 +234,9 @@
             self._finish_early(transfer)
             return
         sent = _was_sent(transfer.curl)
-        failure = TransferFailure(FailureKind.CANCELLED, "cancelled", sent)
+        failure = exchanges.TransferFailure(
+            exchanges.FailureKind.CANCELLED, "cancelled", sent
+        )
         # Removing an unfinished handle closes its connection.
         self._release(transfer, failure)
 
@@ -349,7 +246,7 @@
             queued, done, failed = self._multi.info_read()
             for curl in done:
                 transfer = self._running[curl]
-                reply = Reply(
+                reply = exchanges.Reply(
                     transfer.status,
                     transfer.headers,
                     bytes(transfer.body),
@@ -357,11 +254,13 @@
                 )
                 self._release(transfer, reply)
             for curl, code, text in failed:
-                kind = _KINDS.get(code, FailureKind.BROKEN)
-                failure = TransferFailure(kind, text, _was_sent(curl))
+                kind = _KINDS.get(code, exchanges.FailureKind.BROKEN)
+                failure = exchanges.TransferFailure(kind, text, _was_sent(curl))
                 self._release(self._running[curl], failure)
 
-    def _release(self, transfer: _Transfer, result: TransferResult) -> None:
+    def _release(
+        self, transfer: _Transfer, result: exchanges.TransferResult
+    ) -> None:
         curl = transfer.curl
         del self._running[curl]
         self._multi.remove_handle(curl)
@@ -388,7 +287,9 @@
 class Call:
     """A request in flight that can be cancelled."""
 
-    def __init__(self, fut: "Future[TransferResult]", cancel: Callable):
+    def __init__(
+        self, fut: "Future[exchanges.TransferResult]", cancel: Callable
+    ):
         self.future = fut
         self.cancel = cancel
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -6,7 +6,7 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
-from chervilarch import attempts, event_stream, outcomes, tokens, transfers
+from chervilarch import attempts, event_stream, exchanges, outcomes, tokens
 from chervilarch.outcomes import Reason
 
 
@@ -82,19 +82,19 @@
 
 
 def reply(status, document):
-    return transfers.Reply(status, {}, json.dumps(document).encode(), 0.0)
+    return exchanges.Reply(status, {}, json.dumps(document).encode(), 0.0)
 
 
 @pytest.mark.parametrize(
     ("result", "kind", "surely_not_run"),
     [
         (
-            transfers.TransferFailure(transfers.FailureKind.REFUSED, "", False),
+            exchanges.TransferFailure(exchanges.FailureKind.REFUSED, "", False),
             attempts.BadKind.NOT_SENT,
             True,
         ),
         (
-            transfers.TransferFailure(transfers.FailureKind.BROKEN, "", True),
+            exchanges.TransferFailure(exchanges.FailureKind.BROKEN, "", True),
             attempts.BadKind.LOST,
             False,
         ),
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -9,6 +9,7 @@
     budgets,
     choice,
     clocks,
+    endpoint_state,
     endpoints,
     hosts,
     limits,
@@ -183,34 +184,40 @@
     table.update_list([entry("x")])
     table.mark_leaving("x", 1)
     assert isinstance(
-        table.acquire(endpoints.Work("pool"), 0), endpoints.NoSlot
+        table.acquire(endpoint_state.Work("pool"), 0), endpoints.NoSlot
     )
     table.update_list([entry("x", incarnation=2)])
-    assert isinstance(table.acquire(endpoints.Work("pool"), 0), endpoints.Slot)
+    assert isinstance(
+        table.acquire(endpoint_state.Work("pool"), 0), endpoint_state.Slot
+    )
 
 
 def test_a_leaving_run_stays_left_when_the_list_lags(table):
     table.update_list([entry("x", "leaving")])
     table.mark_leaving("x", 1)
     table.update_list([entry("x", "live")])
-    assert table.acquire(endpoints.Work("pool"), 0).is_pool_down
+    assert table.acquire(endpoint_state.Work("pool"), 0).is_pool_down
 
 
 def test_failures_eject_and_time_returns(table, clock):
     table.update_list([entry("x")])
-    for _ in range(endpoints.EJECT_AFTER):
-        slot = table.acquire(endpoints.Work("pool"), 0)
+    for _ in range(endpoint_state.EJECT_AFTER):
+        slot = table.acquire(endpoint_state.Work("pool"), 0)
         table.finish(slot, 0.1, False)
-    assert table.acquire(endpoints.Work("pool"), 0).is_pool_down
-    clock.advance(endpoints.MAX_EJECT_S)
-    assert isinstance(table.acquire(endpoints.Work("pool"), 0), endpoints.Slot)
+    assert table.acquire(endpoint_state.Work("pool"), 0).is_pool_down
+    clock.advance(endpoint_state.MAX_EJECT_S)
+    assert isinstance(
+        table.acquire(endpoint_state.Work("pool"), 0), endpoint_state.Slot
+    )
 
 
 def test_a_waiter_is_served_when_a_slot_comes_back(table):
     table.update_list([entry("x")])
-    slots = [table.acquire(endpoints.Work("pool"), 0) for _ in range(4)]
+    slots = [table.acquire(endpoint_state.Work("pool"), 0) for _ in range(4)]
     assert isinstance(
-        table.acquire(endpoints.Work("pool"), 0), endpoints.NoSlot
+        table.acquire(endpoint_state.Work("pool"), 0), endpoints.NoSlot
     )
     table.finish(slots[0], 0.1, True)
-    assert isinstance(table.acquire(endpoints.Work("pool"), 0), endpoints.Slot)
+    assert isinstance(
+        table.acquire(endpoint_state.Work("pool"), 0), endpoint_state.Slot
+    )
