Admit by the busy pool's own times, shrink limits earlier

Cause: admission refused 22 of 1,033 at the crest while 441 were too late: a cut attempt's time counted as an answer and grew the limit, and the wait was reckoned with the fastest endpoint's time. Change: a cut attempt raises the estimate only (test failed first: the limit grew); behind a backlog the mean time counts and waits get a margin of 1.25; an endpoint is in time with 1.1 unloaded times left; limits grow below 1.2 and shrink above 1.4.

--- a/chervilarch/admission.py
+++ b/chervilarch/admission.py
@@ -4,6 +4,10 @@
 from typing import NamedTuple
 
 
+# Endpoints are never all busy at once, so a backlog takes longer to clear.
+WAIT_MARGIN = 1.25
+
+
 class StageNeed(NamedTuple):
     """What one stage is expected to take.
 
@@ -24,7 +28,7 @@
 
 def expected_s(needs: Sequence[StageNeed]) -> float:
     """Returns the expected time of a chain of stages, waits included."""
-    return sum(service_s(need) + wait_s(need) for need in needs)
+    return sum(_busy_service_s(need) + wait_s(need) for need in needs)
 
 
 def service_s(need: StageNeed) -> float:
@@ -36,7 +40,13 @@
     """Returns the expected wait before a stage runs."""
     if need.limit <= 0:
         return 0.0
-    return max(0.0, need.backlog) * need.unit_s / need.limit
+    waits = max(0.0, need.backlog) * need.unit_s / need.limit
+    return WAIT_MARGIN * waits
+
+
+def _busy_service_s(need: StageNeed) -> float:
+    """Returns the time of a stage; behind a backlog any endpoint may do it."""
+    return need.units * (need.unit_s if need.backlog > 0 else need.best_s)
 
 
 def can_finish(needs: Sequence[StageNeed], remaining_s: float) -> bool:
--- a/chervilarch/choice.py
+++ b/chervilarch/choice.py
@@ -19,6 +19,8 @@
 # Above this share of its limit, the own data centre spills.
 SPILL_SHARE = 0.8
 MIN_LATENCY_S = 0.001
+# Time left, in unloaded times, for an endpoint to be in time.
+TIMELY_MARGIN = 1.1
 
 
 class EndpointView(NamedTuple):
@@ -68,7 +70,8 @@
     views: Sequence[EndpointView], units: float, remaining_s: float
 ) -> list[EndpointView]:
     """Returns the endpoints that can be expected to finish in time."""
-    return [view for view in views if view.base_s * units <= remaining_s]
+    needed_s = units * TIMELY_MARGIN
+    return [view for view in views if view.base_s * needed_s <= remaining_s]
 
 
 def has_room(view: EndpointView) -> bool:
--- a/chervilarch/endpoint_state.py
+++ b/chervilarch/endpoint_state.py
@@ -136,8 +136,9 @@
     def note_at_least(self, slot: Slot, elapsed_s: float, now: float) -> None:
         """Learns from an attempt that would have taken longer than this."""
         unit_s = elapsed_s / max(1.0, slot.work.units)
-        if unit_s > self.learnt.latency_s > 0:
-            self.note_success(unit_s, now)
+        if self.learnt.latency_s > 0:
+            self.answered_at = now
+            self.learnt = limits.after_at_least(self.learnt, unit_s)
 
     def _trust(self, now: float) -> float:
         if now < self.suspect_until:
--- a/chervilarch/limits.py
+++ b/chervilarch/limits.py
@@ -12,9 +12,9 @@
 MAX_LIMIT = 256.0
 FIRST_LIMIT = 4.0
 # Below this ratio of present to unloaded time the limit grows.
-GROW_BELOW = 1.4
+GROW_BELOW = 1.2
 # Above this one it shrinks.
-SHRINK_ABOVE = 1.7
+SHRINK_ABOVE = 1.4
 # Times shorter than this say nothing about load, in seconds.
 NOISE_S = 0.005
 _SHRINK_FACTOR = 0.9
@@ -67,6 +67,13 @@
     return state._replace(limit=_clamp(state.limit * _SHRINK_FACTOR))
 
 
+def after_at_least(state: LimitState, unit_s: float) -> LimitState:
+    """Returns the state after an attempt that would have taken longer."""
+    if not state.latency_s < unit_s:
+        return state
+    return state._replace(latency_s=_smooth(state.latency_s, unit_s))
+
+
 def present_latency_s(state: LimitState, silent_s: float) -> float:
     """Returns the time of a work unit when the last answer is long ago."""
     weight = 0.5 ** (silent_s / FORGET_HALF_LIFE_S)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -221,3 +221,10 @@
     assert isinstance(
         table.acquire(endpoint_state.Work("pool"), 0), endpoint_state.Slot
     )
+
+
+def test_an_attempt_cut_by_its_deadline_never_grows_the_limit():
+    state = learn(0.1, 5)
+    after = limits.after_at_least(state, 0.12)
+    assert after.limit == state.limit
+    assert after.latency_s > state.latency_s
