Measure load against a slow average, shrink limits hard on lateness

Cause: 231 of 1,033 requests at the crest were dispatched and cut; limits above what an endpoint's slots take fill its own queue. The unloaded time was the least answer ever seen, so uneven work alone shrank the limit (test failed first: lognormal times of sigma 0.3 without load, limit below its start). Change: a cut or failed attempt takes 0.7 of the limit; limits grow below 1.1 and shrink above 1.25 of the unloaded time, which follows a slow average.

--- a/chervilarch/limits.py
+++ b/chervilarch/limits.py
@@ -12,12 +12,13 @@
 MAX_LIMIT = 256.0
 FIRST_LIMIT = 4.0
 # Below this ratio of present to unloaded time the limit grows.
-GROW_BELOW = 1.2
+GROW_BELOW = 1.1
 # Above this one it shrinks.
-SHRINK_ABOVE = 1.4
+SHRINK_ABOVE = 1.25
 # Times shorter than this say nothing about load, in seconds.
 NOISE_S = 0.005
 _SHRINK_FACTOR = 0.9
+_FAILURE_FACTOR = 0.7
 _GROWTH = 0.5
 # The limit grows only while at least this share of it is used.
 _USED_SHARE = 0.7
@@ -25,6 +26,7 @@
 _BASE_DRIFT = 0.0005
 _RISE_GAIN = 0.5
 _FALL_GAIN = 0.25
+_AVERAGE_GAIN = 0.1
 _DEVIATION_GAIN = 0.25
 # An estimate that no answer renews nears the unloaded time, in seconds.
 FORGET_HALF_LIFE_S = 2.0
@@ -38,12 +40,14 @@
         base_s: time of a work unit without load; 0 before the first answer.
         latency_s: smoothed time of a work unit.
         deviation_s: smoothed distance of answers from `latency_s`.
+        average_s: slow average, which uneven work alone moves little.
     """
 
     limit: float = FIRST_LIMIT
     base_s: float = 0.0
     latency_s: float = 0.0
     deviation_s: float = 0.0
+    average_s: float = 0.0
 
 
 def after_answer(
@@ -51,20 +55,21 @@
 ) -> LimitState:
     """Returns the state after an answer that took `unit_s` a work unit."""
     if state.base_s == 0.0:
-        return LimitState(state.limit, unit_s, unit_s, unit_s / 2)
-    base_s = min(unit_s, state.base_s * (1 + _BASE_DRIFT))
+        return LimitState(state.limit, unit_s, unit_s, unit_s / 2, unit_s)
+    average_s = state.average_s + _AVERAGE_GAIN * (unit_s - state.average_s)
+    base_s = min(average_s, state.base_s * (1 + _BASE_DRIFT))
     distance_s = abs(unit_s - state.latency_s)
     deviation_s = state.deviation_s + _DEVIATION_GAIN * (
         distance_s - state.deviation_s
     )
     latency_s = _smooth(state.latency_s, unit_s)
-    limit = _follow(state.limit, base_s, latency_s, in_flight)
-    return LimitState(limit, base_s, latency_s, deviation_s)
+    limit = _follow(state.limit, base_s, average_s, in_flight)
+    return LimitState(limit, base_s, latency_s, deviation_s, average_s)
 
 
 def after_failure(state: LimitState) -> LimitState:
     """Returns the state after a failed or timed-out attempt."""
-    return state._replace(limit=_clamp(state.limit * _SHRINK_FACTOR))
+    return state._replace(limit=_clamp(state.limit * _FAILURE_FACTOR))
 
 
 def after_at_least(state: LimitState, unit_s: float) -> LimitState:
@@ -88,12 +93,12 @@
 
 
 def _follow(
-    limit: float, base_s: float, latency_s: float, in_flight: int
+    limit: float, base_s: float, average_s: float, in_flight: int
 ) -> float:
-    if latency_s > SHRINK_ABOVE * base_s + NOISE_S:
+    if average_s > SHRINK_ABOVE * base_s + NOISE_S:
         return _clamp(limit * _SHRINK_FACTOR)
     is_used = in_flight >= _USED_SHARE * limit
-    if is_used and latency_s < GROW_BELOW * base_s + NOISE_S:
+    if is_used and average_s < GROW_BELOW * base_s + NOISE_S:
         return _clamp(limit + _GROWTH / max(1.0, limit))
     return limit
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -115,9 +115,10 @@
 
 def test_admission_counts_waits_and_service():
     needs = [admission.StageNeed(1.0, 0.2, 0.1, 4.0, 8.0)]
-    assert admission.expected_s(needs) == pytest.approx(0.2)
-    assert admission.can_finish(needs, 0.25)
-    assert not admission.can_finish(needs, 0.15)
+    waits_s = 4.0 * 0.2 / 8.0 * admission.WAIT_MARGIN
+    assert admission.expected_s(needs) == pytest.approx(0.2 + waits_s)
+    assert admission.can_finish(needs, 0.21 + waits_s)
+    assert not admission.can_finish(needs, 0.19 + waits_s)
 
 
 def test_an_unknown_pool_is_tried():
@@ -228,3 +229,12 @@
     after = limits.after_at_least(state, 0.12)
     assert after.limit == state.limit
     assert after.latency_s > state.latency_s
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_uneven_work_alone_does_not_shrink_the_limit(seed):
+    rng = random.Random(seed)
+    state = limits.LimitState()
+    for _ in range(500):
+        state = limits.after_answer(state, rng.lognormvariate(-2, 0.3), 8)
+    assert state.limit >= limits.FIRST_LIMIT
