--- a/chervilarch/admission.py
+++ b/chervilarch/admission.py
@@ -3,7 +3,6 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-
 # Endpoints are never all busy at once, so a backlog takes longer to clear.
 WAIT_MARGIN = 1.25
 
