Give back slots and settle claims when a request meets a fault

Cause: a caller that went away in mid-stream left its slot taken for good, and a fault inside a claimed run left the key without result. Reading the claim's path for this showed that 'dispatched' was noted only after the call's result, so a release after a fault could have let a sent call run again. Ruled out: the stream's own cancel; the connection to the engine was closed. Change: the slot is given back on any fault; 'dispatched' is noted before sending; a fault after it records 'unknown', one before it releases the key.

--- a/chervilarch/call_stage.py
+++ b/chervilarch/call_stage.py
@@ -237,6 +237,9 @@
         slot = run.acquire(remaining_s)
         if isinstance(slot, endpoints.NoSlot):
             return StageFailure(None, is_late=run.remaining_s() <= 0)
+        dispatched_before = run.req.dispatched_once
+        # Set before the call is sent, so that no fault can hide it.
+        run.req.dispatched_once = True
         # A fresh connection keeps libcurl from sending the call twice.
         running = run.start(slot, run.remaining_s(), fresh=True)
         judged = run.collect(running)
@@ -244,6 +247,7 @@
             return judged
         if not judged.surely_not_run():
             return StageFailure(judged)
+        run.req.dispatched_once = dispatched_before
         if not may_retry(run):
             return StageFailure(judged)
 
--- a/chervilarch/idempotency.py
+++ b/chervilarch/idempotency.py
@@ -83,7 +83,11 @@
 ) -> outcomes.Outcome:
     """Runs the stages as the holder of the key."""
     req.claim_id = claim.claim_id
-    outcome = following()
+    try:
+        outcome = following()
+    except BaseException:
+        _settle_after_fault(ctrl, req, call)
+        raise
     if not req.dispatched_once:
         # Holding the first claim proves that no other attempt has run.
         req.not_run_proved = True
@@ -94,6 +98,19 @@
     return outcome
 
 
+def _settle_after_fault(
+    ctrl: controllers.Controllers,
+    req: requests.PipelineRequest,
+    call: calls.CallKey,
+) -> None:
+    """Frees a key that was not dispatched, or records that nobody knows."""
+    if req.dispatched_once:
+        detail = "the router met a fault after the call was sent"
+        ctrl.calls.record_result(call, req.claim_id, "unknown", detail)
+    else:
+        ctrl.calls.release(call, req.claim_id)
+
+
 def _recordable(outcome: outcomes.Outcome):
     """Returns the outcome's name and the output to record for other hosts."""
     if isinstance(outcome, outcomes.Answer):
--- a/chervilarch/stages.py
+++ b/chervilarch/stages.py
@@ -87,21 +87,12 @@
 
 def _run_stage(run: call_stage.StageRun) -> call_stage.StageResult:
     if not run.stage.repeatable:
-        return _run_once(run)
+        return call_stage.run_once(run)
     if run.stage.protocol == rules.PROTOCOL_STREAM:
         return stream_stage.run_stream(run)
     return call_stage.run_repeatable(run)
 
 
-def _run_once(run: call_stage.StageRun) -> call_stage.StageResult:
-    result = call_stage.run_once(run)
-    if isinstance(result, attempts.Good):
-        run.req.dispatched_once = True
-    elif result.bad is not None and not result.bad.surely_not_run():
-        run.req.dispatched_once = True
-    return result
-
-
 def _failure(
     req: request.PipelineRequest,
     stage: rules.Pool,
--- a/chervilarch/stream_stage.py
+++ b/chervilarch/stream_stage.py
@@ -69,6 +69,10 @@
     stream = run.ctrl.streams.open_stream(exchange)
     try:
         judged = _read(run, stream, sequence, attempt.attempt_id)
+    except BaseException:
+        # The caller is gone: nothing is learnt of the endpoint.
+        run.ctrl.endpoints.abandon(slot)
+        raise
     finally:
         stream.cancel()
     elapsed_s = run.ctrl.clock.monotonic() - started_at
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -6,7 +6,14 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
-from chervilarch import attempts, event_stream, exchanges, outcomes, tokens
+from chervilarch import (
+    attempts,
+    call_stage,
+    event_stream,
+    exchanges,
+    outcomes,
+    tokens,
+)
 from chervilarch.outcomes import Reason
 
 
@@ -137,3 +144,29 @@
     assert document["status"] == status
     assert document["retry_safe"] is retry_safe
     assert document["remedy"] == "r"
+
+
+class FaultyRun:
+    """A stage's run whose transfer is sent and then meets a fault."""
+
+    class req:  # noqa: N801
+        dispatched_once = False
+
+    def remaining_s(self):
+        return 1.0
+
+    def acquire(self, timeout_s):
+        return "slot"
+
+    def start(self, slot, timeout_s, fresh):
+        return "running"
+
+    def collect(self, running):
+        raise OSError("after the call was sent")
+
+
+def test_a_fault_after_sending_counts_as_dispatched():
+    run = FaultyRun()
+    with pytest.raises(OSError, match="after the call was sent"):
+        call_stage.run_once(run)
+    assert run.req.dispatched_once
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -126,6 +126,26 @@
     assert fleet.call(router.address, "GET", path, headers=other).status == 401
 
 
+def test_a_caller_that_goes_away_leaves_no_slot_taken(router):
+    host, port = router.address.split(":")
+    body = b'{"input": "long", "stream": true, "max_tokens": 5000}'
+    head = (
+        f"POST /v1/pipelines/generate/runs HTTP/1.1\r\nHost: {host}\r\n"
+        "Authorization: Bearer load-key\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    with socket.create_connection((host, int(port)), 10) as conn:
+        conn.sendall(head.encode() + body)
+        assert b"200 OK" in conn.recv(4096)
+        conn.recv(4096)
+
+    def is_idle():
+        listed = fleet.status(router)["endpoints"]
+        return all(item["in_flight"] == 0 for item in listed)
+
+    fleet.wait_until(is_idle, "the slot comes back")
+
+
 def test_operators_see_the_fleet(running):
     text = running.run_tool(
         "status",
