--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -1,6 +1,7 @@
 """Only whole answers of the very attempt count; outcomes tell the truth."""
 
 import json
+import types
 
 import pytest
 from hypothesis import given, seed, settings
@@ -146,27 +147,18 @@
     assert document["remedy"] == "r"
 
 
-class FaultyRun:
-    """A stage's run whose transfer is sent and then meets a fault."""
-
-    class req:  # noqa: N801
-        dispatched_once = False
-
-    def remaining_s(self):
-        return 1.0
-
-    def acquire(self, timeout_s):
-        return "slot"
-
-    def start(self, slot, timeout_s, fresh):
-        return "running"
-
-    def collect(self, running):
-        raise OSError("after the call was sent")
+def fail(*_args, **_kwargs):
+    raise OSError("after the call was sent")
 
 
 def test_a_fault_after_sending_counts_as_dispatched():
-    run = FaultyRun()
+    run = types.SimpleNamespace(
+        req=types.SimpleNamespace(dispatched_once=False),
+        remaining_s=lambda: 1.0,
+        acquire=lambda timeout_s: "slot",
+        start=lambda slot, timeout_s, fresh: "running",
+        collect=fail,
+    )
     with pytest.raises(OSError, match="after the call was sent"):
         call_stage.run_once(run)
     assert run.req.dispatched_once
