Take nothing from replayed or misdirected datagrams

Cause: read on review: such a datagram was counted, but its sender still counted as heard, so that a host cut off from its peers could be held fresh by datagrams played back to it. Change: listeners hear only datagrams that were taken. Measured: the test failed first (2 and 2 datagrams heard in place of 1 and 0).

--- a/chervilarch/gossip.py
+++ b/chervilarch/gossip.py
@@ -243,7 +243,11 @@
             self._metrics.count("gossip.bad_frame")
             return
         with self._lock:
-            self._take(gossip)
+            is_taken = self._take(gossip)
+        if is_taken:
+            self._tell_listeners(gossip)
+
+    def _tell_listeners(self, gossip: messages.Gossip) -> None:
         if gossip.sender.status is not membership.Status.LEFT:
             self.on_config(
                 gossip.sender.address,
@@ -254,16 +258,17 @@
             if self.on_leaving(endpoint.address, endpoint.incarnation):
                 self.spread_leaving(endpoint.address, endpoint.incarnation)
 
-    def _take(self, gossip: messages.Gossip) -> None:
+    def _take(self, gossip: messages.Gossip) -> bool:
+        """Takes a datagram unless it is misdirected or played back."""
         sender = gossip.sender
         if gossip.target != self._fleet.own.address:
             self._metrics.count("gossip.wrong_target")
-            return
+            return False
         if not self._guard.is_new(
             sender.name, sender.incarnation, gossip.sequence
         ):
             self._metrics.count("gossip.replayed")
-            return
+            return False
         now = self._clock.monotonic()
         self._note_change(self._fleet.observe(sender, now))
         for member in gossip.members:
@@ -275,6 +280,7 @@
             self._take_ack(gossip)
         else:
             self._relay_probe(gossip)
+        return True
 
     def _take_ack(self, gossip: messages.Gossip) -> None:
         relay = self._relays.pop(gossip.probe, None)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,7 +6,7 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
-from chervilarch import gossip, membership, messages
+from chervilarch import clocks, gossip, membership, messages, metrics
 from chervilarch.membership import Member, Status
 
 KEY = b"a key of the fleet"
@@ -139,3 +139,44 @@
     assert guard.is_new("b", 1, 4)
     assert guard.is_new("b", 2, 5)
     assert not guard.is_new("b", 1, 6)
+
+
+@pytest.fixture
+def controller():
+    return gossip.GossipController(
+        member("own"),
+        KEY,
+        clocks.ManualClock(),
+        metrics.Metrics(None),
+        random.Random(1),
+    )
+
+
+class Inbox:
+    """Stands in for a socket that holds datagrams."""
+
+    def __init__(self, *frames):
+        self.frames = list(frames)
+
+    def recvfrom(self, size):
+        """Returns the next datagram."""
+        return self.frames.pop(0), ("127.0.0.1", 1)
+
+    def sendto(self, frame, address):
+        """Drops what is sent."""
+
+
+@pytest.mark.parametrize("target", ["own", "other"])
+def test_replayed_and_misdirected_datagrams_do_nothing(controller, target):
+    own = controller.members()[0]
+    address = own.address if target == "own" else "10.9.9.9:1"
+    frame = messages.encode_gossip(
+        KEY, GOSSIP._replace(sender=member("b"), target=address)
+    )
+    controller._socket.close()
+    controller._socket = Inbox(frame, frame)
+    heard = []
+    controller.on_config = lambda *args: heard.append(args)
+    controller._receive()
+    controller._receive()
+    assert len(heard) == (1 if target == "own" else 0)
