Measure the slopes of the pure parts

Change: bench/slopes.py gives time and memory a record of calls and configuration, and size, time and spread of gossip. Conclusion: figures for docs/CAPACITY.md.

--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,146 @@
+"""Slopes of the pure parts, for docs/CAPACITY.md: time and memory a record."""
+
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+
+import uuid6
+
+from bench import overhead, report
+from chervilarch import (
+    calls,
+    configuration,
+    keys,
+    membership,
+    messages,
+    records,
+    rules,
+)
+
+_CALLS = 20000
+_ACCOUNTS = (5, 500, 20000)
+_REPEATS = 200
+_KEY = b"a key for measuring"
+
+
+def _seconds(work: Callable[[], object], repeats: int) -> float:
+    started = time.perf_counter()
+    for _ in range(repeats):
+        work()
+    return (time.perf_counter() - started) / repeats
+
+
+def _calls() -> list[report.Measure]:
+    """Folds claims and their results."""
+    listed = []
+    for number in range(_CALLS):
+        key = str(uuid6.uuid7())
+        claim = records.Claim(f"claim-{number}", "account", key, "digest")
+        result = records.Result(claim.claim_id, "account", key, "answer", 1)
+        listed += [claim, result]
+    now = time.time()
+    tracemalloc.start()
+    state = calls.CallState()
+    for offset, body in enumerate(listed):
+        calls.fold(state, records.Record(offset, now, body))
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    state = calls.CallState()
+    started = time.perf_counter()
+    for offset, body in enumerate(listed):
+        calls.fold(state, records.Record(offset, now, body))
+    elapsed_s = time.perf_counter() - started
+    return [
+        report.Measure("calls: us a record", elapsed_s / len(listed) * 1e6),
+        report.Measure("calls: bytes a key held", held / _CALLS),
+    ]
+
+
+def _document(accounts: int) -> dict:
+    return {
+        "time_zone": "UTC",
+        "pools": {"encode": overhead.call_pool("encode")},
+        "accounts": {
+            f"account-{number}": {
+                "key_sha256": keys.key_digest(str(number)),
+                "weight": 1,
+            }
+            for number in range(accounts)
+        },
+        "pipelines": {"one": {"stages": ["encode"]}},
+        "schedule": {},
+    }
+
+
+def _configuration(accounts: int) -> list[report.Measure]:
+    """Folds one change of one account and indexes the result."""
+    document = _document(accounts)
+    path = "/accounts/account-1/weight"
+    patch = [{"op": "replace", "path": path, "value": 2}]
+    state = configuration.ConfigState(0, 0, document)
+    record = records.Record(1, 0.0, records.Publish("p", 0, patch, ""))
+    fold_s = _seconds(lambda: configuration.fold(state, record), 3)
+    index_s = _seconds(lambda: rules.RuleBook(document), 3)
+    name = f"configuration, {accounts} accounts: "
+    return [
+        report.Measure(name + "ms a publish folded", fold_s * 1000),
+        report.Measure(name + "ms a version indexed", index_s * 1000),
+    ]
+
+
+def _gossip() -> list[report.Measure]:
+    """Encodes and decodes datagrams with and without news."""
+    own = membership.Member("entry-100", "10.0.0.100:8081", "fukuoka", 10**12)
+    found = []
+    for news in (0, membership.MAX_NEWS_PER_MESSAGE):
+        gossip = messages.Gossip(
+            "ping", own, own.address, 10**6, 10**6, members=(own,) * news
+        )
+        frame = messages.encode_gossip(_KEY, gossip)
+        encode_s = _seconds(
+            lambda gossip=gossip: messages.encode_gossip(_KEY, gossip),
+            _REPEATS,
+        )
+        decode_s = _seconds(
+            lambda frame=frame: messages.decode_gossip(_KEY, frame), _REPEATS
+        )
+        name = f"gossip, {news} news: "
+        found += [
+            report.Measure(name + "bytes a datagram", len(frame)),
+            report.Measure(name + "us to encode", encode_s * 1e6),
+            report.Measure(name + "us to decode", decode_s * 1e6),
+        ]
+    return found
+
+
+def _spread(members: int) -> report.Measure:
+    """Counts periods until news of one member reaches all, by pings alone."""
+    rng = random.Random(members)
+    knows = {0}
+    periods = 0
+    while len(knows) < members:
+        periods += 1
+        for sender in range(members):
+            target = rng.randrange(members)
+            if sender in knows or target in knows:
+                # The ping and its ack carry news both ways.
+                knows |= {sender, target}
+    name = f"gossip, {members} routers: s until all have heard"
+    return report.Measure(
+        name, periods * membership.PROBE_PERIOD_S, at_most=4.0
+    )
+
+
+def measure() -> list[report.Measure]:
+    """Measures all slopes."""
+    found = _calls()
+    for accounts in _ACCOUNTS:
+        found += _configuration(accounts)
+    found += _gossip()
+    found += [_spread(members) for members in (8, 32, 350)]
+    return found
+
+
+if __name__ == "__main__":
+    report.print_measures(measure())
