Let no waiter hold up the queue behind it

Cause: read on review: the queue stopped at the first waiter that no free endpoint suited, so that one thin or already tried request kept others from idle endpoints; and a new arrival could pass the queue. Endpoints that left the list were kept for ever. Change: serving goes on to the next waiter while any endpoint has room; arrivals queue too; endpoints off the list are forgotten once idle.

--- a/chervilarch/endpoints.py
+++ b/chervilarch/endpoints.py
@@ -103,8 +103,10 @@
                             entry.address, entry.incarnation
                         )
                     )
-            for endpoint in self._endpoints.values():
+            for endpoint in list(self._endpoints.values()):
                 endpoint.listed = endpoint.address in listed
+                if not endpoint.listed and not endpoint.slots:
+                    del self._endpoints[endpoint.address]
             self._rebuild_pools()
             for pool in list(self._queues):
                 self._serve_queue(pool)
@@ -131,11 +133,11 @@
         """Takes a slot, waiting up to `timeout_s` in the pool's queue."""
         now = self._clock.monotonic()
         with self._lock:
-            slot = self._try_slot(work, now)
-            if slot is not None:
-                return slot
             waiter = _Waiter(work, next(self._numbers))
             self._queues[work.pool].append(waiter)
+            self._serve_queue(work.pool)
+            if waiter.slot is not None:
+                return waiter.slot
         self._await_slot(waiter, now + self._wait_bound_s(work, timeout_s, now))
         with self._lock:
             if waiter.slot is not None:
@@ -363,13 +365,23 @@
             return
         now = self._clock.monotonic()
         for waiter in self._serving_order(pool, now):
+            if not self._has_room(pool, now):
+                return
             slot = self._try_slot(waiter.work, now)
             if slot is None:
-                return
+                # What is free doesn't suit this one; it may suit the next.
+                continue
             queue.remove(waiter)
             waiter.slot = slot
             waiter.ready.set()
 
+    def _has_room(self, pool: str, now: float) -> bool:
+        """Tells whether any endpoint of a pool may take an attempt."""
+        return any(
+            choice.has_room(endpoint.view(now, 0.0))
+            for endpoint in self._open_endpoints(pool, now)
+        )
+
     def _serving_order(self, pool: str, now: float) -> list[_Waiter]:
         """Returns the waiters by priority, then age.
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,6 +1,8 @@
 """Pure decisions: choice, limits, admission, shares and budgets."""
 
+import concurrent.futures
 import random
+import threading
 
 import pytest
 
@@ -238,3 +240,29 @@
     for _ in range(500):
         state = limits.after_answer(state, rng.lognormvariate(-2, 0.3), 8)
     assert state.limit >= limits.FIRST_LIMIT
+
+
+def test_a_waiter_that_nothing_suits_holds_up_nobody(table, clock):
+    table.update_list([entry("x"), entry("y")])
+    pool = endpoint_state.Work("pool")
+    slots = [table.acquire(pool, 0) for _ in range(8)]
+    tried_x = endpoint_state.Work("pool", exclude=frozenset("x"))
+    with concurrent.futures.ThreadPoolExecutor(2) as threads:
+        first = threads.submit(table.acquire, tried_x, 1e9)
+        while not table._queues["pool"]:
+            threading.Event().wait(0.001)
+        second = threads.submit(table.acquire, pool, 1e9)
+        while len(table._queues["pool"]) < 2:
+            threading.Event().wait(0.001)
+        by_address = {slot.endpoint.address: slot for slot in slots}
+        table.abandon(by_address["x"])
+        got = second.result(10)
+        assert got.endpoint.address == "x"
+        table.abandon(by_address["y"])
+        assert first.result(10).endpoint.address == "y"
+
+
+def test_an_endpoint_that_left_the_list_is_forgotten(table):
+    table.update_list([entry("x"), entry("y")])
+    table.update_list([entry("y")])
+    assert [item["address"] for item in table.describe()] == ["y"]
