--- a/chervilarch/plan_args.py
+++ b/chervilarch/plan_args.py
@@ -3,7 +3,7 @@
 import argparse
 import pathlib
 
-from chervilarch import __version__
+from chervilarch import __version__, operator_args
 
 _EPILOG = """examples:
   chervilarch-plan check --sheet day.csv --deployment deployment.json
@@ -37,14 +37,14 @@
 def _add_check(commands) -> None:
     parser = commands.add_parser("check", help="check a sheet")
     _add_sources(parser)
-    _add_json(parser)
+    operator_args.add_json(parser)
 
 
 def _add_diff(commands) -> None:
     parser = commands.add_parser("diff", help="show what a sheet would change")
     _add_sources(parser)
     _add_log(parser)
-    _add_json(parser)
+    operator_args.add_json(parser)
 
 
 def _add_publish(commands) -> None:
@@ -61,7 +61,7 @@
     parser.add_argument(
         "--timeout-s", type=float, default=10.0, help="longest wait"
     )
-    _add_json(parser)
+    operator_args.add_json(parser)
 
 
 def _add_show(commands) -> None:
@@ -73,15 +73,7 @@
     parser = commands.add_parser(
         "wait", help="wait until a version is in force on every live router"
     )
-    parser.add_argument(
-        "--router", required=True, metavar="IP:PORT", help="any router"
-    )
-    parser.add_argument(
-        "--key-file",
-        required=True,
-        type=pathlib.Path,
-        help="file with the operator's key",
-    )
+    operator_args.add_router(parser)
     # The top parser's --version prints the program's version.
     parser.add_argument(
         "--version",
@@ -94,7 +86,7 @@
     parser.add_argument(
         "--timeout-s", type=float, default=30.0, help="longest wait"
     )
-    _add_json(parser)
+    operator_args.add_json(parser)
 
 
 def _add_sources(parser: argparse.ArgumentParser) -> None:
@@ -115,11 +107,9 @@
 
 def _add_log(parser: argparse.ArgumentParser) -> None:
     parser.add_argument(
-        "--log", required=True, metavar="IP:PORT", help="the platform's log"
-    )
-
-
-def _add_json(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument(
-        "--json", action="store_true", help="print JSON for machines"
+        "--log",
+        required=True,
+        type=operator_args.address,
+        metavar="IP:PORT",
+        help="the platform's log",
     )
--- a/chervilarch/status_args.py
+++ b/chervilarch/status_args.py
@@ -1,9 +1,8 @@
 """Arguments of `chervilarch-status`."""
 
 import argparse
-import pathlib
 
-from chervilarch import __version__
+from chervilarch import __version__, operator_args
 
 _EPILOG = """examples:
   chervilarch-status --router 10.0.0.1:8080 --key-file operator.key
@@ -22,18 +21,8 @@
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
     parser.add_argument("--version", action="version", version=__version__)
-    parser.add_argument(
-        "--router", required=True, metavar="IP:PORT", help="any router"
-    )
-    parser.add_argument(
-        "--key-file",
-        required=True,
-        type=pathlib.Path,
-        help="file with the operator's key",
-    )
-    parser.add_argument(
-        "--json", action="store_true", help="print JSON for machines"
-    )
+    operator_args.add_router(parser)
+    operator_args.add_json(parser)
     commands = parser.add_subparsers(dest="command")
     explain = commands.add_parser(
         "explain", help="tell what was decided for a request"
--- a/model/calls_model.py
+++ b/model/calls_model.py
@@ -14,6 +14,7 @@
 import minicheck
 
 from chervilarch import calls, records
+from model import system
 
 ACCOUNT = "a"
 _MADE_AT = 1_000_000.0
@@ -385,22 +386,11 @@
 
 def build(size: Size, rules: Rules) -> minicheck.Protocol:
     """Returns the transition system for the model checker."""
-
-    def transitions(values: tuple) -> list[tuple[str, tuple]]:
-        state = State(*values)
-        return [
-            (label, tuple(following))
-            for label, following in _steps(state, rules)
-            if following != state
-        ]
-
-    return minicheck.Protocol(
-        name="calls",
-        candidate=False,
-        fields=State._fields,
-        initial=tuple(initial(size)),
-        transitions=transitions,
-        invariants=INVARIANTS,
+    return system.build(
+        "calls",
+        initial(size),
+        lambda state: _steps(state, rules),
+        INVARIANTS,
     )
 
 
--- a/model/config_model.py
+++ b/model/config_model.py
@@ -11,6 +11,7 @@
 import minicheck
 
 from chervilarch import configuration, records
+from model import system
 
 
 class Rules(NamedTuple):
@@ -340,20 +341,9 @@
 
 def build(size: Size, rules: Rules) -> minicheck.Protocol:
     """Returns the transition system for the model checker."""
-
-    def transitions(values: tuple) -> list[tuple[str, tuple]]:
-        state = State(*values)
-        return [
-            (label, tuple(following))
-            for label, following in _steps(state, rules)
-            if following != state
-        ]
-
-    return minicheck.Protocol(
-        name="configuration",
-        candidate=False,
-        fields=State._fields,
-        initial=tuple(initial(size)),
-        transitions=transitions,
-        invariants=INVARIANTS,
+    return system.build(
+        "configuration",
+        initial(size),
+        lambda state: _steps(state, rules),
+        INVARIANTS,
     )
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -97,3 +97,11 @@
     )
     assert status.run(args, env) == ExitStatus.UNAVAILABLE
     assert env.stderr.getvalue().count("\n") == 1
+
+
+def test_an_address_by_name_is_refused_with_the_remedy(capsys):
+    argv = ["--router", "entry.example:80", "--key-file", "k"]
+    with pytest.raises(SystemExit) as caught:
+        status_args.build_parser().parse_args(argv)
+    assert caught.value.code == ExitStatus.USAGE
+    assert "write it as 10.0.0.1:8080" in capsys.readouterr().err
