Keep long work to half of a pool while there is any

Ruled out: the routers' queues; short work waited at the endpoints behind long work of other routers, which a router can't see in time. Change: work of 8 units or more goes to half of a pool's endpoints, the same on every host by hash; short work trusts those less while there is long work.

--- a/chervilarch/choice.py
+++ b/chervilarch/choice.py
@@ -5,6 +5,7 @@
 load count less the older they are.
 """
 
+import math
 import random
 import zlib
 from collections.abc import Sequence
@@ -18,6 +19,12 @@
 REMOTE_PENALTY = 1.3
 # Above this share of its limit, the own data centre spills.
 SPILL_SHARE = 0.8
+# Work of this many units or more is long.
+LONG_UNITS = 8.0
+# Long work is kept to this share of a pool's endpoints.
+LONG_SHARE = 0.5
+# Short work trusts those endpoints less while there is long work.
+SHORT_TRUST = 0.4
 MIN_LATENCY_S = 0.001
 # Time left, in unloaded times, for an endpoint to be in time.
 TIMELY_MARGIN = 1.1
@@ -66,6 +73,41 @@
     return unit_s * (1.0 + load) * penalty / max(0.05, view.trust)
 
 
+def is_long(units: float) -> bool:
+    """Tells whether work is so long that it is kept to a part of a pool."""
+    return units >= LONG_UNITS
+
+
+def long_homes(views: Sequence[EndpointView]) -> frozenset[str]:
+    """Returns the endpoints for long work, the same on every host."""
+    ranked = sorted(views, key=lambda view: zlib.crc32(view.address.encode()))
+    count = math.ceil(LONG_SHARE * len(ranked))
+    return frozenset(view.address for view in ranked[:count])
+
+
+def part_for_length(
+    views: Sequence[EndpointView], units: float, long_work_seen: bool
+) -> list[EndpointView]:
+    """Keeps long work to its endpoints, and short work from them if it can.
+
+    Args:
+        views: endpoints of a pool.
+        units: size of the work.
+        long_work_seen: whether the pool had long work lately.
+    """
+    if len(views) < 2 or not (long_work_seen or is_long(units)):
+        return list(views)
+    homes = long_homes(views)
+    if is_long(units):
+        return [view for view in views if view.address in homes]
+    return [
+        view._replace(trust=view.trust * SHORT_TRUST)
+        if view.address in homes
+        else view
+        for view in views
+    ]
+
+
 def timely(
     views: Sequence[EndpointView], units: float, remaining_s: float
 ) -> list[EndpointView]:
--- a/chervilarch/endpoints.py
+++ b/chervilarch/endpoints.py
@@ -20,6 +20,8 @@
     state_log,
 )
 
+# How long a pool counts as having long work.
+LONG_MEMORY_S = 30.0
 # A waiter's time left, in unloaded times, below which it gives way.
 _SLACK = 1.35
 # How often the first waiter of a queue looks for an endpoint by itself.
@@ -84,6 +86,9 @@
         self._left: dict[str, int] = {}
         self._queues: dict[str, list[_Waiter]] = collections.defaultdict(list)
         self._pledged: collections.Counter[str] = collections.Counter()
+        self._long_at: dict[str, float] = collections.defaultdict(
+            lambda: float("-inf")
+        )
         self._numbers = itertools.count()
 
     def update_list(
@@ -279,11 +284,10 @@
     ) -> endpoint_state.Slot | None:
         open_endpoints = self._open_endpoints(work.pool, now)
         default_s = endpoint_state.mean_latency_s(open_endpoints, now)
-        views = [
-            endpoint.view(now, default_s)
-            for endpoint in open_endpoints
-            if endpoint.address not in work.exclude
-        ]
+        views = [endpoint.view(now, default_s) for endpoint in open_endpoints]
+        long_seen = now - self._long_at[work.pool] < LONG_MEMORY_S
+        views = choice.part_for_length(views, work.units, long_seen)
+        views = [view for view in views if view.address not in work.exclude]
         timely = choice.timely(views, work.units, work.finish_by - now)
         chosen = choice.choose(timely, self._rng, work.prefix)
         if chosen is None:
@@ -298,6 +302,8 @@
         endpoint.slots[slot.number] = slot
         endpoint.started_at = now
         endpoint.units += work.units
+        if choice.is_long(work.units):
+            self._long_at[work.pool] = now
         return slot
 
     def _await_slot(self, waiter: _Waiter, until: float) -> None:
