Double a limit until it first shrinks; let streams slow each other

Change: streams have a band of their own; a limit grows by one an answer until it first shrinks (test failed first).

--- a/chervilarch/call_stage.py
+++ b/chervilarch/call_stage.py
@@ -89,6 +89,7 @@
             self.req.rule.priority,
             exclude=frozenset(self.tried),
             finish_by=self.req.deadline_at - self._reserve_s,
+            is_stream=self.stage.protocol == rules.PROTOCOL_STREAM,
         )
         slot = self.ctrl.endpoints.acquire(work, timeout_s)
         if isinstance(slot, endpoints.NoSlot):
--- a/chervilarch/endpoint_state.py
+++ b/chervilarch/endpoint_state.py
@@ -35,6 +35,7 @@
         prefix: start of a prompt that an endpoint may have cached.
         exclude: addresses that were tried already.
         finish_by: monotonic time by which the work must be done.
+        is_stream: whether the answer is a stream of tokens.
     """
 
     pool: str
@@ -43,6 +44,7 @@
     prefix: bytes = b""
     exclude: frozenset[str] = frozenset()
     finish_by: float = float("inf")
+    is_stream: bool = False
 
 
 class Slot:
@@ -121,12 +123,16 @@
         self.suspicions += 1
         self.suspect_until = now + period_s
 
-    def note_success(self, unit_s: float, now: float) -> None:
+    def note_success(self, slot: Slot, elapsed_s: float, now: float) -> None:
         """Learns from an answer."""
+        unit_s = elapsed_s / max(1.0, slot.work.units)
         self.failures = 0
         self.answered_at = now
         in_flight = len(self.slots) + 1
-        self.learnt = limits.after_answer(self.learnt, unit_s, in_flight)
+        tolerance = limits.STREAMS if slot.work.is_stream else limits.CALLS
+        self.learnt = limits.after_answer(
+            self.learnt, unit_s, in_flight, tolerance
+        )
         if unit_s <= _CLEARING_RATIO * self.learnt.base_s:
             self.suspicions = 0
             self.suspect_until = float("-inf")
--- a/chervilarch/endpoints.py
+++ b/chervilarch/endpoints.py
@@ -160,9 +160,8 @@
             endpoint = self._remove_slot(slot)
             if endpoint is None:
                 return
-            unit_s = elapsed_s / max(1.0, slot.work.units)
             if succeeded:
-                endpoint.note_success(unit_s, now)
+                endpoint.note_success(slot, elapsed_s, now)
             else:
                 self._note_failure(endpoint, now)
             self._serve_queue(slot.work.pool)
--- a/chervilarch/limits.py
+++ b/chervilarch/limits.py
@@ -11,10 +11,6 @@
 MIN_LIMIT = 0.2
 MAX_LIMIT = 256.0
 FIRST_LIMIT = 4.0
-# Below this ratio of present to unloaded time the limit grows.
-GROW_BELOW = 1.1
-# Above this one it shrinks.
-SHRINK_ABOVE = 1.25
 # Times shorter than this say nothing about load, in seconds.
 NOISE_S = 0.005
 _SHRINK_FACTOR = 0.9
@@ -32,6 +28,23 @@
 FORGET_HALF_LIFE_S = 2.0
 
 
+class Tolerance(NamedTuple):
+    """Which ratios of present to unloaded time change a limit.
+
+    Attributes:
+        grow_below: below this one it grows.
+        shrink_above: above this one it shrinks.
+    """
+
+    grow_below: float
+    shrink_above: float
+
+
+CALLS = Tolerance(1.1, 1.25)
+# Engines batch: each stream slows while all together gain.
+STREAMS = Tolerance(2.0, 3.0)
+
+
 class LimitState(NamedTuple):
     """What is learnt of an endpoint from its answers.
 
@@ -41,6 +54,7 @@
         latency_s: smoothed time of a work unit.
         deviation_s: smoothed distance of answers from `latency_s`.
         average_s: slow average, which uneven work alone moves little.
+        has_shrunk: whether the limit ever shrank; until then it doubles.
     """
 
     limit: float = FIRST_LIMIT
@@ -48,10 +62,14 @@
     latency_s: float = 0.0
     deviation_s: float = 0.0
     average_s: float = 0.0
+    has_shrunk: bool = False
 
 
 def after_answer(
-    state: LimitState, unit_s: float, in_flight: int
+    state: LimitState,
+    unit_s: float,
+    in_flight: int,
+    tolerance: Tolerance = CALLS,
 ) -> LimitState:
     """Returns the state after an answer that took `unit_s` a work unit."""
     if state.base_s == 0.0:
@@ -63,13 +81,18 @@
         distance_s - state.deviation_s
     )
     latency_s = _smooth(state.latency_s, unit_s)
-    limit = _follow(state.limit, base_s, average_s, in_flight)
-    return LimitState(limit, base_s, latency_s, deviation_s, average_s)
+    ratio = max(0.0, average_s - NOISE_S) / base_s
+    limit = _follow(state, ratio, in_flight, tolerance)
+    has_shrunk = state.has_shrunk or limit < state.limit
+    return LimitState(
+        limit, base_s, latency_s, deviation_s, average_s, has_shrunk
+    )
 
 
 def after_failure(state: LimitState) -> LimitState:
     """Returns the state after a failed or timed-out attempt."""
-    return state._replace(limit=_clamp(state.limit * _FAILURE_FACTOR))
+    limit = _clamp(state.limit * _FAILURE_FACTOR)
+    return state._replace(limit=limit, has_shrunk=True)
 
 
 def after_at_least(state: LimitState, unit_s: float) -> LimitState:
@@ -93,14 +116,16 @@
 
 
 def _follow(
-    limit: float, base_s: float, average_s: float, in_flight: int
+    state: LimitState, ratio: float, in_flight: int, tolerance: Tolerance
 ) -> float:
-    if average_s > SHRINK_ABOVE * base_s + NOISE_S:
+    limit = state.limit
+    if ratio > tolerance.shrink_above:
         return _clamp(limit * _SHRINK_FACTOR)
     is_used = in_flight >= _USED_SHARE * limit
-    if is_used and average_s < GROW_BELOW * base_s + NOISE_S:
-        return _clamp(limit + _GROWTH / max(1.0, limit))
-    return limit
+    if not is_used or ratio >= tolerance.grow_below:
+        return limit
+    growth = _GROWTH / max(1.0, limit) if state.has_shrunk else 1.0
+    return _clamp(limit + growth)
 
 
 def _smooth(latency_s: float, unit_s: float) -> float:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -266,3 +266,21 @@
     table.update_list([entry("x"), entry("y")])
     table.update_list([entry("y")])
     assert [item["address"] for item in table.describe()] == ["y"]
+
+
+def test_batching_engines_may_slow_each_stream():
+    state = limits.after_answer(limits.LimitState(), 0.1, 1, limits.STREAMS)
+    for _ in range(100):
+        state = limits.after_answer(state, 0.15, 8, limits.STREAMS)
+    assert state.limit > limits.FIRST_LIMIT
+
+
+def test_a_limit_starts_by_doubling_until_it_first_shrinks():
+    state = limits.LimitState()
+    for _ in range(60):
+        state = limits.after_answer(state, 0.1, 200)
+    assert state.limit >= 60
+    state = learn(0.4, 10, state=state)
+    before = state.limit
+    state = learn(0.1, 5, in_flight=200, state=state)
+    assert state.limit <= before + 5 * 0.5
