Refuse what a whole pool is too slow for

Cause: make demo from a fresh clone failed: a request with 5 ms left was admitted and ran. Admission left out the endpoints that can't be in time, and with none left it knew nothing of the pool and let everything through. Ruled out: the filter's order; the estimate itself was empty. Change: a pool without an endpoint in time is reckoned by its fastest known one, and so is an endpoint not known yet. Measured: both tests failed first; make demo ends with exit status 0.

--- a/chervilarch/endpoints.py
+++ b/chervilarch/endpoints.py
@@ -211,26 +211,25 @@
     def estimate(
         self, pool: str, units: float, remaining_s: float
     ) -> PoolEstimate:
-        """Returns what to expect of the endpoints that could be in time."""
+        """Returns what to expect of the endpoints that could be in time.
+
+        An endpoint that isn't known yet is taken for the fastest known one.
+        """
         now = self._clock.monotonic()
         with self._lock:
-            endpoints = [
+            least_s = self._least_base_s(pool, now)
+            timely = [
                 endpoint
                 for endpoint in self._open_endpoints(pool, now)
-                if endpoint.learnt.base_s * units <= remaining_s
+                if (endpoint.learnt.base_s or least_s) * units <= remaining_s
             ]
-            limit = sum(endpoint.learnt.limit for endpoint in endpoints)
+            if not timely:
+                return PoolEstimate(0.0, least_s, least_s, 0.0)
+            limit = sum(endpoint.learnt.limit for endpoint in timely)
             ahead = self._pledged[pool] + len(self._queues[pool])
-            ahead += sum(len(endpoint.slots) for endpoint in endpoints)
-            unit_s = endpoint_state.mean_latency_s(endpoints, now)
-            known = [
-                endpoint.learnt.base_s
-                for endpoint in endpoints
-                if endpoint.learnt.base_s > 0
-            ]
-        return PoolEstimate(
-            limit, unit_s, min(known, default=0.0), ahead + 1 - limit
-        )
+            ahead += sum(len(endpoint.slots) for endpoint in timely)
+            unit_s = endpoint_state.mean_latency_s(timely, now)
+        return PoolEstimate(limit, unit_s, least_s, ahead + 1 - limit)
 
     def describe(self) -> list[dict]:
         """Returns the state of each endpoint for the status page."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -284,3 +284,12 @@
     before = state.limit
     state = learn(0.1, 5, in_flight=200, state=state)
     assert state.limit <= before + 5 * 0.5
+
+
+@pytest.mark.parametrize("others", [[], ["y"]])
+def test_a_pool_that_is_too_slow_is_known_to_be(table, others):
+    table.update_list([entry(name) for name in ["x", *others]])
+    work = endpoint_state.Work("pool", exclude=frozenset(others))
+    table.finish(table.acquire(work, 0), 0.2, True)
+    estimate = table.estimate("pool", 1.0, 0.005)
+    assert estimate.best_s == pytest.approx(0.2)
