Tell a broken connection from a late answer; keep turns within a retention

Cause: with a pool down, 225 attempts were made for 200 requests (bound 220): a connection broken at once counted as late under load, so nothing was ejected.

--- a/chervilarch/attempts.py
+++ b/chervilarch/attempts.py
@@ -21,6 +21,7 @@
     REJECTED = "rejected"
     FAILED = "failed"
     LOST = "lost"
+    LATE = "late"
     NOT_OWN = "not own"
 
 
@@ -99,8 +100,7 @@
 def judge(result: exchanges.TransferResult, attempt_id: str) -> Good | Bad:
     """Decides what a transfer's result says of its attempt."""
     if isinstance(result, exchanges.TransferFailure):
-        kind = BadKind.LOST if result.sent else BadKind.NOT_SENT
-        return Bad(kind, f"{result.kind.value}: {result.detail}")
+        return Bad(_lost_kind(result), f"{result.kind.value}: {result.detail}")
     try:
         reply = msgspec.json.decode(result.body, type=dict)
     except msgspec.DecodeError as exc:
@@ -120,6 +120,14 @@
     return Bad(BadKind.FAILED, detail)
 
 
+def _lost_kind(failure: exchanges.TransferFailure) -> BadKind:
+    if not failure.sent:
+        return BadKind.NOT_SENT
+    if failure.kind is exchanges.FailureKind.TIMED_OUT:
+        return BadKind.LATE
+    return BadKind.LOST
+
+
 def reported_load(result: exchanges.TransferResult | None) -> float | None:
     """Returns the load that a reply reports, or None."""
     if not isinstance(result, exchanges.Reply):
--- a/chervilarch/call_stage.py
+++ b/chervilarch/call_stage.py
@@ -192,8 +192,8 @@
         ):
             self.ctrl.endpoints.abandon(slot)
             return
-        is_lost = judged.kind is attempts.BadKind.LOST
-        if is_lost and elapsed_s < SILENT_FACTOR * slot.expected_s:
+        is_late = judged.kind is attempts.BadKind.LATE
+        if is_late and elapsed_s < SILENT_FACTOR * slot.expected_s:
             # The deadline came first; that is load, not a failure.
             self.ctrl.endpoints.finish_late(slot, elapsed_s)
             return
--- a/chervilarch/config_controller.py
+++ b/chervilarch/config_controller.py
@@ -28,6 +28,8 @@
 _CHECK_PERIOD_S = 0.2
 # Hosts take turns, so that one snapshot is written rather than one a host.
 _TURN_S = 1.0
+# A turn is no longer than this share of the retention.
+_TURN_SHARE = 0.05
 
 
 class PeerOffer(NamedTuple):
@@ -50,7 +52,8 @@
         retention_s: how long the log keeps records.
         turn: this host's place in the order of live hosts.
     """
-    return base_age_s >= retention_s * SNAPSHOT_SHARE + turn * _TURN_S
+    turn_s = min(_TURN_S, retention_s * _TURN_SHARE)
+    return base_age_s >= retention_s * SNAPSHOT_SHARE + turn * turn_s
 
 
 class ConfigController:
--- a/chervilarch/stream_stage.py
+++ b/chervilarch/stream_stage.py
@@ -90,7 +90,7 @@
     while True:
         remaining_s = run.remaining_s()
         if remaining_s <= 0:
-            return attempts.Bad(attempts.BadKind.LOST, "deadline passed")
+            return attempts.Bad(attempts.BadKind.LATE, "deadline passed")
         chunk = stream.read(min(wait_s, remaining_s))
         if chunk is None:
             return attempts.Bad(attempts.BadKind.LOST, "the stream is silent")
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -106,6 +106,13 @@
             attempts.BadKind.LOST,
             False,
         ),
+        (
+            exchanges.TransferFailure(
+                exchanges.FailureKind.TIMED_OUT, "", True
+            ),
+            attempts.BadKind.LATE,
+            False,
+        ),
         (reply(200, {"attempt_id": "b"}), attempts.BadKind.NOT_OWN, False),
         (reply(200, {"attempt_id": "a"}), attempts.BadKind.FAILED, False),
         (reply(500, {"attempt_id": "a"}), attempts.BadKind.FAILED, False),
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -151,3 +151,7 @@
         for turn in range(3)
     ]
     assert due == [True, True, False]
+
+
+def test_turns_are_over_before_a_short_retention_ends():
+    assert config_controller.is_snapshot_due(1.5, 3.0, 3)
