Keep ejection and room with the endpoint's own state

Change: Endpoint.has_room and Endpoint.note_failure; choice.may_take is the one rule for room. Behaviour and bounds are the same.

--- a/chervilarch/choice.py
+++ b/chervilarch/choice.py
@@ -118,9 +118,12 @@
 
 def has_room(view: EndpointView) -> bool:
     """Tells whether an endpoint may take one more attempt."""
-    if view.is_pausing:
-        return False
-    return view.in_flight + 1 <= max(1.0, view.limit)
+    return may_take(view.in_flight, view.limit, view.is_pausing)
+
+
+def may_take(in_flight: int, limit: float, is_pausing: bool) -> bool:
+    """Tells whether a limit leaves room for one more attempt."""
+    return not is_pausing and in_flight + 1 <= max(1.0, limit)
 
 
 def choose(
--- a/chervilarch/endpoint_state.py
+++ b/chervilarch/endpoint_state.py
@@ -108,9 +108,18 @@
             self.load,
             now - self.load_at,
             self._trust(now),
-            now - self.started_at < limits.pause_s(self.learnt),
+            self._is_pausing(now),
         )
 
+    def has_room(self, now: float) -> bool:
+        """Tells whether one more attempt may be sent here."""
+        return choice.may_take(
+            len(self.slots), self.learnt.limit, self._is_pausing(now)
+        )
+
+    def _is_pausing(self, now: float) -> bool:
+        return now - self.started_at < limits.pause_s(self.learnt)
+
     def is_open(self, now: float) -> bool:
         """Tells whether the endpoint may get new work at all."""
         return self.listed and not self.leaving and now >= self.ejected_until
@@ -139,6 +148,18 @@
         if now - self.ejected_until > RETURN_S:
             self.ejections = 0
 
+    def note_failure(self, now: float) -> float | None:
+        """Learns from a failure; returns for how long it ejects, if it does."""
+        self.failures += 1
+        self.learnt = limits.after_failure(self.learnt)
+        if self.failures < EJECT_AFTER or now < self.ejected_until:
+            return None
+        eject_s = min(MAX_EJECT_S, EJECT_S * 2**self.ejections)
+        self.ejections += 1
+        self.failures = 0
+        self.ejected_until = now + eject_s
+        return eject_s
+
     def note_at_least(self, slot: Slot, elapsed_s: float, now: float) -> None:
         """Learns from an attempt that would have taken longer than this."""
         unit_s = elapsed_s / max(1.0, slot.work.units)
--- a/chervilarch/endpoints.py
+++ b/chervilarch/endpoints.py
@@ -340,20 +340,9 @@
     def _note_failure(
         self, endpoint: endpoint_state.Endpoint, now: float
     ) -> None:
-        endpoint.failures += 1
-        endpoint.learnt = limits.after_failure(endpoint.learnt)
-        if (
-            endpoint.failures < endpoint_state.EJECT_AFTER
-            or now < endpoint.ejected_until
-        ):
+        eject_s = endpoint.note_failure(now)
+        if eject_s is None:
             return
-        eject_s = min(
-            endpoint_state.MAX_EJECT_S,
-            endpoint_state.EJECT_S * 2**endpoint.ejections,
-        )
-        endpoint.ejections += 1
-        endpoint.failures = 0
-        endpoint.ejected_until = now + eject_s
         self._metrics.count("endpoints.ejected")
         state_log.log_fault(
             "endpoint ejected",
@@ -382,7 +371,7 @@
     def _has_room(self, pool: str, now: float) -> bool:
         """Tells whether any endpoint of a pool may take an attempt."""
         return any(
-            choice.has_room(endpoint.view(now, 0.0))
+            endpoint.has_room(now)
             for endpoint in self._open_endpoints(pool, now)
         )
 
