--- a/chervilarch/attempts.py
+++ b/chervilarch/attempts.py
@@ -23,6 +23,7 @@
     LOST = "lost"
     LATE = "late"
     NOT_OWN = "not own"
+    INPUT_GONE = "input gone"
 
 
 class Good(NamedTuple):
@@ -48,6 +49,7 @@
             BadKind.NOT_SENT,
             BadKind.DECLINED,
             BadKind.LEAVING,
+            BadKind.INPUT_GONE,
         )
 
 
@@ -100,7 +102,7 @@
 def judge(result: exchanges.TransferResult, attempt_id: str) -> Good | Bad:
     """Decides what a transfer's result says of its attempt."""
     if isinstance(result, exchanges.TransferFailure):
-        return Bad(_lost_kind(result), f"{result.kind.value}: {result.detail}")
+        return Bad(lost_kind(result), f"{result.kind.value}: {result.detail}")
     try:
         reply = msgspec.json.decode(result.body, type=dict)
     except msgspec.DecodeError as exc:
@@ -120,7 +122,8 @@
     return Bad(BadKind.FAILED, detail)
 
 
-def _lost_kind(failure: exchanges.TransferFailure) -> BadKind:
+def lost_kind(failure: exchanges.TransferFailure) -> BadKind:
+    """Returns what a failed transfer says of its attempt."""
     if not failure.sent:
         return BadKind.NOT_SENT
     if failure.kind is exchanges.FailureKind.TIMED_OUT:
--- a/chervilarch/endpoint_state.py
+++ b/chervilarch/endpoint_state.py
@@ -154,6 +154,13 @@
         self.learnt = limits.after_failure(self.learnt)
         if self.failures < EJECT_AFTER or now < self.ejected_until:
             return None
+        return self._eject(now)
+
+    def note_unreachable(self, now: float) -> float | None:
+        """Ejects an endpoint that no connection reaches; returns how long."""
+        return None if now < self.ejected_until else self._eject(now)
+
+    def _eject(self, now: float) -> float:
         eject_s = min(MAX_EJECT_S, EJECT_S * 2**self.ejections)
         self.ejections += 1
         self.failures = 0
--- a/chervilarch/exchanges.py
+++ b/chervilarch/exchanges.py
@@ -30,6 +30,7 @@
         timeout_s: bound on the whole transfer in seconds.
         fresh: whether a new connection is opened and closed afterwards, so
             that libcurl can't send the request a second time by itself.
+        target: path and query to send exactly so, instead of the URL's.
     """
 
     method: str
@@ -38,6 +39,7 @@
     headers: tuple[str, ...] = ()
     timeout_s: float = 10.0
     fresh: bool = False
+    target: str = ""
 
 
 class Reply(NamedTuple):
--- /dev/null
+++ b/chervilarch/gateway.py
@@ -0,0 +1,241 @@
+"""`chervilarch-gateway`: the daemon on entry hosts of the users' platform."""
+
+import argparse
+import random
+import signal
+import sys
+from collections.abc import Sequence
+
+from chervilarch import (
+    budgets,
+    environment,
+    followers,
+    gateway_args,
+    gateway_settings,
+    inbound,
+    outgoing,
+    piece_runner,
+    placement,
+    serving,
+    settings,
+    state_log,
+    telemetry,
+)
+from chervilarch import loop as loops
+from chervilarch.exits import ExitStatus
+from chervilarch.platform import documents, wire
+from chervilarch.platform import store as platform_store
+from chervilarch.routed_context import RoutedControllers
+
+# The endpoint list is read this many times within the time after which a
+# leaving endpoint must get no new work.
+_LIST_READS_PER_BOUND = 2.5
+# The balancer asks once a second and takes a host out after two misses.
+_DRAIN_NOTICE_S = 2.5
+_DRAIN_POLL_S = 0.05
+# Time kept at the end of the grace period for the process to end.
+_EXIT_MARGIN_S = 0.5
+_TEXT = "text/plain; charset=utf-8"
+
+
+class Gateway:
+    """A running daemon: its controllers, its listeners and its signals."""
+
+    def __init__(
+        self,
+        cfg: gateway_settings.GatewaySettings,
+        env: environment.Environment,
+        meters: telemetry.Telemetry,
+    ):
+        self._cfg = cfg
+        self._loop = loops.Loop(env.clock)
+        self._meters = meters
+        self._phase = serving.Phase()
+        self._ctrl = build(cfg, self._loop, meters)
+        self._callers = inbound.Server(
+            self._loop,
+            cfg.caller_address,
+            serving.CallerHandler(self._ctrl, self._phase),
+        )
+        self._ready = inbound.Server(
+            self._loop, cfg.ready_address, serving.PageHandler(self._ready_page)
+        )
+        self._metrics = inbound.Server(
+            self._loop,
+            f"{cfg.ip}:{cfg.metrics_port}",
+            serving.PageHandler(self._metrics_page),
+        )
+        self._asked_to_stop = False
+        self._drain_began_at = 0.0
+        self._was_ready = False
+
+    def run(self) -> None:
+        """Serves until a shutdown has ended."""
+        self._ctrl.configuration.follower.start()
+        self._ctrl.endpoints.follower.start()
+        state_log.log_change(
+            "gateway started",
+            host=self._cfg.host,
+            data_centre=self._cfg.data_centre,
+            callers=self._cfg.caller_address,
+        )
+        self._check()
+        self._loop.run()
+        state_log.log_change("gateway stopped", host=self._cfg.host)
+
+    def ask_stop(self) -> None:
+        """Begins a graceful shutdown; safe in a signal handler."""
+        self._asked_to_stop = True
+        self._loop.wake()
+
+    def note_reload(self) -> None:
+        """Logs that new settings wait for the next start."""
+        state_log.log_change(
+            "settings read again", needs_restart="every changed field"
+        )
+
+    def not_ready_reason(self) -> str:
+        """Returns why the balancer should send nothing here, or ""."""
+        if self._phase.is_draining:
+            return "shutting down"
+        if self._ctrl.configuration.book is None:
+            return "no configuration yet"
+        if self._ctrl.endpoints.follower.read_at == float("-inf"):
+            return "the list of endpoints was not read yet"
+        return ""
+
+    def _check(self) -> None:
+        """Notices signals and changes of readiness."""
+        is_ready = not self.not_ready_reason()
+        if is_ready != self._was_ready:
+            self._was_ready = is_ready
+            state_log.log_change(
+                "readiness changed",
+                ready=is_ready,
+                reason=self.not_ready_reason(),
+            )
+        if self._asked_to_stop and not self._phase.is_draining:
+            self._begin_drain()
+        self._loop.call_later(_DRAIN_POLL_S, self._check)
+
+    def _begin_drain(self) -> None:
+        self._phase.is_draining = True
+        self._drain_began_at = self._loop.now()
+        state_log.log_change("drain started", in_flight=self._phase.in_flight)
+        self._loop.call_later(_DRAIN_NOTICE_S, self._stop_accepting)
+
+    def _stop_accepting(self) -> None:
+        self._callers.stop_accepting()
+        self._finish_drain()
+
+    def _finish_drain(self) -> None:
+        """Ends once nothing is in flight, or when the grace period ends."""
+        self._callers.close_idle()
+        grace_s = self._cfg.bounds.grace_s - _EXIT_MARGIN_S
+        is_over = self._loop.now() - self._drain_began_at >= grace_s
+        if is_over or not self._callers.connection_count():
+            if self._phase.in_flight:
+                state_log.log_fault(
+                    "requests cut off", in_flight=self._phase.in_flight
+                )
+            self._loop.stop()
+            return
+        self._loop.call_later(_DRAIN_POLL_S, self._finish_drain)
+
+    def _ready_page(self, target: str) -> tuple[int, str, bytes]:
+        if not wire.is_readiness_check(target):
+            return 404, _TEXT, b"no such page\n"
+        reason = self.not_ready_reason()
+        if reason:
+            return 503, _TEXT, f"not ready: {reason}\n".encode()
+        return 200, _TEXT, b"ready\n"
+
+    def _metrics_page(self, target: str) -> tuple[int, str, bytes]:
+        return 200, _TEXT, self._meters.text()
+
+
+def build(
+    cfg: gateway_settings.GatewaySettings,
+    loop: loops.Loop,
+    meters: telemetry.Telemetry,
+) -> RoutedControllers:
+    """Creates all controllers and connects them; nothing is started."""
+    rng = random.Random()
+    client = outgoing.Client(loop)
+    source = platform_store.StoreClient(client, cfg.store_address)
+    http = wire.HttpWire()
+    retry_budgets = budgets.PoolBudgets(
+        cfg.bounds.retry_share,
+        cfg.bounds.retry_fixed,
+        cfg.bounds.retry_window_s,
+    )
+    configuration = followers.ConfigFollower(
+        loop,
+        source,
+        platform_store.CONFIGURATION_KEY,
+        documents.decode_configuration,
+    )
+    endpoints = followers.EndpointFollower(
+        loop,
+        source,
+        documents.decode_endpoint,
+        cfg.bounds.drain_s / _LIST_READS_PER_BOUND,
+    )
+    place = placement.Placement(cfg.data_centre, loop.clock, rng)
+    runner = piece_runner.PieceRunner(
+        loop, client, http, retry_budgets, meters, endpoints.mark_gone
+    )
+    configuration.add_listener(lambda book: runner.set_pools(book.pools))
+    endpoints.add_listener(place.set_endpoints)
+    endpoints.add_listener(runner.set_endpoints)
+    return RoutedControllers(
+        loop=loop,
+        client=client,
+        wire=http,
+        configuration=configuration,
+        endpoints=endpoints,
+        placement=place,
+        piece_runner=runner,
+        retry_budgets=retry_budgets,
+        meters=meters,
+        rng=rng,
+    )
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Runs the program; returns its exit status."""
+    args = gateway_args.build_parser().parse_args(argv)
+    return run(args, environment.system_environment())
+
+
+def run(args: argparse.Namespace, env: environment.Environment) -> int:
+    """Runs a gateway until it is asked to stop."""
+    cfg = gateway_settings.load(args.settings)
+    if isinstance(cfg, settings.SettingsError):
+        return _fail(env, cfg.faults)
+    if args.check:
+        print(f"{args.settings}: settings are good", file=env.stdout)
+        return ExitStatus.OK
+    meters = telemetry.Telemetry()
+    handler = state_log.BoundedHandler(env.stdout.fileno())
+    handler.on_left_out = meters.count_left_out
+    state_log.set_up_bounded(handler)
+    try:
+        gateway = Gateway(cfg, env, meters)
+    except OSError as exc:
+        return _fail(env, [f"an address can't be bound: {exc}; free its port"])
+    signal.signal(signal.SIGTERM, lambda *_: gateway.ask_stop())
+    signal.signal(signal.SIGINT, lambda *_: gateway.ask_stop())
+    signal.signal(signal.SIGHUP, lambda *_: gateway.note_reload())
+    gateway.run()
+    return ExitStatus.OK
+
+
+def _fail(env: environment.Environment, faults: list[str]) -> int:
+    for fault in faults:
+        print(f"chervilarch-gateway: {fault}", file=env.stderr)
+    return ExitStatus.BAD_SETTINGS
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/chervilarch/gateway_settings.py
@@ -0,0 +1,69 @@
+"""Settings of a gateway: one JSON file, checked before anything starts."""
+
+import pathlib
+from typing import NamedTuple
+
+from chervilarch import schemas, settings
+
+
+class GatewayBounds(NamedTuple):
+    """What the deployment promises; times in seconds.
+
+    Attributes:
+        drain_s: time after which a leaving endpoint gets no new work.
+        config_s: time after which a new configuration is in force.
+        grace_s: time from SIGTERM until the process is killed.
+        retry_share: repeats allowed a request, over all hosts.
+        retry_fixed: further repeats allowed in a window, over all hosts.
+        retry_window_s: length of that window.
+    """
+
+    drain_s: float
+    config_s: float
+    grace_s: float
+    retry_share: float
+    retry_fixed: float
+    retry_window_s: float
+
+
+class GatewaySettings(NamedTuple):
+    """Everything a gateway is told before it starts.
+
+    Attributes:
+        host: name of this host.
+        data_centre: where it runs.
+        caller_address: where callers connect.
+        ready_address: where the balancer asks for readiness.
+        ip: address of this host for its peers.
+        peer_ports: first and last port that is free for peers.
+        metrics_port: port of the metrics page.
+        store_address: where the platform's store is.
+        bounds: what the deployment promises.
+    """
+
+    host: str
+    data_centre: str
+    caller_address: str
+    ready_address: str
+    ip: str
+    peer_ports: tuple[int, int]
+    metrics_port: int
+    store_address: str
+    bounds: GatewayBounds
+
+
+def load(path: pathlib.Path) -> GatewaySettings | settings.SettingsError:
+    """Reads and checks a settings file."""
+    document = settings.read_json(path)
+    if isinstance(document, settings.SettingsError):
+        return document
+    faults = schemas.check(document, schemas.GATEWAY_SETTINGS)
+    if faults:
+        return settings.SettingsError([f"{path}: {fault}" for fault in faults])
+    fields = {name: document[name] for name in GatewaySettings._fields}
+    bounds = fields["bounds"]
+    fields["bounds"] = GatewayBounds(
+        *(bounds[name] for name in GatewayBounds._fields)
+    )
+    fields["peer_ports"] = tuple(fields["peer_ports"])
+    return GatewaySettings(**fields)
--- /dev/null
+++ b/chervilarch/inbound.py
@@ -0,0 +1,423 @@
+"""HTTP/1.1 server on the event loop, with `h11` as its codec.
+
+Unlike a WSGI server it notices a caller that leaves while its request waits
+or runs, and an answer that ends early never looks complete.
+"""
+
+import selectors
+import socket
+from collections.abc import Callable, Iterable
+from typing import NamedTuple, Protocol
+
+import h11
+
+from chervilarch import loop as loops
+
+_RECV_BYTES = 64 * 1024
+_BACKLOG = 1024
+# A reader this far behind makes the sender wait.
+WRITE_HIGH_BYTES = 256 * 1024
+# More pipelined bytes than this are left in the kernel.
+_MAX_UNREAD_BYTES = 64 * 1024
+# Requests that come before there is a configuration are read within these.
+DEFAULT_HEADER_BYTES = 16 * 1024
+DEFAULT_BODY_BYTES = 4 * 1024 * 1024
+DEFAULT_HEADER_TIMEOUT_S = 3.0
+DEFAULT_IDLE_TIMEOUT_S = 15.0
+
+Headers = list[tuple[str, str]]
+
+
+class Limits(NamedTuple):
+    """What a caller may send, and how long it may take."""
+
+    header_bytes: int = DEFAULT_HEADER_BYTES
+    body_bytes: int = DEFAULT_BODY_BYTES
+    header_timeout_s: float = DEFAULT_HEADER_TIMEOUT_S
+    idle_timeout_s: float = DEFAULT_IDLE_TIMEOUT_S
+
+
+class Inbound(NamedTuple):
+    """A request that was read whole.
+
+    Attributes:
+        method: HTTP method.
+        target: path and query as sent.
+        headers: names in lower case with values, in the order sent.
+        body: the whole body.
+        arrived_at: monotonic time at which its first byte was read.
+        peer: address of the caller.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    arrived_at: float
+    peer: str
+
+
+class Handler(Protocol):
+    """Serves requests of one listener."""
+
+    def begin(self, req: Inbound, reply: "Responder") -> Callable[[], None]:
+        """Starts to serve; returns what to call if the caller leaves."""
+
+    def limits(self) -> Limits:
+        """Returns the limits in force."""
+
+    def is_closing(self) -> bool:
+        """Tells whether connections end with the present answer."""
+
+
+class Responder:
+    """The answer to one request."""
+
+    def __init__(self, conn: "_Connection"):
+        self._conn = conn
+        self.head_sent = False
+        self.ended = False
+
+    def send_head(self, status: int, headers: Headers) -> None:
+        """Sends the status line and headers."""
+        self.head_sent = True
+        self._conn.send_head(status, headers)
+
+    def send_body(self, data: bytes) -> None:
+        """Sends a part of the body."""
+        self._conn.send_event(h11.Data(data=data))
+
+    def finish(self) -> None:
+        """Marks the answer as complete."""
+        self.ended = True
+        self._conn.finish()
+
+    def abort(self) -> None:
+        """Breaks the connection so that the answer can't look complete."""
+        self.ended = True
+        self._conn.close()
+
+    def send(self, status: int, headers: Headers, body: bytes) -> None:
+        """Sends a whole answer."""
+        length = ("Content-Length", str(len(body)))
+        self.send_head(status, [*headers, length])
+        if body:
+            self.send_body(body)
+        self.finish()
+
+    def buffered(self) -> int:
+        """Returns how many bytes the caller has yet to take."""
+        return self._conn.unsent()
+
+    def on_writable(self, callback: Callable[[], None]) -> None:
+        """Calls back once all sent bytes are taken by the kernel."""
+        self._conn.on_drained = callback
+
+
+class Server:
+    """Accepts connections on one address."""
+
+    def __init__(self, loop: loops.Loop, address: str, handler: Handler):
+        self.loop = loop
+        self.handler = handler
+        host, port = address.rsplit(":", 1)
+        self._listener = socket.socket()
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind((host, int(port)))
+        self._listener.listen(_BACKLOG)
+        self._listener.setblocking(False)
+        self.port = self._listener.getsockname()[1]
+        self._connections: set[_Connection] = set()
+        loop.watch(self._listener, selectors.EVENT_READ, self._accept)
+
+    def stop_accepting(self) -> None:
+        """Closes the listener; open connections go on."""
+        self.loop.unwatch(self._listener)
+        self._listener.close()
+
+    def close_idle(self) -> None:
+        """Closes the connections that serve no request."""
+        for conn in list(self._connections):
+            if conn.is_idle():
+                conn.close()
+
+    def forget(self, conn: "_Connection") -> None:
+        """Drops a closed connection."""
+        self._connections.discard(conn)
+
+    def connection_count(self) -> int:
+        """Returns the number of open connections."""
+        return len(self._connections)
+
+    def _accept(self, events: int) -> None:
+        while True:
+            try:
+                sock, peer = self._listener.accept()
+            except OSError:
+                return  # None is waiting, or it was reset meanwhile.
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._connections.add(_Connection(self, sock, peer[0]))
+
+
+class _Connection:
+    """One caller's connection."""
+
+    def __init__(self, server: Server, sock: socket.socket, peer: str):
+        self._server = server
+        self._loop = server.loop
+        self._sock = sock
+        self._peer = peer
+        self._limits = server.handler.limits()
+        self._codec = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
+        )
+        self._head: h11.Request | None = None
+        self._body = bytearray()
+        self._body_bytes_due = 0
+        self._first_byte_at = 0.0
+        self._reply: Responder | None = None
+        self._on_gone: Callable[[], None] | None = None
+        self._out = bytearray()
+        self._closing = False
+        self._closed = False
+        self._unread = 0
+        self.on_drained: Callable[[], None] | None = None
+        self._timer = self._loop.call_later(
+            self._limits.idle_timeout_s, self._time_out
+        )
+        self._watch()
+
+    def is_idle(self) -> bool:
+        """Tells whether no request is being read, served or answered."""
+        return not (self._reply or self._first_byte_at or self._out)
+
+    def unsent(self) -> int:
+        """Returns the number of buffered bytes."""
+        return len(self._out)
+
+    def send_head(self, status: int, headers: Headers) -> None:
+        """Queues the status line and headers."""
+        if self._closed:
+            return
+        if self._server.handler.is_closing():
+            headers = [*headers, ("Connection", "close")]
+        self.send_event(h11.Response(status_code=status, headers=headers))
+
+    def send_event(self, event: h11.Event) -> None:
+        """Queues a part of the answer."""
+        if self._closed:
+            return
+        data = self._codec.send(event)
+        if data:
+            self._out += data
+            self._flush()
+
+    def finish(self) -> None:
+        """Ends the answer and makes ready for the next request."""
+        if self._closed:
+            return
+        self.send_event(h11.EndOfMessage())
+        self._reply = None
+        self._on_gone = None
+        self._head = None
+        self._body.clear()
+        self._first_byte_at = 0.0
+        if self._codec.our_state is h11.MUST_CLOSE:
+            self._closing = True
+            self._flush()
+            return
+        if self._codec.our_state is not h11.DONE or (
+            self._codec.their_state is not h11.DONE
+        ):
+            self.close()
+            return
+        self._codec.start_next_cycle()
+        self._limits = self._server.handler.limits()
+        self._set_timer(self._limits.idle_timeout_s)
+        # The next request may have been pipelined.
+        self._loop.call_soon(self._parse)
+
+    def close(self) -> None:
+        """Closes the connection and tells whoever serves its request."""
+        if self._closed:
+            return
+        self._closed = True
+        self._timer.cancel()
+        self._loop.unwatch(self._sock)
+        self._sock.close()
+        self._server.forget(self)
+        on_gone, self._on_gone = self._on_gone, None
+        self.on_drained = None
+        if on_gone is not None and not self._reply.ended:
+            on_gone()
+
+    def _watch(self) -> None:
+        events = 0
+        if self._unread < _MAX_UNREAD_BYTES:
+            events |= selectors.EVENT_READ
+        if self._out:
+            events |= selectors.EVENT_WRITE
+        if events:
+            self._loop.watch(self._sock, events, self._on_ready)
+        else:
+            self._loop.unwatch(self._sock)
+
+    def _on_ready(self, events: int) -> None:
+        if events & selectors.EVENT_WRITE:
+            self._flush()
+        if events & selectors.EVENT_READ and not self._closed:
+            self._receive()
+
+    def _receive(self) -> None:
+        try:
+            data = self._sock.recv(_RECV_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            self.close()
+            return
+        if not data:
+            self.close()
+            return
+        if self._closing:
+            return
+        if self._reply is not None:
+            self._unread += len(data)
+            if self._unread >= _MAX_UNREAD_BYTES:
+                self._watch()
+        elif not self._first_byte_at:
+            self._begin_read()
+        self._codec.receive_data(data)
+        if self._reply is None:
+            self._parse()
+
+    def _begin_read(self) -> None:
+        self._first_byte_at = self._loop.now()
+        self._set_timer(self._limits.header_timeout_s)
+
+    def _parse(self) -> None:
+        """Takes events from the codec until a request is whole."""
+        if self._closed or self._reply is not None or self._closing:
+            return
+        self._unread = 0
+        try:
+            while self._reply is None:
+                event = self._codec.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    break
+                if not self._take(event):
+                    return
+        except h11.RemoteProtocolError as exc:
+            self._refuse(exc.error_status_hint)
+            return
+        if self._reply is None and self._codec.trailing_data[0]:
+            if not self._first_byte_at:
+                self._begin_read()
+        if not self._closed:
+            self._watch()
+
+    def _take(self, event: h11.Event) -> bool:
+        if isinstance(event, h11.Request):
+            self._head = event
+            if not self._first_byte_at:
+                self._first_byte_at = self._loop.now()
+            self._set_timer(self._limits.idle_timeout_s)
+            if self._codec.they_are_waiting_for_100_continue:
+                self._out += self._codec.send(
+                    h11.InformationalResponse(status_code=100, headers=[])
+                )
+                self._flush()
+        elif isinstance(event, h11.Data):
+            self._body += event.data
+            if len(self._body) > self._limits.body_bytes:
+                self._refuse(413)
+                return False
+        elif isinstance(event, h11.EndOfMessage):
+            self._serve()
+        elif isinstance(event, h11.ConnectionClosed):
+            self.close()
+            return False
+        return not self._closed
+
+    def _serve(self) -> None:
+        self._timer.cancel()
+        head = self._head
+        self._reply = Responder(self)
+        req = Inbound(
+            head.method.decode("ascii"),
+            head.target.decode("latin-1"),
+            [
+                (name.decode("latin-1"), value.decode("latin-1"))
+                for name, value in head.headers
+            ],
+            bytes(self._body),
+            self._first_byte_at,
+            self._peer,
+        )
+        reply = self._reply
+        on_gone = self._server.handler.begin(req, reply)
+        if not reply.ended:
+            self._on_gone = on_gone
+
+    def _refuse(self, status: int) -> None:
+        """Answers a request that can't be read, and closes."""
+        if self._codec.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            headers = [("Content-Length", "0"), ("Connection", "close")]
+            self._out += self._codec.send(
+                h11.Response(status_code=status, headers=headers)
+            )
+            self._out += self._codec.send(h11.EndOfMessage())
+        self._closing = True
+        self._flush()
+
+    def _flush(self) -> None:
+        while self._out:
+            try:
+                sent = self._sock.send(self._out)
+            except BlockingIOError:
+                break
+            except OSError:
+                self.close()
+                return
+            del self._out[:sent]
+        if self._closed:
+            return
+        if self._out:
+            self._watch()
+            return
+        if self._closing:
+            self._finish_close()
+            return
+        self._watch()
+        drained, self.on_drained = self.on_drained, None
+        if drained is not None:
+            drained()
+
+    def _finish_close(self) -> None:
+        # Closing with unread bytes would reset the answer on its way.
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.close()
+            return
+        self._set_timer(1.0)
+        self._loop.watch(self._sock, selectors.EVENT_READ, self._on_ready)
+
+    def _set_timer(self, delay_s: float) -> None:
+        self._timer.cancel()
+        self._timer = self._loop.call_later(delay_s, self._time_out)
+
+    def _time_out(self) -> None:
+        if self._first_byte_at and not self._closing and not self._out:
+            self._refuse(408)
+            return
+        self.close()
+
+
+def header(headers: Iterable[tuple[str, str]], name: str) -> str:
+    """Returns the first value of a header in lower case, "" for none."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return ""
--- /dev/null
+++ b/chervilarch/loop.py
@@ -0,0 +1,128 @@
+"""One thread's event loop over `selectors`: sockets, timers and callbacks."""
+
+import heapq
+import itertools
+import os
+import selectors
+from collections.abc import Callable
+from typing import Any
+
+from chervilarch import clocks
+
+# Bounds how late a callback from a signal handler can be noticed.
+_MAX_WAIT_S = 1.0
+
+
+class Timer:
+    """A callback that is due at a time; may be cancelled."""
+
+    __slots__ = ("callback", "due_at")
+
+    def __init__(self, due_at: float, callback: Callable[[], None]):
+        self.due_at = due_at
+        self.callback: Callable[[], None] | None = callback
+
+    def cancel(self) -> None:
+        """Keeps the callback from running."""
+        self.callback = None
+
+
+class Loop:
+    """Runs callbacks of sockets and timers, one at a time."""
+
+    def __init__(self, clock: clocks.Clock):
+        self.clock = clock
+        self._selector = selectors.DefaultSelector()
+        self._timers: list[tuple[float, int, Timer]] = []
+        self._numbers = itertools.count()
+        self._stopping = False
+        self._wake_recv, self._wake_send = os.pipe()
+        os.set_blocking(self._wake_recv, False)
+        os.set_blocking(self._wake_send, False)
+        self.watch(self._wake_recv, selectors.EVENT_READ, self._drain_wakes)
+
+    def now(self) -> float:
+        """Returns the monotonic time in seconds."""
+        return self.clock.monotonic()
+
+    def call_at(self, due_at: float, callback: Callable[[], None]) -> Timer:
+        """Runs a callback at a monotonic time in seconds."""
+        timer = Timer(due_at, callback)
+        heapq.heappush(self._timers, (due_at, next(self._numbers), timer))
+        return timer
+
+    def call_later(self, delay_s: float, callback: Callable[[], None]) -> Timer:
+        """Runs a callback after a delay in seconds."""
+        return self.call_at(self.now() + delay_s, callback)
+
+    def call_soon(self, callback: Callable[[], None]) -> Timer:
+        """Runs a callback in the next round."""
+        return self.call_at(float("-inf"), callback)
+
+    def watch(
+        self, fileobj: Any, events: int, callback: Callable[[int], None]
+    ) -> None:
+        """Calls back with the ready events of a socket; replaces a watch."""
+        try:
+            self._selector.modify(fileobj, events, callback)
+        except KeyError:
+            self._selector.register(fileobj, events, callback)
+
+    def unwatch(self, fileobj: Any) -> None:
+        """Stops watching a socket; unknown ones are ignored."""
+        try:
+            self._selector.unregister(fileobj)
+        except (KeyError, ValueError):
+            pass
+
+    def wake(self) -> None:
+        """Ends the present wait; safe in signal handlers and threads."""
+        try:
+            os.write(self._wake_send, b"\0")
+        except BlockingIOError:
+            pass  # A wake-up is already waiting to be read.
+
+    def stop(self) -> None:
+        """Makes `run` return after the present round."""
+        self._stopping = True
+        self.wake()
+
+    def run(self) -> None:
+        """Runs callbacks until `stop`."""
+        while not self._stopping:
+            self.run_once(_MAX_WAIT_S)
+
+    def run_once(self, max_wait_s: float) -> None:
+        """Waits for one round of events and runs what is due."""
+        for key, events in self._selector.select(self._wait_s(max_wait_s)):
+            key.data(events)
+        self.run_timers()
+
+    def run_timers(self) -> None:
+        """Runs the timers that are due now; new ones wait a round."""
+        now = self.now()
+        due = []
+        while self._timers and self._timers[0][0] <= now:
+            due.append(heapq.heappop(self._timers)[2])
+        for timer in due:
+            if timer.callback is not None:
+                timer.callback()
+
+    def close(self) -> None:
+        """Frees the selector and the wake-up pipe."""
+        self._selector.close()
+        os.close(self._wake_recv)
+        os.close(self._wake_send)
+
+    def _wait_s(self, max_wait_s: float) -> float:
+        while self._timers and self._timers[0][2].callback is None:
+            heapq.heappop(self._timers)
+        if not self._timers:
+            return max_wait_s
+        return min(max_wait_s, max(0.0, self._timers[0][0] - self.now()))
+
+    def _drain_wakes(self, events: int) -> None:
+        try:
+            os.read(self._wake_recv, 4096)
+        except BlockingIOError:
+            pass  # Nothing is left to read.
--- /dev/null
+++ b/chervilarch/piece_runner.py
@@ -0,0 +1,298 @@
+"""Controller of stage work: sends calls for the queues of all pools."""
+
+import collections
+from collections.abc import Callable
+
+from chervilarch import (
+    budgets,
+    endpoint_list,
+    exchanges,
+    outgoing,
+    pieces,
+    route_book,
+    routed,
+    state_log,
+    telemetry,
+)
+from chervilarch import loop as loops
+
+# A call that takes this many times its expected time, and this much more, is
+# overdue: its pieces are made elsewhere as well.
+_OVERDUE_RATIO = 1.8
+_OVERDUE_S = 0.06
+# A call is given up at this many times its expected time, and this much more.
+_GIVE_UP_RATIO = 6.0
+_GIVE_UP_S = 1.0
+# A job fails after so many failed calls.
+_MAX_ERRORS = 3
+# Results are freed in rounds, so that one call frees several.
+_RELEASE_PERIOD_S = 0.03
+# Handles are not sent again if freeing fails: the maker frees them itself.
+_MIN_RETRY_AFTER_S = 0.1
+
+
+class PieceRunner:
+    """Makes the pieces of jobs, batched over requests."""
+
+    def __init__(
+        self,
+        loop: loops.Loop,
+        client: outgoing.Client,
+        wire: routed.Wire,
+        retry_budgets: budgets.PoolBudgets,
+        meters: telemetry.Telemetry,
+        on_endpoint_gone: Callable[[str, int], None],
+    ):
+        self._loop = loop
+        self._client = client
+        self._wire = wire
+        self._budgets = retry_budgets
+        self._meters = meters
+        self._on_endpoint_gone = on_endpoint_gone
+        self._queues: dict[str, pieces.PieceQueue] = {}
+        self._listed: dict[str, dict[str, endpoint_list.Listing]] = {}
+        self._to_free: dict[str, list[str]] = collections.defaultdict(list)
+        self._is_freeing = False
+
+    def set_pools(self, pools: dict[str, route_book.Pool]) -> None:
+        """Takes the pools of a configuration."""
+        for name, pool in pools.items():
+            if pool.pieces is None:
+                continue
+            queue = self._queues.get(name)
+            if queue is None:
+                queue = pieces.PieceQueue(pool.pieces)
+                queue.set_endpoints(self._listed.get(name, {}))
+                self._queues[name] = queue
+            queue.limits = pool.pieces
+
+    def set_endpoints(
+        self, listed: dict[str, dict[str, endpoint_list.Listing]]
+    ) -> None:
+        """Takes the endpoints that may get work, by pool."""
+        self._listed = listed
+        for name, queue in self._queues.items():
+            queue.set_endpoints(listed.get(name, {}))
+            self._pump(name)
+
+    def submit(self, job: pieces.Job) -> pieces.PendingJob:
+        """Starts a job; its future gets results or a `PieceFailure`."""
+        pending = pieces.PendingJob(job)
+        queue = self._queues.get(job.pool)
+        now = self._loop.now()
+        if queue is None or not queue.makers:
+            pending.end(pieces.PieceFailure(pieces.NO_ENDPOINT))
+            return pending
+        wait_s = queue.wait_s(job, now)
+        if now + wait_s + queue.call_s(1) > job.deadline_at:
+            self._refuse(pending, wait_s)
+            return pending
+        queue.add(pending)
+        self._loop.call_at(job.deadline_at, lambda: self._pump(job.pool))
+        self._pump(job.pool)
+        return pending
+
+    def cancel(self, pending: pieces.PendingJob) -> None:
+        """Makes no more pieces of a job and frees its results."""
+        if not pending.is_ended:
+            made = [result for result in pending.results if result]
+            pending.end(pieces.PieceFailure(pieces.FAILED))
+            self.free(made)
+
+    def free(self, results: list[pieces.PieceResult]) -> None:
+        """Frees results that nobody needs any more."""
+        for result in results:
+            self._to_free[result.address].append(result.handle)
+        if results and not self._is_freeing:
+            self._is_freeing = True
+            self._loop.call_later(_RELEASE_PERIOD_S, self._send_releases)
+
+    def _send_releases(self) -> None:
+        self._is_freeing = False
+        to_free, self._to_free = self._to_free, collections.defaultdict(list)
+        for address, handles in to_free.items():
+            self._client.call(self._wire.build_release(address, handles))
+
+    def _refuse(self, pending: pieces.PendingJob, wait_s: float) -> None:
+        retry_after_s = max(_MIN_RETRY_AFTER_S, wait_s / 2)
+        pending.end(pieces.PieceFailure(pieces.OVERLOADED, retry_after_s))
+
+    def _pump(self, pool: str) -> None:
+        """Sends calls as long as endpoints are free."""
+        queue = self._queues[pool]
+        now = self._loop.now()
+        for pending in queue.expire(now):
+            made = [result for result in pending.results if result]
+            pending.end(pieces.PieceFailure(pieces.LATE))
+            self.free(made)
+        while True:
+            batch = queue.next_batch(now)
+            if batch is None:
+                break
+            _Call(self, queue, batch)
+        if queue.backlog():
+            resting = [
+                maker.resting_until
+                for maker in queue.makers.values()
+                if maker.resting_until > now
+            ]
+            if resting:
+                self._loop.call_at(min(resting), lambda: self._pump(pool))
+
+
+class _Call:
+    """One call for pieces."""
+
+    def __init__(
+        self,
+        runner: PieceRunner,
+        queue: pieces.PieceQueue,
+        batch: pieces.Batch,
+    ):
+        self._runner = runner
+        self._queue = queue
+        self._batch = batch
+        self._loop = runner._loop
+        self._sent_at = self._loop.now()
+        self._is_overdue = False
+        self._pool = batch.pieces[0][0].job.pool
+        timeout_s = _GIVE_UP_RATIO * batch.expected_s + _GIVE_UP_S
+        exchange = runner._wire.build_piece_call(
+            batch.maker.listing,
+            [(pending.job, piece) for pending, piece in batch.pieces],
+            self._sent_at,
+            timeout_s,
+        )
+        state_log.log_decision(
+            "pieces sent",
+            pool=self._pool,
+            endpoint=batch.maker.listing.entry.name,
+            requests=sorted({p.job.request_id for p, _ in batch.pieces}),
+            pieces=len(batch.pieces),
+            expected_ms=round(batch.expected_s * 1000),
+            waiting=queue.backlog(),
+        )
+        runner._meters.observe_batch(self._pool, len(batch.pieces))
+        self._overdue = self._loop.call_later(
+            _OVERDUE_RATIO * batch.expected_s + _OVERDUE_S, self._note_overdue
+        )
+        runner._client.start(exchange, self._on_done)
+
+    def _note_overdue(self) -> None:
+        """Has the pieces made elsewhere; this call goes on."""
+        self._is_overdue = True
+        maker = self._batch.maker
+        elapsed_s = self._loop.now() - self._sent_at
+        maker.slowness = max(maker.slowness, elapsed_s / self._batch.nominal_s)
+        state_log.log_decision(
+            "pieces overdue",
+            is_problem=True,
+            pool=self._pool,
+            endpoint=maker.listing.entry.name,
+            elapsed_ms=round(elapsed_s * 1000),
+        )
+        self._make_again(is_error=False)
+
+    def _on_done(self, result: exchanges.TransferResult) -> None:
+        self._overdue.cancel()
+        self._queue.finish(self._batch)
+        replies = self._read(result)
+        if replies is None:
+            if not self._is_overdue:
+                self._make_again(is_error=True)
+        else:
+            self._take(replies)
+        self._runner._pump(self._pool)
+
+    def _read(
+        self, result: exchanges.TransferResult
+    ) -> list[routed.PieceReply] | None:
+        """Returns what the reply says of each piece; None if nothing."""
+        now = self._loop.now()
+        maker = self._batch.maker
+        entry = maker.listing.entry
+        if isinstance(result, exchanges.Reply):
+            elapsed_s = now - self._sent_at
+            head = self._runner._wire.read_head(
+                result.status, list(result.headers.items())
+            )
+            if head.is_other_endpoint:
+                self._runner._on_endpoint_gone(entry.name, entry.incarnation)
+                reason = "another endpoint has the address"
+            elif head.did_not_run:
+                self._queue.rest_full(maker, now)
+                reason = "full"
+            elif result.status == 200:
+                replies = self._runner._wire.read_pieces(
+                    result.body, len(self._batch.pieces)
+                )
+                if replies is not None:
+                    maker.note_time(elapsed_s / self._batch.nominal_s)
+                    self._runner._meters.observe_stage(self._pool, elapsed_s)
+                    return replies
+                reason = "unreadable reply"
+                maker.note_failure(now)
+            else:
+                reason = f"status {result.status}"
+                maker.note_failure(now)
+        else:
+            reason = f"{result.kind.value}: {result.detail}"
+            maker.note_failure(now)
+        state_log.log_decision(
+            "pieces failed",
+            is_problem=True,
+            pool=self._pool,
+            endpoint=entry.name,
+            reason=reason,
+        )
+        return None
+
+    def _take(self, replies: list[routed.PieceReply]) -> None:
+        entry = self._batch.maker.listing.entry
+        unused = []
+        now = self._loop.now()
+        for (pending, piece), reply in zip(
+            self._batch.pieces, replies, strict=True
+        ):
+            if reply.handle:
+                result = pieces.PieceResult(
+                    reply.handle, entry.name, entry.address, entry.data_centre
+                )
+                if not pending.take_result(piece, result):
+                    unused.append(result)
+            elif reply.failure in (pieces.LATE, pieces.INPUT_GONE):
+                if not pending.is_ended and pending.results[piece] is None:
+                    made = [item for item in pending.results if item]
+                    pending.end(pieces.PieceFailure(reply.failure))
+                    self._runner.free(made)
+            else:
+                if reply.is_full:
+                    self._queue.rest_full(self._batch.maker, now)
+                self._requeue([(pending, piece)], not reply.is_full)
+        self._runner.free(unused)
+
+    def _make_again(self, is_error: bool) -> None:
+        self._requeue(self._batch.pieces, is_error)
+        self._runner._pump(self._pool)
+
+    def _requeue(
+        self, batch: list[tuple[pieces.PendingJob, int]], is_error: bool
+    ) -> None:
+        """Queues pieces again that have no result, within the budget."""
+        by_job: dict[pieces.PendingJob, list[int]] = {}
+        for pending, piece in batch:
+            has_result = pending.is_ended or pending.results[piece] is not None
+            if not has_result and piece not in pending.todo:
+                by_job.setdefault(pending, []).append(piece)
+        for pending, again in by_job.items():
+            pending.errors += is_error
+            is_allowed = self._runner._budgets.spend(
+                self._pool, self._loop.now()
+            )
+            if pending.errors <= _MAX_ERRORS and is_allowed:
+                pending.todo += again
+                self._queue.add(pending)
+            elif is_error:
+                made = [item for item in pending.results if item]
+                pending.end(pieces.PieceFailure(pieces.FAILED))
+                self._runner.free(made)
--- /dev/null
+++ b/chervilarch/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: it translates and decides nothing."""
--- /dev/null
+++ b/chervilarch/platform/documents.py
@@ -0,0 +1,216 @@
+"""Decodes the operators' configuration and the endpoints' own records.
+
+Both lie in the platform's store as JSON. The operators' record is one whole
+configuration; an endpoint's record is what it last said of itself.
+"""
+
+from typing import Any, NamedTuple
+
+import msgspec
+
+from chervilarch import endpoint_list, hosts, route_book
+
+_MS_PER_S = 1000
+_BYTES_PER_MB = 1_000_000
+_STATES = {"ready": "live", "draining": hosts.LEAVING}
+
+
+class Unreadable(NamedTuple):
+    """A record that can't be used."""
+
+    reason: str
+
+
+class _Stage(msgspec.Struct):
+    service: str
+    after: list[int] = []
+    bytes: float = 0
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 0
+    priority: int = 0
+    # Either one service or `traffic_split` is set.
+    service: str = ""
+    traffic_split: list[_Split] = []
+    max_attempts: int = 1
+    stages: list[_Stage] = []
+    auth_exempt: bool = False
+    sticky: bool = False
+    resumable: bool = False
+    gap_aim_ms: float = 0
+
+
+class _Pieces(msgspec.Struct):
+    batch: int
+    call_ms: float
+    item_ms: float
+    slots: int = 1
+    queue: int = 0
+    headroom_mb: float = 0
+    handle_s: float = 0
+
+
+class _Engine(msgspec.Struct):
+    slots: int
+    kv_tokens: int
+
+
+class _Service(msgspec.Struct):
+    name: str
+    pieces: _Pieces | None = None
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits
+    tenants: list[_Tenant] | None = None
+
+
+class _Server(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    sequence: int
+    # How much longer the endpoint stays slow after its start.
+    cold_remaining_ms: float = 0
+    # Unix milliseconds of the endpoint's start.
+    born: int = 0
+
+
+def decode_configuration(value: bytes) -> route_book.RouteBook | Unreadable:
+    """Returns a whole configuration."""
+    try:
+        config = msgspec.json.decode(value, type=_Config)
+    except msgspec.MsgspecError as exc:
+        return Unreadable(str(exc))
+    limits = config.limits
+    return route_book.RouteBook(
+        config.version,
+        [_route(route) for route in config.routes],
+        {service.name: _pool(service) for service in config.services},
+        {
+            key: route_book.Account(tenant.name, tenant.priority)
+            for tenant in config.tenants or ()
+            for key in tenant.api_keys
+        },
+        route_book.CallerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms / _MS_PER_S,
+            limits.idle_timeout_ms / _MS_PER_S,
+        ),
+        config.tenants is not None,
+    )
+
+
+def decode_endpoint(
+    server_id: str, value: bytes
+) -> endpoint_list.Listing | Unreadable:
+    """Returns what an endpoint says of itself."""
+    try:
+        server = msgspec.json.decode(value, type=_Server)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        return Unreadable(str(exc))
+    if server.state not in _STATES:
+        return Unreadable(f"state {server.state!r} is not known")
+    host, sep, port = server.address.rpartition(":")
+    if not sep or not host or not port.isdigit():
+        return Unreadable(f"{server.address!r} is not an address")
+    entry = hosts.HostEntry(
+        server_id,
+        server.address,
+        hosts.ROLE_ENDPOINT,
+        server.service,
+        server.zone,
+        _STATES[server.state],
+        server.born,
+    )
+    return endpoint_list.Listing(
+        entry,
+        max(1, server.slots),
+        server.sequence,
+        server.cold_remaining_ms / _MS_PER_S,
+    )
+
+
+def _route(route: _Route) -> route_book.Route:
+    splits = [(split.service, split.weight) for split in route.traffic_split]
+    is_stream = route.kind == "streaming"
+    repeatable = route.kind == "safe" or (is_stream and route.resumable)
+    return route_book.Route(
+        name=route.name,
+        host=route.host.lower(),
+        path_prefix=route.path_prefix,
+        is_stream=is_stream,
+        repeat=(
+            route_book.Repeat.ANY
+            if repeatable
+            else route_book.Repeat.AT_MOST_ONCE
+        ),
+        timeout_s=route.timeout_ms / _MS_PER_S,
+        objective_s=(route.target_latency_ms or route.timeout_ms) / _MS_PER_S,
+        gap_objective_s=route.gap_aim_ms / _MS_PER_S,
+        priority=route.priority,
+        pools=tuple(splits) or ((route.service, 1.0),),
+        max_attempts=max(1, route.max_attempts),
+        stages=tuple(
+            route_book.Stage(
+                stage.service, tuple(stage.after), int(stage.bytes)
+            )
+            for stage in route.stages
+        ),
+        needs_key=not route.auth_exempt,
+        is_prompt=route.sticky,
+    )
+
+
+def _pool(service: _Service) -> route_book.Pool:
+    pieces, engine = service.pieces, service.engine
+    return route_book.Pool(
+        service.name,
+        pieces
+        and route_book.PieceLimits(
+            max(1, pieces.slots),
+            pieces.queue,
+            max(1, pieces.batch),
+            pieces.call_ms / _MS_PER_S,
+            pieces.item_ms / _MS_PER_S,
+            pieces.headroom_mb * _BYTES_PER_MB,
+            pieces.handle_s,
+        ),
+        engine and route_book.EngineLimits(engine.slots, engine.kv_tokens),
+    )
+
+
+def encode(document: dict[str, Any]) -> bytes:
+    """Returns a record of the system's own."""
+    return msgspec.json.encode(document)
--- /dev/null
+++ b/chervilarch/platform/store.py
@@ -0,0 +1,155 @@
+"""Client of the platform's store: a log with topics and newest values."""
+
+import base64
+import binascii
+import struct
+from concurrent.futures import Future
+from urllib import parse
+
+import msgspec
+
+from chervilarch import exchanges, outgoing, store
+
+_OK = 200
+_GONE = 410
+_MS_PER_S = 1000
+# Time beyond a read's own wait until its connection is held to be dead; the
+# store answers in milliseconds and may be slow for a while.
+_REPLY_MARGIN_S = 1.0
+_TOPICS = {
+    store.Topic.CONFIGURATION: "keyed.op",
+    store.Topic.ENDPOINTS: "keyed.servers",
+    store.Topic.ROUTERS: "keyed.routers",
+}
+# Key of the operators' record; other keys of that topic are not ours.
+CONFIGURATION_KEY = "config"
+_HEADER = struct.Struct(">QQ")
+_LENGTH = struct.Struct(">I")
+
+
+class _Item(msgspec.Struct):
+    key: str
+    # The value in base64.
+    value: str
+    offset: int
+
+
+class _Newest(msgspec.Struct):
+    items: list[_Item]
+    has_more: bool
+    end: int
+
+
+class StoreClient:
+    """Implements `store.Store`."""
+
+    def __init__(self, client: outgoing.Client, address: str):
+        self._client = client
+        self._base = f"http://{address}/chervilarch/"
+
+    def read_newest(
+        self, topic: store.Topic, after: str, timeout_s: float
+    ) -> "Future[store.NewestPage | store.StoreError]":
+        """Reads a page of the newest value of each key."""
+        query = {"topic": _TOPICS[topic], "part": 0}
+        if after:
+            query["after"] = after
+        exchange = self._exchange("GET", "log-newest", query, timeout_s)
+        return _then(self._client.call(exchange), _decode_newest)
+
+    def read_changes(
+        self, topic: store.Topic, offset: int, wait_s: float
+    ) -> "Future[store.Changes | store.StoreError]":
+        """Reads the changes from an offset, waiting for the first one."""
+        query = {"topic": _TOPICS[topic], "part": 0, "from": offset}
+        if wait_s > 0:
+            query["wait_ms"] = int(wait_s * _MS_PER_S)
+        timeout_s = wait_s + _REPLY_MARGIN_S
+        exchange = self._exchange("GET", "log-read", query, timeout_s)
+        return _then(
+            self._client.call(exchange),
+            lambda result: _decode_changes(result, offset),
+        )
+
+    def put(
+        self, topic: store.Topic, key: str, value: bytes, timeout_s: float
+    ) -> "Future[store.StoreError | None]":
+        """Sets the newest value of a key."""
+        name = key.encode()
+        record = bytes([len(name)]) + name + value
+        body = _LENGTH.pack(len(record)) + record
+        query = {"topic": _TOPICS[topic], "part": 0}
+        exchange = self._exchange("POST", "log-append", query, timeout_s)
+        exchange = exchange._replace(body=body, fresh=True)
+        return _then(self._client.call(exchange), _error)
+
+    def _exchange(
+        self, method: str, call: str, query: dict, timeout_s: float
+    ) -> exchanges.Exchange:
+        url = f"{self._base}{call}?{parse.urlencode(query)}"
+        return exchanges.Exchange(method, url, timeout_s=timeout_s)
+
+
+def _then(fut: Future, convert) -> Future:
+    result: Future = Future()
+    fut.add_done_callback(
+        lambda done: result.set_result(convert(done.result()))
+    )
+    return result
+
+
+def _error(result: exchanges.TransferResult) -> store.StoreError | None:
+    if isinstance(result, exchanges.TransferFailure):
+        return store.StoreError(f"{result.kind.value}: {result.detail}")
+    if result.status == _GONE:
+        return store.StoreError("the records were dropped", is_dropped=True)
+    if result.status != _OK:
+        return store.StoreError(f"HTTP status {result.status}")
+    return None
+
+
+def _decode_newest(
+    result: exchanges.TransferResult,
+) -> store.NewestPage | store.StoreError:
+    error = _error(result)
+    if error is not None:
+        return error
+    try:
+        page = msgspec.json.decode(result.body, type=_Newest)
+        changes = [
+            store.Change(item.offset, item.key, base64.b64decode(item.value))
+            for item in page.items
+        ]
+    except (msgspec.MsgspecError, binascii.Error) as exc:
+        return store.StoreError(f"unreadable page: {exc}")
+    return store.NewestPage(changes, page.has_more, page.end)
+
+
+def _decode_changes(
+    result: exchanges.TransferResult, offset: int
+) -> store.Changes | store.StoreError:
+    error = _error(result)
+    if error is not None:
+        return error
+    body = result.body
+    if len(body) < _HEADER.size:
+        return store.StoreError("the reply ends within its head")
+    end, first = _HEADER.unpack_from(body)
+    changes = []
+    at = _HEADER.size
+    while at + _LENGTH.size <= len(body):
+        (length,) = _LENGTH.unpack_from(body, at)
+        at += _LENGTH.size
+        if at + length > len(body):
+            return store.StoreError("the reply ends within a record")
+        changes.append(
+            _decode_record(offset + len(changes), body[at : at + length])
+        )
+        at += length
+    return store.Changes(changes, end, first)
+
+
+def _decode_record(offset: int, record: bytes) -> store.Change:
+    size = record[0] if record else 0
+    key = record[1 : 1 + size].decode("utf-8", "replace")
+    return store.Change(offset, key, record[1 + size :])
--- /dev/null
+++ b/chervilarch/route_book.py
@@ -0,0 +1,188 @@
+"""The configuration of routed requests, indexed for look-ups."""
+
+import enum
+import zlib
+from typing import NamedTuple
+
+
+class Repeat(enum.Enum):
+    """How often a request may run for one attempt of its caller."""
+
+    AT_MOST_ONCE = "at most once"
+    ANY = "any"
+
+
+class Stage(NamedTuple):
+    """Work to be done before a request's final call.
+
+    Attributes:
+        pool: pool whose endpoints make its pieces.
+        after: numbers of the stages whose results it needs.
+        result_bytes: approximate size of one result.
+    """
+
+    pool: str
+    after: tuple[int, ...]
+    result_bytes: int
+
+
+class PieceLimits(NamedTuple):
+    """What one endpoint of a pool of stages takes; times in seconds.
+
+    Attributes:
+        slots: calls that run at a time.
+        queue: calls that may wait.
+        batch: pieces that one call may carry.
+        call_s: time of a call without its pieces.
+        piece_s: approximate time of one piece.
+        room_bytes: memory for results.
+        kept_s: how long a result is kept after its call.
+    """
+
+    slots: int
+    queue: int
+    batch: int
+    call_s: float
+    piece_s: float
+    room_bytes: float
+    kept_s: float
+
+
+class EngineLimits(NamedTuple):
+    """What one model engine takes.
+
+    Attributes:
+        slots: requests in one batch.
+        memory_tokens: tokens that running requests and cached parts share.
+    """
+
+    slots: int
+    memory_tokens: int
+
+
+class Pool(NamedTuple):
+    """Endpoints of one kind.
+
+    Attributes:
+        name: the pool's name.
+        pieces: set for pools that run stages.
+        engine: set for pools of model engines.
+    """
+
+    name: str
+    pieces: PieceLimits | None = None
+    engine: EngineLimits | None = None
+
+
+class Route(NamedTuple):
+    """How requests of one host and path prefix are served; times in seconds.
+
+    Attributes:
+        name: the route's name.
+        host: host name without a port, in lower case.
+        path_prefix: begins and ends with a slash.
+        is_stream: whether the answer is a stream of events.
+        repeat: whether a request may run more than once.
+        timeout_s: longest time that a caller is kept waiting.
+        objective_s: time within which an answer earns full credit.
+        gap_objective_s: longest pause between events that is still on time.
+        priority: rank, 0 is the most urgent.
+        pools: pools of the final call with their weights.
+        max_attempts: endpoints to which one request may be sent.
+        stages: the stages before the final call.
+        needs_key: whether callers must show an account's key.
+        is_prompt: whether requests carry a prompt for a model engine.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    is_stream: bool
+    repeat: Repeat
+    timeout_s: float
+    objective_s: float
+    gap_objective_s: float
+    priority: int
+    pools: tuple[tuple[str, float], ...]
+    max_attempts: int
+    stages: tuple[Stage, ...] = ()
+    needs_key: bool = True
+    is_prompt: bool = False
+
+    def pool_for(self, request_id: str) -> str:
+        """Returns the pool of a request, by its id and the weights."""
+        total = sum(weight for _, weight in self.pools)
+        if len(self.pools) == 1 or total <= 0:
+            return self.pools[0][0]
+        point = zlib.crc32(request_id.encode()) / 2**32 * total
+        for name, weight in self.pools:
+            point -= weight
+            if point < 0:
+                return name
+        return self.pools[-1][0]
+
+    def final_stages(self) -> tuple[int, ...]:
+        """Returns the stages that no other stage follows."""
+        followed = {n for stage in self.stages for n in stage.after}
+        return tuple(n for n in range(len(self.stages)) if n not in followed)
+
+
+class Account(NamedTuple):
+    """A client account; its priority goes before a route's."""
+
+    name: str
+    priority: int | None = None
+
+
+class CallerLimits(NamedTuple):
+    """Bounds on what callers send; times in seconds."""
+
+    header_bytes: int
+    body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+class RouteBook:
+    """One version of the configuration."""
+
+    def __init__(
+        self,
+        version: int,
+        routes: list[Route],
+        pools: dict[str, Pool],
+        accounts: dict[str, Account],
+        limits: CallerLimits,
+        has_accounts: bool,
+    ):
+        self.version = version
+        self.pools = pools
+        self.limits = limits
+        self.has_accounts = has_accounts
+        self._accounts = accounts
+        self._routes: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            self._routes.setdefault(route.host, {})[route.path_prefix] = route
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Returns the route with the longest prefix of a path, if any."""
+        prefixes = self._routes.get(host.partition(":")[0].lower())
+        if prefixes is None:
+            return None
+        end = path.rfind("/")
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+    def account_of_key(self, key: str) -> Account | None:
+        """Returns the account that holds a key."""
+        return self._accounts.get(key)
+
+    def routes(self) -> list[Route]:
+        """Returns every route."""
+        return [
+            r for by_path in self._routes.values() for r in by_path.values()
+        ]
--- /dev/null
+++ b/chervilarch/routed_context.py
@@ -0,0 +1,69 @@
+"""What the filters of a routed request work with."""
+
+import random
+from typing import NamedTuple
+
+from chervilarch import (
+    budgets,
+    followers,
+    inbound,
+    outgoing,
+    piece_runner,
+    placement,
+    route_book,
+    routed,
+    telemetry,
+)
+from chervilarch import loop as loops
+
+_MS_PER_S = 1000
+
+
+class RoutedControllers(NamedTuple):
+    """The state of a gateway, part by part."""
+
+    loop: loops.Loop
+    client: outgoing.Client
+    wire: routed.Wire
+    configuration: followers.ConfigFollower
+    endpoints: followers.EndpointFollower
+    placement: placement.Placement
+    piece_runner: piece_runner.PieceRunner
+    retry_budgets: budgets.PoolBudgets
+    meters: telemetry.Telemetry
+    rng: random.Random
+
+
+class RoutedContext:
+    """One request with the state of the gateway."""
+
+    def __init__(
+        self,
+        ctrl: RoutedControllers,
+        req: routed.RoutedRequest,
+        reply: inbound.Responder,
+    ):
+        self.ctrl = ctrl
+        self.req = req
+        self.reply = reply
+        # The version in force when the request came; it serves it whole.
+        self.book: route_book.RouteBook | None = ctrl.configuration.book
+
+    def now(self) -> float:
+        """Returns the monotonic time in seconds."""
+        return self.ctrl.loop.now()
+
+    def left_s(self) -> float:
+        """Returns the time until the request's deadline."""
+        return self.req.deadline_at - self.now()
+
+    def elapsed_ms(self) -> int:
+        """Returns the time since the request came."""
+        return round((self.now() - self.req.arrived_at) * _MS_PER_S)
+
+    def note_first_answer(self) -> None:
+        """Records the time to the answer or its first event."""
+        account = self.req.account.name if self.req.account else ""
+        self.ctrl.meters.observe_latency(
+            account, self.req.route.name, self.now() - self.req.arrived_at
+        )
--- /dev/null
+++ b/chervilarch/routed_filters.py
@@ -0,0 +1,143 @@
+"""The filter chain that every routed request passes, in order.
+
+A filter is a generator; it returns its own outcome or that of the filters
+after it.
+"""
+
+from collections.abc import Callable
+
+from chervilarch import (
+    final_call,
+    outcomes,
+    route_book,
+    stage_graph,
+    state_log,
+    stream_call,
+    tasks,
+)
+from chervilarch.routed_context import RoutedContext
+
+Next = Callable[[], tasks.Steps[outcomes.Outcome]]
+Filter = Callable[[RoutedContext, Next], tasks.Steps[outcomes.Outcome]]
+# A host without configuration expects one within about this time.
+_NO_CONFIGURATION_RETRY_S = 0.5
+
+
+def check_configuration(
+    ctx: RoutedContext, following: Next
+) -> tasks.Steps[outcomes.Outcome]:
+    """Refuses while there is no configuration."""
+    if ctx.book is None:
+        return outcomes.NotRun(
+            outcomes.Reason.NO_CONFIGURATION,
+            "this host has no configuration yet",
+            "send the request to another host",
+            _NO_CONFIGURATION_RETRY_S,
+        )
+    return (yield from following())
+
+
+def find_route(
+    ctx: RoutedContext, following: Next
+) -> tasks.Steps[outcomes.Outcome]:
+    """Finds the route of the request's host and path."""
+    req = ctx.req
+    route = ctx.book.find(req.host, req.path)
+    if route is None:
+        return outcomes.Rejected(
+            outcomes.Reason.UNKNOWN_PIPELINE,
+            "no route has this host and path",
+            "correct the host or the path",
+        )
+    req.route = route
+    return (yield from following())
+
+
+def identify_account(
+    ctx: RoutedContext, following: Next
+) -> tasks.Steps[outcomes.Outcome]:
+    """Finds the account of the caller's key."""
+    req = ctx.req
+    req.priority = req.route.priority
+    if ctx.book.has_accounts and req.route.needs_key:
+        req.account = ctx.book.account_of_key(req.key)
+        if req.account is None:
+            return outcomes.Rejected(
+                outcomes.Reason.UNAUTHENTICATED,
+                "the Authorization header names no known key",
+                'send "Authorization: Bearer KEY" with the account\'s key',
+            )
+        if req.account.priority is not None:
+            req.priority = req.account.priority
+    return (yield from following())
+
+
+def set_deadline(
+    ctx: RoutedContext, following: Next
+) -> tasks.Steps[outcomes.Outcome]:
+    """Takes the earlier of the route's time-out and the caller's deadline."""
+    req = ctx.req
+    allowed_s = req.route.timeout_s
+    if req.allowed_s is not None:
+        allowed_s = min(allowed_s, req.allowed_s)
+    req.deadline_at = req.arrived_at + allowed_s
+    req.objective_at = req.arrived_at + req.route.objective_s
+    state_log.log_decision(
+        "request taken",
+        request_id=req.id,
+        account=req.account.name if req.account else "",
+        route=req.route.name,
+        priority=req.priority,
+        allowed_ms=round(allowed_s * 1000),
+        pieces=req.piece_counts,
+        config_version=ctx.book.version,
+        config_age_s=round(ctx.now() - ctx.ctrl.configuration.taken_at, 1),
+        endpoints_age_s=round(
+            ctx.now() - ctx.ctrl.endpoints.follower.read_at, 1
+        ),
+    )
+    return (yield from following())
+
+
+def run_call(
+    ctx: RoutedContext, following: Next
+) -> tasks.Steps[outcomes.Outcome]:
+    """Runs the stages and the final call; the last filter."""
+    stages = stage_graph.StageRun(ctx)
+    try:
+        failed = yield from stages.run()
+        if failed is not None:
+            return failed
+        if ctx.left_s() <= final_call.RETURN_S + final_call.MIN_CALL_S:
+            return outcomes.NotRun(
+                outcomes.Reason.DEADLINE_PASSED,
+                "the stages took all of the time",
+                "allow a longer deadline",
+            )
+        if ctx.req.route.is_stream:
+            return (yield from stream_call.StreamCall(ctx, stages).run())
+        return (yield from final_call.WholeCall(ctx).run())
+    finally:
+        stages.free()
+
+
+CHAIN: tuple[Filter, ...] = (
+    check_configuration,
+    find_route,
+    identify_account,
+    set_deadline,
+    run_call,
+)
+
+
+def run_chain(
+    ctx: RoutedContext, chain: tuple[Filter, ...] = CHAIN
+) -> tasks.Steps[outcomes.Outcome]:
+    """Passes a request through the filters."""
+    first, *rest = chain
+    return (yield from first(ctx, lambda: run_chain(ctx, tuple(rest))))
+
+
+def caller_limits(book: route_book.RouteBook | None):
+    """Returns what callers may send, None before any configuration."""
+    return book.limits if book else None
--- a/chervilarch/schemas.py
+++ b/chervilarch/schemas.py
@@ -12,6 +12,50 @@
 _TIME = {"type": "string", "pattern": "^([01]?[0-9]|2[0-4]):[0-5][0-9]$"}
 _POSITIVE = {"type": "number", "exclusiveMinimum": 0}
 
+_PORT = {"type": "integer", "minimum": 1, "maximum": 65535}
+# Unknown fields are ignored: the platform may add some.
+GATEWAY_SETTINGS = {
+    "type": "object",
+    "required": [
+        "host",
+        "data_centre",
+        "caller_address",
+        "ready_address",
+        "ip",
+        "peer_ports",
+        "metrics_port",
+        "store_address",
+        "bounds",
+    ],
+    "properties": {
+        "host": _NAME,
+        "data_centre": _NAME,
+        "caller_address": _ADDRESS,
+        "ready_address": _ADDRESS,
+        "ip": {"type": "string", "format": "ipv4"},
+        "peer_ports": {
+            "type": "array",
+            "items": _PORT,
+            "minItems": 2,
+            "maxItems": 2,
+        },
+        "metrics_port": _PORT,
+        "store_address": _ADDRESS,
+        "bounds": {
+            "type": "object",
+            "required": [
+                "drain_s",
+                "config_s",
+                "grace_s",
+                "retry_share",
+                "retry_fixed",
+                "retry_window_s",
+            ],
+            "additionalProperties": _POSITIVE,
+        },
+    },
+}
+
 SETTINGS = {
     "type": "object",
     "additionalProperties": False,
--- a/chervilarch/state_log.py
+++ b/chervilarch/state_log.py
@@ -1,23 +1,24 @@
-"""Log lines for changes of state, as text or as JSON."""
+"""Structured log lines: decisions on requests and changes of state.
 
-import json
+Lines never wait for their reader and are bounded a second. Problems and
+changes of state go first; what was left out is counted by kind.
+"""
+
+import collections
 import logging
+import os
+import time
+from collections.abc import Callable
 from typing import Any, TextIO
 
-_LOGGER = logging.getLogger("chervilarch")
-
+from pythonjsonlogger import json as json_formatter
 
-class _JsonFormatter(logging.Formatter):
-    """Writes each record as one JSON object."""
-
-    def format(self, record: logging.LogRecord) -> str:
-        fields = {
-            "time": record.created,
-            "level": record.levelname.lower(),
-            "event": record.getMessage(),
-            **getattr(record, "fields", {}),
-        }
-        return json.dumps(fields, default=str)
+_LOGGER = logging.getLogger("chervilarch")
+# Lines a second; a line costs about 40 us of processor time.
+MAX_LINES_PER_S = 200
+# Ordinary decisions may take this share; the rest is for problems.
+_ORDINARY_SHARE = 0.6
+_FIELD_NAMES = {"asctime": "time", "levelname": "level", "message": "event"}
 
 
 class _TextFormatter(logging.Formatter):
@@ -30,10 +31,102 @@
         return f"{when} {record.levelname.lower()} {record.getMessage()}{pairs}"
 
 
+class _JsonFormatter(json_formatter.JsonFormatter):
+    """Writes each record as one JSON object."""
+
+    def add_fields(self, log_data, record, message_dict) -> None:
+        log_data["time"] = round(record.created, 3)
+        log_data["level"] = record.levelname.lower()
+        log_data["event"] = record.getMessage()
+        log_data.update(getattr(record, "fields", {}))
+        log_data.update(message_dict)
+
+
+class BoundedHandler(logging.Handler):
+    """Writes lines to a descriptor without ever waiting for its reader."""
+
+    def __init__(
+        self,
+        fd: int,
+        clock: Callable[[], float] = time.monotonic,
+        max_lines_per_s: int = MAX_LINES_PER_S,
+    ):
+        super().__init__()
+        self._fd = fd
+        self._clock = clock
+        self._max_lines = max_lines_per_s
+        self._second = 0
+        self._lines = 0
+        self._rest = b""
+        self._left_out: collections.Counter[str] = collections.Counter()
+        self.on_left_out: Callable[[str, int], None] = _ignore
+        os.set_blocking(fd, False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes a record, or counts it as left out."""
+        second = int(self._clock())
+        if second != self._second:
+            self._second, self._lines = second, 0
+            self._report_left_out()
+        allowed = self._max_lines
+        if record.levelno < logging.WARNING and getattr(
+            record, "is_decision", False
+        ):
+            allowed *= _ORDINARY_SHARE
+        if self._lines >= allowed or not self._write(self.format(record)):
+            self._left_out[record.getMessage()] += 1
+            return
+        self._lines += 1
+
+    def _report_left_out(self) -> None:
+        left_out, self._left_out = self._left_out, collections.Counter()
+        if not left_out:
+            return
+        for event, lines in left_out.items():
+            self.on_left_out(event, lines)
+        record = _LOGGER.makeRecord(
+            _LOGGER.name,
+            logging.WARNING,
+            __file__,
+            0,
+            "lines left out",
+            (),
+            None,
+            extra={"fields": {"lines": dict(left_out)}},
+        )
+        self._write(self.format(record))
+
+    def _write(self, line: str) -> bool:
+        """Writes a line whole or not at all; tells whether it did."""
+        try:
+            if self._rest:
+                sent = os.write(self._fd, self._rest)
+                self._rest = self._rest[sent:]
+                if self._rest:
+                    return False
+            data = line.encode() + b"\n"
+            sent = os.write(self._fd, data)
+        except OSError:
+            # The reader is gone or behind; the caller counts the line.
+            return False
+        self._rest = data[sent:]
+        return True
+
+
 def set_up(stream: TextIO, as_json: bool) -> None:
     """Sends state changes to a stream."""
     handler = logging.StreamHandler(stream)
     handler.setFormatter(_JsonFormatter() if as_json else _TextFormatter())
+    _install(handler)
+
+
+def set_up_bounded(handler: BoundedHandler) -> None:
+    """Sends lines as JSON to a bounded handler."""
+    handler.setFormatter(_JsonFormatter())
+    _install(handler)
+
+
+def _install(handler: logging.Handler) -> None:
     _LOGGER.handlers[:] = [handler]
     _LOGGER.setLevel(logging.INFO)
     _LOGGER.propagate = False
@@ -47,3 +140,18 @@
 def log_fault(event: str, **fields: Any) -> None:
     """Logs a change of state that an operator should look at."""
     _LOGGER.warning(event, extra={"fields": fields})
+
+
+def log_decision(event: str, is_problem: bool = False, **fields: Any) -> None:
+    """Logs a decision on a request with the inputs that decided it."""
+    level = logging.WARNING if is_problem else logging.INFO
+    _LOGGER.log(level, event, extra={"fields": fields, "is_decision": True})
+
+
+def log_exception(event: str, exc: BaseException) -> None:
+    """Logs a fault of the program's own with its traceback."""
+    _LOGGER.error(event, exc_info=exc, extra={"fields": {"fault": repr(exc)}})
+
+
+def _ignore(event: str, lines: int) -> None:
+    pass
--- /dev/null
+++ b/chervilarch/telemetry.py
@@ -0,0 +1,91 @@
+"""Counters and latency histograms, served as text by `prometheus_client`."""
+
+import prometheus_client
+
+# Beyond so many accounts, the rest share the label "other".
+MAX_ACCOUNTS = 100
+_OTHER = "other"
+# Upper bounds in seconds; the objectives of routes lie between 0.1 and 2 s.
+_BUCKETS = (0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 8, 15)
+_BATCH_BUCKETS = (1, 2, 4, 8, 15, 30, 60)
+
+
+class Telemetry:
+    """The metrics of one process."""
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self._accounts: set[str] = set()
+        self._requests = self._counter(
+            "requests", "Requests ended", ["account", "route", "outcome"]
+        )
+        self._latency = self._histogram(
+            "request_seconds",
+            "Time to the whole answer, or to the first event of a stream",
+            ["account", "route"],
+        )
+        self._stage = self._histogram(
+            "stage_call_seconds", "Time of calls for pieces", ["pool"]
+        )
+        self._batch = self._histogram(
+            "stage_call_pieces", "Pieces a call", ["pool"], _BATCH_BUCKETS
+        )
+        self._events = self._counter(
+            "events", "Events that are also logged", ["event"]
+        )
+        self._left_out = self._counter(
+            "log_lines_left_out", "Log lines beyond the bound", ["event"]
+        )
+
+    def text(self) -> bytes:
+        """Returns all metrics in the Prometheus text format."""
+        return prometheus_client.generate_latest(self.registry)
+
+    def count_request(self, account: str, route: str, outcome: str) -> None:
+        """Counts a request that ended."""
+        labels = (self._account_label(account), route, outcome)
+        self._requests.labels(*labels).inc()
+
+    def observe_latency(self, account: str, route: str, seconds: float) -> None:
+        """Records the time of an answer."""
+        label = self._account_label(account)
+        self._latency.labels(label, route).observe(seconds)
+
+    def observe_stage(self, pool: str, seconds: float) -> None:
+        """Records the time of a call for pieces."""
+        self._stage.labels(pool).observe(seconds)
+
+    def observe_batch(self, pool: str, count: int) -> None:
+        """Records how many pieces a call carries."""
+        self._batch.labels(pool).observe(count)
+
+    def count_event(self, event: str) -> None:
+        """Counts an event, whether or not its line is written."""
+        self._events.labels(event).inc()
+
+    def count_left_out(self, event: str, lines: int) -> None:
+        """Counts log lines that were left out."""
+        self._left_out.labels(event).inc(lines)
+
+    def _account_label(self, account: str) -> str:
+        if account not in self._accounts:
+            if len(self._accounts) >= MAX_ACCOUNTS:
+                return _OTHER
+            self._accounts.add(account)
+        return account
+
+    def _counter(self, name: str, text: str, labels: list[str]):
+        return prometheus_client.Counter(
+            f"chervilarch_{name}", text, labels, registry=self.registry
+        )
+
+    def _histogram(
+        self, name: str, text: str, labels: list[str], buckets=_BUCKETS
+    ):
+        return prometheus_client.Histogram(
+            f"chervilarch_{name}",
+            text,
+            labels,
+            buckets=buckets,
+            registry=self.registry,
+        )
