--- a/chervilarch/final_call.py
+++ b/chervilarch/final_call.py
@@ -9,6 +9,7 @@
     outcomes,
     placement,
     routed,
+    stage_inputs,
     state_log,
     tasks,
 )
@@ -146,8 +147,11 @@
 class WholeCall:
     """Sends a request and passes on the whole reply."""
 
-    def __init__(self, ctx: contexts.RoutedContext):
+    def __init__(
+        self, ctx: contexts.RoutedContext, inputs: stage_inputs.StageInputs
+    ):
         self._ctx = ctx
+        self._inputs = inputs
         self._pool = ctx.req.route.pool_for(ctx.req.id)
         self._tried: set[str] = set()
         self._sent: list[Sent] = []
@@ -221,7 +225,11 @@
         ctx.req.sends += 1
         fut: Future = Future()
         exchange = ctx.ctrl.wire.build_call(
-            ctx.req, lease.listing, ctx.left_s() - RETURN_S, (), ""
+            ctx.req,
+            lease.listing,
+            ctx.left_s() - RETURN_S,
+            self._inputs.handles(),
+            ctx.req.resume_after,
         )
         transfer = ctx.ctrl.client.start(
             exchange, lambda result: self._resolve(fut, transfer, result)
--- /dev/null
+++ b/chervilarch/fleet.py
@@ -0,0 +1,120 @@
+"""Finds the other gateways: first in the platform's store, then by gossip."""
+
+import hashlib
+import random
+
+from chervilarch import (
+    clocks,
+    gathering,
+    gossip,
+    hosts,
+    membership,
+    metrics,
+    state_log,
+    store,
+    tasks,
+)
+from chervilarch import loop as loops
+
+_STORE_TIMEOUT_S = 1.5
+_RETRY_S = 1.0
+# A host that sees no other reads the store's list again after this time.
+_ALONE_S = 5.0
+# The stage socket's port follows that of gossip.
+_STAGE_PORT_OFFSET = 1
+
+
+class Fleet:
+    """The gateways that are held alive."""
+
+    def __init__(
+        self,
+        loop: loops.Loop,
+        source: store.Store,
+        own: membership.Member,
+        key: bytes,
+        clock: clocks.Clock,
+        rng: random.Random,
+    ):
+        self._loop = loop
+        self._store = source
+        self._own = own
+        self.gossip = gossip.GossipController(
+            own, key, clock, metrics.Metrics(None), rng
+        )
+
+    def start(self) -> None:
+        """Starts gossip and looks for other hosts."""
+        self.gossip.start()
+        tasks.Task(self._join())
+
+    def leave(self) -> None:
+        """Tells the others to send no more work here."""
+        self.gossip.announce_leaving()
+
+    def peers(self) -> list[gathering.Peer]:
+        """Returns the other hosts that are held alive."""
+        return [
+            stage_peer(member)
+            for member in self.gossip.members()[1:]
+            if member.status is membership.Status.ALIVE
+        ]
+
+    def _join(self) -> tasks.Steps[None]:
+        """Enters this host into the store's list, and reads the list."""
+        own = self._own
+        value = f"{own.address} {own.data_centre}".encode()
+        is_listed = False
+        while True:
+            if not is_listed:
+                error = yield self._store.put(
+                    store.Topic.ROUTERS, own.name, value, _STORE_TIMEOUT_S
+                )
+                is_listed = error is None
+            page = yield self._store.read_newest(
+                store.Topic.ROUTERS, "", _STORE_TIMEOUT_S
+            )
+            if isinstance(page, store.StoreError) or not is_listed:
+                yield tasks.sleep(self._loop, _RETRY_S)
+                continue
+            self._take(page)
+            yield tasks.sleep(self._loop, _ALONE_S)
+            while self.peers():
+                yield tasks.sleep(self._loop, _ALONE_S)
+
+    def _take(self, page: store.NewestPage) -> None:
+        entries = []
+        for change in page.changes:
+            words = change.value.decode("utf-8", "replace").split()
+            if len(words) != 2:
+                state_log.log_fault("host entry unreadable", host=change.key)
+                continue
+            address, data_centre = words
+            entries.append(
+                hosts.HostEntry(
+                    change.key,
+                    address,
+                    hosts.ROLE_ROUTER,
+                    "",
+                    data_centre,
+                    "live",
+                    0,
+                )
+            )
+        self.gossip.take_list(entries)
+
+
+def stage_peer(member: membership.Member) -> gathering.Peer:
+    """Returns a member with the address of its stage socket."""
+    host, port = member.address.rsplit(":", 1)
+    address = (host, int(port) + _STAGE_PORT_OFFSET)
+    return gathering.Peer(member.name, address)
+
+
+def deployment_key(store_address: str) -> bytes:
+    """Returns the key that seals datagrams between hosts.
+
+    The platform hands out no secret: the key keeps deployments apart and
+    damaged datagrams out, no more.
+    """
+    return hashlib.blake2b(store_address.encode(), digest_size=16).digest()
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -8,16 +8,22 @@
 
 from chervilarch import (
     budgets,
+    clocks,
     environment,
+    fleet,
     followers,
     gateway_args,
     gateway_settings,
+    gathering,
+    gossip,
     inbound,
+    membership,
     outgoing,
     piece_runner,
     placement,
     serving,
     settings,
+    stage_desk,
     state_log,
     telemetry,
 )
@@ -51,7 +57,7 @@
         self._loop = loops.Loop(env.clock)
         self._meters = meters
         self._phase = serving.Phase()
-        self._ctrl = build(cfg, self._loop, meters)
+        self._ctrl = build(cfg, env.clock, self._loop, meters)
         self._callers = inbound.Server(
             self._loop,
             cfg.caller_address,
@@ -73,6 +79,7 @@
         """Serves until a shutdown has ended."""
         self._ctrl.configuration.follower.start()
         self._ctrl.endpoints.follower.start()
+        self._ctrl.fleet.start()
         state_log.log_change(
             "gateway started",
             host=self._cfg.host,
@@ -121,6 +128,7 @@
     def _begin_drain(self) -> None:
         self._phase.is_draining = True
         self._drain_began_at = self._loop.now()
+        self._ctrl.fleet.leave()
         state_log.log_change("drain started", in_flight=self._phase.in_flight)
         self._loop.call_later(_DRAIN_NOTICE_S, self._stop_accepting)
 
@@ -156,6 +164,7 @@
 
 def build(
     cfg: gateway_settings.GatewaySettings,
+    clock: clocks.Clock,
     loop: loops.Loop,
     meters: telemetry.Telemetry,
 ) -> RoutedControllers:
@@ -185,6 +194,22 @@
     runner = piece_runner.PieceRunner(
         loop, client, http, retry_budgets, meters, endpoints.mark_gone
     )
+    key = fleet.deployment_key(cfg.store_address)
+    own = membership.Member(
+        cfg.host,
+        f"{cfg.ip}:{cfg.peer_ports[0]}",
+        cfg.data_centre,
+        gossip.first_incarnation(clock),
+        caller_address=cfg.caller_address,
+    )
+    hosts = fleet.Fleet(loop, source, own, key, clock, rng)
+    stages = gathering.Gatherer(
+        loop,
+        stage_desk.StageDesk(loop, runner),
+        fleet.stage_peer(own),
+        hosts.peers,
+        key,
+    )
     configuration.add_listener(lambda book: runner.set_pools(book.pools))
     endpoints.add_listener(place.set_endpoints)
     endpoints.add_listener(runner.set_endpoints)
@@ -195,7 +220,8 @@
         configuration=configuration,
         endpoints=endpoints,
         placement=place,
-        piece_runner=runner,
+        stages=stages,
+        fleet=hosts,
         retry_budgets=retry_budgets,
         meters=meters,
         rng=rng,
--- /dev/null
+++ b/chervilarch/gathering.py
@@ -0,0 +1,304 @@
+"""Brings the stage work of all hosts together at one of them.
+
+Only one queue that sees the whole demand can fill calls and keep endpoints
+from being raced for. The gathering host is chosen by rendezvous hashing over
+the live hosts; it is a matter of performance only: any host can run an order,
+and two that both gather waste work but break nothing.
+"""
+
+import selectors
+import socket
+import zlib
+from collections.abc import Callable
+from concurrent.futures import Future
+from typing import NamedTuple
+
+from chervilarch import loop as loops
+from chervilarch import (
+    messages,
+    stage_desk,
+    stage_graph,
+    stage_messages,
+    state_log,
+    tasks,
+)
+from chervilarch.stage_messages import Kind, StageMessage
+
+# An order that isn't accepted is sent again after this time. The way there
+# and back takes a few milliseconds.
+_RESEND_S = 0.08
+_MAX_SENDS = 3
+# An accepted order is asked after this often, and held to be lost when its
+# gatherer wasn't heard for the longer time.
+_KEEPALIVE_S = 0.4
+_SILENCE_S = 1.0
+# A gatherer that didn't answer gets no orders for this time.
+_AVOID_S = 1.5
+# An order whose sender wasn't heard for this time is dropped.
+_ABANDONED_S = 2.0
+_SWEEP_S = 0.5
+_MAX_DATAGRAM = 65507
+
+
+class Peer(NamedTuple):
+    """A live host and the address of its stage socket."""
+
+    name: str
+    address: tuple[str, int]
+
+
+class Ticket:
+    """An order that was submitted here."""
+
+    def __init__(self, number: int, order: stage_graph.Order):
+        self.number = number
+        self.order = order
+        self.future: Future = Future()
+        self.peer: Peer | None = None
+        self.local: stage_desk.OrderRun | None = None
+        self.sends = 0
+        self.is_accepted = False
+        self.heard_at = 0.0
+        self.timer: loops.Timer | None = None
+
+
+class _Served:
+    """An order that another host submitted."""
+
+    def __init__(self, run: stage_desk.OrderRun, now: float):
+        self.run = run
+        self.heard_at = now
+
+
+class Gatherer:
+    """Submits orders to the gathering host, and gathers for others."""
+
+    def __init__(
+        self,
+        loop: loops.Loop,
+        desk: stage_desk.StageDesk,
+        own: Peer,
+        live_peers: Callable[[], list[Peer]],
+        key: bytes,
+    ):
+        """Creates the gatherer and binds its socket.
+
+        Args:
+            loop: the event loop.
+            desk: runs orders on this host.
+            own: this host.
+            live_peers: returns the other hosts that are held alive.
+            key: seals datagrams.
+
+        Raises:
+            OSError: the address can't be bound.
+        """
+        self._loop = loop
+        self._desk = desk
+        self._own = own
+        self._live_peers = live_peers
+        self._key = key
+        self._number = int(loop.clock.wall() * 1000) << 20
+        self._tickets: dict[int, Ticket] = {}
+        self._served: dict[tuple, _Served] = {}
+        self._avoided: dict[str, float] = {}
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._socket.bind(own.address)
+        loop.watch(self._socket, selectors.EVENT_READ, self._receive)
+        loop.call_later(_SWEEP_S, self._sweep)
+
+    def submit(self, order: stage_graph.Order) -> Ticket:
+        """Has an order run; its future gets results or a `PieceFailure`."""
+        self._number += 1
+        ticket = Ticket(self._number, order)
+        self._place(ticket)
+        return ticket
+
+    def cancel(self, ticket: Ticket) -> None:
+        """Stops an order; its future is not resolved."""
+        if ticket.local is not None:
+            self._desk.cancel(ticket.local)
+        elif self._forget(ticket):
+            self._send(ticket.peer, StageMessage(Kind.CANCEL, ticket.number))
+
+    def free(self, results: stage_graph.Results) -> None:
+        """Frees results that the final call has read."""
+        peer = self._choose_peer()
+        if peer is None:
+            self._desk.free(results)
+        else:
+            self._send(peer, StageMessage(Kind.FREE, results=results))
+
+    def _choose_peer(self) -> Peer | None:
+        """Returns the gathering host, None if it is this one."""
+        now = self._loop.now()
+        peers = [
+            peer
+            for peer in self._live_peers()
+            if self._avoided.get(peer.name, now) <= now
+        ]
+        best = max(
+            [self._own, *peers], key=lambda peer: zlib.crc32(peer.name.encode())
+        )
+        return None if best is self._own else best
+
+    def _place(self, ticket: Ticket) -> None:
+        """Sends an order to the gathering host, or runs it here."""
+        peer = self._choose_peer()
+        ticket.peer = peer
+        ticket.sends = 0
+        ticket.is_accepted = False
+        if peer is None:
+            ticket.local = self._desk.run(ticket.order)
+            ticket.local.future.add_done_callback(
+                lambda fut: tasks.resolve(ticket.future, fut.result())
+            )
+            return
+        self._tickets[ticket.number] = ticket
+        ticket.heard_at = self._loop.now()
+        self._send_submit(ticket)
+
+    def _send_submit(self, ticket: Ticket) -> None:
+        ticket.sends += 1
+        self._send(
+            ticket.peer,
+            StageMessage(Kind.SUBMIT, ticket.number, ticket.order),
+        )
+        delay_s = _KEEPALIVE_S if ticket.is_accepted else _RESEND_S
+        ticket.timer = self._loop.call_later(
+            delay_s, lambda: self._follow_up(ticket)
+        )
+
+    def _follow_up(self, ticket: Ticket) -> None:
+        """Asks again after an order, or places it elsewhere."""
+        now = self._loop.now()
+        if ticket.is_accepted:
+            is_lost = now - ticket.heard_at > _SILENCE_S
+        else:
+            is_lost = ticket.sends >= _MAX_SENDS
+        if not is_lost:
+            self._send_submit(ticket)
+            return
+        self._avoided[ticket.peer.name] = now + _AVOID_S
+        state_log.log_fault(
+            "gathering host silent",
+            request_id=ticket.order.request_id,
+            host=ticket.peer.name,
+            silent_ms=round((now - ticket.heard_at) * 1000),
+        )
+        self._forget(ticket)
+        self._send(ticket.peer, StageMessage(Kind.CANCEL, ticket.number))
+        self._number += 1
+        ticket.number = self._number
+        self._place(ticket)
+
+    def _forget(self, ticket: Ticket) -> bool:
+        if ticket.timer is not None:
+            ticket.timer.cancel()
+        return self._tickets.pop(ticket.number, None) is not None
+
+    def _send(self, peer: Peer, message: StageMessage) -> None:
+        self._send_to(peer.address, message)
+
+    def _send_to(self, address: tuple, message: StageMessage) -> None:
+        frame = stage_messages.encode(self._key, message, self._loop.now())
+        try:
+            self._socket.sendto(frame, address)
+        except OSError as exc:
+            # The message counts as lost; it is sent again or given up.
+            state_log.log_fault(
+                "stage message not sent", host=address[0], reason=str(exc)
+            )
+
+    def _receive(self, events: int) -> None:
+        while True:
+            try:
+                frame, source = self._socket.recvfrom(_MAX_DATAGRAM)
+            except OSError:
+                return  # Nothing is left to read.
+            message = stage_messages.decode(self._key, frame, self._loop.now())
+            if isinstance(message, messages.BadFrame):
+                state_log.log_fault(
+                    "stage message refused",
+                    host=source[0],
+                    reason=message.reason,
+                )
+                continue
+            self._take(message, source)
+
+    def _take(self, message: StageMessage, source: tuple) -> None:
+        ticket = self._tickets.get(message.number)
+        if message.kind is Kind.SUBMIT:
+            self._take_submit(message, source)
+        elif message.kind is Kind.ACCEPTED:
+            if ticket is not None:
+                ticket.is_accepted = True
+                ticket.heard_at = self._loop.now()
+        elif message.kind is Kind.RESULTS:
+            self._take_results(ticket, message, source)
+        elif message.kind is Kind.FREE:
+            self._desk.free(message.results)
+        else:
+            self._end_served(source, message)
+
+    def _take_submit(self, message: StageMessage, source: tuple) -> None:
+        key = (source, message.number)
+        served = self._served.get(key)
+        if served is None:
+            served = _Served(self._desk.run(message.order), self._loop.now())
+            self._served[key] = served
+            if not served.run.future.done():
+                served.run.future.add_done_callback(
+                    lambda _: self._answer(served, source, message.number)
+                )
+        served.heard_at = self._loop.now()
+        self._answer(served, source, message.number)
+
+    def _answer(self, served: _Served, source: tuple, number: int) -> None:
+        """Sends an order's results if there are any."""
+        if (source, number) not in self._served:
+            return
+        if not served.run.future.done():
+            self._send_to(source, StageMessage(Kind.ACCEPTED, number))
+            return
+        made = served.run.future.result()
+        if isinstance(made, tuple) and not hasattr(made, "reason"):
+            answer = StageMessage(Kind.RESULTS, number, results=made)
+        else:
+            answer = StageMessage(Kind.RESULTS, number, failure=made)
+        self._send_to(source, answer)
+
+    def _take_results(
+        self, ticket: Ticket | None, message: StageMessage, source: tuple
+    ) -> None:
+        if ticket is None:
+            # Nobody waits for these any more.
+            self._send_to(source, StageMessage(Kind.CANCEL, message.number))
+            return
+        self._send_to(source, StageMessage(Kind.RECEIVED, message.number))
+        self._forget(ticket)
+        tasks.resolve(ticket.future, message.failure or message.results)
+
+    def _end_served(self, source: tuple, message: StageMessage) -> None:
+        served = self._served.pop((source, message.number), None)
+        if served is not None and message.kind is Kind.CANCEL:
+            self._drop(served)
+
+    def _drop(self, served: _Served) -> None:
+        """Stops an order that nobody waits for and frees its results."""
+        run = served.run
+        if not run.future.done():
+            self._desk.cancel(run)
+            return
+        made = run.future.result()
+        if not hasattr(made, "reason"):
+            self._desk.free(made)
+
+    def _sweep(self) -> None:
+        oldest = self._loop.now() - _ABANDONED_S
+        for key, served in list(self._served.items()):
+            if served.heard_at < oldest:
+                del self._served[key]
+                self._drop(served)
+        self._loop.call_later(_SWEEP_S, self._sweep)
--- a/chervilarch/gossip.py
+++ b/chervilarch/gossip.py
@@ -119,14 +119,18 @@
         self._socket.bind(self._address)
         self._thread.start()
 
-    def stop(self) -> None:
-        """Tells some peers that this router leaves, then stops."""
+    def announce_leaving(self) -> None:
+        """Tells some peers that this router leaves; it goes on listening."""
         with self._lock:
             self._fleet.own = self._fleet.own._replace(
                 status=membership.Status.LEFT
             )
             for member in self._fleet.live()[1:9]:
                 self._send("ping", member.address)
+
+    def stop(self) -> None:
+        """Tells some peers that this router leaves, then stops."""
+        self.announce_leaving()
         self._stop.set()
         self._thread.join()
         self._socket.close()
--- a/chervilarch/messages.py
+++ b/chervilarch/messages.py
@@ -15,7 +15,7 @@
 
 MAC_BYTES = 16
 MAX_DATAGRAM_BYTES = 1400
-_SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("peer.capnp")))
+SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("peer.capnp")))
 
 
 class LeavingEndpoint(NamedTuple):
@@ -95,7 +95,7 @@
 
 def encode_gossip(key: bytes, gossip: Gossip) -> bytes:
     """Returns the sealed datagram of a gossip message."""
-    msg = _SCHEMA.Gossip.new_message()
+    msg = SCHEMA.Gossip.new_message()
     msg.kind = gossip.kind
     _fill_member(msg.sender, gossip.sender)
     msg.target = gossip.target
@@ -122,7 +122,7 @@
     if isinstance(payload, BadFrame):
         return payload
     try:
-        msg = _SCHEMA.Gossip.from_bytes_packed(payload)
+        msg = SCHEMA.Gossip.from_bytes_packed(payload)
         return Gossip(
             kind=str(msg.kind),
             sender=_read_member(msg.sender),
@@ -145,9 +145,7 @@
 
 def encode_request(key: bytes, req: TransferRequest) -> bytes:
     """Returns the sealed frame of a transfer request."""
-    msg = _SCHEMA.TransferRequest.new_message(
-        nonce=req.nonce, target=req.target
-    )
+    msg = SCHEMA.TransferRequest.new_message(nonce=req.nonce, target=req.target)
     return seal(key, msg.to_bytes_packed())
 
 
@@ -157,7 +155,7 @@
     if isinstance(payload, BadFrame):
         return payload
     try:
-        msg = _SCHEMA.TransferRequest.from_bytes_packed(payload)
+        msg = SCHEMA.TransferRequest.from_bytes_packed(payload)
         return TransferRequest(msg.nonce, msg.target)
     except (capnp.KjException, ValueError) as exc:
         return BadFrame(f"malformed request: {exc}")
@@ -165,7 +163,7 @@
 
 def encode_reply(key: bytes, reply: TransferReply) -> bytes:
     """Returns the sealed frame of a transfer reply."""
-    msg = _SCHEMA.TransferReply.new_message(**reply._asdict())
+    msg = SCHEMA.TransferReply.new_message(**reply._asdict())
     return seal(key, msg.to_bytes_packed())
 
 
@@ -175,7 +173,7 @@
     if isinstance(payload, BadFrame):
         return payload
     try:
-        msg = _SCHEMA.TransferReply.from_bytes_packed(payload)
+        msg = SCHEMA.TransferReply.from_bytes_packed(payload)
         return TransferReply(
             msg.nonce, msg.through, msg.version, bytes(msg.document)
         )
--- a/chervilarch/peer.capnp
+++ b/chervilarch/peer.capnp
@@ -59,3 +59,51 @@
   version @2 :Int64;
   document @3 :Data;
 }
+
+enum StageKind {
+  submit @0;
+  accepted @1;
+  results @2;
+  received @3;
+  cancel @4;
+  free @5;
+}
+
+struct StageNeed {
+  pool @0 :Text;
+  after @1 :List(UInt16);
+  count @2 :UInt16;
+  resultBytes @3 :UInt64;
+}
+
+# Times are relative to the sending, in milliseconds.
+struct StageOrder {
+  requestId @0 :Text;
+  key @1 :Text;
+  priority @2 :Int32;
+  objectiveMs @3 :Int64;
+  deadlineMs @4 :Int64;
+  stages @5 :List(StageNeed);
+}
+
+struct StageMaker {
+  endpoint @0 :Text;
+  address @1 :Text;
+  dataCentre @2 :Text;
+  pool @3 :Text;
+}
+
+struct StageResult {
+  maker @0 :UInt16;
+  handle @1 :Text;
+}
+
+struct StageMessage {
+  kind @0 :StageKind;
+  number @1 :UInt64;
+  order @2 :StageOrder;
+  makers @3 :List(StageMaker);
+  results @4 :List(StageResult);
+  failure @5 :Text;
+  retryAfterMs @6 :UInt32;
+}
--- a/chervilarch/piece_runner.py
+++ b/chervilarch/piece_runner.py
@@ -27,8 +27,8 @@
 _MAX_ERRORS = 3
 # Results are freed in rounds, so that one call frees several.
 _RELEASE_PERIOD_S = 0.03
-# Handles are not sent again if freeing fails: the maker frees them itself.
-_MIN_RETRY_AFTER_S = 0.1
+# Room and slower endpoints are looked at again this often while work waits.
+_LOOK_AGAIN_S = 0.05
 
 
 class PieceRunner:
@@ -53,6 +53,9 @@
         self._listed: dict[str, dict[str, endpoint_list.Listing]] = {}
         self._to_free: dict[str, list[str]] = collections.defaultdict(list)
         self._is_freeing = False
+        self._timers: dict[str, loops.Timer] = {}
+        # Called when queues may have become shorter.
+        self.on_pumped: Callable[[], None] | None = None
 
     def set_pools(self, pools: dict[str, route_book.Pool]) -> None:
         """Takes the pools of a configuration."""
@@ -75,6 +78,10 @@
             queue.set_endpoints(listed.get(name, {}))
             self._pump(name)
 
+    def queue(self, pool: str) -> pieces.PieceQueue | None:
+        """Returns the queue of a pool."""
+        return self._queues.get(pool)
+
     def submit(self, job: pieces.Job) -> pieces.PendingJob:
         """Starts a job; its future gets results or a `PieceFailure`."""
         pending = pieces.PendingJob(job)
@@ -83,9 +90,8 @@
         if queue is None or not queue.makers:
             pending.end(pieces.PieceFailure(pieces.NO_ENDPOINT))
             return pending
-        wait_s = queue.wait_s(job, now)
-        if now + wait_s + queue.call_s(1) > job.deadline_at:
-            self._refuse(pending, wait_s)
+        if now + queue.call_s(1) > job.deadline_at:
+            pending.end(pieces.PieceFailure(pieces.LATE))
             return pending
         queue.add(pending)
         self._loop.call_at(job.deadline_at, lambda: self._pump(job.pool))
@@ -95,7 +101,7 @@
     def cancel(self, pending: pieces.PendingJob) -> None:
         """Makes no more pieces of a job and frees its results."""
         if not pending.is_ended:
-            made = [result for result in pending.results if result]
+            made = pending.made()
             pending.end(pieces.PieceFailure(pieces.FAILED))
             self.free(made)
 
@@ -103,6 +109,10 @@
         """Frees results that nobody needs any more."""
         for result in results:
             self._to_free[result.address].append(result.handle)
+            queue = self._queues.get(result.pool)
+            maker = queue.makers.get(result.endpoint) if queue else None
+            if maker is not None:
+                maker.release(result.handle)
         if results and not self._is_freeing:
             self._is_freeing = True
             self._loop.call_later(_RELEASE_PERIOD_S, self._send_releases)
@@ -111,18 +121,17 @@
         self._is_freeing = False
         to_free, self._to_free = self._to_free, collections.defaultdict(list)
         for address, handles in to_free.items():
+            # A maker that can't be reached frees its results by itself.
             self._client.call(self._wire.build_release(address, handles))
-
-    def _refuse(self, pending: pieces.PendingJob, wait_s: float) -> None:
-        retry_after_s = max(_MIN_RETRY_AFTER_S, wait_s / 2)
-        pending.end(pieces.PieceFailure(pieces.OVERLOADED, retry_after_s))
+        for pool in self._queues:
+            self._pump(pool)
 
     def _pump(self, pool: str) -> None:
         """Sends calls as long as endpoints are free."""
         queue = self._queues[pool]
         now = self._loop.now()
         for pending in queue.expire(now):
-            made = [result for result in pending.results if result]
+            made = pending.made()
             pending.end(pieces.PieceFailure(pieces.LATE))
             self.free(made)
         while True:
@@ -131,13 +140,26 @@
                 break
             _Call(self, queue, batch)
         if queue.backlog():
-            resting = [
-                maker.resting_until
-                for maker in queue.makers.values()
-                if maker.resting_until > now
-            ]
-            if resting:
-                self._loop.call_at(min(resting), lambda: self._pump(pool))
+            self._pump_later(pool, queue, now)
+        if self.on_pumped is not None:
+            self.on_pumped()
+
+    def _pump_later(
+        self, pool: str, queue: pieces.PieceQueue, now: float
+    ) -> None:
+        """Looks again when an endpoint ends its rest or frees its room."""
+        resting = [
+            maker.resting_until
+            for maker in queue.makers.values()
+            if maker.resting_until > now
+        ]
+        due_at = min([*resting, now + _LOOK_AGAIN_S])
+        timer = self._timers.get(pool)
+        if timer is not None:
+            timer.cancel()
+        self._timers[pool] = self._loop.call_at(
+            due_at, lambda: self._pump(pool)
+        )
 
 
 class _Call:
@@ -256,13 +278,18 @@
         ):
             if reply.handle:
                 result = pieces.PieceResult(
-                    reply.handle, entry.name, entry.address, entry.data_centre
+                    reply.handle,
+                    entry.name,
+                    entry.address,
+                    entry.data_centre,
+                    self._pool,
                 )
+                self._keep(pending, reply.handle, now)
                 if not pending.take_result(piece, result):
                     unused.append(result)
             elif reply.failure in (pieces.LATE, pieces.INPUT_GONE):
                 if not pending.is_ended and pending.results[piece] is None:
-                    made = [item for item in pending.results if item]
+                    made = pending.made()
                     pending.end(pieces.PieceFailure(reply.failure))
                     self._runner.free(made)
             else:
@@ -271,6 +298,13 @@
                 self._requeue([(pending, piece)], not reply.is_full)
         self._runner.free(unused)
 
+    def _keep(
+        self, pending: pieces.PendingJob, handle: str, now: float
+    ) -> None:
+        """Counts a result's room until it is freed or expires."""
+        until = now + self._queue.limits.kept_s
+        self._batch.maker.keep(handle, pending.job.result_bytes, until)
+
     def _make_again(self, is_error: bool) -> None:
         self._requeue(self._batch.pieces, is_error)
         self._runner._pump(self._pool)
@@ -293,6 +327,6 @@
                 pending.todo += again
                 self._queue.add(pending)
             elif is_error:
-                made = [item for item in pending.results if item]
+                made = pending.made()
                 pending.end(pieces.PieceFailure(pieces.FAILED))
                 self._runner.free(made)
--- a/chervilarch/pieces.py
+++ b/chervilarch/pieces.py
@@ -29,12 +29,14 @@
         endpoint: id of the maker.
         address: address of the maker.
         data_centre: where the maker runs.
+        pool: pool of the maker.
     """
 
     handle: str
     endpoint: str
     address: str
     data_centre: str
+    pool: str
 
 
 class PieceFailure(NamedTuple):
@@ -69,6 +71,7 @@
         aim_at: when the stage should end for the answer to be on time.
         deadline_at: when its results are of no more use.
         priority: rank, 0 is the most urgent.
+        result_bytes: approximate size of one result.
     """
 
     request_id: str
@@ -80,6 +83,7 @@
     aim_at: float
     deadline_at: float
     priority: int
+    result_bytes: int = 0
 
 
 class PendingJob:
@@ -98,6 +102,10 @@
         job = self.job
         return (now > job.aim_at, job.priority, job.aim_at)
 
+    def made(self) -> list[PieceResult]:
+        """Returns the results that are there."""
+        return [result for result in self.results if result is not None]
+
     def take_result(self, piece: int, result: PieceResult) -> bool:
         """Keeps a result; False if the piece has one or the job ended."""
         if self.is_ended or self.results[piece] is not None:
@@ -126,6 +134,25 @@
         self.free_at = 0.0
         self.resting_until = float("-inf")
         self.failures = 0
+        # Room that running calls need, in bytes.
+        self.reserved_bytes = 0
+        self._kept: dict[str, tuple[int, float]] = {}
+
+    def keep(self, handle: str, size: int, until: float) -> None:
+        """Counts a result that lies here up to a monotonic time."""
+        self._kept[handle] = (size, until)
+
+    def release(self, handle: str) -> None:
+        """Counts a result as freed."""
+        self._kept.pop(handle, None)
+
+    def used_bytes(self, now: float) -> int:
+        """Returns the room taken by results and running calls."""
+        for handle, (_, until) in list(self._kept.items()):
+            if until <= now:
+                del self._kept[handle]
+        kept = sum(size for size, _ in self._kept.values())
+        return kept + self.reserved_bytes
 
     def note_time(self, ratio: float) -> None:
         """Learns from the time that a call took."""
@@ -148,12 +175,14 @@
         pieces: jobs with piece numbers.
         expected_s: how long the call is expected to take.
         nominal_s: how long the configuration says that it takes.
+        result_bytes: room that its results need.
     """
 
     maker: Maker
     pieces: list[tuple[PendingJob, int]]
     expected_s: float
     nominal_s: float
+    result_bytes: int
 
 
 class PieceQueue:
@@ -162,6 +191,8 @@
     def __init__(self, limits: route_book.PieceLimits):
         self.limits = limits
         self.makers: dict[str, Maker] = {}
+        # Pieces of admitted requests that will be queued here later.
+        self.pledged = 0
         self._jobs: list[PendingJob] = []
 
     def set_endpoints(self, listed: dict[str, endpoint_list.Listing]) -> None:
@@ -190,16 +221,15 @@
         """Returns the configured time of a call."""
         return self.limits.call_s + pieces * self.limits.piece_s
 
-    def wait_s(self, job: Job, now: float) -> float:
-        """Returns how long a new job would wait for its last call."""
+    def wait_s(self, priority: int, aim_at: float, now: float) -> float:
+        """Returns how long a new job would wait for its call."""
         usable = [m for m in self.makers.values() if m.resting_until <= now]
         if not usable:
-            return self.call_s(job.count)
-        ahead = sum(
+            return self.call_s(1)
+        ahead = self.pledged + sum(
             len(pending.todo)
             for pending in self._jobs
-            if (pending.job.priority, pending.job.aim_at)
-            <= (job.priority, job.aim_at)
+            if pending.order(now) <= (False, priority, aim_at)
         )
         batch = self.limits.batch
         rate = sum(
@@ -209,6 +239,11 @@
         busy_s = min(max(0.0, m.free_at - now) for m in usable)
         return busy_s + ahead / rate
 
+    def is_backed_up(self) -> bool:
+        """Tells whether more work waits than the next calls will take."""
+        waiting = self.pledged + self.backlog()
+        return waiting > self.limits.batch * max(1, len(self.makers)) / 2
+
     def expire(self, now: float) -> list[PendingJob]:
         """Removes jobs that are over; returns those past their deadline."""
         late = [
@@ -231,20 +266,32 @@
         maker = self._free_maker(now, min(waiting, self.limits.batch))
         if maker is None:
             return None
+        room = self.limits.room_bytes - maker.used_bytes(now)
         pieces: list[tuple[PendingJob, int]] = []
+        size = 0
         for pending in sorted(self._jobs, key=lambda item: item.order(now)):
-            while pending.todo and len(pieces) < self.limits.batch:
+            one = pending.job.result_bytes
+            while (
+                pending.todo
+                and len(pieces) < self.limits.batch
+                and size + one <= room
+            ):
                 pieces.append((pending, pending.todo.pop(0)))
+                size += one
+        if not pieces:
+            return None
         self._jobs = [pending for pending in self._jobs if pending.todo]
         nominal_s = self.call_s(len(pieces))
-        batch = Batch(maker, pieces, maker.slowness * nominal_s, nominal_s)
+        expected_s = maker.slowness * nominal_s
         maker.calls += 1
-        maker.free_at = now + batch.expected_s
-        return batch
+        maker.reserved_bytes += size
+        maker.free_at = now + expected_s
+        return Batch(maker, pieces, expected_s, nominal_s, size)
 
     def finish(self, batch: Batch) -> None:
         """Frees the endpoint's slot."""
         batch.maker.calls -= 1
+        batch.maker.reserved_bytes -= batch.result_bytes
 
     def rest_full(self, maker: Maker, now: float) -> None:
         """Leaves an endpoint alone that others keep busy."""
@@ -253,18 +300,21 @@
     def _free_maker(self, now: float, pieces: int) -> Maker | None:
         """Returns the endpoint that would finish soonest, if it is free."""
         call_s = self.call_s(pieces)
+        least = min(p.job.result_bytes for p in self._jobs if p.todo)
         free, busy_s = [], []
         for maker in self.makers.values():
             if maker.resting_until > now:
                 continue
             if maker.calls < self.limits.slots:
-                free.append(maker)
+                used = maker.used_bytes(now)
+                if used + least <= self.limits.room_bytes:
+                    free.append(maker)
             else:
                 wait_s = max(0.0, maker.free_at - now)
                 busy_s.append(wait_s + maker.slowness * call_s)
         if not free:
             return None
-        best = min(free, key=lambda maker: maker.slowness)
+        best = min(free, key=lambda m: (m.slowness, m.used_bytes(now)))
         is_backlog = self.backlog() > self.limits.batch
         if busy_s and not is_backlog:
             if min(busy_s) < _WAIT_SHARE * best.slowness * call_s:
--- a/chervilarch/route_book.py
+++ b/chervilarch/route_book.py
@@ -121,11 +121,6 @@
                 return name
         return self.pools[-1][0]
 
-    def final_stages(self) -> tuple[int, ...]:
-        """Returns the stages that no other stage follows."""
-        followed = {n for stage in self.stages for n in stage.after}
-        return tuple(n for n in range(len(self.stages)) if n not in followed)
-
 
 class Account(NamedTuple):
     """A client account; its priority goes before a route's."""
--- a/chervilarch/routed_context.py
+++ b/chervilarch/routed_context.py
@@ -5,10 +5,11 @@
 
 from chervilarch import (
     budgets,
+    fleet,
     followers,
+    gathering,
     inbound,
     outgoing,
-    piece_runner,
     placement,
     route_book,
     routed,
@@ -28,7 +29,8 @@
     configuration: followers.ConfigFollower
     endpoints: followers.EndpointFollower
     placement: placement.Placement
-    piece_runner: piece_runner.PieceRunner
+    stages: gathering.Gatherer
+    fleet: fleet.Fleet
     retry_budgets: budgets.PoolBudgets
     meters: telemetry.Telemetry
     rng: random.Random
--- a/chervilarch/routed_filters.py
+++ b/chervilarch/routed_filters.py
@@ -9,8 +9,7 @@
 from chervilarch import (
     final_call,
     outcomes,
-    route_book,
-    stage_graph,
+    stage_inputs,
     state_log,
     stream_call,
     tasks,
@@ -103,9 +102,9 @@
     ctx: RoutedContext, following: Next
 ) -> tasks.Steps[outcomes.Outcome]:
     """Runs the stages and the final call; the last filter."""
-    stages = stage_graph.StageRun(ctx)
+    inputs = stage_inputs.StageInputs(ctx)
     try:
-        failed = yield from stages.run()
+        failed = yield from inputs.make()
         if failed is not None:
             return failed
         if ctx.left_s() <= final_call.RETURN_S + final_call.MIN_CALL_S:
@@ -115,10 +114,10 @@
                 "allow a longer deadline",
             )
         if ctx.req.route.is_stream:
-            return (yield from stream_call.StreamCall(ctx, stages).run())
-        return (yield from final_call.WholeCall(ctx).run())
+            return (yield from stream_call.StreamCall(ctx, inputs).run())
+        return (yield from final_call.WholeCall(ctx, inputs).run())
     finally:
-        stages.free()
+        inputs.free()
 
 
 CHAIN: tuple[Filter, ...] = (
@@ -136,8 +135,3 @@
     """Passes a request through the filters."""
     first, *rest = chain
     return (yield from first(ctx, lambda: run_chain(ctx, tuple(rest))))
-
-
-def caller_limits(book: route_book.RouteBook | None):
-    """Returns what callers may send, None before any configuration."""
-    return book.limits if book else None
--- /dev/null
+++ b/chervilarch/stage_desk.py
@@ -0,0 +1,161 @@
+"""Admits orders for stages: at once, later, or not at all.
+
+An order that can't be on time any more is held back until the pools on its
+way have room, so that it takes nothing from those that still can and its
+results don't expire half way.
+"""
+
+from concurrent.futures import Future
+
+from chervilarch import loop as loops
+from chervilarch import piece_runner, pieces, stage_graph, state_log, tasks
+
+# The time given to refused callers: part of the wait that is foreseen.
+_RETRY_SHARE = 0.5
+_MIN_RETRY_S = 0.2
+_MAX_RETRY_S = 2.0
+
+
+class OrderRun:
+    """An order that was taken; its future gets results or a failure."""
+
+    def __init__(self, order: stage_graph.Order):
+        self.order = order
+        self.future: Future = Future()
+        self.task: tasks.Task | None = None
+
+
+class StageDesk:
+    """Runs orders with the pieces of one set of endpoints."""
+
+    def __init__(self, loop: loops.Loop, runner: piece_runner.PieceRunner):
+        self._loop = loop
+        self._runner = runner
+        self._held: list[OrderRun] = []
+        runner.on_pumped = self._look_soon
+        self._is_looking = False
+
+    def run(self, order: stage_graph.Order) -> OrderRun:
+        """Takes an order."""
+        run = OrderRun(order)
+        now = self._loop.now()
+        expected_s = self.expected_s(order, now)
+        is_late = now + expected_s > order.objective_at
+        wait_s = expected_s + self._held_s()
+        if now + expected_s > order.deadline_at or (
+            is_late and now + wait_s > order.deadline_at
+        ):
+            self._refuse(run, expected_s)
+        elif is_late:
+            self._hold(run, expected_s)
+        else:
+            self._start(run)
+        return run
+
+    def cancel(self, run: OrderRun) -> None:
+        """Stops an order; results that were made are freed."""
+        if run in self._held:
+            self._held.remove(run)
+        if run.task is not None:
+            run.task.cancel()
+
+    def free(self, results: stage_graph.Results) -> None:
+        """Frees results that the final call has read."""
+        self._runner.free(list(results))
+
+    def expected_s(self, order: stage_graph.Order, now: float) -> float:
+        """Returns how long an order would take, up to the first event."""
+        ends_s: dict[int, float] = {}
+        for number in order.wanted():
+            stage = order.stages[number]
+            queue = self._runner.queue(stage.pool)
+            if queue is None:
+                continue
+            starts_s = max(
+                (ends_s.get(n, 0.0) for n in order.inputs_of(number)),
+                default=0.0,
+            )
+            # Work that waits now is done by the time a later stage starts.
+            wait_s = queue.wait_s(order.priority, order.objective_at, now)
+            ends_s[number] = max(starts_s, wait_s) + stage_graph.call_s(
+                self._runner, stage
+            )
+        return max(ends_s.values(), default=0.0) + stage_graph.FINAL_CALL_S
+
+    def _held_s(self) -> float:
+        """Returns about how long the held orders take, in seconds."""
+        seconds = 0.0
+        for run in self._held:
+            for stage in run.order.stages:
+                queue = self._runner.queue(stage.pool)
+                if queue is not None and stage.count:
+                    limits = queue.limits
+                    per_piece_s = queue.call_s(limits.batch) / limits.batch
+                    makers = max(1, len(queue.makers) * limits.slots)
+                    seconds += stage.count * per_piece_s / makers
+        # Stages of different pools run side by side.
+        pools = {s.pool for run in self._held for s in run.order.stages}
+        return seconds / max(1, len(pools))
+
+    def _start(self, run: OrderRun) -> None:
+        run.task = tasks.Task(
+            stage_graph.StageRun(self._runner, run.order).run()
+        )
+        run.task.future.add_done_callback(
+            lambda fut: tasks.resolve(
+                run.future,
+                fut.result()
+                if fut.result() is not None
+                else pieces.PieceFailure(pieces.FAILED),
+            )
+        )
+
+    def _refuse(self, run: OrderRun, expected_s: float) -> None:
+        retry_s = min(
+            _MAX_RETRY_S, max(_MIN_RETRY_S, _RETRY_SHARE * expected_s)
+        )
+        state_log.log_decision(
+            "stages refused",
+            is_problem=True,
+            request_id=run.order.request_id,
+            expected_ms=round(expected_s * 1000),
+            left_ms=round((run.order.deadline_at - self._loop.now()) * 1000),
+            held=len(self._held),
+        )
+        failure = pieces.PieceFailure(pieces.OVERLOADED, retry_s)
+        tasks.resolve(run.future, failure)
+
+    def _hold(self, run: OrderRun, expected_s: float) -> None:
+        state_log.log_decision(
+            "stages held back",
+            request_id=run.order.request_id,
+            expected_ms=round(expected_s * 1000),
+            held=len(self._held),
+        )
+        self._held.append(run)
+        self._held.sort(key=lambda r: (r.order.priority, r.order.deadline_at))
+        self._look_soon()
+
+    def _look_soon(self) -> None:
+        if self._held and not self._is_looking:
+            self._is_looking = True
+            self._loop.call_soon(self._look)
+
+    def _look(self) -> None:
+        """Starts held orders whose pools have room; refuses the hopeless."""
+        self._is_looking = False
+        now = self._loop.now()
+        for run in list(self._held):
+            expected_s = self.expected_s(run.order, now)
+            if now + expected_s > run.order.deadline_at:
+                self._held.remove(run)
+                self._refuse(run, expected_s)
+            elif not self._is_backed_up(run.order):
+                self._held.remove(run)
+                self._start(run)
+
+    def _is_backed_up(self, order: stage_graph.Order) -> bool:
+        queues = (
+            self._runner.queue(order.stages[n].pool) for n in order.wanted()
+        )
+        return any(queue and queue.is_backed_up() for queue in queues)
--- a/chervilarch/stage_graph.py
+++ b/chervilarch/stage_graph.py
@@ -1,7 +1,8 @@
-"""Runs the stages of a route before its final call."""
+"""Runs the stages of one request, in the order of their needs."""
 
-from chervilarch import outcomes, pieces, route_book, state_log, tasks
-from chervilarch import routed_context as contexts
+from typing import NamedTuple
+
+from chervilarch import piece_runner, pieces, state_log, tasks
 
 # Expected time of the final call up to its first event, in seconds; pieces
 # aim to be done this long before the objective.
@@ -9,117 +10,168 @@
 # How often a request's stages are run again after a result was lost.
 _MAX_REPEATS = 2
 
+Results = tuple[pieces.PieceResult, ...]
+
+
+class StageNeed(NamedTuple):
+    """One stage of an order.
+
+    Attributes:
+        pool: pool that makes its pieces.
+        after: numbers of the stages whose results it needs.
+        count: number of its pieces, 0 to leave it out.
+        result_bytes: approximate size of one result.
+    """
+
+    pool: str
+    after: tuple[int, ...]
+    count: int
+    result_bytes: int
+
+
+class Order(NamedTuple):
+    """All stages of one request; times are monotonic seconds.
+
+    Attributes:
+        request_id: the caller's id.
+        key: names the input of stages that follow no other.
+        priority: rank, 0 is the most urgent.
+        objective_at: when the first event or answer is due.
+        deadline_at: when the answer is of no more use.
+        stages: the stages by number.
+    """
+
+    request_id: str
+    key: str
+    priority: int
+    objective_at: float
+    deadline_at: float
+    stages: tuple[StageNeed, ...]
+
+    def wanted(self) -> list[int]:
+        """Returns the stages that are not left out."""
+        return [n for n, stage in enumerate(self.stages) if stage.count > 0]
+
+    def inputs_of(self, number: int) -> list[int]:
+        """Returns the stages whose results a stage gets."""
+        after = self.stages[number].after
+        return [n for n in after if self.stages[n].count > 0]
+
+    def followers(self, number: int) -> list[int]:
+        """Returns the stages that need a stage's results."""
+        return [n for n in self.wanted() if number in self.stages[n].after]
+
+    def final(self) -> list[int]:
+        """Returns the stages whose results the final call needs."""
+        return [n for n in self.wanted() if not self.followers(n)]
+
 
 class StageRun:
-    """The stages of one request and their results."""
+    """The stages of one order and their results."""
 
-    def __init__(self, ctx: "contexts.RoutedContext"):
-        self._ctx = ctx
-        self._req = ctx.req
-        self._stages = ctx.req.route.stages
-        self._results: dict[int, tuple[pieces.PieceResult, ...]] = {}
+    def __init__(self, runner: "piece_runner.PieceRunner", order: Order):
+        self._runner = runner
+        self._order = order
+        self._results: dict[int, Results] = {}
         self._running: dict[int, pieces.PendingJob] = {}
         self._repeats = 0
+        self._pledged = set(order.wanted())
+        for number in self._pledged:
+            self._pledge(number, 1)
 
-    def run(self) -> tasks.Steps["outcomes.Outcome | None"]:
-        """Makes all results; returns an outcome only if that failed."""
+    def run(self) -> tasks.Steps["Results | pieces.PieceFailure"]:
+        """Makes all results; returns those that the final call needs."""
+        is_whole = False
         try:
             while True:
                 self._start_ready()
                 if not self._running:
-                    return None
+                    is_whole = True
+                    return self._final_results()
                 yield tasks.first_of(
                     *(pending.future for pending in self._running.values())
                 )
                 failure = self._collect()
                 if failure is not None:
-                    return self._outcome(failure)
+                    return failure
         finally:
-            for pending in self._running.values():
-                self._ctx.ctrl.piece_runner.cancel(pending)
-            self._running.clear()
-
-    def inputs(self) -> tuple[pieces.PieceResult, ...]:
-        """Returns the results that the final call needs."""
+            self._stop(is_whole)
+
+    def _stop(self, is_whole: bool) -> None:
+        for number in list(self._pledged):
+            self._unpledge(number)
+        for pending in self._running.values():
+            self._runner.cancel(pending)
+        self._running.clear()
+        if not is_whole:
+            for results in self._results.values():
+                self._runner.free(list(results))
+
+    def _final_results(self) -> Results:
         return tuple(
             result
-            for number in self._req.route.final_stages()
-            for result in self._results.get(number, ())
+            for number in self._order.final()
+            for result in self._results[number]
         )
 
-    def forget_inputs(self) -> bool:
-        """Drops all results after some were lost; False if too often."""
-        self.free()
-        self._repeats += 1
-        return self._repeats <= _MAX_REPEATS
-
-    def free(self) -> None:
-        """Frees all results."""
-        for results in self._results.values():
-            self._ctx.ctrl.piece_runner.free(list(results))
-        self._results.clear()
+    def _pledge(self, number: int, sign: int) -> None:
+        stage = self._order.stages[number]
+        queue = self._runner.queue(stage.pool)
+        if queue is not None:
+            queue.pledged += sign * stage.count
 
-    def _count(self, number: int) -> int:
-        counts = self._req.piece_counts
-        # A request that gives no number takes one piece a stage.
-        return counts[number] if number < len(counts) else 1
+    def _unpledge(self, number: int) -> None:
+        if number in self._pledged:
+            self._pledged.discard(number)
+            self._pledge(number, -1)
 
     def _start_ready(self) -> None:
-        for number, stage in enumerate(self._stages):
-            is_wanted = self._count(number) > 0 and number not in self._running
-            if not is_wanted or number in self._results:
+        for number in self._order.wanted():
+            if number in self._running or number in self._results:
                 continue
-            after = [n for n in stage.after if self._count(n) > 0]
             if not self._is_needed(number):
                 continue
+            after = self._order.inputs_of(number)
             if all(n in self._results for n in after):
-                self._start(number, stage, after)
+                self._start(number, after)
 
     def _is_needed(self, number: int) -> bool:
         """Tells whether anything that is still to be run uses a stage."""
-        followers = [
-            n
-            for n, stage in enumerate(self._stages)
-            if number in stage.after and self._count(n) > 0
-        ]
+        followers = self._order.followers(number)
         if not followers:
             return True
         return any(n not in self._results for n in followers)
 
-    def _start(
-        self, number: int, stage: route_book.Stage, after: list[int]
-    ) -> None:
-        req = self._req
+    def _start(self, number: int, after: list[int]) -> None:
+        order = self._order
+        stage = order.stages[number]
         inputs = tuple(
             result.handle for n in after for result in self._results[n]
         )
         job = pieces.Job(
-            req.id,
+            order.request_id,
             number,
             stage.pool,
-            self._count(number),
-            req.piece_key,
+            stage.count,
+            order.key,
             inputs,
-            req.objective_at - FINAL_CALL_S - self._after_s(number),
-            req.deadline_at,
-            req.priority,
+            order.objective_at - FINAL_CALL_S - self._after_s(number),
+            order.deadline_at,
+            order.priority,
+            stage.result_bytes,
         )
-        self._running[number] = self._ctx.ctrl.piece_runner.submit(job)
+        self._unpledge(number)
+        self._running[number] = self._runner.submit(job)
 
     def _after_s(self, number: int) -> float:
         """Returns the least time of the stages that follow a stage."""
-        book = self._ctx.book
-        longest_s = 0.0
-        for n, stage in enumerate(self._stages):
-            if number in stage.after and self._count(n) > 0:
-                pool = book.pools.get(stage.pool)
-                limits = pool.pieces if pool else None
-                own_s = 0.0
-                if limits is not None:
-                    count = min(limits.batch, self._count(n))
-                    own_s = limits.call_s + count * limits.piece_s
-                longest_s = max(longest_s, own_s + self._after_s(n))
-        return longest_s
+        return max(
+            (
+                call_s(self._runner, self._order.stages[n]) + self._after_s(n)
+                for n in self._order.followers(number)
+            ),
+            default=0.0,
+        )
 
     def _collect(self) -> pieces.PieceFailure | None:
         for number, pending in list(self._running.items()):
@@ -127,24 +179,26 @@
                 continue
             del self._running[number]
             made = pending.future.result()
-            if isinstance(made, pieces.PieceFailure):
-                if made.reason == pieces.INPUT_GONE and self._make_inputs_again(
-                    number
-                ):
-                    continue
+            if not isinstance(made, pieces.PieceFailure):
+                self._results[number] = made
+                self._log_done(number, made)
+                self._free_inputs(number)
+            elif (
+                made.reason != pieces.INPUT_GONE
+                or not self._make_inputs_again(number)
+            ):
                 return made
-            self._results[number] = made
-            state_log.log_decision(
-                "stage done",
-                request_id=self._req.id,
-                stage=number,
-                pool=self._stages[number].pool,
-                endpoints=sorted({result.endpoint for result in made}),
-                elapsed_ms=self._ctx.elapsed_ms(),
-            )
-            self._free_inputs(number)
         return None
 
+    def _log_done(self, number: int, made: Results) -> None:
+        state_log.log_decision(
+            "stage done",
+            request_id=self._order.request_id,
+            stage=number,
+            pool=self._order.stages[number].pool,
+            endpoints=sorted({result.endpoint for result in made}),
+        )
+
     def _make_inputs_again(self, number: int) -> bool:
         self._repeats += 1
         if self._repeats > _MAX_REPEATS:
@@ -152,32 +206,23 @@
         state_log.log_decision(
             "stage results lost",
             is_problem=True,
-            request_id=self._req.id,
+            request_id=self._order.request_id,
             stage=number,
         )
-        for n in self._stages[number].after:
-            lost = self._results.pop(n, ())
-            self._ctx.ctrl.piece_runner.free(list(lost))
+        for n in self._order.stages[number].after:
+            self._runner.free(list(self._results.pop(n, ())))
         return True
 
     def _free_inputs(self, number: int) -> None:
         """Frees the results that only this stage still needed."""
-        for n in self._stages[number].after:
+        for n in self._order.stages[number].after:
             if not self._is_needed(n):
-                self._ctx.ctrl.piece_runner.free(list(self._results.pop(n, ())))
-
-    def _outcome(self, failure: pieces.PieceFailure) -> outcomes.Outcome:
-        if failure.reason == pieces.LATE:
-            reason = outcomes.Reason.DEADLINE_PASSED
-        elif failure.reason == pieces.OVERLOADED:
-            reason = outcomes.Reason.OVERLOADED
-        elif failure.reason == pieces.NO_ENDPOINT:
-            reason = outcomes.Reason.NO_ENDPOINT
-        else:
-            reason = outcomes.Reason.STAGE_FAILED
-        return outcomes.NotRun(
-            reason,
-            f"a stage gave no results: {failure.reason}",
-            "send the request again after the time given",
-            failure.retry_after_s,
-        )
+                self._runner.free(list(self._results.pop(n, ())))
+
+
+def call_s(runner: "piece_runner.PieceRunner", stage: StageNeed) -> float:
+    """Returns the configured time of a stage, in seconds."""
+    queue = runner.queue(stage.pool)
+    if queue is None:
+        return 0.0
+    return queue.call_s(min(stage.count, queue.limits.batch))
--- /dev/null
+++ b/chervilarch/stage_inputs.py
@@ -0,0 +1,70 @@
+"""The results that a request's final call needs, while they are needed."""
+
+from chervilarch import outcomes, pieces, stage_graph, tasks
+from chervilarch import routed_context as contexts
+
+_REASONS = {
+    pieces.LATE: outcomes.Reason.DEADLINE_PASSED,
+    pieces.OVERLOADED: outcomes.Reason.OVERLOADED,
+    pieces.NO_ENDPOINT: outcomes.Reason.NO_ENDPOINT,
+}
+
+
+class StageInputs:
+    """Has a request's stages run, and frees their results."""
+
+    def __init__(self, ctx: "contexts.RoutedContext"):
+        self._ctx = ctx
+        self._results: stage_graph.Results = ()
+
+    def handles(self) -> tuple[str, ...]:
+        """Returns the names of the results."""
+        return tuple(result.handle for result in self._results)
+
+    def make(self) -> tasks.Steps["outcomes.Outcome | None"]:
+        """Runs the stages; returns an outcome only if that failed."""
+        order = self._order()
+        if not order.wanted():
+            return None
+        ticket = self._ctx.ctrl.stages.submit(order)
+        try:
+            made = yield ticket.future
+        except tasks.Cancelled:
+            self._ctx.ctrl.stages.cancel(ticket)
+            raise
+        if isinstance(made, pieces.PieceFailure):
+            return outcomes.NotRun(
+                _REASONS.get(made.reason, outcomes.Reason.STAGE_FAILED),
+                f"the stages gave no results: {made.reason}",
+                "send the request again after the time given",
+                made.retry_after_s,
+            )
+        self._results = made
+        return None
+
+    def free(self) -> None:
+        """Frees the results; the final call has them or needs them no more."""
+        results, self._results = self._results, ()
+        if results:
+            self._ctx.ctrl.stages.free(results)
+
+    def _order(self) -> stage_graph.Order:
+        req = self._ctx.req
+        counts = req.piece_counts
+        return stage_graph.Order(
+            req.id,
+            req.piece_key,
+            req.priority,
+            req.objective_at,
+            req.deadline_at,
+            tuple(
+                stage_graph.StageNeed(
+                    stage.pool,
+                    stage.after,
+                    # A request that gives no number takes one piece a stage.
+                    counts[number] if number < len(counts) else 1,
+                    stage.result_bytes,
+                )
+                for number, stage in enumerate(req.route.stages)
+            ),
+        )
--- /dev/null
+++ b/chervilarch/stage_messages.py
@@ -0,0 +1,133 @@
+"""Codec of the messages about stages between gateways."""
+
+import enum
+from typing import NamedTuple
+
+import capnp
+
+from chervilarch import messages, pieces, stage_graph
+
+_MS_PER_S = 1000
+
+
+class Kind(enum.Enum):
+    """What a message says.
+
+    `SUBMIT` is repeated as long as the sender wants the results; `RECEIVED`
+    makes them the receiver's, `CANCEL` has them freed.
+    """
+
+    SUBMIT = "submit"
+    ACCEPTED = "accepted"
+    RESULTS = "results"
+    RECEIVED = "received"
+    CANCEL = "cancel"
+    FREE = "free"
+
+
+class StageMessage(NamedTuple):
+    """One datagram.
+
+    Attributes:
+        kind: what it says.
+        number: number of the order at the host that submits it.
+        order: set for `SUBMIT`.
+        results: set for `RESULTS` that succeeded and for `FREE`.
+        failure: set for `RESULTS` that failed.
+    """
+
+    kind: Kind
+    number: int = 0
+    order: stage_graph.Order | None = None
+    results: stage_graph.Results = ()
+    failure: pieces.PieceFailure | None = None
+
+
+def encode(key: bytes, message: StageMessage, now: float) -> bytes:
+    """Returns the sealed datagram of a message."""
+    msg = messages.SCHEMA.StageMessage.new_message()
+    msg.kind = message.kind.value
+    msg.number = message.number
+    if message.order is not None:
+        _fill_order(msg.order, message.order, now)
+    if message.failure is not None:
+        msg.failure = message.failure.reason
+        msg.retryAfterMs = int(message.failure.retry_after_s * _MS_PER_S)
+    _fill_results(msg, message.results)
+    return messages.seal(key, msg.to_bytes_packed())
+
+
+def decode(
+    key: bytes, frame: bytes, now: float
+) -> StageMessage | messages.BadFrame:
+    """Returns the message of a sealed datagram."""
+    payload = messages.unseal(key, frame)
+    if isinstance(payload, messages.BadFrame):
+        return payload
+    try:
+        msg = messages.SCHEMA.StageMessage.from_bytes_packed(payload)
+        kind = Kind(str(msg.kind))
+        failure = None
+        if msg.failure:
+            retry_after_s = msg.retryAfterMs / _MS_PER_S
+            failure = pieces.PieceFailure(msg.failure, retry_after_s)
+        order = _read_order(msg.order, now) if kind is Kind.SUBMIT else None
+        return StageMessage(
+            kind, msg.number, order, _read_results(msg), failure
+        )
+    except (capnp.KjException, ValueError, IndexError) as exc:
+        return messages.BadFrame(f"malformed stage message: {exc}")
+
+
+def _fill_order(slot, order: stage_graph.Order, now: float) -> None:
+    slot.requestId = order.request_id
+    slot.key = order.key
+    slot.priority = order.priority
+    slot.objectiveMs = int((order.objective_at - now) * _MS_PER_S)
+    slot.deadlineMs = int((order.deadline_at - now) * _MS_PER_S)
+    stages = slot.init("stages", len(order.stages))
+    for target, stage in zip(stages, order.stages, strict=True):
+        target.pool = stage.pool
+        target.after = list(stage.after)
+        target.count = stage.count
+        target.resultBytes = stage.result_bytes
+
+
+def _read_order(slot, now: float) -> stage_graph.Order:
+    return stage_graph.Order(
+        slot.requestId,
+        slot.key,
+        slot.priority,
+        now + slot.objectiveMs / _MS_PER_S,
+        now + slot.deadlineMs / _MS_PER_S,
+        tuple(
+            stage_graph.StageNeed(
+                stage.pool, tuple(stage.after), stage.count, stage.resultBytes
+            )
+            for stage in slot.stages
+        ),
+    )
+
+
+def _fill_results(msg, results: stage_graph.Results) -> None:
+    """Writes each maker once: handles of one maker share it."""
+    makers: dict[tuple, int] = {}
+    slots = msg.init("results", len(results))
+    for slot, result in zip(slots, results, strict=True):
+        slot.maker = makers.setdefault(result[1:], len(makers))
+        slot.handle = result.handle
+    for slot, maker in zip(
+        msg.init("makers", len(makers)), makers, strict=True
+    ):
+        slot.endpoint, slot.address, slot.dataCentre, slot.pool = maker
+
+
+def _read_results(msg) -> stage_graph.Results:
+    makers = [
+        (maker.endpoint, maker.address, maker.dataCentre, maker.pool)
+        for maker in msg.makers
+    ]
+    return tuple(
+        pieces.PieceResult(result.handle, *makers[result.maker])
+        for result in msg.results
+    )
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -10,7 +10,7 @@
     final_call,
     outcomes,
     placement,
-    stage_graph,
+    stage_inputs,
     state_log,
     tasks,
 )
@@ -68,10 +68,10 @@
     """Sends a request and passes on its events."""
 
     def __init__(
-        self, ctx: contexts.RoutedContext, stages: stage_graph.StageRun
+        self, ctx: contexts.RoutedContext, inputs: stage_inputs.StageInputs
     ):
         self._ctx = ctx
-        self._stages = stages
+        self._inputs = inputs
         self._pool = ctx.req.route.pool_for(ctx.req.id)
         self._tried: set[str] = set()
         self._splitter = EventSplitter()
@@ -120,9 +120,8 @@
             return None
         if not self._has_event and not self._are_inputs_gone(judged):
             return None
-        if not self._stages.forget_inputs():
-            return final_call.failure(self._ctx, judged)
-        return (yield from self._stages.run())
+        self._inputs.free()
+        return (yield from self._inputs.make())
 
     @staticmethod
     def _are_inputs_gone(judged: attempts.Bad) -> bool:
@@ -134,12 +133,11 @@
         ctx = self._ctx
         self._tried.add(lease.listing.entry.name)
         ctx.req.sends += 1
-        inputs = tuple(result.handle for result in self._stages.inputs())
         exchange = ctx.ctrl.wire.build_call(
             ctx.req,
             lease.listing,
             ctx.left_s() - final_call.RETURN_S,
-            inputs,
+            self._inputs.handles(),
             self._splitter.last_id,
         )
         mail = tasks.Mailbox()
@@ -214,7 +212,7 @@
         ctx = self._ctx
         ctx.ctrl.placement.note_first_event(lease)
         # The endpoint has fetched its inputs before it read the prompt.
-        self._stages.free()
+        self._inputs.free()
         state_log.log_decision(
             "first event",
             request_id=ctx.req.id,
