Begin a job only with room for all of it, and finish it first

Cause: results of half-made jobs filled the makers' room, so that neither they nor others could go on until results expired (365 pieces without room, waiting grew while endpoints idled). Change: begun jobs go first, a job is begun only if the pool has room for all its pieces, early final stages wait for the longest chain, a job that found no room is taken to be larger.

--- a/chervilarch/piece_runner.py
+++ b/chervilarch/piece_runner.py
@@ -121,8 +121,12 @@
         self._is_freeing = False
         to_free, self._to_free = self._to_free, collections.defaultdict(list)
         for address, handles in to_free.items():
-            # A maker that can't be reached frees its results by itself.
-            self._client.call(self._wire.build_release(address, handles))
+            fut = self._client.call(self._wire.build_release(address, handles))
+            fut.add_done_callback(
+                lambda done, address=address: _log_release(
+                    address, done.result()
+                )
+            )
         for pool in self._queues:
             self._pump(pool)
 
@@ -162,6 +166,19 @@
         )
 
 
+def _log_release(address: str, result: exchanges.TransferResult) -> None:
+    """Logs results that weren't freed; their maker drops them in time."""
+    if isinstance(result, exchanges.TransferFailure):
+        reason = f"{result.kind.value}: {result.detail}"
+    elif result.status != 200:
+        reason = f"status {result.status}"
+    else:
+        return
+    state_log.log_decision(
+        "results not freed", is_problem=True, address=address, reason=reason
+    )
+
+
 class _Call:
     """One call for pieces."""
 
@@ -272,6 +289,7 @@
     def _take(self, replies: list[routed.PieceReply]) -> None:
         entry = self._batch.maker.listing.entry
         unused = []
+        without_room: set[pieces.PendingJob] = set()
         now = self._loop.now()
         for (pending, piece), reply in zip(
             self._batch.pieces, replies, strict=True
@@ -293,9 +311,21 @@
                     pending.end(pieces.PieceFailure(reply.failure))
                     self._runner.free(made)
             else:
+                state_log.log_decision(
+                    "piece not made",
+                    is_problem=True,
+                    request_id=pending.job.request_id,
+                    pool=self._pool,
+                    endpoint=entry.name,
+                    reason="no room" if reply.is_full else reply.failure,
+                    room_used=self._batch.maker.used_bytes(now),
+                    room=self._queue.limits.room_bytes,
+                )
                 if reply.is_full:
-                    self._queue.rest_full(self._batch.maker, now)
+                    without_room.add(pending)
                 self._requeue([(pending, piece)], not reply.is_full)
+        for pending in without_room:
+            pending.note_no_room()
         self._runner.free(unused)
 
     def _keep(
@@ -303,7 +333,8 @@
     ) -> None:
         """Counts a result's room until it is freed or expires."""
         until = now + self._queue.limits.kept_s
-        self._batch.maker.keep(handle, pending.job.result_bytes, until)
+        size = pending.result_bytes()
+        self._batch.maker.keep(handle, size, until)
 
     def _make_again(self, is_error: bool) -> None:
         self._requeue(self._batch.pieces, is_error)
--- a/chervilarch/pieces.py
+++ b/chervilarch/pieces.py
@@ -19,6 +19,10 @@
 _FULL_REST_SHARE = 0.5
 # A slow endpoint is left idle if a busy one would finish this much sooner.
 _WAIT_SHARE = 0.85
+# The configuration gives sizes of results as approximate: they are taken to
+# be this much larger, and more so for a job that found no room.
+_SIZE_FACTOR = 1.2
+_NO_ROOM_FACTOR = 1.5
 
 
 class PieceResult(NamedTuple):
@@ -95,12 +99,30 @@
         self.results: list[PieceResult | None] = [None] * job.count
         self.errors = 0
         self.is_ended = False
+        self._size_factor = _SIZE_FACTOR
         self.future: Future = Future()
 
-    def order(self, now: float) -> tuple[bool, int, float]:
-        """Returns what jobs are sorted by: those that can be on time first."""
+    def order(self, now: float) -> tuple[bool, bool, int, float]:
+        """Returns what jobs are sorted by.
+
+        Jobs that were begun go first: their results take room until the last
+        piece is made. Then those that can be on time.
+        """
         job = self.job
-        return (now > job.aim_at, job.priority, job.aim_at)
+        is_late = now > job.aim_at
+        return (not self.is_begun(), is_late, job.priority, job.aim_at)
+
+    def result_bytes(self) -> int:
+        """Returns the room that one result is taken to need."""
+        return int(self.job.result_bytes * self._size_factor)
+
+    def note_no_room(self) -> None:
+        """Learns that the results are larger than was taken."""
+        self._size_factor *= _NO_ROOM_FACTOR
+
+    def is_begun(self) -> bool:
+        """Tells whether a call has taken any of its pieces."""
+        return len(self.todo) < self.job.count
 
     def made(self) -> list[PieceResult]:
         """Returns the results that are there."""
@@ -266,11 +288,18 @@
         maker = self._free_maker(now, min(waiting, self.limits.batch))
         if maker is None:
             return None
-        room = self.limits.room_bytes - maker.used_bytes(now)
+        room = self._room(maker, now)
+        pool_room = self._pool_room(now)
         pieces: list[tuple[PendingJob, int]] = []
         size = 0
         for pending in sorted(self._jobs, key=lambda item: item.order(now)):
-            one = pending.job.result_bytes
+            one = pending.result_bytes()
+            whole = one * len(pending.todo)
+            # A job that is begun without room for its last piece would block
+            # others that are as far.
+            if not pending.is_begun() and whole > pool_room:
+                continue
+            pool_room -= whole
             while (
                 pending.todo
                 and len(pieces) < self.limits.batch
@@ -288,6 +317,19 @@
         maker.free_at = now + expected_s
         return Batch(maker, pieces, expected_s, nominal_s, size)
 
+    def _room(self, maker: Maker, now: float) -> float:
+        return self.limits.room_bytes - maker.used_bytes(now)
+
+    def _pool_room(self, now: float) -> float:
+        """Returns the room that no begun job needs."""
+        begun = sum(
+            len(pending.todo) * pending.result_bytes()
+            for pending in self._jobs
+            if pending.is_begun()
+        )
+        makers = self.makers.values()
+        return sum(self._room(maker, now) for maker in makers) - begun
+
     def finish(self, batch: Batch) -> None:
         """Frees the endpoint's slot."""
         batch.maker.calls -= 1
@@ -300,14 +342,13 @@
     def _free_maker(self, now: float, pieces: int) -> Maker | None:
         """Returns the endpoint that would finish soonest, if it is free."""
         call_s = self.call_s(pieces)
-        least = min(p.job.result_bytes for p in self._jobs if p.todo)
+        least = min(p.result_bytes() for p in self._jobs if p.todo)
         free, busy_s = [], []
         for maker in self.makers.values():
             if maker.resting_until > now:
                 continue
             if maker.calls < self.limits.slots:
-                used = maker.used_bytes(now)
-                if used + least <= self.limits.room_bytes:
+                if least <= self._room(maker, now):
                     free.append(maker)
             else:
                 wait_s = max(0.0, maker.free_at - now)
--- a/chervilarch/stage_graph.py
+++ b/chervilarch/stage_graph.py
@@ -61,6 +61,12 @@
         """Returns the stages that need a stage's results."""
         return [n for n in self.wanted() if number in self.stages[n].after]
 
+    def level(self, number: int) -> int:
+        """Returns how many stages follow a stage, one after the other."""
+        return max(
+            (1 + self.level(n) for n in self.followers(number)), default=0
+        )
+
     def final(self) -> list[int]:
         """Returns the stages whose results the final call needs."""
         return [n for n in self.wanted() if not self.followers(n)]
@@ -132,9 +138,21 @@
             if not self._is_needed(number):
                 continue
             after = self._order.inputs_of(number)
-            if all(n in self._results for n in after):
+            if all(n in self._results for n in after) and self._is_due(number):
                 self._start(number, after)
 
+    def _is_due(self, number: int) -> bool:
+        """Tells whether all stages further from the end are over.
+
+        Results that are made earlier than the others take room in vain.
+        """
+        level = self._order.level(number)
+        return not any(
+            self._order.level(n) > level and self._is_needed(n)
+            for n in self._order.wanted()
+            if n not in self._results
+        )
+
     def _is_needed(self, number: int) -> bool:
         """Tells whether anything that is still to be run uses a stage."""
         followers = self._order.followers(number)
