--- a/chervilarch/stage_graph.py
+++ b/chervilarch/stage_graph.py
@@ -133,9 +133,7 @@
 
     def _start_ready(self) -> None:
         for number in self._order.wanted():
-            if number in self._running or number in self._results:
-                continue
-            if not self._is_needed(number):
+            if number in self._running or not self._is_needed(number):
                 continue
             after = self._order.inputs_of(number)
             if all(n in self._results for n in after) and self._is_due(number):
@@ -150,15 +148,18 @@
         return not any(
             self._order.level(n) > level and self._is_needed(n)
             for n in self._order.wanted()
-            if n not in self._results
         )
 
     def _is_needed(self, number: int) -> bool:
-        """Tells whether anything that is still to be run uses a stage."""
+        """Tells whether a stage's results are still to be made."""
+        if number in self._results:
+            return False
+        return self._is_awaited(number)
+
+    def _is_awaited(self, number: int) -> bool:
+        """Tells whether any stage that is to be run needs a stage's results."""
         followers = self._order.followers(number)
-        if not followers:
-            return True
-        return any(n not in self._results for n in followers)
+        return not followers or any(self._is_needed(n) for n in followers)
 
     def _start(self, number: int, after: list[int]) -> None:
         order = self._order
@@ -234,7 +235,7 @@
     def _free_inputs(self, number: int) -> None:
         """Frees the results that only this stage still needed."""
         for n in self._order.stages[number].after:
-            if not self._is_needed(n):
+            if not self._is_awaited(n):
                 self._runner.free(list(self._results.pop(n, ())))
 
 
