Make pieces near their inputs, and prompts near their results

Change: among jobs due at about the same time those near an endpoint go first, the first job picks the nearest free endpoint, an engine's distance to the results counts in its choice.

--- a/chervilarch/peer.capnp
+++ b/chervilarch/peer.capnp
@@ -84,6 +84,7 @@
   objectiveMs @3 :Int64;
   deadlineMs @4 :Int64;
   stages @5 :List(StageNeed);
+  dataCentre @6 :Text;
 }
 
 struct StageMaker {
--- a/chervilarch/pieces.py
+++ b/chervilarch/pieces.py
@@ -22,6 +22,11 @@
 # The configuration gives sizes of results as approximate: they are taken to
 # be this much larger, and more so for a job that found no room.
 _SIZE_FACTOR = 1.2
+# Jobs due within this time of each other are served by nearness, in seconds.
+_SAME_TIME_S = 0.25
+# An endpoint this much slower than the fastest free one is taken if it is
+# nearer to a job's inputs.
+_NEAR_SLOWNESS = 1.3
 _NO_ROOM_FACTOR = 1.5
 
 
@@ -76,6 +81,8 @@
         deadline_at: when its results are of no more use.
         priority: rank, 0 is the most urgent.
         result_bytes: approximate size of one result.
+        near: bytes that each piece moves from or to a data centre, unless it
+            is made there.
     """
 
     request_id: str
@@ -88,6 +95,10 @@
     deadline_at: float
     priority: int
     result_bytes: int = 0
+    near: tuple[tuple[str, int], ...] = ()
+
+
+Order = tuple[bool, bool, int, int, int]
 
 
 class PendingJob:
@@ -102,15 +113,22 @@
         self._size_factor = _SIZE_FACTOR
         self.future: Future = Future()
 
-    def order(self, now: float) -> tuple[bool, bool, int, float]:
+    def order(self, now: float, data_centre: str = "") -> Order:
         """Returns what jobs are sorted by.
 
         Jobs that were begun go first: their results take room until the last
-        piece is made. Then those that can be on time.
+        piece is made. Then those that can be on time. Among those that are
+        due at about the same time, the ones near an endpoint go first.
         """
         job = self.job
         is_late = now > job.aim_at
-        return (not self.is_begun(), is_late, job.priority, job.aim_at)
+        due = int(job.aim_at / _SAME_TIME_S)
+        far = -self.near_bytes(data_centre)
+        return (not self.is_begun(), is_late, job.priority, due, far)
+
+    def near_bytes(self, data_centre: str) -> int:
+        """Returns the bytes that a piece doesn't move if made there."""
+        return sum(size for name, size in self.job.near if name == data_centre)
 
     def result_bytes(self) -> int:
         """Returns the room that one result is taken to need."""
@@ -248,6 +266,7 @@
         usable = [m for m in self.makers.values() if m.resting_until <= now]
         if not usable:
             return self.call_s(1)
+        bar = (True, False, priority, int(aim_at / _SAME_TIME_S))
         ahead = self.pledged + sum(
             len(pending.todo)
             for pending in self._jobs
@@ -292,7 +311,8 @@
         pool_room = self._pool_room(now)
         pieces: list[tuple[PendingJob, int]] = []
         size = 0
-        for pending in sorted(self._jobs, key=lambda item: item.order(now)):
+        place = maker.listing.entry.data_centre
+        for pending in sorted(self._jobs, key=lambda p: p.order(now, place)):
             one = pending.result_bytes()
             whole = one * len(pending.todo)
             # A job that is begun without room for its last piece would block
@@ -360,4 +380,20 @@
         if busy_s and not is_backlog:
             if min(busy_s) < _WAIT_SHARE * best.slowness * call_s:
                 return None
-        return best
+        return self._nearest(free, best, now)
+
+    def _nearest(self, free: list[Maker], best: Maker, now: float) -> Maker:
+        """Returns the endpoint nearest to the first job, if not too slow."""
+        first = min(
+            (pending for pending in self._jobs if pending.todo),
+            key=lambda pending: pending.order(now),
+        )
+        most = _NEAR_SLOWNESS * best.slowness
+        return min(
+            (maker for maker in free if maker.slowness <= most),
+            key=lambda m: (
+                -first.near_bytes(m.listing.entry.data_centre),
+                m.slowness,
+                m.used_bytes(now),
+            ),
+        )
--- a/chervilarch/placement.py
+++ b/chervilarch/placement.py
@@ -3,6 +3,7 @@
 import itertools
 import random
 import zlib
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from chervilarch import (
@@ -20,6 +21,11 @@
 # A stream that is under way slows a new prompt about as much as this much
 # of one, in work units.
 _RUNNING_UNITS = 0.2
+# A suspected endpoint counts as so many times slower.
+_SUSPICION = 4.0
+# Delay that is accepted for inputs that needn't cross data centres: 10 MB
+# are worth 0.3 s. The users price such bytes dearly.
+_FAR_S_PER_BYTE = 0.03e-6
 
 
 class Need(NamedTuple):
@@ -91,9 +97,12 @@
                 kept[name] = endpoint
         self._pools = pools
 
-    def size(self, pool: str) -> int:
-        """Returns the number of endpoints of a pool."""
-        return len(self._pools.get(pool, ()))
+    def home_data_centre(self, pool: str, shared: bytes) -> str:
+        """Returns where the home of a shared prompt is, "" if unknown."""
+        endpoints = self._pools.get(pool)
+        if not endpoints:
+            return ""
+        return endpoints[_home(endpoints, shared)].data_centre
 
     def pick(self, need: Need, tried: set[str]) -> Lease | None:
         """Chooses an endpoint that wasn't tried; None if there is none."""
@@ -204,20 +213,23 @@
         The shared part of a prompt is taken to be cached at its home, the
         endpoint with the highest hash, which is the same on every host.
         """
-        home = max(
-            usable, key=lambda name: zlib.crc32(need.shared + name.encode())
-        )
+        home = _home(usable, need.shared)
         known = [e.latency_s(now) for e in usable.values() if e.latency_s(now)]
         default_s = sum(known) / len(known) if known else _UNKNOWN_UNIT_S
         own = need.own_tokens / TOKENS_PER_UNIT
         shared = need.shared_tokens / TOKENS_PER_UNIT
 
+        all_bytes = sum(need.near.values())
+
         def cost(name: str) -> float:
             endpoint = usable[name]
             unit_s = endpoint.latency_s(now) or default_s
             missing = 0.0 if name == home else shared
-            suspicion = 4.0 if now < endpoint.suspect_until else 1.0
-            return suspicion * unit_s * (own + missing + endpoint.units)
+            suspicion = _SUSPICION if now < endpoint.suspect_until else 1.0
+            far = all_bytes - need.near.get(endpoint.data_centre, 0)
+            return _FAR_S_PER_BYTE * far + suspicion * unit_s * (
+                own + missing + endpoint.units
+            )
 
         name = min(usable, key=cost)
         missing = 0.0 if name == home else shared
@@ -235,3 +247,8 @@
         if chosen is None:
             chosen = min(views, key=lambda view: view.in_flight / view.limit)
         return chosen.address
+
+
+def _home(names: Iterable[str], shared: bytes) -> str:
+    """Returns the endpoint with the highest hash, the same on every host."""
+    return max(names, key=lambda name: zlib.crc32(shared + name.encode()))
--- a/chervilarch/routed.py
+++ b/chervilarch/routed.py
@@ -29,6 +29,14 @@
     tokens_in: int = 0
     tokens_out: int = 0
 
+    def shared_name(self) -> bytes:
+        """Returns what names the part that other requests share."""
+        return ",".join(part for part, _ in self.parts[:-1]).encode()
+
+    def shared_tokens(self) -> int:
+        """Returns the tokens of that part."""
+        return sum(tokens for _, tokens in self.parts[:-1])
+
 
 class RoutedRequest:
     """One attempt of a caller; filters fill in what they learn."""
--- a/chervilarch/stage_graph.py
+++ b/chervilarch/stage_graph.py
@@ -1,5 +1,6 @@
 """Runs the stages of one request, in the order of their needs."""
 
+import collections
 from typing import NamedTuple
 
 from chervilarch import piece_runner, pieces, state_log, tasks
@@ -39,6 +40,7 @@
         objective_at: when the first event or answer is due.
         deadline_at: when the answer is of no more use.
         stages: the stages by number.
+        data_centre: where the final call will probably go, "" if unknown.
     """
 
     request_id: str
@@ -47,6 +49,7 @@
     objective_at: float
     deadline_at: float
     stages: tuple[StageNeed, ...]
+    data_centre: str = ""
 
     def wanted(self) -> list[int]:
         """Returns the stages that are not left out."""
@@ -178,10 +181,22 @@
             order.deadline_at,
             order.priority,
             stage.result_bytes,
+            self._near(number, after),
         )
         self._unpledge(number)
         self._running[number] = self._runner.submit(job)
 
+    def _near(
+        self, number: int, after: list[int]
+    ) -> tuple[tuple[str, int], ...]:
+        """Returns what each piece of a stage moves, by data centre."""
+        near: collections.Counter[str] = collections.Counter()
+        for n in after:
+            for result in self._results[n]:
+                near[result.data_centre] += self._order.stages[n].result_bytes
+        near[self._order.data_centre] += self._order.stages[number].result_bytes
+        return tuple(near.items())
+
     def _after_s(self, number: int) -> float:
         """Returns the least time of the stages that follow a stage."""
         return max(
--- a/chervilarch/stage_inputs.py
+++ b/chervilarch/stage_inputs.py
@@ -42,6 +42,16 @@
         self._results = made
         return None
 
+    def near(self) -> dict[str, int]:
+        """Returns the bytes of the results by data centre."""
+        stages = self._ctx.req.route.stages
+        sizes = {stage.pool: stage.result_bytes for stage in stages}
+        near: dict[str, int] = {}
+        for result in self._results:
+            size = near.get(result.data_centre, 0) + sizes.get(result.pool, 0)
+            near[result.data_centre] = size
+        return near
+
     def free(self) -> None:
         """Frees the results; the final call has them or needs them no more."""
         results, self._results = self._results, ()
@@ -67,4 +77,7 @@
                 )
                 for number, stage in enumerate(req.route.stages)
             ),
+            self._ctx.ctrl.placement.home_data_centre(
+                req.route.pool_for(req.id), req.prompt.shared_name()
+            ),
         )
--- a/chervilarch/stage_messages.py
+++ b/chervilarch/stage_messages.py
@@ -82,6 +82,7 @@
 def _fill_order(slot, order: stage_graph.Order, now: float) -> None:
     slot.requestId = order.request_id
     slot.key = order.key
+    slot.dataCentre = order.data_centre
     slot.priority = order.priority
     slot.objectiveMs = int((order.objective_at - now) * _MS_PER_S)
     slot.deadlineMs = int((order.deadline_at - now) * _MS_PER_S)
@@ -106,6 +107,7 @@
             )
             for stage in slot.stages
         ),
+        slot.dataCentre,
     )
 
 
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -101,14 +101,14 @@
 
     def _need(self) -> placement.Need:
         prompt = self._ctx.req.prompt
-        shared = prompt.parts[:-1]
-        shared_tokens = sum(tokens for _, tokens in shared)
+        shared_tokens = prompt.shared_tokens()
         return placement.Need(
             self._pool,
             is_prompt=self._ctx.req.route.is_prompt,
-            shared=",".join(part for part, _ in shared).encode(),
+            shared=prompt.shared_name(),
             shared_tokens=shared_tokens,
             own_tokens=max(0, prompt.tokens_in - shared_tokens),
+            near=self._inputs.near(),
             finish_by=self._ctx.req.deadline_at,
         )
 
--- /dev/null
+++ b/tests/test_pieces.py
@@ -0,0 +1,274 @@
+"""The queue of stage work and the graph of a request's stages."""
+
+import loop_helpers as lh
+import pytest
+
+from chervilarch import pieces, route_book, stage_desk, stage_graph
+
+LIMITS = route_book.PieceLimits(
+    slots=1,
+    queue=2,
+    batch=4,
+    call_s=0.15,
+    piece_s=0.03,
+    room_bytes=1000,
+    kept_s=4.0,
+)
+
+
+def job(name="r1", count=2, aim_at=10.0, priority=1, size=0, **changes):
+    plain = pieces.Job(
+        name, 0, "p", count, "key", (), aim_at, 100.0, priority, size
+    )
+    return pieces.PendingJob(plain._replace(**changes))
+
+
+def queue_of(*names, limits=LIMITS, data_centres=()):
+    queue = pieces.PieceQueue(limits)
+    places = dict(zip(names, data_centres, strict=False))
+    queue.set_endpoints(
+        {
+            name: lh.listing(name, data_centre=places.get(name, "dc1"))
+            for name in names
+        }
+    )
+    return queue
+
+
+def taken(batch):
+    return [(pending.job.request_id, piece) for pending, piece in batch.pieces]
+
+
+def test_pieces_of_several_requests_share_a_call():
+    queue = queue_of("e1")
+    queue.add(job("a", 2))
+    queue.add(job("b", 3))
+    assert taken(queue.next_batch(0.0)) == [
+        ("a", 0),
+        ("a", 1),
+        ("b", 0),
+        ("b", 1),
+    ]
+    assert queue.next_batch(0.0) is None
+    assert queue.backlog() == 1
+
+
+def test_timely_jobs_go_before_late_ones_then_by_priority():
+    queue = queue_of("e1")
+    queue.add(job("late", 1, aim_at=1.0, priority=0))
+    queue.add(job("low", 1, priority=2))
+    queue.add(job("high", 1, priority=0))
+    batch = queue.next_batch(2.0)
+    assert [name for name, _ in taken(batch)] == ["high", "low", "late"]
+
+
+def test_a_begun_job_goes_first():
+    queue = queue_of("e1")
+    begun = job("begun", 5, priority=9)
+    queue.add(begun)
+    queue.finish(queue.next_batch(0.0))
+    queue.add(job("urgent", 4, priority=0))
+    assert taken(queue.next_batch(0.0))[0] == ("begun", 4)
+
+
+def test_a_job_is_begun_only_with_room_for_all_of_it():
+    queue = queue_of("e1")
+    queue.add(job("large", 5, size=200))
+    assert queue.next_batch(0.0) is None
+    queue.add(job("small", 2, size=100, priority=5))
+    assert [name for name, _ in taken(queue.next_batch(0.0))] == ["small"] * 2
+
+
+def test_room_is_taken_until_results_are_freed_or_expire():
+    queue = queue_of("e1")
+    maker = queue.makers["e1"]
+    maker.keep("h1", 900, until=4.0)
+    queue.add(job("a", 1, size=200))
+    assert queue.next_batch(0.0) is None
+    assert queue.next_batch(4.0) is not None
+    maker.keep("h2", 900, until=9.0)
+    maker.release("h2")
+    assert maker.used_bytes(4.0) == maker.reserved_bytes
+
+
+def test_a_job_without_room_is_taken_to_be_larger():
+    pending = job("a", 1, size=100)
+    before = pending.result_bytes()
+    pending.note_no_room()
+    assert pending.result_bytes() > before
+
+
+def test_a_slow_endpoint_stays_idle_if_a_busy_one_ends_sooner():
+    queue = queue_of("fast", "slow")
+    queue.makers["slow"].slowness = 8.0
+    queue.add(job("a", 1))
+    assert queue.next_batch(0.0).maker is queue.makers["fast"]
+    queue.add(job("b", 1))
+    assert queue.next_batch(0.05) is None
+    for number in range(5):
+        queue.add(job(f"more{number}", 4))
+    assert queue.next_batch(0.05).maker is queue.makers["slow"]
+
+
+def test_a_failed_endpoint_rests_and_longer_each_time():
+    queue = queue_of("e1")
+    maker = queue.makers["e1"]
+    first, second = maker.note_failure(0.0), maker.note_failure(1.0)
+    assert second == 2 * first
+    queue.add(job("a", 1))
+    assert queue.next_batch(1.0 + second / 2) is None
+    assert queue.next_batch(1.0 + second) is not None
+
+
+def test_jobs_past_their_deadline_are_handed_back():
+    queue = queue_of("e1")
+    late = job("late", 1, deadline_at=1.0)
+    queue.add(late)
+    assert queue.expire(0.5) == []
+    assert queue.expire(1.0) == [late]
+    assert queue.backlog() == 0
+
+
+def test_a_second_result_of_a_piece_is_not_taken():
+    pending = job("a", 1)
+    result = pieces.PieceResult("h1", "e1", "x", "dc1", "p")
+    assert pending.take_result(0, result)
+    assert not pending.take_result(0, result._replace(handle="h2"))
+    assert pending.future.result() == (result,)
+
+
+class FakeRunner:
+    """Takes jobs; the test ends them."""
+
+    def __init__(self):
+        self.jobs: dict[int, list[pieces.PendingJob]] = {}
+        self.freed: list[str] = []
+        self.queues = {"p": queue_of("e1"), "q": queue_of("e2")}
+        self.on_pumped = None
+
+    def queue(self, pool):
+        return self.queues.get(pool)
+
+    def submit(self, new):
+        pending = pieces.PendingJob(new)
+        self.jobs.setdefault(new.stage, []).append(pending)
+        return pending
+
+    def cancel(self, pending):
+        pending.end(pieces.PieceFailure(pieces.FAILED))
+
+    def free(self, results):
+        self.freed += [result.handle for result in results]
+
+    def make(self, stage):
+        """Ends the newest job of a stage with results."""
+        pending = self.jobs[stage][-1]
+        times = len(self.jobs[stage])
+        for piece in range(pending.job.count):
+            handle = f"s{stage}.{piece}.{times}"
+            pending.take_result(
+                piece, pieces.PieceResult(handle, "e1", "x", "dc1", "p")
+            )
+
+
+def need(pool, after=(), count=1):
+    return stage_graph.StageNeed(pool, after, count, 10)
+
+
+def order(*stages, objective_at=100.0, deadline_at=200.0, name="r1"):
+    return stage_graph.Order(name, "key", 1, objective_at, deadline_at, stages)
+
+
+def start(runner, what):
+    from chervilarch import tasks
+
+    return tasks.Task(stage_graph.StageRun(runner, what).run())
+
+
+def test_a_chain_runs_each_stage_once_and_frees_what_was_used():
+    runner = FakeRunner()
+    task = start(runner, order(need("p"), need("q", (0,), 2), need("p", (1,))))
+    for stage in range(3):
+        assert list(runner.jobs) == list(range(stage + 1))
+        runner.make(stage)
+    assert [result.handle for result in task.future.result()] == ["s2.0.1"]
+    assert runner.freed == ["s0.0.1", "s1.0.1", "s1.1.1"]
+    assert all(len(jobs) == 1 for jobs in runner.jobs.values())
+    assert runner.jobs[1][0].job.inputs == ("s0.0.1",)
+    assert runner.jobs[2][0].job.inputs == ("s1.0.1", "s1.1.1")
+
+
+def test_a_final_stage_waits_for_the_longest_chain():
+    runner = FakeRunner()
+    task = start(runner, order(need("p"), need("p"), need("q", (1,))))
+    assert list(runner.jobs) == [1]
+    runner.make(1)
+    assert set(runner.jobs) == {0, 1, 2}
+    runner.make(2)
+    runner.make(0)
+    handles = [result.handle for result in task.future.result()]
+    assert handles == ["s0.0.1", "s2.0.1"]
+
+
+def test_a_stage_left_out_is_no_input():
+    runner = FakeRunner()
+    task = start(runner, order(need("p", count=0), need("q", (0,))))
+    assert runner.jobs[1][0].job.inputs == ()
+    runner.make(1)
+    assert len(task.future.result()) == 1
+
+
+def test_lost_inputs_are_made_again_but_not_for_ever():
+    runner = FakeRunner()
+    task = start(runner, order(need("p"), need("q", (0,))))
+    for _ in range(3):
+        runner.make(0)
+        runner.jobs[1][-1].end(pieces.PieceFailure(pieces.INPUT_GONE))
+    assert len(runner.jobs[0]) == 3
+    assert task.future.result().reason == pieces.INPUT_GONE
+
+
+def test_a_cancelled_order_frees_what_was_made():
+    runner = FakeRunner()
+    task = start(runner, order(need("p"), need("p")))
+    runner.make(0)
+    task.cancel()
+    assert runner.freed == ["s0.0.1"]
+    assert runner.queues["p"].pledged == 0
+
+
+@pytest.fixture
+def desk():
+    loop, clock = lh.new_loop()
+    runner = FakeRunner()
+    yield stage_desk.StageDesk(loop, runner), runner, loop, clock
+    loop.close()
+
+
+def test_an_order_that_cannot_be_on_time_is_held_until_there_is_room(desk):
+    service, runner, loop, _ = desk
+    runner.queues["p"].pledged = 40
+    now = loop.now()
+    run = service.run(
+        order(need("p"), objective_at=now + 1.0, deadline_at=now + 60.0)
+    )
+    assert runner.jobs == {}
+    lh.settle(loop)
+    assert runner.jobs == {}
+    runner.queues["p"].pledged = 0
+    runner.on_pumped()
+    lh.settle(loop)
+    runner.make(0)
+    assert len(run.future.result()) == 1
+
+
+def test_a_hopeless_order_is_refused_at_once_with_a_time_to_come_back(desk):
+    service, runner, loop, _ = desk
+    runner.queues["p"].pledged = 400
+    now = loop.now()
+    run = service.run(
+        order(need("p"), objective_at=now + 1.0, deadline_at=now + 2.0)
+    )
+    failure = run.future.result()
+    assert failure.reason == pieces.OVERLOADED
+    assert failure.retry_after_s > 0
