Weigh waiting, slowness and distance of an endpoint as one cost

Cause: a job took the nearest free endpoint however much sooner a busy one near its inputs would end.

--- a/chervilarch/pieces.py
+++ b/chervilarch/pieces.py
@@ -17,16 +17,16 @@
 # An endpoint that was full of others' work is tried again after this share
 # of a call.
 _FULL_REST_SHARE = 0.5
-# A slow endpoint is left idle if a busy one would finish this much sooner.
-_WAIT_SHARE = 0.85
 # The configuration gives sizes of results as approximate: they are taken to
 # be this much larger, and more so for a job that found no room.
 _SIZE_FACTOR = 1.2
 # Jobs due within this time of each other are served by nearness, in seconds.
 _SAME_TIME_S = 0.25
-# An endpoint this much slower than the fastest free one is taken if it is
-# nearer to a job's inputs.
-_NEAR_SLOWNESS = 1.3
+# Delay that is accepted for bytes that needn't cross data centres: 10 MB are
+# worth 0.3 s. The users price such bytes dearly.
+FAR_S_PER_BYTE = 0.03e-6
+# No more of a job's spare time than this share is spent on nearness.
+_SLACK_SHARE = 0.3
 _NO_ROOM_FACTOR = 1.5
 
 
@@ -130,6 +130,10 @@
         """Returns the bytes that a piece doesn't move if made there."""
         return sum(size for name, size in self.job.near if name == data_centre)
 
+    def all_near_bytes(self) -> int:
+        """Returns the bytes that a piece moves at most."""
+        return sum(size for _, size in self.job.near)
+
     def result_bytes(self) -> int:
         """Returns the room that one result is taken to need."""
         return int(self.job.result_bytes * self._size_factor)
@@ -263,14 +267,14 @@
 
     def wait_s(self, priority: int, aim_at: float, now: float) -> float:
         """Returns how long a new job would wait for its call."""
-        usable = [m for m in self.makers.values() if m.resting_until <= now]
+        usable = self._usable(now)
         if not usable:
             return self.call_s(1)
         bar = (True, False, priority, int(aim_at / _SAME_TIME_S))
         ahead = self.pledged + sum(
             len(pending.todo)
             for pending in self._jobs
-            if pending.order(now) <= (False, priority, aim_at)
+            if pending.order(now)[:4] <= bar
         )
         batch = self.limits.batch
         rate = sum(
@@ -300,35 +304,87 @@
         return late
 
     def next_batch(self, now: float) -> Batch | None:
-        """Takes the pieces of the next call, if an endpoint is free."""
-        waiting = self.backlog()
-        if not waiting:
+        """Takes the pieces of the next call, if one is to be sent now."""
+        if not self.backlog():
             return None
-        maker = self._free_maker(now, min(waiting, self.limits.batch))
-        if maker is None:
+        free = [
+            maker
+            for maker in self._usable(now)
+            if maker.calls < self.limits.slots
+        ]
+        if not free:
             return None
-        room = self._room(maker, now)
+        room = {maker: self._room(maker, now) for maker in free}
         pool_room = self._pool_room(now)
+        for pending in sorted(self._jobs, key=lambda p: p.order(now)):
+            whole = pending.result_bytes() * len(pending.todo)
+            # A job that is begun without room for its last piece would block
+            # others that are as far.
+            if not pending.todo or not pending.is_begun() and whole > pool_room:
+                continue
+            maker = self._maker_for(pending, room, now)
+            if maker is not None:
+                return self._fill(maker, pending, room[maker], pool_room, now)
+        return None
+
+    def _maker_for(
+        self, pending: PendingJob, room: dict[Maker, float], now: float
+    ) -> Maker | None:
+        """Returns where a job should go now, None if it should wait.
+
+        Args:
+            pending: the job.
+            room: endpoints with a free slot and their room in bytes.
+            now: monotonic time in seconds.
+        """
+        fitting = [m for m in room if pending.result_bytes() <= room[m]]
+        if not fitting:
+            return None
+        # Waiting for a better endpoint only pays while others have no use
+        # for the free ones.
+        candidates = fitting if self.is_backed_up() else self._usable(now)
+        best = min(candidates, key=lambda m: self._cost_s(pending, m, now))
+        return best if best in fitting else None
+
+    def _cost_s(self, pending: PendingJob, maker: Maker, now: float) -> float:
+        """Returns the time to a job's results, and what distance counts for."""
+        count = min(len(pending.todo), self.limits.batch)
+        is_free = maker.calls < self.limits.slots
+        wait_s = 0.0 if is_free else max(0.0, maker.free_at - now)
+        call_s = maker.slowness * self.call_s(count)
+        near = pending.near_bytes(maker.listing.entry.data_centre)
+        moved = count * (pending.all_near_bytes() - near)
+        slack_s = max(0.0, pending.job.aim_at - now - call_s)
+        far_s = min(moved * FAR_S_PER_BYTE, _SLACK_SHARE * slack_s)
+        return wait_s + call_s + far_s
+
+    def _fill(
+        self,
+        maker: Maker,
+        first: PendingJob,
+        room: float,
+        pool_room: float,
+        now: float,
+    ) -> Batch:
+        """Takes a job's pieces for a call, and those of others beside it."""
+        place = maker.listing.entry.data_centre
+        others = sorted(
+            (p for p in self._jobs if p is not first),
+            key=lambda p: p.order(now, place),
+        )
         pieces: list[tuple[PendingJob, int]] = []
         size = 0
-        place = maker.listing.entry.data_centre
-        for pending in sorted(self._jobs, key=lambda p: p.order(now, place)):
+        for pending in [first, *others]:
             one = pending.result_bytes()
-            whole = one * len(pending.todo)
-            # A job that is begun without room for its last piece would block
-            # others that are as far.
-            if not pending.is_begun() and whole > pool_room:
+            left = self.limits.batch - len(pieces)
+            is_new = pending is not first and not pending.is_begun()
+            if is_new and one * len(pending.todo) > pool_room:
                 continue
-            pool_room -= whole
-            while (
-                pending.todo
-                and len(pieces) < self.limits.batch
-                and size + one <= room
-            ):
+            pool_room -= one * len(pending.todo)
+            fitting = int((room - size) // one) if one else left
+            for _ in range(min(left, fitting, len(pending.todo))):
                 pieces.append((pending, pending.todo.pop(0)))
                 size += one
-        if not pieces:
-            return None
         self._jobs = [pending for pending in self._jobs if pending.todo]
         nominal_s = self.call_s(len(pieces))
         expected_s = maker.slowness * nominal_s
@@ -337,6 +393,9 @@
         maker.free_at = now + expected_s
         return Batch(maker, pieces, expected_s, nominal_s, size)
 
+    def _usable(self, now: float) -> list[Maker]:
+        return [m for m in self.makers.values() if m.resting_until <= now]
+
     def _room(self, maker: Maker, now: float) -> float:
         return self.limits.room_bytes - maker.used_bytes(now)
 
@@ -358,42 +417,3 @@
     def rest_full(self, maker: Maker, now: float) -> None:
         """Leaves an endpoint alone that others keep busy."""
         maker.resting_until = now + _FULL_REST_SHARE * self.limits.call_s
-
-    def _free_maker(self, now: float, pieces: int) -> Maker | None:
-        """Returns the endpoint that would finish soonest, if it is free."""
-        call_s = self.call_s(pieces)
-        least = min(p.result_bytes() for p in self._jobs if p.todo)
-        free, busy_s = [], []
-        for maker in self.makers.values():
-            if maker.resting_until > now:
-                continue
-            if maker.calls < self.limits.slots:
-                if least <= self._room(maker, now):
-                    free.append(maker)
-            else:
-                wait_s = max(0.0, maker.free_at - now)
-                busy_s.append(wait_s + maker.slowness * call_s)
-        if not free:
-            return None
-        best = min(free, key=lambda m: (m.slowness, m.used_bytes(now)))
-        is_backlog = self.backlog() > self.limits.batch
-        if busy_s and not is_backlog:
-            if min(busy_s) < _WAIT_SHARE * best.slowness * call_s:
-                return None
-        return self._nearest(free, best, now)
-
-    def _nearest(self, free: list[Maker], best: Maker, now: float) -> Maker:
-        """Returns the endpoint nearest to the first job, if not too slow."""
-        first = min(
-            (pending for pending in self._jobs if pending.todo),
-            key=lambda pending: pending.order(now),
-        )
-        most = _NEAR_SLOWNESS * best.slowness
-        return min(
-            (maker for maker in free if maker.slowness <= most),
-            key=lambda m: (
-                -first.near_bytes(m.listing.entry.data_centre),
-                m.slowness,
-                m.used_bytes(now),
-            ),
-        )
--- a/chervilarch/placement.py
+++ b/chervilarch/placement.py
@@ -11,6 +11,7 @@
     clocks,
     endpoint_list,
     endpoint_state,
+    pieces,
     state_log,
 )
 
@@ -23,9 +24,6 @@
 _RUNNING_UNITS = 0.2
 # A suspected endpoint counts as so many times slower.
 _SUSPICION = 4.0
-# Delay that is accepted for inputs that needn't cross data centres: 10 MB
-# are worth 0.3 s. The users price such bytes dearly.
-_FAR_S_PER_BYTE = 0.03e-6
 
 
 class Need(NamedTuple):
@@ -227,7 +225,7 @@
             missing = 0.0 if name == home else shared
             suspicion = _SUSPICION if now < endpoint.suspect_until else 1.0
             far = all_bytes - need.near.get(endpoint.data_centre, 0)
-            return _FAR_S_PER_BYTE * far + suspicion * unit_s * (
+            return pieces.FAR_S_PER_BYTE * far + suspicion * unit_s * (
                 own + missing + endpoint.units
             )
 
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -110,6 +110,26 @@
     assert queue.next_batch(0.05).maker is queue.makers["slow"]
 
 
+def test_a_job_goes_near_its_inputs_and_waits_a_little_for_that():
+    queue = queue_of("e1", "e2", data_centres=("dc1", "dc2"))
+    near = (("dc2", 8_000_000),)
+    queue.add(job("a", 1, near=near))
+    assert queue.next_batch(0.0).maker is queue.makers["e2"]
+    queue.add(job("b", 1, near=near))
+    assert queue.next_batch(0.05) is None
+    queue.add(job("c", 1, near=(("dc1", 8_000_000),)))
+    assert taken(queue.next_batch(0.05)) == [("c", 0)]
+
+
+def test_a_job_without_time_to_spare_waits_for_no_near_endpoint():
+    queue = queue_of("e1", "e2", data_centres=("dc1", "dc2"))
+    near = (("dc2", 8_000_000),)
+    queue.add(job("a", 1, near=near))
+    queue.next_batch(0.0)
+    queue.add(job("b", 1, aim_at=0.2, near=near))
+    assert queue.next_batch(0.0).maker is queue.makers["e1"]
+
+
 def test_a_failed_endpoint_rests_and_longer_each_time():
     queue = queue_of("e1")
     maker = queue.makers["e1"]
