Bound what a missing room teaches, and let full endpoints rest

Change: the factor is bounded, a full endpoint rests longer each time, such calls teach nothing. test_a_job_without_room_is_taken_to_be_larger failed first.

--- a/chervilarch/piece_runner.py
+++ b/chervilarch/piece_runner.py
@@ -266,7 +266,9 @@
                     result.body, len(self._batch.pieces)
                 )
                 if replies is not None:
-                    maker.note_time(elapsed_s / self._batch.nominal_s)
+                    # Pieces that weren't made take no time.
+                    if all(reply.handle for reply in replies):
+                        maker.note_time(elapsed_s / self._batch.nominal_s)
                     self._runner._meters.observe_stage(self._pool, elapsed_s)
                     return replies
                 reason = "unreadable reply"
@@ -326,6 +328,8 @@
                 self._requeue([(pending, piece)], not reply.is_full)
         for pending in without_room:
             pending.note_no_room()
+        if without_room:
+            self._queue.rest_full(self._batch.maker, now)
         self._runner.free(unused)
 
     def _keep(
--- a/chervilarch/pieces.py
+++ b/chervilarch/pieces.py
@@ -14,9 +14,11 @@
 # An endpoint that failed rests this long, doubling up to the longest.
 FIRST_REST_S = 0.4
 MAX_REST_S = 4.0
-# An endpoint that was full of others' work is tried again after this share
-# of a call.
+# An endpoint that was full of others' work or results is tried again after
+# this share of a call, doubling up to the longest.
 _FULL_REST_SHARE = 0.5
+_MAX_FULL_REST_S = 0.6
+_MAX_DOUBLINGS = 8
 # The configuration gives sizes of results as approximate: they are taken to
 # be this much larger, and more so for a job that found no room.
 _SIZE_FACTOR = 1.2
@@ -27,7 +29,8 @@
 FAR_S_PER_BYTE = 0.03e-6
 # No more of a job's spare time than this share is spent on nearness.
 _SLACK_SHARE = 0.3
-_NO_ROOM_FACTOR = 1.5
+_NO_ROOM_FACTOR = 1.3
+_MAX_SIZE_FACTOR = 2.0
 
 
 class PieceResult(NamedTuple):
@@ -139,8 +142,14 @@
         return int(self.job.result_bytes * self._size_factor)
 
     def note_no_room(self) -> None:
-        """Learns that the results are larger than was taken."""
-        self._size_factor *= _NO_ROOM_FACTOR
+        """Learns that the results may be larger than was taken.
+
+        An endpoint may as well hold results of a gatherer that is gone, so
+        this is bounded: a job must not become too large for any endpoint.
+        """
+        self._size_factor = min(
+            _MAX_SIZE_FACTOR, self._size_factor * _NO_ROOM_FACTOR
+        )
 
     def is_begun(self) -> bool:
         """Tells whether a call has taken any of its pieces."""
@@ -178,6 +187,7 @@
         self.free_at = 0.0
         self.resting_until = float("-inf")
         self.failures = 0
+        self.times_full = 0
         # Room that running calls need, in bytes.
         self.reserved_bytes = 0
         self._kept: dict[str, tuple[int, float]] = {}
@@ -202,11 +212,12 @@
         """Learns from the time that a call took."""
         self.slowness += _GAIN * (ratio - self.slowness)
         self.failures = 0
+        self.times_full = 0
 
     def note_failure(self, now: float) -> float:
         """Rests the endpoint; returns for how long, in seconds."""
         rest_s = min(MAX_REST_S, FIRST_REST_S * 2**self.failures)
-        self.failures += 1
+        self.failures = min(self.failures + 1, _MAX_DOUBLINGS)
         self.resting_until = now + rest_s
         return rest_s
 
@@ -415,5 +426,7 @@
         batch.maker.reserved_bytes -= batch.result_bytes
 
     def rest_full(self, maker: Maker, now: float) -> None:
-        """Leaves an endpoint alone that others keep busy."""
-        maker.resting_until = now + _FULL_REST_SHARE * self.limits.call_s
+        """Leaves an endpoint alone that others keep full."""
+        rest_s = _FULL_REST_SHARE * self.limits.call_s * 2**maker.times_full
+        maker.resting_until = now + min(_MAX_FULL_REST_S, rest_s)
+        maker.times_full = min(maker.times_full + 1, _MAX_DOUBLINGS)
