--- a/chervilarch/gathering.py
+++ b/chervilarch/gathering.py
@@ -138,9 +138,7 @@
             for peer in self._live_peers()
             if self._avoided.get(peer.name, now) <= now
         ]
-        best = max(
-            [self._own, *peers], key=lambda peer: zlib.crc32(peer.name.encode())
-        )
+        best = max([self._own, *peers], key=lambda peer: rank(peer.name))
         return None if best is self._own else best
 
     def _place(self, ticket: Ticket) -> None:
@@ -302,3 +300,8 @@
                 del self._served[key]
                 self._drop(served)
         self._loop.call_later(_SWEEP_S, self._sweep)
+
+
+def rank(name: str) -> int:
+    """Returns a host's rank; the live host with the highest one gathers."""
+    return zlib.crc32(name.encode())
--- /dev/null
+++ b/tests/test_gathering.py
@@ -0,0 +1,173 @@
+"""Orders for stages between hosts, over real datagrams on loopback."""
+
+import loop_helpers as lh
+import pytest
+
+from chervilarch import (
+    gathering,
+    messages,
+    pieces,
+    stage_desk,
+    stage_graph,
+    stage_messages,
+)
+
+KEY = b"k" * 16
+RESULT = pieces.PieceResult("h1", "e1", "10.0.0.1:80", "dc1", "p")
+
+
+def order(name="r1", now=0.0):
+    need = stage_graph.StageNeed("p", (), 2, 100)
+    after = stage_graph.StageNeed("q", (0,), 1, 100)
+    return stage_graph.Order(
+        name, "key", 1, now + 2.0, now + 8.0, (need, after), "dc1"
+    )
+
+
+class FakeDesk:
+    """Takes orders; the test ends them."""
+
+    def __init__(self):
+        self.runs: list[stage_desk.OrderRun] = []
+        self.cancelled: list[str] = []
+        self.freed: list[str] = []
+
+    def run(self, what):
+        run = stage_desk.OrderRun(what)
+        self.runs.append(run)
+        return run
+
+    def cancel(self, run):
+        self.cancelled.append(run.order.request_id)
+
+    def free(self, results):
+        self.freed += [result.handle for result in results]
+
+
+class Host:
+    """A gatherer with a fake desk; `n2` is chosen over `n1` by its hash."""
+
+    def __init__(self, loop, name):
+        self.desk = FakeDesk()
+        self.peers: list[gathering.Peer] = []
+        own = gathering.Peer(name, ("127.0.0.1", 0))
+        self.gatherer = gathering.Gatherer(
+            loop, self.desk, own, lambda: self.peers, KEY
+        )
+        address = self.gatherer._socket.getsockname()
+        self.peer = gathering.Peer(name, address)
+
+
+@pytest.fixture
+def world():
+    loop, clock = lh.new_loop()
+    hosts = [Host(loop, name) for name in ("n1", "n2", "n3")]
+    by_choice = sorted(
+        hosts, key=lambda host: gathering.rank(host.peer.name), reverse=True
+    )
+    for host in hosts:
+        host.peers = [other.peer for other in hosts if other is not host]
+    yield loop, clock, by_choice
+    loop.close()
+
+
+def test_an_order_is_run_by_the_same_host_for_all(world):
+    loop, _, (owner, second, third) = world
+    tickets = [
+        host.gatherer.submit(order(host.peer.name, loop.now()))
+        for host in (owner, second, third)
+    ]
+    lh.run_until(loop, lambda: len(owner.desk.runs) == 3)
+    for run in owner.desk.runs:
+        run.future.set_result((RESULT,))
+    lh.run_until(loop, lambda: all(t.future.done() for t in tickets))
+    assert [t.future.result() for t in tickets] == [(RESULT,)] * 3
+
+
+def test_a_failure_comes_back_with_its_reason(world):
+    loop, _, (owner, second, _) = world
+    ticket = second.gatherer.submit(order(now=loop.now()))
+    lh.run_until(loop, lambda: owner.desk.runs)
+    failure = pieces.PieceFailure(pieces.OVERLOADED, 0.5)
+    owner.desk.runs[0].future.set_result(failure)
+    lh.run_until(loop, ticket.future.done)
+    assert ticket.future.result() == failure
+
+
+def test_an_order_sent_again_runs_once(world):
+    loop, clock, (owner, second, _) = world
+    second.gatherer.submit(order(now=loop.now()))
+    lh.run_until(loop, lambda: owner.desk.runs)
+    for _ in range(5):
+        lh.advance(loop, clock, 0.4)
+    assert len(owner.desk.runs) == 1 and owner.desk.cancelled == []
+
+
+def test_a_silent_host_is_passed_over(world):
+    loop, clock, (owner, second, third) = world
+    owner.gatherer._socket.close()
+    ticket = third.gatherer.submit(order(now=loop.now()))
+    lh.advance(loop, clock, 0.5)
+    lh.run_until(loop, lambda: second.desk.runs)
+    second.desk.runs[0].future.set_result((RESULT,))
+    lh.run_until(loop, ticket.future.done)
+
+
+def test_a_host_that_falls_silent_with_an_order_is_passed_over(world):
+    loop, clock, (owner, second, third) = world
+    third.gatherer.submit(order(now=loop.now()))
+    lh.run_until(loop, lambda: owner.desk.runs)
+    lh.settle(loop, 10)
+    loop.unwatch(owner.gatherer._socket)
+    lh.advance(loop, clock, 3.0)
+    lh.run_until(loop, lambda: second.desk.runs)
+
+
+def test_a_cancelled_order_is_stopped_at_its_gatherer(world):
+    loop, _, (owner, second, _) = world
+    ticket = second.gatherer.submit(order("gone", loop.now()))
+    lh.run_until(loop, lambda: owner.desk.runs)
+    second.gatherer.cancel(ticket)
+    lh.run_until(loop, lambda: owner.desk.cancelled == ["gone"])
+
+
+def test_an_order_whose_sender_is_silent_is_dropped(world):
+    loop, clock, (owner, second, _) = world
+    second.gatherer.submit(order("orphan", loop.now()))
+    lh.run_until(loop, lambda: owner.desk.runs)
+    loop.unwatch(second.gatherer._socket)
+    for timer in second.gatherer._tickets.values():
+        timer.timer.cancel()
+    lh.advance(loop, clock, 3.0)
+    assert owner.desk.cancelled == ["orphan"]
+
+
+def test_results_that_nobody_awaits_are_freed(world):
+    loop, _, (owner, second, _) = world
+    ticket = second.gatherer.submit(order(now=loop.now()))
+    lh.run_until(loop, lambda: owner.desk.runs)
+    second.gatherer._forget(ticket)
+    owner.desk.runs[0].future.set_result((RESULT,))
+    lh.run_until(loop, lambda: owner.desk.freed == ["h1"])
+
+
+def test_used_results_are_freed_by_the_gathering_host(world):
+    loop, _, (owner, second, _) = world
+    second.gatherer.free((RESULT,))
+    lh.run_until(loop, lambda: owner.desk.freed == ["h1"])
+
+
+def test_messages_survive_the_wire():
+    message = stage_messages.StageMessage(
+        stage_messages.Kind.SUBMIT, 7, order(now=100.0), (RESULT, RESULT)
+    )
+    frame = stage_messages.encode(KEY, message, 100.0)
+    got = stage_messages.decode(KEY, frame, 200.0)
+    assert got.results == (RESULT, RESULT)
+    assert got.order == order(now=200.0)
+    bad = stage_messages.decode(b"x" * 16, frame, 0.0)
+    assert isinstance(bad, messages.BadFrame)
+    assert isinstance(
+        stage_messages.decode(KEY, messages.seal(KEY, b"\xff" * 9), 0.0),
+        messages.BadFrame,
+    )
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,393 @@
+"""The adapter: records, headers and calls of the users' platform."""
+
+import json
+import pathlib
+import re
+import struct
+
+import loop_helpers as lh
+import pytest
+
+from chervilarch import (
+    exchanges,
+    hosts,
+    inbound,
+    outcomes,
+    pieces,
+    route_book,
+    routed,
+    store,
+    tasks,
+)
+from chervilarch.platform import documents, wire
+from chervilarch.platform import store as platform_store
+
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "A.example",
+            "path_prefix": "/x/",
+            "kind": "streaming",
+            "timeout_ms": 8000,
+            "target_latency_ms": 1900,
+            "priority": 0,
+            "service": "s1",
+            "max_attempts": 2,
+            "stages": [{"service": "s2", "after": [], "bytes": 8000}],
+            "auth_exempt": False,
+            "sticky": True,
+            "resumable": True,
+            "gap_aim_ms": 500,
+        },
+        {
+            "name": "r2",
+            "host": "a.example",
+            "path_prefix": "/x/y/",
+            "kind": "non_idempotent",
+            "timeout_ms": 800,
+            "traffic_split": [
+                {"service": "s1", "weight": 90},
+                {"service": "s3", "weight": 10},
+            ],
+            "auth_exempt": True,
+        },
+    ],
+    "services": [
+        {"name": "s1", "engine": {"slots": 128, "kv_tokens": 1000}},
+        {
+            "name": "s2",
+            "pieces": {
+                "slots": 1,
+                "queue": 2,
+                "batch": 4,
+                "call_ms": 150.0,
+                "item_ms": 32.0,
+                "headroom_mb": 18.0,
+                "handle_s": 4.0,
+                "link_mbps": 1,
+            },
+        },
+    ],
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 4194304,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    },
+    "tenants": [{"name": "t1", "api_keys": ["k1", "k2"], "priority": 1}],
+    "unknown": {"field": 1},
+}
+SERVER = {
+    "service": "s1",
+    "address": "10.0.0.1:8080",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 128,
+    "state": "ready",
+    "cold_remaining_ms": 1500,
+    "sequence": 4,
+    "born": 99,
+}
+
+
+def decoded():
+    return documents.decode_configuration(json.dumps(CONFIG).encode())
+
+
+def test_a_configuration_is_read():
+    book = decoded()
+    assert book.version == 7
+    route = book.find("a.example:80", "/x/1")
+    assert route.name == "r1" and route.is_stream and route.is_prompt
+    assert route.repeat is route_book.Repeat.ANY
+    assert (route.timeout_s, route.objective_s) == (8.0, 1.9)
+    assert route.stages == (route_book.Stage("s2", (), 8000),)
+    assert book.pools["s2"].pieces.call_s == 0.15
+    assert book.pools["s2"].pieces.room_bytes == 18e6
+    assert book.pools["s1"].engine.memory_tokens == 1000
+    assert book.account_of_key("k2") == route_book.Account("t1", 1)
+    assert book.account_of_key("k3") is None
+
+
+def test_the_longest_prefix_wins_and_weights_split_a_route():
+    book = decoded()
+    route = book.find("a.example", "/x/y/z")
+    assert route.name == "r2" and not route.needs_key
+    assert route.repeat is route_book.Repeat.AT_MOST_ONCE
+    pools = [route.pool_for(f"id{number}") for number in range(1000)]
+    assert 50 < pools.count("s3") < 150
+    assert route.pool_for("id1") == route.pool_for("id1")
+    assert book.find("a.example", "/y/") is None
+    assert book.find("b.example", "/x/1") is None
+
+
+@pytest.mark.parametrize("value", [b"\xff", b"[]", b'{"version": "7"}', b""])
+def test_an_unreadable_configuration_names_a_reason(value):
+    assert documents.decode_configuration(value).reason
+
+
+def test_an_endpoint_is_read():
+    listing = documents.decode_endpoint("i-1", json.dumps(SERVER).encode())
+    assert listing.entry == hosts.HostEntry(
+        "i-1", "10.0.0.1:8080", "endpoint", "s1", "z1", "live", 99
+    )
+    assert (listing.slots, listing.sequence, listing.slow_for_s) == (
+        128,
+        4,
+        1.5,
+    )
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"service": None},
+        {"address": 5},
+        {"address": "nowhere"},
+        {"state": "dancing"},
+        {"sequence": "4"},
+        {"born": 1.5},
+    ],
+)
+def test_an_entry_of_another_writer_names_no_endpoint(change):
+    value = json.dumps({**SERVER, **change}).encode()
+    assert isinstance(
+        documents.decode_endpoint("i-1", value), documents.Unreadable
+    )
+
+
+def inbound_request(*headers, method="POST", target="/x/1?q=1", body=b"b"):
+    named = [("host", "a.example"), ("request-id", "id1"), *headers]
+    return inbound.Inbound(method, target, named, body, 5.0, "127.0.0.1")
+
+
+def parsed(*headers, **changes):
+    req = wire.HttpWire().parse_request(inbound_request(*headers, **changes))
+    req.route = lh.route(is_prompt=True)
+    req.account = route_book.Account("t1")
+    return req
+
+
+def test_a_request_is_read():
+    req = parsed(
+        ("authorization", "Bearer k1"),
+        ("deadline-ms", "1500"),
+        ("token-usage", "1460,80"),
+        ("prompt-prefix", "5c:800,91:410,e4:250"),
+        ("pieces", "1,8,16"),
+        ("piece-key", "pk"),
+        ("last-event-id", "12"),
+    )
+    assert (req.id, req.key, req.allowed_s) == ("id1", "k1", 1.5)
+    assert req.prompt.parts == (("5c", 800), ("91", 410), ("e4", 250))
+    assert req.prompt.shared_tokens() == 1210
+    assert req.piece_counts == (1, 8, 16) and req.piece_key == "pk"
+    assert (req.path, req.resume_after) == ("/x/1", "12")
+
+
+@pytest.mark.parametrize(
+    "header",
+    [("deadline-ms", "soon"), ("pieces", "1,x"), ("prompt-prefix", "a:b")],
+)
+def test_a_header_that_cannot_be_read_is_refused(header):
+    result = wire.HttpWire().parse_request(inbound_request(header))
+    assert isinstance(result, outcomes.Rejected)
+
+
+def test_a_request_without_id_is_refused():
+    req = inbound.Inbound("GET", "/", [("host", "a")], b"", 0.0, "")
+    result = wire.HttpWire().parse_request(req)
+    assert isinstance(result, outcomes.Rejected)
+
+
+def test_a_call_carries_what_the_caller_sent_and_nothing_that_is_ours():
+    req = parsed(
+        ("authorization", "Bearer k1"),
+        ("tenant", "other"),
+        ("hold", "h"),
+        ("pin-ms", "1"),
+        ("kv-backup", "x"),
+        ("kv-from", "x"),
+        ("kv-fetch", "x"),
+        ("expect-version", "1"),
+        ("inputs", "x"),
+        ("request-priority", "0"),
+        ("connection", "x-hop"),
+        ("x-hop", "1"),
+        ("x-app", "kept"),
+        ("x-empty", ""),
+        ("transfer-encoding", "chunked"),
+    )
+    req.priority = 3
+    call = wire.HttpWire().build_call(
+        req, lh.listing("i-1", address="10.0.0.1:80"), 1.2, ("h1", "h2"), "7"
+    )
+    assert set(call.headers) == {
+        "host: a.example",
+        "request-id: id1",
+        "x-app: kept",
+        "x-empty;",
+        "Deadline-Ms: 1200",
+        "Expect-Instance: i-1",
+        "Tenant: t1",
+        "Request-Priority: 3",
+        "Inputs: h1,h2",
+        "Last-Event-Id: 7",
+    }
+    assert (call.method, call.target, call.body) == ("POST", "/x/1?q=1", b"b")
+    assert call.fresh and call.url == "http://10.0.0.1:80/"
+
+
+def test_the_head_of_a_reply_is_read():
+    head = wire.HttpWire().read_head(
+        200,
+        [
+            ("request-id", "id1"),
+            ("response-stamp", "s"),
+            ("server-load", "1,0,8"),
+            ("content-length", "5"),
+            ("content-type", "text/plain"),
+        ],
+    )
+    assert head.request_id == "id1" and head.is_stamped
+    assert not head.did_not_run and not head.is_other_endpoint
+    assert [name for name, _ in head.headers] == [
+        "request-id",
+        "response-stamp",
+        "content-type",
+    ]
+    assert wire.HttpWire().read_head(503, [("not-executed", "1")]).did_not_run
+    assert wire.HttpWire().read_head(421, []).is_other_endpoint
+
+
+def test_a_refusal_promises_only_what_is_true():
+    def status(outcome):
+        return wire.HttpWire().build_refusal(outcome, "id1")[0]
+
+    reason = outcomes.Reason.OVERLOADED
+    not_run = outcomes.NotRun(reason, "d", "r", 0.25)
+    assert status(not_run) == 503
+    headers = dict(wire.HttpWire().build_refusal(not_run, "id1")[1])
+    assert headers["Retry-After"] == "0.250"
+    assert status(outcomes.Unknown(reason, "d", "r")) == 502
+    assert status(outcomes.TooLate(reason, "d", "r")) == 504
+
+
+def test_a_piece_call_and_its_reply():
+    first = pieces.Job("id1", 0, "s2", 2, "pk", (), 1.0, 2.5, 1)
+    second = first._replace(request_id="id2", stage=2, inputs=("h1",))
+    call = wire.HttpWire().build_piece_call(
+        lh.listing("i-1"), [(first, 1), (second, 0)], 2.0, 1.0
+    )
+    assert json.loads(call.body) == {
+        "items": [
+            {"id": "id1", "stage": 0, "piece": 1, "left_ms": 500, "key": "pk"},
+            {
+                "id": "id2",
+                "stage": 2,
+                "piece": 0,
+                "left_ms": 500,
+                "inputs": ["h1"],
+            },
+        ]
+    }
+    assert "Expect-Instance: i-1" in call.headers
+    body = b'{"items":[{"handle":"h"},{"reason":"gone"},{"reason":"room"}]}'
+    assert wire.HttpWire().read_pieces(body, 3) == [
+        routed.PieceReply("h"),
+        routed.PieceReply("", pieces.INPUT_GONE),
+        routed.PieceReply("", pieces.FAILED, is_full=True),
+    ]
+    assert wire.HttpWire().read_pieces(body, 2) is None
+    assert wire.HttpWire().read_pieces(b"garbage", 1) is None
+
+
+class FakeClient:
+    """Gives one result for every call and keeps the exchanges."""
+
+    def __init__(self, result):
+        self.result = result
+        self.sent = []
+
+    def call(self, exchange):
+        self.sent.append(exchange)
+        return tasks.done(self.result)
+
+
+def reply(status, body):
+    return exchanges.Reply(status, {}, body, 0.0)
+
+
+def test_changes_are_read_with_their_offsets():
+    def record(key, value):
+        data = bytes([len(key)]) + key + value
+        return struct.pack(">I", len(data)) + data
+
+    body = struct.pack(">QQ", 9, 2) + record(b"a", b"1") + record(b"b", b"")
+    client = FakeClient(reply(200, body))
+    read = platform_store.StoreClient(client, "10.0.0.9:1").read_changes
+    changes = read(store.Topic.ENDPOINTS, 7, 2.0).result()
+    assert changes == store.Changes(
+        [store.Change(7, "a", b"1"), store.Change(8, "b", b"")], 9, 2
+    )
+    assert "from=7&wait_ms=2000" in client.sent[0].url
+
+
+@pytest.mark.parametrize(
+    ("result", "is_dropped"),
+    [
+        (reply(410, b""), True),
+        (reply(503, b""), False),
+        (reply(200, b"short"), False),
+        (reply(200, struct.pack(">QQI", 1, 0, 50)), False),
+        (
+            exchanges.TransferFailure(
+                exchanges.FailureKind.TIMED_OUT, "late", True
+            ),
+            False,
+        ),
+    ],
+)
+def test_a_failed_read_is_told(result, is_dropped):
+    client = platform_store.StoreClient(FakeClient(result), "a:1")
+    error = client.read_changes(store.Topic.ENDPOINTS, 0, 0.0).result()
+    assert isinstance(error, store.StoreError)
+    assert error.is_dropped is is_dropped
+
+
+def test_a_page_of_newest_values_is_read():
+    body = b'{"items":[{"key":"config","value":"YQ==","offset":4}],'
+    client = FakeClient(reply(200, body + b'"has_more":false,"end":6}'))
+    read = platform_store.StoreClient(client, "a:1").read_newest
+    page = read(store.Topic.CONFIGURATION, "", 1.0).result()
+    assert page == store.NewestPage([store.Change(4, "config", b"a")], False, 6)
+
+
+def test_a_value_is_put_once_over_a_connection_of_its_own():
+    client = FakeClient(reply(200, b"{}"))
+    put = platform_store.StoreClient(client, "a:1").put
+    assert put(store.Topic.ROUTERS, "n1", b"v", 1.0).result() is None
+    assert client.sent[0].body == b"\x00\x00\x00\x04\x02n1v"
+    assert client.sent[0].fresh
+
+
+def test_the_platforms_names_stay_in_the_adapter():
+    names = re.compile(
+        r"Deadline-Ms|deadline-ms|Not-Executed|not-executed|Expect-Instance|"
+        r"Response-Stamp|response-stamp|Piece-Key|piece-key|Prompt-Prefix|"
+        r"Token-Usage|Server-Load|Kv-|Pin-Ms|/chervilarch/|log-append|"
+        r"log-read|log-newest|keyed\.|path_prefix\"|target_latency_ms|"
+        r"stage-run|stage-free|traffic_split|api_keys"
+    )
+    root = pathlib.Path(documents.__file__).parents[1]
+    # The product's own protocol has a header of this name as well.
+    own = {"attempts.py": {"Deadline-Ms"}, "caller_input.py": {"Deadline-Ms"}}
+    found = [
+        (path.name, name)
+        for path in root.glob("*.py")
+        for name in set(names.findall(path.read_text()))
+        if name not in own.get(path.name, set())
+    ]
+    assert found == []
