--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -12,8 +12,11 @@
 )
 from chervilarch import loop as loops
 
-# A read of the newest values that takes longer is given up.
-_NEWEST_TIMEOUT_S = 1.5
+# A read of the newest values that takes longer is given up; the bound doubles
+# with each failure. The store answers in milliseconds, in up to 0.3 s while it
+# is slow, and a connection made while it was silent stays silent.
+_FIRST_NEWEST_TIMEOUT_S = 0.5
+_MAX_NEWEST_TIMEOUT_S = 2.0
 # How long a read of the configuration waits for a change. A connection that
 # has gone silent is noticed this late, and the bound on changes is 2 s.
 _CONFIG_WAIT_S = 2.0
@@ -51,6 +54,7 @@
         self._offset = 0
         self._failed_since: float | None = None
         self._delay_s = _FIRST_RETRY_S
+        self._newest_timeout_s = _FIRST_NEWEST_TIMEOUT_S
         self.read_at = float("-inf")
         self.on_snapshot: Callable[[dict[str, bytes]], None] = _ignore
         self.on_change: Callable[[str, bytes], None] = _ignore
@@ -74,9 +78,12 @@
         end, after = None, ""
         while True:
             page = yield self._store.read_newest(
-                self._topic, after, _NEWEST_TIMEOUT_S
+                self._topic, after, self._newest_timeout_s
             )
             if isinstance(page, store.StoreError):
+                self._newest_timeout_s = min(
+                    _MAX_NEWEST_TIMEOUT_S, 2 * self._newest_timeout_s
+                )
                 self._note_failure(page)
                 return False
             for change in page.changes:
@@ -86,6 +93,7 @@
                 break
             after = page.changes[-1].key
         self._offset = end
+        self._newest_timeout_s = _FIRST_NEWEST_TIMEOUT_S
         self._note_success()
         self.on_snapshot(values)
         self.on_read()
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -8,7 +8,6 @@
 
 from chervilarch import (
     budgets,
-    clocks,
     environment,
     fleet,
     followers,
@@ -25,6 +24,7 @@
     settings,
     stage_desk,
     state_log,
+    store,
     telemetry,
 )
 from chervilarch import loop as loops
@@ -57,7 +57,9 @@
         self._loop = loops.Loop(env.clock)
         self._meters = meters
         self._phase = serving.Phase()
-        self._ctrl = build(cfg, env.clock, self._loop, meters)
+        client = outgoing.Client(self._loop)
+        source = platform_store.StoreClient(client, cfg.store_address)
+        self._ctrl = build(cfg, self._loop, meters, client, source)
         self._callers = inbound.Server(
             self._loop,
             cfg.caller_address,
@@ -164,14 +166,13 @@
 
 def build(
     cfg: gateway_settings.GatewaySettings,
-    clock: clocks.Clock,
     loop: loops.Loop,
     meters: telemetry.Telemetry,
+    client: outgoing.Client,
+    source: store.Store,
 ) -> RoutedControllers:
     """Creates all controllers and connects them; nothing is started."""
     rng = random.Random()
-    client = outgoing.Client(loop)
-    source = platform_store.StoreClient(client, cfg.store_address)
     http = wire.HttpWire()
     retry_budgets = budgets.PoolBudgets(
         cfg.bounds.retry_share,
@@ -199,10 +200,10 @@
         cfg.host,
         f"{cfg.ip}:{cfg.peer_ports[0]}",
         cfg.data_centre,
-        gossip.first_incarnation(clock),
+        gossip.first_incarnation(loop.clock),
         caller_address=cfg.caller_address,
     )
-    hosts = fleet.Fleet(loop, source, own, key, clock, rng)
+    hosts = fleet.Fleet(loop, source, own, key, loop.clock, rng)
     stages = gathering.Gatherer(
         loop,
         stage_desk.StageDesk(loop, runner),
--- a/tests/loop_helpers.py
+++ b/tests/loop_helpers.py
@@ -157,10 +157,13 @@
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         self.connections = 0
-        threading.Thread(target=self._run, daemon=True).start()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
 
     def close(self) -> None:
-        """Stops listening."""
+        """Stops listening; a waiting accept would keep the port open."""
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._thread.join(GUARD_S)
         self._listener.close()
 
     def _run(self) -> None:
--- /dev/null
+++ b/tests/test_gateway_settings.py
@@ -0,0 +1,87 @@
+"""Settings and command line of the gateway."""
+
+import io
+import json
+import pathlib
+
+import pytest
+
+from chervilarch import environment, gateway, gateway_args, gateway_settings
+from chervilarch.exits import ExitStatus
+
+GOOD = {
+    "host": "n1",
+    "data_centre": "dc1",
+    "caller_address": "10.0.0.1:80",
+    "ready_address": "10.0.0.1:81",
+    "ip": "10.0.0.1",
+    "peer_ports": [7000, 7015],
+    "metrics_port": 9464,
+    "store_address": "10.0.0.9:8624",
+    "bounds": {
+        "drain_s": 2.0,
+        "config_s": 2.0,
+        "grace_s": 8,
+        "retry_share": 0.2,
+        "retry_fixed": 56,
+        "retry_window_s": 10,
+    },
+}
+
+
+def write(tmp_path, document):
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(document))
+    return path
+
+
+def check(path):
+    out, err = io.StringIO(), io.StringIO()
+    env = environment.Environment(io.StringIO(), out, err, None)
+    args = gateway_args.build_parser().parse_args(
+        ["--settings", str(path), "--check"]
+    )
+    return gateway.run(args, env), out.getvalue(), err.getvalue()
+
+
+def test_good_settings_are_taken_and_unknown_fields_ignored(tmp_path):
+    path = write(tmp_path, {**GOOD, "new_field": 1})
+    cfg = gateway_settings.load(path)
+    assert cfg.peer_ports == (7000, 7015) and cfg.bounds.grace_s == 8
+    assert check(path)[0] == ExitStatus.OK
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        ({"host": None}, "host"),
+        ({"caller_address": "nowhere"}, "caller_address"),
+        ({"peer_ports": [7000]}, "peer_ports"),
+        ({"metrics_port": "9464"}, "metrics_port"),
+        ({"bounds": {}}, "drain_s"),
+    ],
+)
+def test_bad_settings_name_the_field(tmp_path, change, named):
+    status, _, err = check(write(tmp_path, {**GOOD, **change}))
+    assert status == ExitStatus.BAD_SETTINGS
+    assert named in err and str(tmp_path) in err
+
+
+@pytest.mark.parametrize("name", GOOD)
+def test_each_field_is_required(tmp_path, name):
+    document = {key: value for key, value in GOOD.items() if key != name}
+    status, _, err = check(write(tmp_path, document))
+    assert status == ExitStatus.BAD_SETTINGS and name in err
+
+
+def test_settings_come_from_the_environment_variable(monkeypatch):
+    monkeypatch.setenv(gateway_args.SETTINGS_VARIABLE, "/etc/x.json")
+    args = gateway_args.build_parser().parse_args([])
+    assert args.settings == pathlib.Path("/etc/x.json")
+
+
+def test_the_deployments_template_names_every_field():
+    root = pathlib.Path(__file__).parent.parent
+    template = (root / "deploy/settings.json.template").read_text()
+    for name in [*GOOD, *GOOD["bounds"]]:
+        assert f'"{name}":' in template
--- /dev/null
+++ b/tests/test_outgoing.py
@@ -0,0 +1,112 @@
+"""The HTTP client on the loop, against stand-ins on raw sockets."""
+
+import loop_helpers as lh
+import pytest
+
+from chervilarch import clocks, exchanges, outgoing
+from chervilarch import loop as loops
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+@pytest.fixture
+def world():
+    loop = loops.Loop(clocks.SystemClock())
+    yield loop, outgoing.Client(loop)
+
+
+def call(world, server, **changes):
+    loop, client = world
+    plain = exchanges.Exchange(
+        "POST", f"http://{server.address}/x", b"body", fresh=True
+    )
+    fut = client.call(plain._replace(**changes))
+    lh.run_until(loop, fut.done)
+    return fut.result()
+
+
+def replying(data, seen=None):
+    def serve(conn):
+        request = lh.read_request(conn)
+        if seen is not None:
+            seen.append(request)
+        conn.sendall(data)
+
+    return lh.RawServer(serve)
+
+
+def test_a_reply_is_whole_and_stray_bytes_after_it_belong_to_nobody(world):
+    server = replying(OK + OK)
+    for _ in range(3):
+        assert call(world, server).body == b"ok"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", b"junk\r\n"],
+)
+def test_a_broken_reply_is_a_failure_and_nothing_is_sent_again(world, data):
+    seen = []
+    failure = call(world, replying(data, seen))
+    assert isinstance(failure, exchanges.TransferFailure) and failure.sent
+    assert len(seen) == 1
+
+
+def test_no_one_at_the_address_means_not_sent(world):
+    server = lh.RawServer(lambda conn: None)
+    server.close()
+    failure = call(world, server)
+    assert failure.kind is exchanges.FailureKind.REFUSED and not failure.sent
+
+
+def test_silence_ends_at_the_time_out_as_sent(world):
+    def silent(conn):
+        lh.read_request(conn)
+        conn.recv(1)
+
+    failure = call(world, lh.RawServer(silent), timeout_s=0.1)
+    assert failure.kind is exchanges.FailureKind.TIMED_OUT and failure.sent
+
+
+def test_a_cancelled_transfer_closes_its_connection(world):
+    ended = []
+
+    def serve(conn):
+        lh.read_request(conn)
+        ended.append(conn.recv(1))
+
+    loop, client = world
+    server = lh.RawServer(serve)
+    exchange = exchanges.Exchange(
+        "GET", f"http://{server.address}/", fresh=True
+    )
+    transfer = client.start(exchange, lambda result: ended.append("done"))
+    lh.run_until(loop, lambda: server.connections == 1)
+    lh.settle(loop)
+    transfer.cancel()
+    lh.run_until(loop, lambda: ended)
+    assert ended == [b""]
+
+
+def test_a_callback_may_cancel_the_transfer_that_called_it(world):
+    loop, client = world
+    got = []
+    server = replying(OK)
+
+    def take(chunk):
+        got.append(chunk)
+        transfer.cancel()
+
+    exchange = exchanges.Exchange(
+        "GET", f"http://{server.address}/", fresh=True
+    )
+    transfer = client.start(exchange, got.append, take)
+    lh.run_until(loop, lambda: got)
+    lh.settle(loop)
+    assert got == [b"ok"]
+
+
+def test_the_target_is_sent_byte_for_byte(world):
+    seen = []
+    call(world, replying(OK, seen), target="/a/../b%2f?c=%20&d")
+    assert seen[0].startswith(b"POST /a/../b%2f?c=%20&d HTTP/1.1\r\n")
