Stop what is in flight in order when the process ends

Change: the gateway stops exchanges, orders of others, gossip and transfers in this order. Two tests of it.

--- a/chervilarch/fleet.py
+++ b/chervilarch/fleet.py
@@ -52,6 +52,10 @@
         """Tells the others to send no more work here."""
         self.gossip.announce_leaving()
 
+    def stop(self) -> None:
+        """Stops gossip."""
+        self.gossip.stop()
+
     def peers(self) -> list[gathering.Peer]:
         """Returns the other hosts that are held alive."""
         return [
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -60,10 +60,9 @@
         client = outgoing.Client(self._loop)
         source = platform_store.StoreClient(client, cfg.store_address)
         self._ctrl = build(cfg, self._loop, meters, client, source)
+        self._handler = serving.CallerHandler(self._ctrl, self._phase)
         self._callers = inbound.Server(
-            self._loop,
-            cfg.caller_address,
-            serving.CallerHandler(self._ctrl, self._phase),
+            self._loop, cfg.caller_address, self._handler
         )
         self._ready = inbound.Server(
             self._loop, cfg.ready_address, serving.PageHandler(self._ready_page)
@@ -90,8 +89,16 @@
         )
         self._check()
         self._loop.run()
+        self._close()
         state_log.log_change("gateway stopped", host=self._cfg.host)
 
+    def _close(self) -> None:
+        """Ends what still runs, so that nothing is left half done."""
+        self._handler.close()
+        self._ctrl.stages.close()
+        self._ctrl.fleet.stop()
+        self._ctrl.client.close()
+
     def ask_stop(self) -> None:
         """Begins a graceful shutdown; safe in a signal handler."""
         self._asked_to_stop = True
--- a/chervilarch/gathering.py
+++ b/chervilarch/gathering.py
@@ -108,6 +108,14 @@
         loop.watch(self._socket, selectors.EVENT_READ, self._receive)
         loop.call_later(_SWEEP_S, self._sweep)
 
+    def close(self) -> None:
+        """Stops the orders of other hosts and closes the socket."""
+        for served in self._served.values():
+            self._drop(served)
+        self._served.clear()
+        self._loop.unwatch(self._socket)
+        self._socket.close()
+
     def submit(self, order: stage_graph.Order) -> Ticket:
         """Has an order run; its future gets results or a `PieceFailure`."""
         self._number += 1
--- a/chervilarch/serving.py
+++ b/chervilarch/serving.py
@@ -31,6 +31,12 @@
     def __init__(self, ctrl: RoutedControllers, phase: Phase):
         self._ctrl = ctrl
         self._phase = phase
+        self._exchanges: set[_Exchange] = set()
+
+    def close(self) -> None:
+        """Stops the work for all requests that are in flight."""
+        for exchange in list(self._exchanges):
+            exchange.leave("cut off by shutdown")
 
     def limits(self) -> inbound.Limits:
         """Returns the limits in force."""
@@ -53,7 +59,8 @@
             )
             return _ignore
         exchange = _Exchange(self._ctrl, self._phase, parsed, reply)
-        exchange.start()
+        self._exchanges.add(exchange)
+        exchange.start(lambda: self._exchanges.discard(exchange))
         return exchange.leave
 
 
@@ -74,10 +81,12 @@
         self._ctx = RoutedContext(ctrl, req, reply)
         self._task: tasks.Task | None = None
         self._watchdog = None
+        self._on_end: Callable[[], None] = _ignore
         self._is_ended = False
 
-    def start(self) -> None:
-        """Runs the filters."""
+    def start(self, on_end: Callable[[], None]) -> None:
+        """Runs the filters; `on_end` is called once when it is over."""
+        self._on_end = on_end
         self._phase.in_flight += 1
         self._task = tasks.Task(routed_filters.run_chain(self._ctx))
         self._task.future.add_done_callback(
@@ -88,10 +97,10 @@
                 self._req.deadline_at - _ANSWER_MARGIN_S, self._time_out
             )
 
-    def leave(self) -> None:
-        """Stops the work for a caller that has left."""
+    def leave(self, outcome: str = "caller left") -> None:
+        """Stops the work for a caller that gets no answer any more."""
         if not self._is_ended:
-            self._end("caller left")
+            self._end(outcome)
             self._task.cancel()
 
     def _time_out(self) -> None:
@@ -147,6 +156,7 @@
 
     def _end(self, name: str, **fields) -> None:
         self._is_ended = True
+        self._on_end()
         self._phase.in_flight -= 1
         if self._watchdog is not None:
             self._watchdog.cancel()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -63,8 +63,8 @@
             cfg, self.loop, self.meters, client, self.store
         )
         self.phase = serving.Phase()
-        handler = serving.CallerHandler(self.ctrl, self.phase)
-        self.server = inbound.Server(self.loop, "127.0.0.1:0", handler)
+        self.handler = serving.CallerHandler(self.ctrl, self.phase)
+        self.server = inbound.Server(self.loop, "127.0.0.1:0", self.handler)
 
     def close(self):
         self.server.stop_accepting()
@@ -309,6 +309,26 @@
     assert world.phase.in_flight == 0
 
 
+def test_what_is_in_flight_at_the_end_is_stopped_in_order(world):
+    cut = []
+
+    def wait_for_end(conn):
+        lh.read_request(conn)
+        cut.append(conn.recv(1))
+
+    server = world.endpoint("e1", wait_for_end)
+    world.start(route())
+    conn = world.send(KEY)
+    lh.run_until(world.loop, lambda: server.connections == 1)
+    lh.run_until(world.loop, lambda: world.phase.in_flight == 1)
+    world.handler.close()
+    world.ctrl.stages.close()
+    world.ctrl.client.close()
+    lh.run_until(world.loop, lambda: cut == [b""])
+    assert world.phase.in_flight == 0
+    conn.close()
+
+
 def events(first, last):
     return b"".join(
         b"id: %d\ndata: e%d\n\n" % (n, n) for n in range(first, last + 1)
--- a/tests/test_gathering.py
+++ b/tests/test_gathering.py
@@ -157,6 +157,14 @@
     lh.run_until(loop, lambda: owner.desk.freed == ["h1"])
 
 
+def test_a_host_that_ends_stops_the_orders_of_others(world):
+    loop, _, (owner, second, _) = world
+    second.gatherer.submit(order("left", loop.now()))
+    lh.run_until(loop, lambda: owner.desk.runs)
+    owner.gatherer.close()
+    assert owner.desk.cancelled == ["left"]
+
+
 def test_messages_survive_the_wire():
     message = stage_messages.StageMessage(
         stage_messages.Kind.SUBMIT, 7, order(now=100.0), (RESULT, RESULT)
