--- a/chervilarch/pieces.py
+++ b/chervilarch/pieces.py
@@ -19,6 +19,8 @@
 _FULL_REST_SHARE = 0.5
 _MAX_FULL_REST_S = 0.6
 _MAX_DOUBLINGS = 8
+# An endpoint that rests no longer than this counts for what is expected.
+_SHORT_REST_S = 1.0
 # The configuration gives sizes of results as approximate: they are taken to
 # be this much larger, and more so for a job that found no room.
 _SIZE_FACTOR = 1.2
@@ -278,7 +280,11 @@
 
     def wait_s(self, priority: int, aim_at: float, now: float) -> float:
         """Returns how long a new job would wait for its call."""
-        usable = self._usable(now)
+        usable = [
+            maker
+            for maker in self.makers.values()
+            if maker.resting_until <= now + _SHORT_REST_S
+        ]
         if not usable:
             return self.call_s(1)
         bar = (True, False, priority, int(aim_at / _SAME_TIME_S))
