Give suspect makers small calls and free results of stuck jobs

Change: a failed or overdue maker gets a quarter of a batch until one call is in time, slowness in time-outs is bounded, after 0.3 s without progress the last begun job gives up its results. Two tests that failed first.

--- a/chervilarch/piece_runner.py
+++ b/chervilarch/piece_runner.py
@@ -20,9 +20,11 @@
 # overdue: its pieces are made elsewhere as well.
 _OVERDUE_RATIO = 1.8
 _OVERDUE_S = 0.06
-# A call is given up at this many times its expected time, and this much more.
-_GIVE_UP_RATIO = 6.0
-_GIVE_UP_S = 1.0
+# A call is given up at this many times its expected time, and this much more;
+# an endpoint that hangs must not seem ever slower, so slowness is bounded.
+_GIVE_UP_RATIO = 4.0
+_GIVE_UP_S = 0.5
+_MAX_SLOWNESS = 3.0
 # A job fails after so many failed calls.
 _MAX_ERRORS = 3
 # Results are freed in rounds, so that one call frees several.
@@ -143,11 +145,26 @@
             if batch is None:
                 break
             _Call(self, queue, batch)
+        self._free_stuck(pool, queue, now)
         if queue.backlog():
             self._pump_later(pool, queue, now)
         if self.on_pumped is not None:
             self.on_pumped()
 
+    def _free_stuck(
+        self, pool: str, queue: pieces.PieceQueue, now: float
+    ) -> None:
+        results = queue.take_victim(now)
+        if results:
+            state_log.log_decision(
+                "results given up for room",
+                is_problem=True,
+                pool=pool,
+                results=len(results),
+                waiting=queue.backlog(),
+            )
+            self.free(results)
+
     def _pump_later(
         self, pool: str, queue: pieces.PieceQueue, now: float
     ) -> None:
@@ -195,7 +212,8 @@
         self._sent_at = self._loop.now()
         self._is_overdue = False
         self._pool = batch.pieces[0][0].job.pool
-        timeout_s = _GIVE_UP_RATIO * batch.expected_s + _GIVE_UP_S
+        slowness = min(_MAX_SLOWNESS, batch.maker.slowness)
+        timeout_s = _GIVE_UP_RATIO * slowness * batch.nominal_s + _GIVE_UP_S
         exchange = runner._wire.build_piece_call(
             batch.maker.listing,
             [(pending.job, piece) for pending, piece in batch.pieces],
--- a/chervilarch/pieces.py
+++ b/chervilarch/pieces.py
@@ -19,6 +19,12 @@
 _FULL_REST_SHARE = 0.5
 _MAX_FULL_REST_S = 0.6
 _MAX_DOUBLINGS = 8
+# A call this many times slower than configured leaves its maker suspect; a
+# suspect one gets calls of this share of a batch.
+_SUSPECT_RATIO = 3.0
+_SUSPECT_SHARE = 0.25
+# Begun jobs that found no room for so long give up their results.
+_STUCK_S = 0.3
 # An endpoint that rests no longer than this counts for what is expected.
 _SHORT_REST_S = 1.0
 # The configuration gives sizes of results as approximate: they are taken to
@@ -161,6 +167,13 @@
         """Returns the results that are there."""
         return [result for result in self.results if result is not None]
 
+    def start_again(self) -> list[PieceResult]:
+        """Gives up the results that are there; all pieces are to be made."""
+        made = self.made()
+        self.results = [None] * self.job.count
+        self.todo = list(range(self.job.count))
+        return made
+
     def take_result(self, piece: int, result: PieceResult) -> bool:
         """Keeps a result; False if the piece has one or the job ended."""
         if self.is_ended or self.results[piece] is not None:
@@ -190,6 +203,8 @@
         self.resting_until = float("-inf")
         self.failures = 0
         self.times_full = 0
+        # Set by a failed or overdue call until one is in time again.
+        self.is_suspect = False
         # Room that running calls need, in bytes.
         self.reserved_bytes = 0
         self._kept: dict[str, tuple[int, float]] = {}
@@ -213,11 +228,13 @@
     def note_time(self, ratio: float) -> None:
         """Learns from the time that a call took."""
         self.slowness += _GAIN * (ratio - self.slowness)
+        self.is_suspect = ratio > _SUSPECT_RATIO
         self.failures = 0
         self.times_full = 0
 
     def note_failure(self, now: float) -> float:
         """Rests the endpoint; returns for how long, in seconds."""
+        self.is_suspect = True
         rest_s = min(MAX_REST_S, FIRST_REST_S * 2**self.failures)
         self.failures = min(self.failures + 1, _MAX_DOUBLINGS)
         self.resting_until = now + rest_s
@@ -250,6 +267,7 @@
         self.makers: dict[str, Maker] = {}
         # Pieces of admitted requests that will be queued here later.
         self.pledged = 0
+        self._stuck_since: float | None = None
         self._jobs: list[PendingJob] = []
 
     def set_endpoints(self, listed: dict[str, endpoint_list.Listing]) -> None:
@@ -341,6 +359,7 @@
                 continue
             maker = self._maker_for(pending, room, now)
             if maker is not None:
+                self._stuck_since = None
                 return self._fill(maker, pending, room[maker], pool_room, now)
         return None
 
@@ -393,7 +412,7 @@
         size = 0
         for pending in [first, *others]:
             one = pending.result_bytes()
-            left = self.limits.batch - len(pieces)
+            left = self._most_pieces(maker) - len(pieces)
             is_new = pending is not first and not pending.is_begun()
             if is_new and one * len(pending.todo) > pool_room:
                 continue
@@ -410,6 +429,34 @@
         maker.free_at = now + expected_s
         return Batch(maker, pieces, expected_s, nominal_s, size)
 
+    def _most_pieces(self, maker: Maker) -> int:
+        """Returns how many pieces an endpoint is trusted with in one call."""
+        batch = self.limits.batch
+        return (
+            max(1, int(batch * _SUSPECT_SHARE)) if maker.is_suspect else batch
+        )
+
+    def take_victim(self, now: float) -> list[PieceResult]:
+        """Returns the results of the last begun job if all are stuck.
+
+        Jobs whose pieces were lost may together need more room than there
+        is: each then holds results and waits for the others'.
+        """
+        begun = [p for p in self._jobs if p.todo and p.is_begun()]
+        has_slot = any(
+            maker.calls < self.limits.slots for maker in self._usable(now)
+        )
+        if len(begun) < 2 or not has_slot:
+            self._stuck_since = None
+            return []
+        if self._stuck_since is None:
+            self._stuck_since = now
+        if now - self._stuck_since < _STUCK_S:
+            return []
+        self._stuck_since = None
+        victim = max(begun, key=lambda pending: pending.order(now))
+        return victim.start_again()
+
     def _usable(self, now: float) -> list[Maker]:
         return [m for m in self.makers.values() if m.resting_until <= now]
 
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -160,6 +160,37 @@
     assert maker.resting_until == first
 
 
+def test_a_suspect_endpoint_gets_small_calls_until_one_is_in_time():
+    queue = queue_of("e1")
+    maker = queue.makers["e1"]
+    maker.note_failure(0.0)
+    queue.add(job("a", 8))
+    batch = queue.next_batch(10.0)
+    assert len(batch.pieces) == 1
+    queue.finish(batch)
+    maker.note_time(1.0)
+    assert len(queue.next_batch(11.0).pieces) == LIMITS.batch
+
+
+def test_begun_jobs_that_block_each_other_give_up_results():
+    queue = queue_of("e1")
+    maker = queue.makers["e1"]
+    stuck = [job(name, 2, size=400, priority=n) for n, name in enumerate("ab")]
+    for pending in stuck:
+        pending.todo = [1]
+        handle = f"h{pending.job.request_id}"
+        pending.results[0] = pieces.PieceResult(handle, "e1", "x", "dc1", "p")
+        maker.keep(handle, 480, until=100.0)
+        queue.add(pending)
+    assert queue.next_batch(0.0) is None
+    assert queue.take_victim(0.0) == []
+    given_up = queue.take_victim(1.0)
+    assert [result.handle for result in given_up] == ["hb"]
+    maker.release("hb")
+    assert taken(queue.next_batch(1.0)) == [("a", 1)]
+    assert stuck[1].todo == [0, 1]
+
+
 def test_jobs_past_their_deadline_are_handed_back():
     queue = queue_of("e1")
     late = job("late", 1, deadline_at=1.0)
