Count attempts by what may have run; suspect late endpoints; hold less long

Changes: an attempt counts if the request may have run; a late call makes its endpoint suspect, on routes that were ever answered; a first event is awaited for 4 times the expected time and 0.5 s; an order is held for 0.4 of its time.

--- a/chervilarch/final_call.py
+++ b/chervilarch/final_call.py
@@ -76,9 +76,11 @@
 ) -> None:
     """Gives an endpoint back with what the attempt showed of it."""
     if isinstance(judged, Good):
+        ctx.req.runs += 1
+        ctx.ctrl.answered_routes.add(ctx.req.route.name)
         ctx.ctrl.placement.finish(lease, judged.head.status < 500)
         return
-    ctx.req.may_have_run |= not judged.surely_not_run()
+    ctx.req.runs += not judged.surely_not_run()
     entry = lease.listing.entry
     if judged.kind is attempts.BadKind.NOT_SENT:
         ctx.ctrl.placement.finish_unreachable(lease)
@@ -87,6 +89,12 @@
         ctx.ctrl.placement.abandon(lease)
     elif judged.kind is attempts.BadKind.DECLINED:
         ctx.ctrl.placement.abandon(lease, is_slow=True)
+    elif judged.kind is attempts.BadKind.LATE:
+        # A route that was never answered in time says nothing of endpoints.
+        if ctx.req.route.name in ctx.ctrl.answered_routes:
+            ctx.ctrl.placement.finish_late(lease)
+        else:
+            ctx.ctrl.placement.abandon(lease)
     else:
         ctx.ctrl.placement.finish(lease, False)
     state_log.log_decision(
@@ -104,7 +112,7 @@
     ctx: contexts.RoutedContext, last: attempts.Bad | None
 ) -> outcomes.Outcome:
     """Returns the outcome when no attempt gave an answer."""
-    if not ctx.req.may_have_run:
+    if not ctx.req.runs:
         if last is None:
             return outcomes.NotRun(
                 outcomes.Reason.NO_ENDPOINT,
@@ -135,9 +143,9 @@
 def may_send_again(ctx: contexts.RoutedContext, pool: str) -> bool:
     """Decides on one more send, within attempts, time and budget."""
     req = ctx.req
-    if req.may_have_run and not req.may_repeat():
+    if req.runs and not req.may_repeat():
         return False
-    if req.sends >= max(req.route.max_attempts, 1) and req.may_have_run:
+    if req.runs >= req.route.max_attempts:
         return False
     if ctx.left_s() <= RETURN_S + MIN_CALL_S:
         return False
@@ -188,11 +196,10 @@
     def _is_worth_repeating(self, good: Good) -> bool:
         """Tells whether another endpoint may do better than a fault."""
         req = self._ctx.req
-        req.may_have_run = True
         return (
             good.head.status >= 500
             and req.may_repeat()
-            and req.sends < req.route.max_attempts
+            and req.runs < req.route.max_attempts
         )
 
     def _wait(self) -> tasks.Steps[None]:
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -232,7 +232,7 @@
         fleet=hosts,
         retry_budgets=retry_budgets,
         meters=meters,
-        rng=rng,
+        answered_routes=set(),
     )
 
 
--- a/chervilarch/placement.py
+++ b/chervilarch/placement.py
@@ -159,6 +159,14 @@
         elif not lease.slot.work.is_stream:
             endpoint.note_success(lease.slot, now - lease.slot.started_at, now)
 
+    def finish_late(self, lease: Lease) -> None:
+        """Gives back the slot of a call that got no answer in its time."""
+        endpoint = self._give_back(lease)
+        if endpoint is not None:
+            now = self._clock.monotonic()
+            endpoint.suspect(now)
+            self._note_ejection(endpoint, lease, endpoint.note_failure(now))
+
     def finish_unreachable(self, lease: Lease) -> None:
         """Gives back the slot of a call that found no one at the address."""
         endpoint = self._give_back(lease)
--- a/chervilarch/routed.py
+++ b/chervilarch/routed.py
@@ -73,7 +73,8 @@
         self.deadline_at = float("inf")
         self.objective_at = float("inf")
         self.sends = 0
-        self.may_have_run = False
+        # Sends after which the request may have run.
+        self.runs = 0
 
     def may_repeat(self) -> bool:
         """Tells whether the final call may run more than once."""
--- a/chervilarch/routed_context.py
+++ b/chervilarch/routed_context.py
@@ -1,6 +1,5 @@
 """What the filters of a routed request work with."""
 
-import random
 from typing import NamedTuple
 
 from chervilarch import (
@@ -21,7 +20,10 @@
 
 
 class RoutedControllers(NamedTuple):
-    """The state of a gateway, part by part."""
+    """The state of a gateway, part by part.
+
+    `answered_routes` names the routes that any endpoint has answered.
+    """
 
     loop: loops.Loop
     client: outgoing.Client
@@ -33,7 +35,7 @@
     fleet: fleet.Fleet
     retry_budgets: budgets.PoolBudgets
     meters: telemetry.Telemetry
-    rng: random.Random
+    answered_routes: set[str]
 
 
 class RoutedContext:
--- a/chervilarch/stage_desk.py
+++ b/chervilarch/stage_desk.py
@@ -14,6 +14,9 @@
 _RETRY_SHARE = 0.5
 _MIN_RETRY_S = 0.2
 _MAX_RETRY_S = 2.0
+# An order is held for this share of its time at most: the later a refusal
+# comes, the less it helps the caller.
+_HOLD_SHARE = 0.4
 
 
 class OrderRun:
@@ -23,6 +26,7 @@
         self.order = order
         self.future: Future = Future()
         self.task: tasks.Task | None = None
+        self.hold_until = float("inf")
 
 
 class StageDesk:
@@ -132,6 +136,8 @@
             expected_ms=round(expected_s * 1000),
             held=len(self._held),
         )
+        now = self._loop.now()
+        run.hold_until = now + _HOLD_SHARE * (run.order.deadline_at - now)
         self._held.append(run)
         self._held.sort(key=lambda r: (r.order.priority, r.order.deadline_at))
         self._look_soon()
@@ -147,7 +153,8 @@
         now = self._loop.now()
         for run in list(self._held):
             expected_s = self.expected_s(run.order, now)
-            if now + expected_s > run.order.deadline_at:
+            is_hopeless = now + expected_s > run.order.deadline_at
+            if is_hopeless or now > run.hold_until:
                 self._held.remove(run)
                 self._refuse(run, expected_s)
             elif not self._is_backed_up(run.order):
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -20,7 +20,7 @@
 # A stream without its first event for so many times its expected time, and
 # this much longer, is taken to be stuck, if it can go on elsewhere.
 _FIRST_EVENT_RATIO = 4.0
-_FIRST_EVENT_S = 0.8
+_FIRST_EVENT_S = 0.5
 # Pauses between events of this many times the route's objective are taken to
 # mean that the endpoint has stopped.
 _GAP_RATIO = 2.0
@@ -206,7 +206,7 @@
 
     def _may_move(self) -> bool:
         req = self._ctx.req
-        return req.may_repeat() and req.sends < req.route.max_attempts
+        return req.may_repeat() and req.runs + 1 < req.route.max_attempts
 
     def _note_first_event(self, lease: placement.Lease, head) -> None:
         ctx = self._ctx
--- a/tests/loop_helpers.py
+++ b/tests/loop_helpers.py
@@ -162,6 +162,8 @@
 
     def close(self) -> None:
         """Stops listening; a waiting accept would keep the port open."""
+        if self._listener.fileno() < 0:
+            return
         self._listener.shutdown(socket.SHUT_RDWR)
         self._thread.join(GUARD_S)
         self._listener.close()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -375,6 +375,56 @@
     assert got.endswith(b"0\r\n\r\n")
 
 
+def test_an_endpoint_that_cannot_be_reached_does_not_use_up_attempts(world):
+    asked = []
+
+    def serve(conn):
+        request = lh.read_request(conn)
+        asked.append(request)
+        if b"Last-Event-Id: 2" in request:
+            conn.sendall(stream(events(3, 4)))
+            return
+        # While this one streams, two others go.
+        for server in world.servers[1:3]:
+            server.close()
+        conn.sendall(stream(events(1, 2), ends=False))
+
+    for name in ("e1", "e2", "e3", "e4"):
+        world.endpoint(name, serve)
+    world.start(stream_route())
+    world.ctrl.placement.pick = pick_in_order(world)
+    got = world.ask(KEY)
+    assert len(asked) == 2 and got.endswith(b"0\r\n\r\n")
+
+
+def pick_in_order(world):
+    plain = world.ctrl.placement.pick
+
+    def pick(need, tried):
+        names = {"e1", "e2", "e3", "e4"}
+        first = min(names - tried)
+        return plain(need, names - {first})
+
+    return pick
+
+
+def test_a_late_answer_tells_of_the_endpoint_only_on_a_proven_route(world):
+    def silent(conn):
+        if b" /x/slow" in lh.read_request(conn):
+            conn.recv(1)
+        else:
+            conn.sendall(answer())
+
+    world.endpoint("e1", silent)
+    world.start(route(kind="non_idempotent", timeout_ms=200))
+    endpoint = lambda: world.ctrl.placement._pools["s1"]["e1"]  # noqa: E731
+    assert status(world.ask(KEY, path="/x/slow")) == 504
+    assert endpoint().failures == 0
+    assert status(world.ask(KEY)) == 200
+    assert status(world.ask(KEY, path="/x/slow")) == 504
+    assert endpoint().failures == 1 and endpoint().suspicions == 1
+
+
 @pytest.mark.parametrize("ends", [True, False])
 def test_a_stream_that_may_not_be_resumed_never_looks_whole(world, ends):
     seen = []
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -333,6 +333,20 @@
     assert len(run.future.result()) == 1
 
 
+def test_an_order_is_not_held_to_the_end(desk):
+    service, runner, loop, clock = desk
+    runner.queues["p"].pledged = 40
+    now = loop.now()
+    run = service.run(
+        order(need("p"), objective_at=now + 1.0, deadline_at=now + 60.0)
+    )
+    lh.settle(loop)
+    clock.advance(25.0)
+    runner.on_pumped()
+    lh.settle(loop)
+    assert run.future.result().reason == pieces.OVERLOADED
+
+
 def test_a_hopeless_order_is_refused_at_once_with_a_time_to_come_back(desk):
     service, runner, loop, _ = desk
     runner.queues["p"].pledged = 400
