--- a/chervilarch/fleet.py
+++ b/chervilarch/fleet.py
@@ -64,6 +64,10 @@
             if member.status is membership.Status.ALIVE
         ]
 
+    def size(self) -> int:
+        """Returns how many hosts are known, this one and dead ones too."""
+        return len(self.gossip.members())
+
     def _join(self) -> tasks.Steps[None]:
         """Enters this host into the store's list, and reads the list."""
         own = self._own
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -121,7 +121,8 @@
         return ""
 
     def _check(self) -> None:
-        """Notices signals and changes of readiness."""
+        """Notices signals, changes of readiness and of the fleet's size."""
+        self._ctrl.retry_budgets.set_hosts(self._ctrl.fleet.size())
         is_ready = not self.not_ready_reason()
         if is_ready != self._was_ready:
             self._was_ready = is_ready
--- /dev/null
+++ b/tests/test_gateway_process.py
@@ -0,0 +1,176 @@
+"""The gateway as a process of its own: start, serving, shutdown."""
+
+import base64
+import json
+import os
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import threading
+
+import loop_helpers as lh
+import pytest
+from test_gateway import LIMITS, answer, free_port, route
+
+
+class StoreServer:
+    """Stands in for the platform's store over HTTP."""
+
+    def __init__(self):
+        self.topics = {"keyed.op": [], "keyed.servers": [], "keyed.routers": []}
+        self.lock = threading.Lock()
+        self.server = lh.RawServer(self.serve)
+
+    def write(self, topic, key, value):
+        with self.lock:
+            self.topics[topic].append((key, value))
+
+    def serve(self, conn):
+        while request := lh.read_request(conn):
+            line, _, rest = request.partition(b"\r\n")
+            path, _, query = line.split(b" ")[1].decode().partition("?")
+            fields = dict(pair.split("=") for pair in query.split("&"))
+            body = rest.partition(b"\r\n\r\n")[2]
+            conn.sendall(answer(200, self.reply(path, fields, body)))
+
+    def reply(self, path, fields, body):
+        topic = fields["topic"]
+        with self.lock:
+            log = list(self.topics[topic])
+        if path.endswith("log-newest"):
+            items = [
+                {"key": k, "value": base64.b64encode(v).decode(), "offset": n}
+                for n, (k, v) in enumerate(log)
+            ]
+            page = {"items": items, "has_more": False, "end": len(log)}
+            return json.dumps(page).encode()
+        if path.endswith("log-read"):
+            # An empty reply stands for a wait without news.
+            records = b""
+            for key, value in log[int(fields["from"]) :]:
+                data = bytes([len(key)]) + key.encode() + value
+                records += struct.pack(">I", len(data)) + data
+            return struct.pack(">QQ", len(log), 0) + records
+        size = body[4]
+        self.write(topic, body[5 : 5 + size].decode(), body[5 + size :])
+        return b'{"offset": 0, "end": 1}'
+
+
+@pytest.fixture
+def gateway(tmp_path):
+    store = StoreServer()
+    ports = [free_port() for _ in range(3)]
+    peer = free_port(socket.SOCK_DGRAM)
+    settings = {
+        "host": "n1",
+        "data_centre": "dc1",
+        "caller_address": f"127.0.0.1:{ports[0]}",
+        "ready_address": f"127.0.0.1:{ports[1]}",
+        "ip": "127.0.0.1",
+        "peer_ports": [peer, peer + 1],
+        "metrics_port": ports[2],
+        "store_address": store.server.address,
+        "bounds": {
+            "drain_s": 2.0,
+            "config_s": 2.0,
+            "grace_s": 8.0,
+            "retry_share": 0.2,
+            "retry_fixed": 56.0,
+            "retry_window_s": 10.0,
+        },
+    }
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(settings))
+    config = {
+        "version": 1,
+        "routes": [route()],
+        "services": [{"name": "s1"}],
+        "limits": LIMITS,
+    }
+    store.write("keyed.op", "config", json.dumps(config).encode())
+    process = subprocess.Popen(
+        [sys.executable, "-m", "chervilarch.gateway"],
+        env={**os.environ, "CHERVILARCH_SETTINGS": str(path)},
+        stdout=subprocess.PIPE,
+    )
+    yield process, store, ports
+    if process.poll() is None:
+        process.kill()
+    process.wait()
+    process.stdout.close()
+    store.server.close()
+
+
+def wait_for(process, event, **fields):
+    """Reads the process's lines up to one with an event and fields."""
+    for line in process.stdout:
+        got = json.loads(line)
+        if got["event"] == event and fields.items() <= got.items():
+            return got
+    raise AssertionError(f"the process ended without {event}")
+
+
+def ask(port, path="/x/1"):
+    with socket.create_connection(("127.0.0.1", port), lh.GUARD_S) as conn:
+        conn.sendall(
+            f"GET {path} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: id1\r\n"
+            "Connection: close\r\n\r\n".encode()
+        )
+        data = b""
+        while chunk := conn.recv(65536):
+            data += chunk
+    return data
+
+
+def wait_until_ready(port):
+    for _ in range(10_000):
+        if b" 200 " in ask(port, "/chervilarch/readiness"):
+            return
+    raise AssertionError("the gateway never became ready")
+
+
+def test_a_process_serves_and_finishes_its_requests_when_stopped(gateway):
+    process, store, ports = gateway
+    began, may_end = threading.Event(), threading.Event()
+
+    def serve(conn):
+        request = lh.read_request(conn)
+        if b"/x/slow" in request:
+            began.set()
+            may_end.wait(lh.GUARD_S)
+        conn.sendall(answer())
+
+    endpoint = lh.RawServer(serve)
+    entry = {
+        "service": "s1",
+        "address": endpoint.address,
+        "zone": "dc1",
+        "slots": 8,
+        "state": "ready",
+        "sequence": 1,
+        "born": 1,
+    }
+    store.write("keyed.servers", "e1", json.dumps(entry).encode())
+    wait_for(process, "endpoint listed", endpoint="e1")
+    wait_until_ready(ports[1])
+    assert b" 200 " in ask(ports[1], "/chervilarch/readiness").split(b"\r\n")[0]
+    assert b" 200 " in ask(ports[0]).split(b"\r\n")[0]
+    assert b"chervilarch_requests_total" in ask(ports[2], "/metrics")
+    slow = []
+    caller = threading.Thread(
+        target=lambda: slow.append(ask(ports[0], "/x/slow"))
+    )
+    caller.start()
+    assert began.wait(lh.GUARD_S)
+    process.send_signal(signal.SIGTERM)
+    wait_for(process, "drain started")
+    assert b" 503 " in ask(ports[1], "/chervilarch/readiness").split(b"\r\n")[0]
+    assert b" 200 " in ask(ports[0]).split(b"\r\n")[0]
+    may_end.set()
+    caller.join(lh.GUARD_S)
+    assert slow[0].endswith(b"out")
+    wait_for(process, "gateway stopped")
+    assert process.wait(lh.GUARD_S) == 0
+    endpoint.close()
