Never lose a piece whose repeat the budget denies; share calls only nearby

Change: denied pieces are tried again every 0.1 s, calls that carry a piece are counted so that a piece is queued again exactly if none does, stage work has a budget of its own for up to three gathering hosts, and it earns from jobs.

--- a/chervilarch/budgets.py
+++ b/chervilarch/budgets.py
@@ -8,8 +8,6 @@
 # Of the allowed repeats this part is used; the rest covers what a window's
 # edges and hosts that aren't known yet add.
 _SAFE_PART = 0.4
-# A host that knows no other takes the fixed part as shared by so many.
-_LEAST_HOSTS = 4
 
 
 class Budget:
@@ -59,7 +57,7 @@
         self._share = _SAFE_PART * share
         self._fixed = _SAFE_PART * fixed
         self._window_s = window_s
-        self._hosts = _LEAST_HOSTS
+        self._hosts = 1
         self._pools: dict[str, _PoolBudget] = {}
 
     def set_hosts(self, count: int) -> None:
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -41,6 +41,10 @@
 _DRAIN_POLL_S = 0.05
 # Time kept at the end of the grace period for the process to end.
 _EXIT_MARGIN_S = 0.5
+# A host that knows no other takes the budget as shared by so many.
+_LEAST_HOSTS = 4
+# Stage work is repeated by its gathering host only; a partition makes more.
+_GATHERING_HOSTS = 3
 _TEXT = "text/plain; charset=utf-8"
 
 
@@ -193,6 +197,7 @@
         platform_store.CONFIGURATION_KEY,
         documents.decode_configuration,
     )
+    retry_budgets.set_hosts(_LEAST_HOSTS)
     endpoints = followers.EndpointFollower(
         loop,
         source,
@@ -200,8 +205,14 @@
         cfg.bounds.drain_s / _LIST_READS_PER_BOUND,
     )
     place = placement.Placement(cfg.data_centre, loop.clock, rng)
+    stage_budgets = budgets.PoolBudgets(
+        cfg.bounds.retry_share,
+        cfg.bounds.retry_fixed,
+        cfg.bounds.retry_window_s,
+    )
+    stage_budgets.set_hosts(_GATHERING_HOSTS)
     runner = piece_runner.PieceRunner(
-        loop, client, http, retry_budgets, meters, endpoints.mark_gone
+        loop, client, http, stage_budgets, meters, endpoints.mark_gone
     )
     key = fleet.deployment_key(cfg.store_address)
     own = membership.Member(
--- a/chervilarch/piece_runner.py
+++ b/chervilarch/piece_runner.py
@@ -27,6 +27,8 @@
 _MAX_SLOWNESS = 3.0
 # A job fails after so many failed calls.
 _MAX_ERRORS = 3
+# Pieces whose repeat the budget denies are looked at again after this time.
+_BUDGET_WAIT_S = 0.1
 # Results are freed in rounds, so that one call frees several.
 _RELEASE_PERIOD_S = 0.03
 # Room and slower endpoints are looked at again this often while work waits.
@@ -66,7 +68,7 @@
                 continue
             queue = self._queues.get(name)
             if queue is None:
-                queue = pieces.PieceQueue(pool.pieces)
+                queue = pieces.PieceQueue(name, pool.pieces)
                 queue.set_endpoints(self._listed.get(name, {}))
                 self._queues[name] = queue
             queue.limits = pool.pieces
@@ -95,6 +97,7 @@
         if now + queue.call_s(1) > job.deadline_at:
             pending.end(pieces.PieceFailure(pieces.LATE))
             return pending
+        self._budgets.earn(job.pool)
         queue.add(pending)
         self._loop.call_at(job.deadline_at, lambda: self._pump(job.pool))
         self._pump(job.pool)
@@ -119,6 +122,56 @@
             self._is_freeing = True
             self._loop.call_later(_RELEASE_PERIOD_S, self._send_releases)
 
+    def make_again(
+        self,
+        queue: pieces.PieceQueue,
+        batch: list[tuple[pieces.PendingJob, int]],
+        is_error: bool,
+    ) -> None:
+        """Queues pieces again that no call will bring, within the budget."""
+        for pending, again in _by_job(batch).items():
+            missing = [piece for piece in again if pending.is_missing(piece)]
+            if not missing:
+                continue
+            pending.errors += is_error
+            if pending.errors > _MAX_ERRORS:
+                made = pending.made()
+                pending.end(pieces.PieceFailure(pieces.FAILED))
+                self.free(made)
+            elif self._budgets.spend(pending.job.pool, self._loop.now()):
+                pending.todo += missing
+                queue.add(pending)
+            else:
+                self._try_later(queue, pending, missing)
+        self._pump(queue.pool)
+
+    def make_beside(
+        self,
+        queue: pieces.PieceQueue,
+        batch: list[tuple[pieces.PendingJob, int]],
+    ) -> None:
+        """Queues pieces of an overdue call as well, if the budget allows."""
+        for pending, again in _by_job(batch).items():
+            wanted = [piece for piece in again if pending.is_wanted(piece)]
+            if wanted and self._budgets.spend(
+                pending.job.pool, self._loop.now()
+            ):
+                pending.todo += wanted
+                queue.add(pending)
+        self._pump(queue.pool)
+
+    def _try_later(
+        self,
+        queue: pieces.PieceQueue,
+        pending: pieces.PendingJob,
+        missing: list[int],
+    ) -> None:
+        """Waits for the budget; the job's deadline ends that."""
+        batch = [(pending, piece) for piece in missing]
+        self._loop.call_later(
+            _BUDGET_WAIT_S, lambda: self.make_again(queue, batch, False)
+        )
+
     def _send_releases(self) -> None:
         self._is_freeing = False
         to_free, self._to_free = self._to_free, collections.defaultdict(list)
@@ -196,6 +249,15 @@
     )
 
 
+def _by_job(
+    batch: list[tuple[pieces.PendingJob, int]],
+) -> dict[pieces.PendingJob, list[int]]:
+    by_job: dict[pieces.PendingJob, list[int]] = {}
+    for pending, piece in batch:
+        by_job.setdefault(pending, []).append(piece)
+    return by_job
+
+
 class _Call:
     """One call for pieces."""
 
@@ -210,7 +272,6 @@
         self._batch = batch
         self._loop = runner._loop
         self._sent_at = self._loop.now()
-        self._is_overdue = False
         self._pool = batch.pieces[0][0].job.pool
         slowness = min(_MAX_SLOWNESS, batch.maker.slowness)
         timeout_s = _GIVE_UP_RATIO * slowness * batch.nominal_s + _GIVE_UP_S
@@ -237,7 +298,6 @@
 
     def _note_overdue(self) -> None:
         """Has the pieces made elsewhere; this call goes on."""
-        self._is_overdue = True
         maker = self._batch.maker
         elapsed_s = self._loop.now() - self._sent_at
         maker.slowness = max(maker.slowness, elapsed_s / self._batch.nominal_s)
@@ -248,15 +308,14 @@
             endpoint=maker.listing.entry.name,
             elapsed_ms=round(elapsed_s * 1000),
         )
-        self._make_again(is_error=False)
+        self._runner.make_beside(self._queue, self._batch.pieces)
 
     def _on_done(self, result: exchanges.TransferResult) -> None:
         self._overdue.cancel()
         self._queue.finish(self._batch)
         replies = self._read(result)
         if replies is None:
-            if not self._is_overdue:
-                self._make_again(is_error=True)
+            self._runner.make_again(self._queue, self._batch.pieces, True)
         else:
             self._take(replies)
         self._runner._pump(self._pool)
@@ -310,6 +369,8 @@
         entry = self._batch.maker.listing.entry
         unused = []
         without_room: set[pieces.PendingJob] = set()
+        again: list[tuple[pieces.PendingJob, int]] = []
+        is_error = False
         now = self._loop.now()
         for (pending, piece), reply in zip(
             self._batch.pieces, replies, strict=True
@@ -343,12 +404,14 @@
                 )
                 if reply.is_full:
                     without_room.add(pending)
-                self._requeue([(pending, piece)], not reply.is_full)
+                again.append((pending, piece))
+                is_error |= not reply.is_full
         for pending in without_room:
             pending.note_no_room()
         if without_room:
             self._queue.rest_full(self._batch.maker, now)
         self._runner.free(unused)
+        self._runner.make_again(self._queue, again, is_error)
 
     def _keep(
         self, pending: pieces.PendingJob, handle: str, now: float
@@ -357,29 +420,3 @@
         until = now + self._queue.limits.kept_s
         size = pending.result_bytes()
         self._batch.maker.keep(handle, size, until)
-
-    def _make_again(self, is_error: bool) -> None:
-        self._requeue(self._batch.pieces, is_error)
-        self._runner._pump(self._pool)
-
-    def _requeue(
-        self, batch: list[tuple[pieces.PendingJob, int]], is_error: bool
-    ) -> None:
-        """Queues pieces again that have no result, within the budget."""
-        by_job: dict[pieces.PendingJob, list[int]] = {}
-        for pending, piece in batch:
-            has_result = pending.is_ended or pending.results[piece] is not None
-            if not has_result and piece not in pending.todo:
-                by_job.setdefault(pending, []).append(piece)
-        for pending, again in by_job.items():
-            pending.errors += is_error
-            is_allowed = self._runner._budgets.spend(
-                self._pool, self._loop.now()
-            )
-            if pending.errors <= _MAX_ERRORS and is_allowed:
-                pending.todo += again
-                self._queue.add(pending)
-            elif is_error:
-                made = pending.made()
-                pending.end(pieces.PieceFailure(pieces.FAILED))
-                self._runner.free(made)
--- a/chervilarch/pieces.py
+++ b/chervilarch/pieces.py
@@ -4,6 +4,7 @@
 free; what arrives while all are busy gathers, so calls fill up under load.
 """
 
+import collections
 from concurrent.futures import Future
 from typing import NamedTuple
 
@@ -122,6 +123,8 @@
         self.errors = 0
         self.is_ended = False
         self._size_factor = _SIZE_FACTOR
+        # How many running calls carry each piece.
+        self._calls: collections.Counter[int] = collections.Counter()
         self.future: Future = Future()
 
     def order(self, now: float, data_centre: str = "") -> Order:
@@ -167,11 +170,30 @@
         """Returns the results that are there."""
         return [result for result in self.results if result is not None]
 
+    def take_piece(self) -> int:
+        """Takes the next piece for a call."""
+        piece = self.todo.pop(0)
+        self._calls[piece] += 1
+        return piece
+
+    def note_call_ended(self, piece: int) -> None:
+        """Counts a piece's call as ended."""
+        self._calls[piece] -= 1
+
+    def is_wanted(self, piece: int) -> bool:
+        """Tells whether a piece has no result and isn't queued."""
+        has_result = self.is_ended or self.results[piece] is not None
+        return not has_result and piece not in self.todo
+
+    def is_missing(self, piece: int) -> bool:
+        """Tells whether a piece is wanted and no running call carries it."""
+        return self.is_wanted(piece) and self._calls[piece] == 0
+
     def start_again(self) -> list[PieceResult]:
         """Gives up the results that are there; all pieces are to be made."""
         made = self.made()
         self.results = [None] * self.job.count
-        self.todo = list(range(self.job.count))
+        self.todo = [p for p in range(self.job.count) if not self._calls[p]]
         return made
 
     def take_result(self, piece: int, result: PieceResult) -> bool:
@@ -262,7 +284,8 @@
 class PieceQueue:
     """Pending jobs of one pool, and the endpoints that make them."""
 
-    def __init__(self, limits: route_book.PieceLimits):
+    def __init__(self, pool: str, limits: route_book.PieceLimits):
+        self.pool = pool
         self.limits = limits
         self.makers: dict[str, Maker] = {}
         # Pieces of admitted requests that will be queued here later.
@@ -413,13 +436,15 @@
         for pending in [first, *others]:
             one = pending.result_bytes()
             left = self._most_pieces(maker) - len(pieces)
+            if pending is not first and not self._may_join(pending, maker, now):
+                continue
             is_new = pending is not first and not pending.is_begun()
             if is_new and one * len(pending.todo) > pool_room:
                 continue
             pool_room -= one * len(pending.todo)
             fitting = int((room - size) // one) if one else left
             for _ in range(min(left, fitting, len(pending.todo))):
-                pieces.append((pending, pending.todo.pop(0)))
+                pieces.append((pending, pending.take_piece()))
                 size += one
         self._jobs = [pending for pending in self._jobs if pending.todo]
         nominal_s = self.call_s(len(pieces))
@@ -429,6 +454,17 @@
         maker.free_at = now + expected_s
         return Batch(maker, pieces, expected_s, nominal_s, size)
 
+    def _may_join(self, pending: PendingJob, maker: Maker, now: float) -> bool:
+        """Tells whether a job shares a call or waits for a nearer one."""
+        if self.is_backed_up() or pending.is_begun():
+            return True
+        best = min(
+            self._usable(now), key=lambda m: self._cost_s(pending, m, now)
+        )
+        return best is maker or best.listing.entry.data_centre == (
+            maker.listing.entry.data_centre
+        )
+
     def _most_pieces(self, maker: Maker) -> int:
         """Returns how many pieces an endpoint is trusted with in one call."""
         batch = self.limits.batch
@@ -476,6 +512,8 @@
     def finish(self, batch: Batch) -> None:
         """Frees the endpoint's slot."""
         batch.maker.calls -= 1
+        for pending, piece in batch.pieces:
+            pending.note_call_ended(piece)
         batch.maker.reserved_bytes -= batch.result_bytes
 
     def rest_full(self, maker: Maker, now: float) -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -186,8 +186,9 @@
         assert count <= share * in_window + fixed
 
 
-def test_a_budget_without_other_hosts_takes_a_part_only():
+def test_a_budget_takes_a_part_only_for_the_hosts_that_are_expected():
     budget = budgets.PoolBudgets(0.0, 56.0, 10.0)
+    budget.set_hosts(4)
     spent = 0
     while budget.spend("p", 0.0):
         spent += 1
--- /dev/null
+++ b/tests/test_piece_runner.py
@@ -0,0 +1,165 @@
+"""Calls for pieces: what is made again, and what is never lost."""
+
+import json
+
+import loop_helpers as lh
+import pytest
+
+from chervilarch import (
+    budgets,
+    exchanges,
+    piece_runner,
+    pieces,
+    route_book,
+    tasks,
+    telemetry,
+)
+from chervilarch.platform import wire
+
+LIMITS = route_book.PieceLimits(1, 2, 4, 0.15, 0.03, 1e6, 4.0)
+
+
+class FakeTransfer:
+    """A call that the test answers."""
+
+    def __init__(self, exchange, on_done):
+        self.exchange = exchange
+        self.on_done = on_done
+
+    def items(self):
+        return json.loads(self.exchange.body)["items"]
+
+    def reply(self, *answers):
+        body = json.dumps({"items": list(answers)}).encode()
+        self.on_done(exchanges.Reply(200, {}, body, 0.1))
+
+    def make_all(self):
+        self.reply(*({"handle": f"h{item['piece']}"} for item in self.items()))
+
+    def lose(self):
+        kind = exchanges.FailureKind.BROKEN
+        self.on_done(exchanges.TransferFailure(kind, "cut", True))
+
+
+class FakeClient:
+    """Keeps calls for pieces; calls that free results succeed."""
+
+    def __init__(self):
+        self.started = []
+        self.freed = []
+
+    def start(self, exchange, on_done):
+        self.started.append(FakeTransfer(exchange, on_done))
+
+    def call(self, exchange):
+        self.freed += json.loads(exchange.body)["handles"]
+        return tasks.done(exchanges.Reply(200, {}, b"", 0.0))
+
+
+class World:
+    """A runner with two endpoints of one pool."""
+
+    def __init__(self, share=1.0, fixed=100.0):
+        self.loop, self.clock = lh.new_loop()
+        self.client = FakeClient()
+        self.runner = piece_runner.PieceRunner(
+            self.loop,
+            self.client,
+            wire.HttpWire(),
+            budgets.PoolBudgets(share, fixed, 10.0),
+            telemetry.Telemetry(),
+            lambda name, incarnation: None,
+        )
+        self.runner.set_pools({"p": route_book.Pool("p", LIMITS)})
+        self.runner.set_endpoints(
+            {"p": {name: lh.listing(name) for name in ("e1", "e2")}}
+        )
+
+    def submit(self, count=2, deadline_s=8.0):
+        now = self.loop.now()
+        return self.runner.submit(
+            pieces.Job(
+                "r1", 0, "p", count, "k", (), now + 1, now + deadline_s, 1, 10
+            )
+        )
+
+
+@pytest.fixture
+def world():
+    return World()
+
+
+def test_results_come_back_in_the_order_of_the_pieces(world):
+    pending = world.submit(3)
+    world.client.started[0].make_all()
+    handles = [result.handle for result in pending.future.result()]
+    assert handles == ["h0", "h1", "h2"]
+
+
+def test_pieces_of_a_lost_call_are_made_elsewhere(world):
+    pending = world.submit()
+    world.client.started[0].lose()
+    assert len(world.client.started) == 2
+    urls = {transfer.exchange.url for transfer in world.client.started}
+    world.client.started[1].make_all()
+    assert len(pending.future.result()) == 2 and len(urls) == 1
+
+
+def test_a_piece_that_the_budget_denies_waits_and_is_not_lost():
+    world = World(share=0.0, fixed=2.0)
+    pending = world.submit(1)
+    sent = 0
+    while sent < len(world.client.started):
+        world.client.started[sent].reply({"reason": "room"})
+        sent += 1
+        lh.advance(world.loop, world.clock, 0.3)
+    assert not pending.is_ended
+    lh.advance(world.loop, world.clock, 6.0)
+    assert len(world.client.started) > sent
+    world.client.started[-1].make_all()
+    assert len(pending.future.result()) == 1
+
+
+def test_an_overdue_call_is_made_beside_and_the_first_result_wins(world):
+    pending = world.submit(1)
+    lh.advance(world.loop, world.clock, 0.6)
+    assert len(world.client.started) == 2
+    world.client.started[1].make_all()
+    assert len(pending.future.result()) == 1
+    world.client.started[0].reply({"handle": "late"})
+    lh.advance(world.loop, world.clock, 0.1)
+    assert world.client.freed == ["late"]
+
+
+def test_an_overdue_call_that_then_fails_loses_no_piece():
+    world = World(share=0.0, fixed=0.0)
+    pending = world.submit(1)
+    lh.advance(world.loop, world.clock, 0.6)
+    assert len(world.client.started) == 1
+    world.runner._budgets = budgets.PoolBudgets(0.0, 100.0, 10.0)
+    world.client.started[0].lose()
+    lh.advance(world.loop, world.clock, 1.0)
+    world.client.started[-1].make_all()
+    assert len(pending.future.result()) == 1
+
+
+def test_a_job_ends_at_its_deadline_and_what_was_made_is_freed(world):
+    pending = world.submit(5, deadline_s=2.0)
+    world.client.started[0].make_all()
+    lh.advance(world.loop, world.clock, 2.2)
+    assert pending.future.result().reason == pieces.LATE
+    lh.advance(world.loop, world.clock, 0.1)
+    assert sorted(world.client.freed) == ["h0", "h1", "h2", "h3"]
+
+
+def test_a_cancelled_job_is_made_no_further(world):
+    pending = world.submit(5)
+    world.client.started[0].make_all()
+    world.runner.cancel(pending)
+    lh.advance(world.loop, world.clock, 0.1)
+    assert set(world.client.freed) == {"h0", "h1", "h2", "h3"}
+
+
+def test_without_endpoints_a_job_fails_at_once(world):
+    world.runner.set_endpoints({})
+    assert world.submit().future.result().reason == pieces.NO_ENDPOINT
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -24,7 +24,7 @@
 
 
 def queue_of(*names, limits=LIMITS, data_centres=()):
-    queue = pieces.PieceQueue(limits)
+    queue = pieces.PieceQueue("p", limits)
     places = dict(zip(names, data_centres, strict=False))
     queue.set_endpoints(
         {
