--- a/chervilarch/placement.py
+++ b/chervilarch/placement.py
@@ -11,7 +11,7 @@
     clocks,
     endpoint_list,
     endpoint_state,
-    pieces,
+    piece_queue,
     state_log,
 )
 
@@ -233,7 +233,7 @@
             missing = 0.0 if name == home else shared
             suspicion = _SUSPICION if now < endpoint.suspect_until else 1.0
             far = all_bytes - need.near.get(endpoint.data_centre, 0)
-            return pieces.FAR_S_PER_BYTE * far + suspicion * unit_s * (
+            return piece_queue.FAR_S_PER_BYTE * far + suspicion * unit_s * (
                 own + missing + endpoint.units
             )
 
--- a/tests/test_piece_runner.py
+++ b/tests/test_piece_runner.py
@@ -143,6 +143,14 @@
     assert len(pending.future.result()) == 1
 
 
+def test_an_overdue_endpoint_gets_small_calls(world):
+    world.submit(1)
+    lh.advance(world.loop, world.clock, 0.6)
+    queue = world.runner.queue("p")
+    suspects = [maker.is_suspect for maker in queue.makers.values()]
+    assert suspects.count(True) == 1
+
+
 def test_a_job_ends_at_its_deadline_and_what_was_made_is_freed(world):
     pending = world.submit(5, deadline_s=2.0)
     world.client.started[0].make_all()
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -3,7 +3,7 @@
 import loop_helpers as lh
 import pytest
 
-from chervilarch import pieces, route_book, stage_desk, stage_graph
+from chervilarch import piece_queue, pieces, route_book, stage_desk, stage_graph
 
 LIMITS = route_book.PieceLimits(
     slots=1,
@@ -24,7 +24,7 @@
 
 
 def queue_of(*names, limits=LIMITS, data_centres=()):
-    queue = pieces.PieceQueue("p", limits)
+    queue = piece_queue.PieceQueue("p", limits)
     places = dict(zip(names, data_centres, strict=False))
     queue.set_endpoints(
         {
