Let the gathering host advise engines, since it sees all prompts

Ruled out: stages (done in time for these). Change: an order names the prompt; the gathering host, which sees all orders, chooses an engine by the same cost and counts it as loaded until the results are freed at the first event; the advice is taken if the engine is sound. A test of the spread over engines.

--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -205,6 +205,7 @@
         cfg.bounds.drain_s / _LIST_READS_PER_BOUND,
     )
     place = placement.Placement(cfg.data_centre, loop.clock, rng)
+    engines = placement.Placement(cfg.data_centre, loop.clock, rng)
     stage_budgets = budgets.PoolBudgets(
         cfg.bounds.retry_share,
         cfg.bounds.retry_fixed,
@@ -225,13 +226,14 @@
     hosts = fleet.Fleet(loop, source, own, key, loop.clock, rng)
     stages = gathering.Gatherer(
         loop,
-        stage_desk.StageDesk(loop, runner),
+        stage_desk.StageDesk(loop, runner, engines),
         fleet.stage_peer(own),
         hosts.peers,
         key,
     )
     configuration.add_listener(lambda book: runner.set_pools(book.pools))
     endpoints.add_listener(place.set_endpoints)
+    endpoints.add_listener(engines.set_endpoints)
     endpoints.add_listener(runner.set_endpoints)
     return RoutedControllers(
         loop=loop,
--- a/chervilarch/gathering.py
+++ b/chervilarch/gathering.py
@@ -117,7 +117,7 @@
         self._socket.close()
 
     def submit(self, order: stage_graph.Order) -> Ticket:
-        """Has an order run; its future gets results or a `PieceFailure`."""
+        """Has an order run; its future gets `Made` or a `PieceFailure`."""
         self._number += 1
         ticket = Ticket(self._number, order)
         self._place(ticket)
@@ -269,8 +269,10 @@
             self._send_to(source, StageMessage(Kind.ACCEPTED, number))
             return
         made = served.run.future.result()
-        if isinstance(made, tuple) and not hasattr(made, "reason"):
-            answer = StageMessage(Kind.RESULTS, number, results=made)
+        if isinstance(made, stage_graph.Made):
+            answer = StageMessage(
+                Kind.RESULTS, number, results=made.results, engine=made.engine
+            )
         else:
             answer = StageMessage(Kind.RESULTS, number, failure=made)
         self._send_to(source, answer)
@@ -284,7 +286,11 @@
             return
         self._send_to(source, StageMessage(Kind.RECEIVED, message.number))
         self._forget(ticket)
-        tasks.resolve(ticket.future, message.failure or message.results)
+        tasks.resolve(
+            ticket.future,
+            message.failure
+            or stage_graph.Made(message.results, message.engine),
+        )
 
     def _end_served(self, source: tuple, message: StageMessage) -> None:
         served = self._served.pop((source, message.number), None)
@@ -298,8 +304,8 @@
             self._desk.cancel(run)
             return
         made = run.future.result()
-        if not hasattr(made, "reason"):
-            self._desk.free(made)
+        if isinstance(made, stage_graph.Made):
+            self._desk.free(made.results)
 
     def _sweep(self) -> None:
         oldest = self._loop.now() - _ABANDONED_S
--- a/chervilarch/peer.capnp
+++ b/chervilarch/peer.capnp
@@ -85,6 +85,10 @@
   deadlineMs @4 :Int64;
   stages @5 :List(StageNeed);
   dataCentre @6 :Text;
+  enginePool @7 :Text;
+  sharedName @8 :Data;
+  sharedTokens @9 :UInt32;
+  ownTokens @10 :UInt32;
 }
 
 struct StageMaker {
@@ -107,4 +111,5 @@
   results @4 :List(StageResult);
   failure @5 :Text;
   retryAfterMs @6 :UInt32;
+  engine @7 :Text;
 }
--- a/chervilarch/placement.py
+++ b/chervilarch/placement.py
@@ -37,6 +37,7 @@
         own_tokens: tokens that no endpoint has read.
         finish_by: monotonic deadline in seconds.
         near: data centres that hold its inputs, with their bytes.
+        advised: id of an endpoint that is taken if it is sound.
     """
 
     pool: str
@@ -46,6 +47,7 @@
     own_tokens: int = 0
     finish_by: float = float("inf")
     near: dict[str, int] = {}
+    advised: str = ""
 
 
 class Lease(NamedTuple):
@@ -118,7 +120,11 @@
         } or names
         if not usable:
             return None
-        if need.is_prompt:
+        advised = usable.get(need.advised)
+        if advised is not None and now >= advised.suspect_until:
+            name = need.advised
+            units = max(0.1, need.own_tokens / TOKENS_PER_UNIT)
+        elif need.is_prompt:
             name, units = self._pick_engine(need, usable, now)
         else:
             name, units = self._pick_plain(usable, now), 1.0
--- a/chervilarch/stage_desk.py
+++ b/chervilarch/stage_desk.py
@@ -8,7 +8,14 @@
 from concurrent.futures import Future
 
 from chervilarch import loop as loops
-from chervilarch import piece_runner, pieces, stage_graph, state_log, tasks
+from chervilarch import (
+    piece_runner,
+    pieces,
+    placement,
+    stage_graph,
+    state_log,
+    tasks,
+)
 
 # The time given to refused callers: part of the wait that is foreseen.
 _RETRY_SHARE = 0.5
@@ -17,10 +24,12 @@
 # An order is held for this share of its time at most: the later a refusal
 # comes, the less it helps the caller.
 _HOLD_SHARE = 0.4
+# A final call that wasn't heard of again for so long counts no more.
+_ADVICE_KEPT_S = 3.0
 
 
 class OrderRun:
-    """An order that was taken; its future gets results or a failure."""
+    """An order that was taken; its future gets `Made` or a failure."""
 
     def __init__(self, order: stage_graph.Order):
         self.order = order
@@ -32,9 +41,24 @@
 class StageDesk:
     """Runs orders with the pieces of one set of endpoints."""
 
-    def __init__(self, loop: loops.Loop, runner: piece_runner.PieceRunner):
+    def __init__(
+        self,
+        loop: loops.Loop,
+        runner: piece_runner.PieceRunner,
+        engines: placement.Placement,
+    ):
+        """Creates the desk.
+
+        Args:
+            loop: the event loop.
+            runner: makes pieces.
+            engines: load of the final calls of all orders that run here.
+        """
         self._loop = loop
         self._runner = runner
+        self._engines = engines
+        # Final calls that were advised, by their first result.
+        self._advised: dict[str, placement.Lease] = {}
         self._held: list[OrderRun] = []
         runner.on_pumped = self._look_soon
         self._is_looking = False
@@ -65,6 +89,11 @@
 
     def free(self, results: stage_graph.Results) -> None:
         """Frees results that the final call has read."""
+        for result in results:
+            lease = self._advised.pop(result.handle, None)
+            if lease is not None:
+                self._engines.note_first_event(lease)
+                self._engines.abandon(lease)
         self._runner.free(list(results))
 
     def expected_s(self, order: stage_graph.Order, now: float) -> float:
@@ -106,13 +135,61 @@
             stage_graph.StageRun(self._runner, run.order).run()
         )
         run.task.future.add_done_callback(
-            lambda fut: tasks.resolve(
-                run.future,
-                fut.result()
-                if fut.result() is not None
-                else pieces.PieceFailure(pieces.FAILED),
-            )
+            lambda fut: self._finish(run, fut.result())
+        )
+
+    def _finish(
+        self,
+        run: OrderRun,
+        made: "stage_graph.Results | pieces.PieceFailure | None",
+    ) -> None:
+        if made is None:
+            made = pieces.PieceFailure(pieces.FAILED)
+        if not isinstance(made, pieces.PieceFailure):
+            made = stage_graph.Made(made, self._advise(run.order, made))
+        tasks.resolve(run.future, made)
+
+    def _advise(
+        self, order: stage_graph.Order, results: stage_graph.Results
+    ) -> str:
+        """Chooses the engine for a final call.
+
+        Each host sees its own calls only, and prompts of several hosts would
+        meet at the same engine; this one sees those of all orders.
+        """
+        prompt = order.prompt
+        if not prompt.pool or not results:
+            return ""
+        near: dict[str, int] = {}
+        sizes = {stage.pool: stage.result_bytes for stage in order.stages}
+        for result in results:
+            size = near.get(result.data_centre, 0) + sizes[result.pool]
+            near[result.data_centre] = size
+        lease = self._engines.pick(
+            placement.Need(
+                prompt.pool,
+                True,
+                prompt.shared,
+                prompt.shared_tokens,
+                prompt.own_tokens,
+                order.deadline_at,
+                near,
+            ),
+            set(),
         )
+        if lease is None:
+            return ""
+        handle = results[0].handle
+        self._advised[handle] = lease
+        self._loop.call_later(
+            _ADVICE_KEPT_S, lambda: self._forget_advice(handle)
+        )
+        return lease.listing.entry.name
+
+    def _forget_advice(self, handle: str) -> None:
+        lease = self._advised.pop(handle, None)
+        if lease is not None:
+            self._engines.abandon(lease)
 
     def _refuse(self, run: OrderRun, expected_s: float) -> None:
         retry_s = min(
--- a/chervilarch/stage_graph.py
+++ b/chervilarch/stage_graph.py
@@ -14,6 +14,34 @@
 Results = tuple[pieces.PieceResult, ...]
 
 
+class Made(NamedTuple):
+    """What came of an order.
+
+    Attributes:
+        results: what the final call needs.
+        engine: id of the endpoint that suits it best, "" for no advice.
+    """
+
+    results: Results
+    engine: str = ""
+
+
+class Prompt(NamedTuple):
+    """What the final call's engine will have to read.
+
+    Attributes:
+        pool: pool of the final call.
+        shared: names the part of the prompt that others share.
+        shared_tokens: tokens of that part.
+        own_tokens: tokens that no endpoint has read.
+    """
+
+    pool: str = ""
+    shared: bytes = b""
+    shared_tokens: int = 0
+    own_tokens: int = 0
+
+
 class StageNeed(NamedTuple):
     """One stage of an order.
 
@@ -41,6 +69,7 @@
         deadline_at: when the answer is of no more use.
         stages: the stages by number.
         data_centre: where the final call will probably go, "" if unknown.
+        prompt: set if the final call goes to a model engine.
     """
 
     request_id: str
@@ -50,6 +79,7 @@
     deadline_at: float
     stages: tuple[StageNeed, ...]
     data_centre: str = ""
+    prompt: Prompt = Prompt()
 
     def wanted(self) -> list[int]:
         """Returns the stages that are not left out."""
--- a/chervilarch/stage_inputs.py
+++ b/chervilarch/stage_inputs.py
@@ -16,6 +16,8 @@
     def __init__(self, ctx: "contexts.RoutedContext"):
         self._ctx = ctx
         self._results: stage_graph.Results = ()
+        # The endpoint that the gathering host advises, "" for none.
+        self.engine = ""
 
     def handles(self) -> tuple[str, ...]:
         """Returns the names of the results."""
@@ -39,7 +41,7 @@
                 "send the request again after the time given",
                 made.retry_after_s,
             )
-        self._results = made
+        self._results, self.engine = made
         return None
 
     def near(self) -> dict[str, int]:
@@ -80,4 +82,17 @@
             self._ctx.ctrl.placement.home_data_centre(
                 req.route.pool_for(req.id), req.prompt.shared_name()
             ),
+            self._prompt(),
+        )
+
+    def _prompt(self) -> stage_graph.Prompt:
+        req = self._ctx.req
+        if not req.route.is_prompt:
+            return stage_graph.Prompt()
+        shared_tokens = req.prompt.shared_tokens()
+        return stage_graph.Prompt(
+            req.route.pool_for(req.id),
+            req.prompt.shared_name(),
+            shared_tokens,
+            max(0, req.prompt.tokens_in - shared_tokens),
         )
--- a/chervilarch/stage_messages.py
+++ b/chervilarch/stage_messages.py
@@ -34,6 +34,7 @@
         order: set for `SUBMIT`.
         results: set for `RESULTS` that succeeded and for `FREE`.
         failure: set for `RESULTS` that failed.
+        engine: with results, the endpoint that suits the final call best.
     """
 
     kind: Kind
@@ -41,6 +42,7 @@
     order: stage_graph.Order | None = None
     results: stage_graph.Results = ()
     failure: pieces.PieceFailure | None = None
+    engine: str = ""
 
 
 def encode(key: bytes, message: StageMessage, now: float) -> bytes:
@@ -48,6 +50,7 @@
     msg = messages.SCHEMA.StageMessage.new_message()
     msg.kind = message.kind.value
     msg.number = message.number
+    msg.engine = message.engine
     if message.order is not None:
         _fill_order(msg.order, message.order, now)
     if message.failure is not None:
@@ -73,7 +76,7 @@
             failure = pieces.PieceFailure(msg.failure, retry_after_s)
         order = _read_order(msg.order, now) if kind is Kind.SUBMIT else None
         return StageMessage(
-            kind, msg.number, order, _read_results(msg), failure
+            kind, msg.number, order, _read_results(msg), failure, msg.engine
         )
     except (capnp.KjException, ValueError, IndexError) as exc:
         return messages.BadFrame(f"malformed stage message: {exc}")
@@ -83,6 +86,10 @@
     slot.requestId = order.request_id
     slot.key = order.key
     slot.dataCentre = order.data_centre
+    slot.enginePool = order.prompt.pool
+    slot.sharedName = order.prompt.shared
+    slot.sharedTokens = order.prompt.shared_tokens
+    slot.ownTokens = order.prompt.own_tokens
     slot.priority = order.priority
     slot.objectiveMs = int((order.objective_at - now) * _MS_PER_S)
     slot.deadlineMs = int((order.deadline_at - now) * _MS_PER_S)
@@ -108,6 +115,12 @@
             for stage in slot.stages
         ),
         slot.dataCentre,
+        stage_graph.Prompt(
+            slot.enginePool,
+            bytes(slot.sharedName),
+            slot.sharedTokens,
+            slot.ownTokens,
+        ),
     )
 
 
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -109,6 +109,7 @@
             shared_tokens=shared_tokens,
             own_tokens=max(0, prompt.tokens_in - shared_tokens),
             near=self._inputs.near(),
+            advised=self._inputs.engine,
             finish_by=self._ctx.req.deadline_at,
         )
 
--- a/tests/test_gathering.py
+++ b/tests/test_gathering.py
@@ -15,12 +15,15 @@
 KEY = b"k" * 16
 RESULT = pieces.PieceResult("h1", "e1", "10.0.0.1:80", "dc1", "p")
 
+PROMPT = stage_graph.Prompt("s", b"a,b", 600, 90)
+MADE = stage_graph.Made((RESULT,), "e9")
+
 
 def order(name="r1", now=0.0):
     need = stage_graph.StageNeed("p", (), 2, 100)
     after = stage_graph.StageNeed("q", (0,), 1, 100)
     return stage_graph.Order(
-        name, "key", 1, now + 2.0, now + 8.0, (need, after), "dc1"
+        name, "key", 1, now + 2.0, now + 8.0, (need, after), "dc1", PROMPT
     )
 
 
@@ -79,9 +82,9 @@
     ]
     lh.run_until(loop, lambda: len(owner.desk.runs) == 3)
     for run in owner.desk.runs:
-        run.future.set_result((RESULT,))
+        run.future.set_result(MADE)
     lh.run_until(loop, lambda: all(t.future.done() for t in tickets))
-    assert [t.future.result() for t in tickets] == [(RESULT,)] * 3
+    assert [t.future.result() for t in tickets] == [MADE] * 3
 
 
 def test_a_failure_comes_back_with_its_reason(world):
@@ -109,7 +112,7 @@
     ticket = third.gatherer.submit(order(now=loop.now()))
     lh.advance(loop, clock, 0.5)
     lh.run_until(loop, lambda: second.desk.runs)
-    second.desk.runs[0].future.set_result((RESULT,))
+    second.desk.runs[0].future.set_result(MADE)
     lh.run_until(loop, ticket.future.done)
 
 
@@ -147,7 +150,7 @@
     ticket = second.gatherer.submit(order(now=loop.now()))
     lh.run_until(loop, lambda: owner.desk.runs)
     second.gatherer._forget(ticket)
-    owner.desk.runs[0].future.set_result((RESULT,))
+    owner.desk.runs[0].future.set_result(MADE)
     lh.run_until(loop, lambda: owner.desk.freed == ["h1"])
 
 
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -1,9 +1,18 @@
 """The queue of stage work and the graph of a request's stages."""
 
+import random
+
 import loop_helpers as lh
 import pytest
 
-from chervilarch import piece_queue, pieces, route_book, stage_desk, stage_graph
+from chervilarch import (
+    piece_queue,
+    pieces,
+    placement,
+    route_book,
+    stage_desk,
+    stage_graph,
+)
 
 LIMITS = route_book.PieceLimits(
     slots=1,
@@ -312,7 +321,10 @@
 def desk():
     loop, clock = lh.new_loop()
     runner = FakeRunner()
-    yield stage_desk.StageDesk(loop, runner), runner, loop, clock
+    engines = placement.Placement("dc1", clock, random.Random(1))
+    listed = {name: lh.listing(name, "s") for name in ("e8", "e9")}
+    engines.set_endpoints({"s": listed})
+    yield stage_desk.StageDesk(loop, runner, engines), runner, loop, clock
     loop.close()
 
 
@@ -330,7 +342,7 @@
     runner.on_pumped()
     lh.settle(loop)
     runner.make(0)
-    assert len(run.future.result()) == 1
+    assert len(run.future.result().results) == 1
 
 
 def test_an_order_is_not_held_to_the_end(desk):
@@ -357,3 +369,21 @@
     failure = run.future.result()
     assert failure.reason == pieces.OVERLOADED
     assert failure.retry_after_s > 0
+
+
+def test_prompts_of_all_orders_are_spread_over_the_engines(desk):
+    service, runner, loop, _ = desk
+    prompt = stage_graph.Prompt("s", b"same", 6000, 1000)
+    engines = []
+    for number in range(10):
+        now = loop.now()
+        what = order(need("p"), objective_at=now + 50, deadline_at=now + 60)
+        run = service.run(what._replace(prompt=prompt))
+        runner.jobs[0][-1].take_result(
+            0, pieces.PieceResult(f"h{number}", "e1", "x", "dc1", "p")
+        )
+        engines.append(run.future.result().engine)
+    assert set(engines) == {"e8", "e9"}
+    results = run.future.result().results
+    service.free(results)
+    assert runner.freed == ["h9"]
