--- a/chervilarch/platform/documents.py
+++ b/chervilarch/platform/documents.py
@@ -4,7 +4,7 @@
 configuration; an endpoint's record is what it last said of itself.
 """
 
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 import msgspec
 
@@ -209,8 +209,3 @@
         ),
         engine and route_book.EngineLimits(engine.slots, engine.kv_tokens),
     )
-
-
-def encode(document: dict[str, Any]) -> bytes:
-    """Returns a record of the system's own."""
-    return msgspec.json.encode(document)
--- a/chervilarch/platform/wire.py
+++ b/chervilarch/platform/wire.py
@@ -16,9 +16,8 @@
 _MS_PER_S = 1000
 _JSON = "Content-Type: application/json"
 _RELEASE_TIMEOUT_S = 1.0
-# Statuses that promise nothing about whether a request ran.
+# Promises nothing about whether a request ran.
 _LOST_STATUS = 502
-_LATE_STATUS = 504
 # Status with which an endpoint declines what was meant for another.
 _MISDIRECTED = 421
 
--- a/chervilarch/state_log.py
+++ b/chervilarch/state_log.py
@@ -18,7 +18,6 @@
 MAX_LINES_PER_S = 200
 # Ordinary decisions may take this share; the rest is for problems.
 _ORDINARY_SHARE = 0.6
-_FIELD_NAMES = {"asctime": "time", "levelname": "level", "message": "event"}
 
 
 class _TextFormatter(logging.Formatter):
--- a/chervilarch/telemetry.py
+++ b/chervilarch/telemetry.py
@@ -30,9 +30,6 @@
         self._batch = self._histogram(
             "stage_call_pieces", "Pieces a call", ["pool"], _BATCH_BUCKETS
         )
-        self._events = self._counter(
-            "events", "Events that are also logged", ["event"]
-        )
         self._left_out = self._counter(
             "log_lines_left_out", "Log lines beyond the bound", ["event"]
         )
@@ -59,10 +56,6 @@
         """Records how many pieces a call carries."""
         self._batch.labels(pool).observe(count)
 
-    def count_event(self, event: str) -> None:
-        """Counts an event, whether or not its line is written."""
-        self._events.labels(event).inc()
-
     def count_left_out(self, event: str, lines: int) -> None:
         """Counts log lines that were left out."""
         self._left_out.labels(event).inc(lines)
