Reckon nearness and own tokens of a request in one place each

The gathering host and the host that submits summed the results' bytes by data centre each for itself, and the tokens that a prompt shares with no other were subtracted twice.

--- a/chervilarch/routed.py
+++ b/chervilarch/routed.py
@@ -37,6 +37,10 @@
         """Returns the tokens of that part."""
         return sum(tokens for _, tokens in self.parts[:-1])
 
+    def own_tokens(self) -> int:
+        """Returns the tokens that no other request shares."""
+        return max(0, self.tokens_in - self.shared_tokens())
+
 
 class RoutedRequest:
     """One attempt of a caller; filters fill in what they learn."""
--- a/chervilarch/stage_desk.py
+++ b/chervilarch/stage_desk.py
@@ -160,11 +160,6 @@
         prompt = order.prompt
         if not prompt.pool or not results:
             return ""
-        near: dict[str, int] = {}
-        sizes = {stage.pool: stage.result_bytes for stage in order.stages}
-        for result in results:
-            size = near.get(result.data_centre, 0) + sizes[result.pool]
-            near[result.data_centre] = size
         lease = self._engines.pick(
             placement.Need(
                 prompt.pool,
@@ -173,7 +168,7 @@
                 prompt.shared_tokens,
                 prompt.own_tokens,
                 order.deadline_at,
-                near,
+                stage_graph.near_bytes(order.stages, results),
             ),
             set(),
         )
--- a/chervilarch/stage_graph.py
+++ b/chervilarch/stage_graph.py
@@ -1,9 +1,10 @@
 """Runs the stages of one request, in the order of their needs."""
 
 import collections
+from collections.abc import Iterable
 from typing import NamedTuple
 
-from chervilarch import piece_runner, pieces, state_log, tasks
+from chervilarch import piece_runner, pieces, route_book, state_log, tasks
 
 # Expected time of the final call up to its first event, in seconds; pieces
 # aim to be done this long before the objective.
@@ -284,6 +285,17 @@
                 self._runner.free(list(self._results.pop(n, ())))
 
 
+def near_bytes(
+    stages: "Iterable[route_book.Stage | StageNeed]", results: Results
+) -> dict[str, int]:
+    """Returns the bytes of an order's results by data centre."""
+    sizes = {stage.pool: stage.result_bytes for stage in stages}
+    near: collections.Counter[str] = collections.Counter()
+    for result in results:
+        near[result.data_centre] += sizes.get(result.pool, 0)
+    return dict(near)
+
+
 def call_s(runner: "piece_runner.PieceRunner", stage: StageNeed) -> float:
     """Returns the configured time of a stage, in seconds."""
     queue = runner.queue(stage.pool)
--- a/chervilarch/stage_inputs.py
+++ b/chervilarch/stage_inputs.py
@@ -47,12 +47,7 @@
     def near(self) -> dict[str, int]:
         """Returns the bytes of the results by data centre."""
         stages = self._ctx.req.route.stages
-        sizes = {stage.pool: stage.result_bytes for stage in stages}
-        near: dict[str, int] = {}
-        for result in self._results:
-            size = near.get(result.data_centre, 0) + sizes.get(result.pool, 0)
-            near[result.data_centre] = size
-        return near
+        return stage_graph.near_bytes(stages, self._results)
 
     def free(self) -> None:
         """Frees the results; the final call has them or needs them no more."""
@@ -89,10 +84,9 @@
         req = self._ctx.req
         if not req.route.is_prompt:
             return stage_graph.Prompt()
-        shared_tokens = req.prompt.shared_tokens()
         return stage_graph.Prompt(
             req.route.pool_for(req.id),
             req.prompt.shared_name(),
-            shared_tokens,
-            max(0, req.prompt.tokens_in - shared_tokens),
+            req.prompt.shared_tokens(),
+            req.prompt.own_tokens(),
         )
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -101,13 +101,12 @@
 
     def _need(self) -> placement.Need:
         prompt = self._ctx.req.prompt
-        shared_tokens = prompt.shared_tokens()
         return placement.Need(
             self._pool,
             is_prompt=self._ctx.req.route.is_prompt,
             shared=prompt.shared_name(),
-            shared_tokens=shared_tokens,
-            own_tokens=max(0, prompt.tokens_in - shared_tokens),
+            shared_tokens=prompt.shared_tokens(),
+            own_tokens=prompt.own_tokens(),
             near=self._inputs.near(),
             advised=self._inputs.engine,
             finish_by=self._ctx.req.deadline_at,
@@ -119,15 +118,12 @@
         """Runs the stages again if their results may be gone."""
         if not self._ctx.req.route.stages:
             return None
-        if not self._has_event and not self._are_inputs_gone(judged):
+        is_gone = judged.kind is attempts.BadKind.INPUT_GONE
+        if not self._has_event and not is_gone:
             return None
         self._inputs.free()
         return (yield from self._inputs.make())
 
-    @staticmethod
-    def _are_inputs_gone(judged: attempts.Bad) -> bool:
-        return judged.kind is attempts.BadKind.INPUT_GONE
-
     def _attempt(
         self, lease: placement.Lease
     ) -> tasks.Steps["final_call.Good | attempts.Bad"]:
