Share the readings of the store between the hosts of a data centre

Ruled out: electing a reader through the store (more calls, and a lost reader is noticed late); passing on leaving endpoints alone (new and removed ones would be late, and a gap goes unseen); telling all data centres (bytes between them are priced, and a cut between them is common).

Change: a reading names the offsets it spans. One host of a data centre reads and tells the others by datagram; they read by themselves when they hear of nothing newer for a tenth, two tenths... longer than usual, or when the news leaves a gap. An outage counts when nobody's reading was heard of. UDP sockets on the loop are one class now.

--- a/chervilarch/fleet.py
+++ b/chervilarch/fleet.py
@@ -20,8 +20,9 @@
 _RETRY_S = 1.0
 # A host that sees no other reads the store's list again after this time.
 _ALONE_S = 5.0
-# The stage socket's port follows that of gossip.
+# The ports of the other sockets for peers follow that of gossip.
 _STAGE_PORT_OFFSET = 1
+_STORE_PORT_OFFSET = 2
 
 
 class Fleet:
@@ -58,8 +59,19 @@
 
     def peers(self) -> list[gathering.Peer]:
         """Returns the other hosts that are held alive."""
+        return [stage_peer(member) for member in self._live_members()]
+
+    def neighbours(self) -> list[gathering.Peer]:
+        """Returns the sockets for news of the live hosts of this place."""
+        return [
+            store_peer(member)
+            for member in self._live_members()
+            if member.data_centre == self._own.data_centre
+        ]
+
+    def _live_members(self) -> list[membership.Member]:
         return [
-            stage_peer(member)
+            member
             for member in self.gossip.members()[1:]
             if member.status is membership.Status.ALIVE
         ]
@@ -113,10 +125,18 @@
 
 
 def stage_peer(member: membership.Member) -> gathering.Peer:
-    """Returns a member with the address of its stage socket."""
+    """Returns a member with the address of its socket for stages."""
+    return _peer(member, _STAGE_PORT_OFFSET)
+
+
+def store_peer(member: membership.Member) -> gathering.Peer:
+    """Returns a member with the address of its socket for news."""
+    return _peer(member, _STORE_PORT_OFFSET)
+
+
+def _peer(member: membership.Member, offset: int) -> gathering.Peer:
     host, port = member.address.rsplit(":", 1)
-    address = (host, int(port) + _STAGE_PORT_OFFSET)
-    return gathering.Peer(member.name, address)
+    return gathering.Peer(member.name, (host, int(port) + offset))
 
 
 def deployment_key(store_address: str) -> bytes:
--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -1,6 +1,7 @@
 """Controllers that follow the platform's store: configuration and endpoints."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from concurrent.futures import Future
 
 from chervilarch import (
     endpoint_list,
@@ -17,17 +18,23 @@
 # is slow, and a connection made while it was silent stays silent.
 _FIRST_NEWEST_TIMEOUT_S = 0.5
 _MAX_NEWEST_TIMEOUT_S = 2.0
-# How long a read of the configuration waits for a change. A connection that
-# has gone silent is noticed this late, and the bound on changes is 2 s.
-_CONFIG_WAIT_S = 2.0
+# A host reads this share of its usual time later for each neighbour that
+# should have read before. The answer and its news take some milliseconds.
+_LATER_PER_TURN = 0.1
 _FIRST_RETRY_S = 0.1
 _MAX_RETRY_S = 0.8
-# The store counts as having been away after failures for this long.
+# The store counts as having been away for all hosts when nobody's reading was
+# heard of for this much longer than usual.
 _OUTAGE_S = 0.3
 
 
 class TopicFollower:
-    """Hands over the newest value of each key, then every change."""
+    """Hands over the newest value of each key, then every change.
+
+    Attributes:
+        read_at: monotonic time at which the store held nothing newer than
+            what was handed over.
+    """
 
     def __init__(
         self,
@@ -36,6 +43,7 @@
         topic: store.Topic,
         wait_s: float,
         pause_s: float,
+        tells_changes: bool,
     ):
         """Creates the follower.
 
@@ -45,37 +53,90 @@
             topic: what to follow.
             wait_s: how long a read waits for a change.
             pause_s: time between reads.
+            tells_changes: whether other hosts are told the changes, or only
+                that there are some.
         """
         self._loop = loop
         self._store = source
         self._topic = topic
         self._wait_s = wait_s
         self._pause_s = pause_s
-        self._offset = 0
+        self._tells_changes = tells_changes
+        self._offset: int | None = None
         self._failed_since: float | None = None
         self._delay_s = _FIRST_RETRY_S
         self._newest_timeout_s = _FIRST_NEWEST_TIMEOUT_S
+        self._has_gap = False
+        self._heard_of_reader = False
+        self._news: Future = Future()
         self.read_at = float("-inf")
         self.on_snapshot: Callable[[dict[str, bytes]], None] = _ignore
-        self.on_change: Callable[[str, bytes], None] = _ignore
+        # Returns whether the record says anything that others must hear.
+        self.on_change: Callable[[str, bytes], bool] = _ignore
         self.on_read: Callable[[], None] = _ignore
         self.on_outage_end: Callable[[], None] = _ignore
+        # Set by whoever shares readings between hosts.
+        self.turn: Callable[[], int] = _first
+        self.on_news: Callable[[store.TopicNews], None] = _ignore
 
     def start(self) -> None:
         """Begins to follow."""
         tasks.Task(self._run())
 
+    def has_read(self) -> bool:
+        """Tells whether there was a first reading."""
+        return self._offset is not None
+
+    def state(self) -> store.TopicNews:
+        """Returns how far this host has read, without the changes."""
+        return store.TopicNews(
+            self._topic, self._offset, self._offset, self.read_at
+        )
+
+    def take_news(self, news: store.TopicNews, host: str) -> None:
+        """Takes what another host has read."""
+        if self._offset is None or news.end < self._offset:
+            return
+        usual_s = self._wait_s + self._pause_s
+        if news.read_at > self.read_at - usual_s / 2:
+            self._heard_of_reader = True
+        if news.first > self._offset:
+            self._has_gap = True
+            tasks.resolve(self._news, None)
+            return
+        if news.end == self._offset and news.read_at <= self.read_at:
+            return
+        self._note_success(news.read_at, host)
+        self._hand_over(news.changes, news.end)
+        tasks.resolve(self._news, None)
+
     def _run(self) -> tasks.Steps[None]:
         while True:
             has_snapshot = yield from self._read_snapshot()
             while has_snapshot:
+                yield from self._rest()
                 has_snapshot = yield from self._read_changes()
             yield tasks.sleep(self._loop, self._delay_s)
 
+    def _rest(self) -> tasks.Steps[None]:
+        """Waits until this host has to read."""
+        while not self._has_gap and self._due_at() > self._loop.now():
+            self._news = Future()
+            yield from tasks.wait(self._loop, self._news, self._due_at())
+
+    def _due_at(self) -> float:
+        """Returns when to read, unless there is news of another's reading."""
+        turn = self.turn()
+        if not turn or not self._heard_of_reader:
+            return self.read_at + self._pause_s
+        usual_s = self._wait_s + self._pause_s
+        return self.read_at + usual_s * (1 + _LATER_PER_TURN * turn)
+
     def _read_snapshot(self) -> tasks.Steps[bool]:
         """Reads all pages; they aren't one snapshot, so the first end holds."""
         values: dict[str, bytes] = {}
         end, after = None, ""
+        began_at = self._loop.now()
         while True:
             page = yield self._store.read_newest(
                 self._topic, after, self._newest_timeout_s
@@ -94,15 +155,19 @@
             after = page.changes[-1].key
         self._offset = end
         self._newest_timeout_s = _FIRST_NEWEST_TIMEOUT_S
-        self._note_success()
+        self._note_success(began_at, "")
         self.on_snapshot(values)
         self.on_read()
         return True
 
     def _read_changes(self) -> tasks.Steps[bool]:
         """Reads once; False if a snapshot is needed."""
+        self._has_gap = False
+        self._heard_of_reader = False
+        began_at = self._loop.now()
+        first = self._offset
         changes = yield self._store.read_changes(
-            self._topic, self._offset, self._wait_s
+            self._topic, first, self._wait_s
         )
         if isinstance(changes, store.StoreError):
             if changes.is_dropped:
@@ -113,27 +178,58 @@
             self._note_failure(changes)
             yield tasks.sleep(self._loop, self._delay_s)
             return True
-        self._note_success()
-        for change in changes.changes:
-            self.on_change(change.key, change.value)
-            self._offset = change.offset + 1
-        self.on_read()
-        if self._pause_s and self._offset >= changes.end:
-            yield tasks.sleep(self._loop, self._pause_s)
+        end = first + len(changes.changes)
+        self._has_gap = end < changes.end
+        if not changes.changes:
+            # The store has waited in vain for the whole time.
+            began_at = min(began_at + self._wait_s, self._loop.now())
+        self._note_success(self.read_at if self._has_gap else began_at, "")
+        self._tell(changes.changes, end)
         return True
 
-    def _note_success(self) -> None:
-        now = self._loop.now()
-        self.read_at = now
+    def _tell(self, changes: list[store.Change], end: int) -> None:
+        """Hands over what was read and tells the other hosts."""
+        first = self._offset
+        told = self._hand_over(changes, end)
+        if first > end:
+            return
+        if changes and not self._tells_changes:
+            first, told = end, []
+        self.on_news(
+            store.TopicNews(self._topic, first, end, self.read_at, tuple(told))
+        )
+
+    def _hand_over(
+        self, changes: Iterable[store.Change], end: int
+    ) -> list[store.Change]:
+        """Hands over the new changes; returns those that others must hear."""
+        told = [
+            change
+            for change in changes
+            if change.offset >= self._offset
+            and self.on_change(change.key, change.value)
+        ]
+        self._offset = max(self._offset, end)
+        self.on_read()
+        return told
+
+    def _note_success(self, read_at: float, host: str) -> None:
+        """Notes a reading, of this host if `host` is empty."""
+        unread_s = self._loop.now() - self.read_at
+        self.read_at = max(self.read_at, read_at)
         self._delay_s = _FIRST_RETRY_S
         failed_since, self._failed_since = self._failed_since, None
         if failed_since is None:
             return
-        away_s = now - failed_since
+        away_s = self._loop.now() - failed_since
         state_log.log_change(
-            "store reachable", topic=self._topic.value, away_s=round(away_s, 3)
+            "store reachable",
+            topic=self._topic.value,
+            away_s=round(away_s, 3),
+            through=host,
         )
-        if away_s >= _OUTAGE_S:
+        # A host that alone was cut off has heard from its neighbours.
+        if unread_s >= self._wait_s + self._pause_s + _OUTAGE_S:
             self.on_outage_end()
 
     def _note_failure(self, error: store.StoreError) -> None:
@@ -156,7 +252,18 @@
         source: store.Store,
         key: str,
         decode: Callable[[bytes], "route_book.RouteBook | tuple"],
+        wait_s: float,
     ):
+        """Creates the follower.
+
+        Args:
+            loop: the event loop.
+            source: the platform's store.
+            key: name of the configuration in its topic.
+            decode: reads a configuration.
+            wait_s: how long a read waits for a change; a connection that has
+                gone silent is noticed this late.
+        """
         self.book: route_book.RouteBook | None = None
         self._key = key
         self._decode = decode
@@ -164,7 +271,7 @@
         self.taken_at = float("-inf")
         self._listeners: list[Callable[[route_book.RouteBook], None]] = []
         self.follower = TopicFollower(
-            loop, source, store.Topic.CONFIGURATION, _CONFIG_WAIT_S, 0.0
+            loop, source, store.Topic.CONFIGURATION, wait_s, 0.0, False
         )
         self.follower.on_snapshot = self._take_snapshot
         self.follower.on_change = self._take
@@ -179,15 +286,15 @@
         for key, value in values.items():
             self._take(key, value)
 
-    def _take(self, key: str, value: bytes) -> None:
+    def _take(self, key: str, value: bytes) -> bool:
         if key != self._key or not value:
-            return
+            return False
         book = self._decode(value)
         if not isinstance(book, route_book.RouteBook):
             state_log.log_fault("configuration unreadable", reason=book.reason)
-            return
+            return False
         if self.book is not None and book.version <= self.book.version:
-            return
+            return False
         state_log.log_change(
             "configuration in force",
             version=book.version,
@@ -198,6 +305,7 @@
         self.taken_at = self._loop.now()
         for listener in self._listeners:
             listener(book)
+        return True
 
 
 class EndpointFollower:
@@ -214,10 +322,12 @@
         self._decode = decode
         self._list = endpoint_list.EndpointList()
         self._unreadable: set[str] = set()
+        # What the last record of each endpoint says, without its sequence.
+        self._said: dict[str, hosts.HostEntry | bytes] = {}
         self._changed = False
         self._listeners: list[Callable[[dict], None]] = []
         self.follower = TopicFollower(
-            loop, source, store.Topic.ENDPOINTS, 0.0, pause_s
+            loop, source, store.Topic.ENDPOINTS, 0.0, pause_s, True
         )
         self.follower.on_snapshot = self._take_snapshot
         self.follower.on_change = self._take
@@ -257,14 +367,20 @@
         if self._list.remove_missing(set(values), now):
             self._changed = True
 
-    def _take(self, name: str, value: bytes) -> None:
+    def _take(self, name: str, value: bytes) -> bool:
+        """Takes a record; returns whether it says anything new."""
         now = self._loop.now()
         if not value:
+            self._said.pop(name, None)
             if self._list.remove(name, now):
                 self._note_gone(name, "removed from the list")
-            return
+            return True
         listing = self._decode(name, value)
-        if not isinstance(listing, endpoint_list.Listing):
+        is_readable = isinstance(listing, endpoint_list.Listing)
+        says = listing.entry if is_readable else value
+        is_new = self._said.get(name) != says
+        self._said[name] = says
+        if not is_readable:
             if name not in self._unreadable:
                 self._unreadable.add(name)
                 state_log.log_fault(
@@ -274,7 +390,7 @@
                 )
             if self._list.remove(name, now):
                 self._changed = True
-            return
+            return is_new
         self._unreadable.discard(name)
         if self._list.take(name, listing):
             self._changed = True
@@ -289,6 +405,7 @@
                 data_centre=entry.data_centre,
                 sequence=listing.sequence,
             )
+        return is_new
 
     def _note_gone(self, name: str, reason: str) -> None:
         self._changed = True
@@ -307,3 +424,7 @@
 
 def _ignore(*_args) -> None:
     pass
+
+
+def _first() -> int:
+    return 0
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -25,6 +25,7 @@
     stage_desk,
     state_log,
     store,
+    store_sharing,
     telemetry,
 )
 from chervilarch import loop as loops
@@ -34,8 +35,10 @@
 from chervilarch.routed_context import RoutedControllers
 
 # The endpoint list is read this many times within the time after which a
-# leaving endpoint must get no new work.
+# leaving endpoint must get no new work, and the configuration within the time
+# after which a new one must be in force.
 _LIST_READS_PER_BOUND = 2.5
+_CONFIG_READS_PER_BOUND = 2.0
 # The balancer asks once a second and takes a host out after two misses.
 _DRAIN_NOTICE_S = 2.5
 _DRAIN_POLL_S = 0.05
@@ -101,6 +104,7 @@
         self._handler.close()
         self._ctrl.stages.close()
         self._ctrl.fleet.stop()
+        self._ctrl.sharing.close()
         self._ctrl.client.close()
 
     def ask_stop(self) -> None:
@@ -196,6 +200,7 @@
         source,
         platform_store.CONFIGURATION_KEY,
         documents.decode_configuration,
+        cfg.bounds.config_s / _CONFIG_READS_PER_BOUND,
     )
     retry_budgets.set_hosts(_LEAST_HOSTS)
     endpoints = followers.EndpointFollower(
@@ -231,6 +236,16 @@
         hosts.peers,
         key,
     )
+    sharing = store_sharing.StoreSharing(
+        loop,
+        fleet.store_peer(own),
+        hosts.neighbours,
+        {
+            store.Topic.CONFIGURATION: configuration.follower,
+            store.Topic.ENDPOINTS: endpoints.follower,
+        },
+        key,
+    )
     configuration.add_listener(lambda book: runner.set_pools(book.pools))
     endpoints.add_listener(place.set_endpoints)
     endpoints.add_listener(engines.set_endpoints)
@@ -244,6 +259,7 @@
         placement=place,
         stages=stages,
         fleet=hosts,
+        sharing=sharing,
         retry_budgets=retry_budgets,
         meters=meters,
         answered_routes=set(),
--- a/chervilarch/gateway_settings.py
+++ b/chervilarch/gateway_settings.py
@@ -5,6 +5,9 @@
 
 from chervilarch import schemas, settings
 
+# Sockets for gossip, for stages and for news of the store.
+_PEER_PORTS = 3
+
 
 class GatewayBounds(NamedTuple):
     """What the deployment promises; times in seconds.
@@ -66,4 +69,12 @@
         *(bounds[name] for name in GatewayBounds._fields)
     )
     fields["peer_ports"] = tuple(fields["peer_ports"])
+    first, last = fields["peer_ports"]
+    if last - first + 1 < _PEER_PORTS:
+        return settings.SettingsError(
+            [
+                f"{path}: peer_ports: {first} to {last} are too few; "
+                f"give at least {_PEER_PORTS} free ports"
+            ]
+        )
     return GatewaySettings(**fields)
--- a/chervilarch/gathering.py
+++ b/chervilarch/gathering.py
@@ -6,8 +6,6 @@
 and two that both gather waste work but break nothing.
 """
 
-import selectors
-import socket
 import zlib
 from collections.abc import Callable
 from concurrent.futures import Future
@@ -16,6 +14,7 @@
 from chervilarch import loop as loops
 from chervilarch import (
     messages,
+    peer_socket,
     stage_desk,
     stage_graph,
     stage_messages,
@@ -37,11 +36,10 @@
 # An order whose sender wasn't heard for this time is dropped.
 _ABANDONED_S = 2.0
 _SWEEP_S = 0.5
-_MAX_DATAGRAM = 65507
 
 
 class Peer(NamedTuple):
-    """A live host and the address of its stage socket."""
+    """A live host and the address of one of its sockets."""
 
     name: str
     address: tuple[str, int]
@@ -102,10 +100,9 @@
         self._tickets: dict[int, Ticket] = {}
         self._served: dict[tuple, _Served] = {}
         self._avoided: dict[str, float] = {}
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.setblocking(False)
-        self._socket.bind(own.address)
-        loop.watch(self._socket, selectors.EVENT_READ, self._receive)
+        self._socket = peer_socket.PeerSocket(
+            loop, own.address, self._take_frame
+        )
         loop.call_later(_SWEEP_S, self._sweep)
 
     def close(self) -> None:
@@ -113,7 +110,6 @@
         for served in self._served.values():
             self._drop(served)
         self._served.clear()
-        self._loop.unwatch(self._socket)
         self._socket.close()
 
     def submit(self, order: stage_graph.Order) -> Ticket:
@@ -209,29 +205,16 @@
 
     def _send_to(self, address: tuple, message: StageMessage) -> None:
         frame = stage_messages.encode(self._key, message, self._loop.now())
-        try:
-            self._socket.sendto(frame, address)
-        except OSError as exc:
-            # The message counts as lost; it is sent again or given up.
+        self._socket.send(address, frame)
+
+    def _take_frame(self, frame: bytes, source: tuple) -> None:
+        message = stage_messages.decode(self._key, frame, self._loop.now())
+        if isinstance(message, messages.BadFrame):
             state_log.log_fault(
-                "stage message not sent", host=address[0], reason=str(exc)
+                "stage message refused", host=source[0], reason=message.reason
             )
-
-    def _receive(self, events: int) -> None:
-        while True:
-            try:
-                frame, source = self._socket.recvfrom(_MAX_DATAGRAM)
-            except OSError:
-                return  # Nothing is left to read.
-            message = stage_messages.decode(self._key, frame, self._loop.now())
-            if isinstance(message, messages.BadFrame):
-                state_log.log_fault(
-                    "stage message refused",
-                    host=source[0],
-                    reason=message.reason,
-                )
-                continue
-            self._take(message, source)
+            return
+        self._take(message, source)
 
     def _take(self, message: StageMessage, source: tuple) -> None:
         ticket = self._tickets.get(message.number)
--- a/chervilarch/peer.capnp
+++ b/chervilarch/peer.capnp
@@ -113,3 +113,27 @@
   retryAfterMs @6 :UInt32;
   engine @7 :Text;
 }
+
+enum StoreTopic {
+  configuration @0;
+  endpoints @1;
+}
+
+struct StoreRecord {
+  offset @0 :Int64;
+  key @1 :Text;
+  value @2 :Data;
+}
+
+# Nothing but the records changed a topic between the two offsets.
+struct TopicNews {
+  topic @0 :StoreTopic;
+  first @1 :Int64;
+  end @2 :Int64;
+  ageMs @3 :UInt32;
+  records @4 :List(StoreRecord);
+}
+
+struct StoreNews {
+  topics @0 :List(TopicNews);
+}
--- a/chervilarch/routed_context.py
+++ b/chervilarch/routed_context.py
@@ -12,6 +12,7 @@
     placement,
     route_book,
     routed,
+    store_sharing,
     telemetry,
 )
 from chervilarch import loop as loops
@@ -33,6 +34,7 @@
     placement: placement.Placement
     stages: gathering.Gatherer
     fleet: fleet.Fleet
+    sharing: store_sharing.StoreSharing
     retry_budgets: budgets.PoolBudgets
     meters: telemetry.Telemetry
     answered_routes: set[str]
--- a/chervilarch/store.py
+++ b/chervilarch/store.py
@@ -49,6 +49,24 @@
     first: int
 
 
+class TopicNews(NamedTuple):
+    """What one host read of a topic, for the others.
+
+    Attributes:
+        topic: what was read.
+        first: offset from which on it was read.
+        end: offset up to which it was read.
+        read_at: monotonic time at which the store held nothing newer.
+        changes: all of that span that changed anything.
+    """
+
+    topic: Topic
+    first: int
+    end: int
+    read_at: float
+    changes: tuple[Change, ...] = ()
+
+
 class StoreError(NamedTuple):
     """No usable reply.
 
--- a/tests/loop_helpers.py
+++ b/tests/loop_helpers.py
@@ -1,5 +1,6 @@
 """What the tests of the gateway share: loops, fakes and raw sockets."""
 
+import contextlib
 import selectors
 import socket
 import threading
@@ -146,6 +147,22 @@
         return tasks.done(None)
 
 
+def free_udp_ports(count: int) -> int:
+    """Returns the first of as many consecutive ports that are free."""
+    while True:
+        with contextlib.ExitStack() as stack:
+            first = 0
+            try:
+                for number in range(count):
+                    sock = socket.socket(type=socket.SOCK_DGRAM)
+                    stack.enter_context(sock)
+                    sock.bind(("127.0.0.1", first + number if first else 0))
+                    first = first or sock.getsockname()[1]
+            except (OSError, OverflowError):
+                continue  # A port on the way is taken.
+            return first
+
+
 class RawServer:
     """A stand-in that answers each connection by a function on raw bytes.
 
--- a/tests/test_gateway_settings.py
+++ b/tests/test_gateway_settings.py
@@ -57,6 +57,7 @@
         ({"host": None}, "host"),
         ({"caller_address": "nowhere"}, "caller_address"),
         ({"peer_ports": [7000]}, "peer_ports"),
+        ({"peer_ports": [7000, 7001]}, "at least 3 free ports"),
         ({"metrics_port": "9464"}, "metrics_port"),
         ({"bounds": {}}, "drain_s"),
     ],
