Keep a reload during the start from ending the gateway

Cause: until its handlers are set, a process is ended by SIGHUP. Loading the modules takes most of the start, so a reload that comes with a restart ended the gateway with status -1.

Ruled out: setting the handlers first in `gateway.py`; its imports come before any code of its own.

Change: `gateway_main` ignores SIGHUP, then loads the gateway. What is left is the interpreter's own start. The deployment's name may be set apart from the store's address, for hosts that reach the store by different addresses.

Test: a process that waits for its settings gets SIGHUP and goes on; it ended with -1 before.

--- a/chervilarch/fleet.py
+++ b/chervilarch/fleet.py
@@ -139,10 +139,10 @@
     return gathering.Peer(member.name, (host, int(port) + offset))
 
 
-def deployment_key(store_address: str) -> bytes:
+def deployment_key(deployment: str) -> bytes:
     """Returns the key that seals datagrams between hosts.
 
     The platform hands out no secret: the key keeps deployments apart and
     damaged datagrams out, no more.
     """
-    return hashlib.blake2b(store_address.encode(), digest_size=16).digest()
+    return hashlib.blake2b(deployment.encode(), digest_size=16).digest()
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -3,7 +3,6 @@
 import argparse
 import random
 import signal
-import sys
 from collections.abc import Sequence
 
 from chervilarch import (
@@ -220,7 +219,7 @@
     runner = piece_runner.PieceRunner(
         loop, client, http, stage_budgets, meters, endpoints.mark_gone
     )
-    key = fleet.deployment_key(cfg.store_address)
+    key = fleet.deployment_key(cfg.deployment)
     own = membership.Member(
         cfg.host,
         f"{cfg.ip}:{cfg.peer_ports[0]}",
@@ -299,7 +298,3 @@
     for fault in faults:
         print(f"chervilarch-gateway: {fault}", file=env.stderr)
     return ExitStatus.BAD_SETTINGS
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/chervilarch/gateway_settings.py
+++ b/chervilarch/gateway_settings.py
@@ -41,6 +41,8 @@
         peer_ports: first and last port that is free for peers.
         metrics_port: port of the metrics page.
         store_address: where the platform's store is.
+        deployment: keeps the datagrams of deployments apart; the store's
+            address unless it is set.
         bounds: what the deployment promises.
     """
 
@@ -52,6 +54,7 @@
     peer_ports: tuple[int, int]
     metrics_port: int
     store_address: str
+    deployment: str
     bounds: GatewayBounds
 
 
@@ -63,7 +66,8 @@
     faults = schemas.check(document, schemas.GATEWAY_SETTINGS)
     if faults:
         return settings.SettingsError([f"{path}: {fault}" for fault in faults])
-    fields = {name: document[name] for name in GatewaySettings._fields}
+    fields = {"deployment": document["store_address"], **document}
+    fields = {name: fields[name] for name in GatewaySettings._fields}
     bounds = fields["bounds"]
     fields["bounds"] = GatewayBounds(
         *(bounds[name] for name in GatewayBounds._fields)
--- a/chervilarch/schemas.py
+++ b/chervilarch/schemas.py
@@ -41,6 +41,7 @@
         },
         "metrics_port": _PORT,
         "store_address": _ADDRESS,
+        "deployment": _NAME,
         "bounds": {
             "type": "object",
             "required": [
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -55,6 +55,7 @@
             (port, port + 2),
             0,
             "127.0.0.1:1",
+            "test",
             BOUNDS,
         )
         self.meters = telemetry.Telemetry()
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -14,6 +14,8 @@
 import pytest
 from test_gateway import LIMITS, answer, free_port, route
 
+from chervilarch.exits import ExitStatus
+
 
 class StoreServer:
     """Stands in for the platform's store over HTTP."""
@@ -91,7 +93,7 @@
     }
     store.write("keyed.op", "config", json.dumps(config).encode())
     process = subprocess.Popen(
-        [sys.executable, "-m", "chervilarch.gateway"],
+        [sys.executable, "-m", "chervilarch.gateway_main"],
         env={**os.environ, "CHERVILARCH_SETTINGS": str(path)},
         stdout=subprocess.PIPE,
     )
@@ -174,3 +176,19 @@
     wait_for(process, "gateway stopped")
     assert process.wait(lh.GUARD_S) == 0
     endpoint.close()
+
+
+def test_a_reload_during_the_start_does_not_end_the_process(tmp_path):
+    path = tmp_path / "settings.json"
+    os.mkfifo(path)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "chervilarch.gateway_main", "--check"],
+        env={**os.environ, "CHERVILARCH_SETTINGS": str(path)},
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+    # Opens once the process reads its settings, before it serves.
+    with open(path, "w") as settings:
+        process.send_signal(signal.SIGHUP)
+        settings.write("{}")
+    assert process.wait(lh.GUARD_S) == ExitStatus.BAD_SETTINGS
