Add a soak of real gateways under random faults

Three gateways as processes, stand-ins of the store and of endpoints, and a proxy before each of them. Faults come in series and overlap: kills, SIGTERM, freezes, reloads, the store down or its answers lost or its history dropped, links that delay, refuse, reset or swallow bytes one way or both, endpoints that decline, hang, cut, mix up, crash, leave, flap, false records, new configurations. Callers keep connections open until they end. Judged by what callers and endpoints saw: at most once, refusals that are true, whole and own answers, order of events, inputs of stages, tenants, drain, configuration, shutdown, recovery. Not covered: clock steps (a process can't be given another clock here) and the platform's memory bounds.

--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,10 @@
 STAMP := $(VENV)/installed
 DEPLOYMENT ?= association
 HOLD ?= 0
+FIRST ?= 1
+SEEDS ?= 2
 
-.PHONY: demo test model faults bench lint format clean
+.PHONY: demo test model faults soak bench lint format clean
 
 $(STAMP): requirements.txt requirements-dev.txt pyproject.toml
 	python3.11 -m venv $(VENV)
@@ -25,6 +27,10 @@
 faults: $(STAMP)
 	$(PYTHON) -m bench.faults
 
+soak: $(STAMP)
+	$(PYTHON) -m soak --regressions
+	$(PYTHON) -m soak --first $(FIRST) --seeds $(SEEDS)
+
 bench: $(STAMP)
 	$(PYTHON) -m bench.measure
 
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real gateways under injected faults."""
--- /dev/null
+++ b/soak/gateways.py
@@ -0,0 +1,147 @@
+"""The gateways of a soak: real processes, started and ended by their ids."""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+from soak import checks, link, records
+
+_GRACE_S = 4.0
+_RESTART_S = 0.3
+_CHECK_PERIOD_S = 0.3
+_MISSES = 2
+_CHECK_TIMEOUT_S = 0.5
+# Below the ports that the kernel hands out; each gateway has an address of its
+# own.
+CALLER_PORT = 8625
+_READY_PORT = 8621
+_METRICS_PORT = 8627
+_PEER_PORTS = [8640, 8655]
+
+
+class Gateway:
+    """One gateway, restarted whenever it ends.
+
+    Attributes:
+        is_in_rotation: whether callers get new connections to it.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        ip: str,
+        data_centre: str,
+        folder: pathlib.Path,
+        store_link: link.Link,
+        seen: records.Records,
+    ):
+        self.name = name
+        self.store_link = store_link
+        self.is_in_rotation = False
+        self._folder = folder
+        self._seen = seen
+        self._misses = 0
+        self._may_end = False
+        self._stopping = False
+        self._process: subprocess.Popen | None = None
+        self.ip = ip
+        document = {
+            "host": name,
+            "data_centre": data_centre,
+            "caller_address": f"{ip}:{CALLER_PORT}",
+            "ready_address": f"{ip}:{_READY_PORT}",
+            "ip": ip,
+            "peer_ports": _PEER_PORTS,
+            "metrics_port": _METRICS_PORT,
+            "store_address": store_link.address,
+            # Each has a way of its own to the store.
+            "deployment": "soak",
+            "bounds": {
+                "drain_s": checks.DRAIN_S,
+                "config_s": checks.CONFIG_S,
+                "grace_s": _GRACE_S,
+                "retry_share": 0.2,
+                "retry_fixed": 50.0,
+                "retry_window_s": 10.0,
+            },
+        }
+        self._settings = folder / f"{name}.json"
+        self._settings.write_text(json.dumps(document))
+
+    async def run(self) -> None:
+        """Keeps the process running until `stop`."""
+        while not self._stopping:
+            self._may_end = False
+            with open(self._folder / f"{self.name}.log", "ab") as log:
+                self._process = subprocess.Popen(
+                    [sys.executable, "-m", "chervilarch.gateway_main"],
+                    env={
+                        **os.environ,
+                        "CHERVILARCH_SETTINGS": str(self._settings),
+                    },
+                    stdout=log,
+                    stderr=log,
+                )
+            while (status := self._process.poll()) is None:
+                await asyncio.sleep(0.02)
+            if not self._may_end:
+                self._seen.broken.append(f"{self.name} ended with {status}")
+            await asyncio.sleep(_RESTART_S)
+
+    async def watch(self) -> None:
+        """Asks for readiness as a balancer does."""
+        while True:
+            is_ready = await self._is_ready()
+            self._misses = 0 if is_ready else self._misses + 1
+            if is_ready:
+                self.is_in_rotation = True
+            elif self._misses >= _MISSES:
+                self.is_in_rotation = False
+            await asyncio.sleep(_CHECK_PERIOD_S)
+
+    def send_signal(self, number: int) -> None:
+        """Signals the process; one that has ended is left alone."""
+        if number in (signal.SIGTERM, signal.SIGKILL):
+            self._may_end = True
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(number)
+
+    async def terminate(self) -> None:
+        """Sends SIGTERM, and SIGKILL after the grace period."""
+        process = self._process
+        self.send_signal(signal.SIGTERM)
+        until = time.monotonic() + _GRACE_S
+        while process.poll() is None and time.monotonic() < until:
+            await asyncio.sleep(0.02)
+        if process.poll() is None:
+            process.kill()
+
+    def stop(self) -> None:
+        """Ends the process for good."""
+        self._stopping = True
+        self.send_signal(signal.SIGCONT)
+        self.send_signal(signal.SIGKILL)
+        if self._process is not None:
+            self._process.wait()
+
+    async def _is_ready(self) -> bool:
+        try:
+            async with asyncio.timeout(_CHECK_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(
+                    self.ip, _READY_PORT
+                )
+                try:
+                    writer.write(
+                        b"GET /chervilarch/readiness HTTP/1.1\r\n"
+                        b"Host: h\r\nConnection: close\r\n\r\n"
+                    )
+                    return b" 200 " in await reader.readline()
+                finally:
+                    writer.close()
+        except (OSError, TimeoutError):
+            return False
--- /dev/null
+++ b/soak/store.py
@@ -0,0 +1,107 @@
+"""Stands in for the platform's store: topics of keyed records, over HTTP."""
+
+import asyncio
+import base64
+import json
+import struct
+from urllib import parse
+
+from soak import wire
+
+CONFIG, SERVERS, ROUTERS = "keyed.op", "keyed.servers", "keyed.routers"
+
+
+class StoreStandIn:
+    """A linearizable log.
+
+    Attributes:
+        is_down: answers 503 and does nothing.
+        loses_answers: closes the connection after the effect.
+        delay_s: time before each answer.
+    """
+
+    def __init__(self) -> None:
+        self._topics: dict[str, list[tuple[str, bytes]]] = {
+            CONFIG: [],
+            SERVERS: [],
+            ROUTERS: [],
+        }
+        self._first = dict.fromkeys(self._topics, 0)
+        self._changed = asyncio.Condition()
+        self.is_down = False
+        self.loses_answers = False
+        self.delay_s = 0.0
+
+    async def write(self, topic: str, key: str, value: bytes) -> None:
+        """Appends a record; an empty value removes the key."""
+        async with self._changed:
+            self._topics[topic].append((key, value))
+            self._changed.notify_all()
+
+    def compact(self) -> None:
+        """Drops the records of all topics; the newest values stay."""
+        for topic, records in self._topics.items():
+            self._first[topic] = len(records)
+
+    async def handle(self, req: wire.Request, reply: wire.Reply) -> None:
+        """Answers one call."""
+        await asyncio.sleep(self.delay_s)
+        if self.is_down:
+            await reply.whole(503, b"", {})
+            return
+        path, _, query = req.path.partition("?")
+        fields = dict(parse.parse_qsl(query))
+        status, body = await self._answer(path, fields, req.body)
+        if self.is_down or self.loses_answers:
+            reply.abort()
+            return
+        await reply.whole(status, body, {})
+
+    async def _answer(
+        self, path: str, fields: dict[str, str], body: bytes
+    ) -> tuple[int, bytes]:
+        topic = fields["topic"]
+        records = self._topics[topic]
+        if path.endswith("log-newest"):
+            newest = {
+                key: {
+                    "key": key,
+                    "value": base64.b64encode(value).decode(),
+                    "offset": offset,
+                }
+                for offset, (key, value) in enumerate(records)
+            }
+            items = [
+                item for item in newest.values() if records[item["offset"]][1]
+            ]
+            page = {"items": items, "has_more": False, "end": len(records)}
+            return 200, json.dumps(page).encode()
+        if path.endswith("log-read"):
+            return await self._read(topic, fields)
+        size = body[4]
+        await self.write(topic, body[5 : 5 + size].decode(), body[5 + size :])
+        end = len(records)
+        return 200, json.dumps({"offset": end - 1, "end": end}).encode()
+
+    async def _read(
+        self, topic: str, fields: dict[str, str]
+    ) -> tuple[int, bytes]:
+        records, begin = self._topics[topic], int(fields["from"])
+        if begin < self._first[topic]:
+            first = {"first": self._first[topic]}
+            return 410, json.dumps(first).encode()
+        wait_s = float(fields.get("wait_ms", 0)) / 1000
+        async with self._changed:
+            try:
+                async with asyncio.timeout(wait_s or None):
+                    if wait_s:
+                        await self._changed.wait_for(
+                            lambda: len(records) > begin
+                        )
+            except TimeoutError:
+                pass  # No news is an answer too.
+        body = struct.pack(">QQ", len(records), self._first[topic])
+        for key, value in records[begin:]:
+            data = bytes([len(key)]) + key.encode() + value
+            body += struct.pack(">I", len(data)) + data
+        return 200, body
--- /dev/null
+++ b/soak/trouble.py
@@ -0,0 +1,307 @@
+"""Faults of a soak, drawn from a seed; they overlap and come in series."""
+
+import asyncio
+import contextlib
+import json
+import random
+import signal
+import time
+
+from soak import callers, endpoints, gateways, link, records, store
+
+# Endpoints of each pool in the first minute of a soak.
+POOLS = {"desk": 2, "other": 2, "maker": 2, "engine": 3}
+_LINK_MODES = [mode for mode in link.Mode if mode is not link.Mode.WELL]
+_ENDPOINT_MODES = ["declines", "mute", "cut", "garbage", "late", "500"]
+
+
+class World:
+    """Everything that a soak runs, and the faults that it can suffer."""
+
+    def __init__(
+        self,
+        source: store.StoreStandIn,
+        found: list[gateways.Gateway],
+        seen: records.Records,
+        rng: random.Random,
+        kinds: list[str],
+    ):
+        """Creates the world; nothing is started.
+
+        Args:
+            source: the store.
+            found: the gateways.
+            seen: where disturbances are noted.
+            rng: draws the faults.
+            kinds: parts of the names of the faults that may come; all if
+                empty.
+        """
+        self.store = source
+        self.gateways = found
+        self.endpoints: list[endpoints.Endpoint] = []
+        self._seen = seen
+        self._rng = rng
+        self._results = endpoints.Results()
+        self._version = 0
+        self._numbers = dict.fromkeys(POOLS, 0)
+        self._faults = [
+            self._kill,
+            self._terminate,
+            self._freeze,
+            self._reload,
+            self._take_store_down,
+            self._lose_answers,
+            self._compact,
+            self._harm_store_link,
+            self._harm_endpoint,
+            self._harm_endpoint_link,
+            self._crash_endpoint,
+            self._retire_endpoint,
+            self._flap_endpoint,
+            self._write_unreadable,
+            self._publish,
+        ]
+        if kinds:
+            self._faults = [
+                fault
+                for fault in self._faults
+                if any(kind in fault.__name__ for kind in kinds)
+            ]
+
+    async def start(self) -> None:
+        """Publishes a configuration and starts the endpoints."""
+        await self._publish(self._rng)
+        for pool, count in POOLS.items():
+            for _ in range(count):
+                await self._add_endpoint(pool)
+
+    async def suffer(self, seconds: float) -> None:
+        """Lets faults happen for a time; all have ended at its end."""
+        running = []
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            fault = self._rng.choice(self._faults)
+            times = self._rng.choice((1, 1, 2, 3))
+            # Of its own, as the order of concurrent draws is not repeatable.
+            rng = random.Random(self._rng.random())
+            running.append(asyncio.create_task(_repeat(fault, times, rng)))
+            await asyncio.sleep(self._rng.uniform(0.2, 1.5))
+        await asyncio.gather(*running)
+
+    @contextlib.contextmanager
+    def _noted(self, target: str, kind: str):
+        began_at = time.monotonic()
+        index = len(self._seen.disturbances)
+        open_end = records.Disturbance(began_at, float("inf"), target, kind)
+        self._seen.disturbances.append(open_end)
+        try:
+            yield
+        finally:
+            self._seen.disturbances[index] = open_end._replace(
+                ended_at=time.monotonic()
+            )
+
+    async def _kill(self, rng: random.Random) -> None:
+        gateway = rng.choice(self.gateways)
+        with self._noted(gateway.name, "kill"):
+            gateway.send_signal(signal.SIGKILL)
+            await asyncio.sleep(1.0)
+
+    async def _terminate(self, rng: random.Random) -> None:
+        gateway = rng.choice(self.gateways)
+        with self._noted(gateway.name, "term"):
+            await gateway.terminate()
+        with self._noted(gateway.name, "start"):
+            await asyncio.sleep(1.0)
+
+    async def _freeze(self, rng: random.Random) -> None:
+        gateway = rng.choice(self.gateways)
+        with self._noted(gateway.name, "freeze"):
+            gateway.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(_some_s(rng))
+            gateway.send_signal(signal.SIGCONT)
+
+    async def _reload(self, rng: random.Random) -> None:
+        rng.choice(self.gateways).send_signal(signal.SIGHUP)
+
+    async def _take_store_down(self, rng: random.Random) -> None:
+        with self._noted("store", "down"):
+            self.store.is_down = True
+            await asyncio.sleep(2 * _some_s(rng))
+            self.store.is_down = False
+
+    async def _lose_answers(self, rng: random.Random) -> None:
+        with self._noted("store", "answers lost"):
+            self.store.loses_answers = True
+            await asyncio.sleep(_some_s(rng))
+            self.store.loses_answers = False
+
+    async def _compact(self, rng: random.Random) -> None:
+        self.store.compact()
+
+    async def _harm_store_link(self, rng: random.Random) -> None:
+        gateway = rng.choice(self.gateways)
+        with self._noted(gateway.name, "store link"):
+            await self._harm(rng, gateway.store_link)
+
+    async def _harm(self, rng: random.Random, harmed: link.Link) -> None:
+        harmed.mode = rng.choice(_LINK_MODES)
+        if rng.random() < 0.5:
+            harmed.reset()
+        await asyncio.sleep(_some_s(rng))
+        harmed.mode = link.Mode.WELL
+        # Connections that lost bytes stay silent until somebody gives up.
+
+    async def _harm_endpoint(self, rng: random.Random) -> None:
+        endpoint = rng.choice(self.endpoints)
+        endpoint.mode = rng.choice(_ENDPOINT_MODES)
+        await asyncio.sleep(_some_s(rng))
+        endpoint.mode = "well"
+
+    async def _harm_endpoint_link(self, rng: random.Random) -> None:
+        endpoint = rng.choice(self.endpoints)
+        with self._noted(f"link {endpoint.name}", "link"):
+            await self._harm(rng, endpoint.link)
+
+    async def _flap_endpoint(self, rng: random.Random) -> None:
+        endpoint = rng.choice(self.endpoints)
+        for _ in range(4):
+            endpoint.mode = "declines"
+            await asyncio.sleep(rng.uniform(0.05, 0.4))
+            endpoint.mode = "well"
+            await asyncio.sleep(rng.uniform(0.05, 0.4))
+
+    async def _crash_endpoint(self, rng: random.Random) -> None:
+        endpoint = self._choose_to_end(rng)
+        if endpoint is not None:
+            await endpoint.end(in_order=False)
+            await self._add_endpoint(endpoint.pool, endpoint.link)
+
+    async def _retire_endpoint(self, rng: random.Random) -> None:
+        endpoint = self._choose_to_end(rng)
+        if endpoint is not None:
+            await self._add_endpoint(endpoint.pool)
+            await endpoint.leave()
+            await asyncio.sleep(3.5)
+            await endpoint.end(in_order=True)
+
+    def _choose_to_end(self, rng: random.Random) -> endpoints.Endpoint | None:
+        """Takes an endpoint out whose pool has others."""
+        chosen = rng.choice(self.endpoints)
+        others = [item for item in self.endpoints if item.pool == chosen.pool]
+        if len(others) < 2:
+            return None
+        self.endpoints.remove(chosen)
+        return chosen
+
+    async def _write_unreadable(self, rng: random.Random) -> None:
+        name = f"bad-{rng.randint(0, 2)}"
+        value = rng.choice((b"\xff{", b"{}", b'{"service": 7}', b""))
+        await self.store.write(store.SERVERS, name, value)
+
+    async def _add_endpoint(
+        self, pool: str, old_link: link.Link | None = None
+    ) -> None:
+        """Starts an endpoint, perhaps at the address of one that ended."""
+        self._numbers[pool] += 1
+        used = old_link or link.Link(("127.0.0.1", 1))
+        if old_link is None:
+            await used.start()
+        endpoint = endpoints.Endpoint(
+            f"{pool}-{self._numbers[pool]}",
+            self._rng.choice("ab"),
+            used,
+            self.store,
+            self._seen,
+            self._results,
+        )
+        await endpoint.start()
+        self.endpoints.append(endpoint)
+
+    async def _publish(self, rng: random.Random) -> None:
+        """Writes a configuration that gives lookups to another pool."""
+        if self.store.is_down:
+            return
+        self._version += rng.randint(1, 9)
+        pool = rng.choice(("desk", "other"))
+        document = configuration(self._version, pool)
+        data = json.dumps(document).encode()
+        await self.store.write(store.CONFIG, "config", data)
+        self._seen.moved_at.append((time.monotonic(), pool))
+
+
+async def _repeat(fault, times: int, rng: random.Random) -> None:
+    for _ in range(times):
+        await fault(rng)
+        await asyncio.sleep(rng.uniform(0.05, 0.6))
+
+
+def _some_s(rng: random.Random) -> float:
+    """Returns how long a fault lasts, in seconds."""
+    return rng.uniform(0.2, 2.5)
+
+
+def configuration(version: int, lookup_pool: str) -> dict:
+    """Returns the operators' document."""
+
+    def route(name: str, kind: str, pool: str, **more) -> dict:
+        return {
+            "name": name,
+            "host": callers.HOST,
+            "path_prefix": f"/{name}/",
+            "kind": kind,
+            "timeout_ms": 3000,
+            "target_latency_ms": 800,
+            "service": pool,
+            "max_attempts": 2,
+            "priority": 1,
+            **more,
+        }
+
+    stream = {"gap_aim_ms": 500}
+    stages = [
+        {"service": "maker", "after": [], "bytes": 1000},
+        {"service": "maker", "after": [0], "bytes": 1000},
+    ]
+    return {
+        "version": version,
+        "routes": [
+            route("book", "non_idempotent", "desk"),
+            route("look", "safe", lookup_pool),
+            route("note", "streaming", "other", **stream),
+            route(
+                "draft",
+                "streaming",
+                "engine",
+                sticky=True,
+                resumable=True,
+                stages=stages,
+                **stream,
+            ),
+        ],
+        "services": [
+            {"name": "desk"},
+            {"name": "other"},
+            {"name": "engine"},
+            {
+                "name": "maker",
+                "pieces": {
+                    "slots": 1,
+                    "queue": 2,
+                    "batch": 8,
+                    "call_ms": 40,
+                    "item_ms": 4,
+                    "headroom_mb": 64,
+                    "handle_s": 4,
+                    "link_mbps": 1000,
+                },
+            },
+        ],
+        "tenants": [{"name": "crew", "api_keys": [callers.KEY], "priority": 1}],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1 << 20,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+    }
