Keep late signals from changing the gateway's exit status

Cause: the interpreter's end sets handled signals back to their defaults, so a reload that comes after "gateway stopped" ended the process with -1.

Change: signals are ignored once the loop has ended; ignored ones are left alone by the interpreter.

--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -280,17 +280,25 @@
         print(f"{args.settings}: settings are good", file=env.stdout)
         return ExitStatus.OK
     meters = telemetry.Telemetry()
-    handler = state_log.BoundedHandler(env.stdout.fileno())
-    handler.on_left_out = meters.count_left_out
-    state_log.set_up_bounded(handler)
+    log_handler = state_log.BoundedHandler(env.stdout.fileno())
+    log_handler.on_left_out = meters.count_left_out
+    state_log.set_up_bounded(log_handler)
     try:
         gateway = Gateway(cfg, env, meters)
     except OSError as exc:
         return _fail(env, [f"an address can't be bound: {exc}; free its port"])
-    signal.signal(signal.SIGTERM, lambda *_: gateway.ask_stop())
-    signal.signal(signal.SIGINT, lambda *_: gateway.ask_stop())
-    signal.signal(signal.SIGHUP, lambda *_: gateway.note_reload())
+    handlers = {
+        signal.SIGTERM: gateway.ask_stop,
+        signal.SIGINT: gateway.ask_stop,
+        signal.SIGHUP: gateway.note_reload,
+    }
+    for number, handler in handlers.items():
+        signal.signal(number, lambda *_, handle=handler: handle())
     gateway.run()
+    # The interpreter's end sets what is handled, not what is ignored, back to
+    # the default, and a late signal would change the exit status.
+    for number in handlers:
+        signal.signal(number, signal.SIG_IGN)
     return ExitStatus.OK
 
 
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -77,6 +77,7 @@
         """Keeps the process running until `stop`."""
         while not self._stopping:
             self._may_end = False
+            began_at = time.monotonic()
             with open(self._folder / f"{self.name}.log", "ab") as log:
                 self._process = subprocess.Popen(
                     [sys.executable, "-m", "chervilarch.gateway_main"],
@@ -90,7 +91,10 @@
             while (status := self._process.poll()) is None:
                 await asyncio.sleep(0.02)
             if not self._may_end:
-                self._seen.broken.append(f"{self.name} ended with {status}")
+                age_s = time.monotonic() - began_at
+                self._seen.broken.append(
+                    f"{self.name} ended with {status} after {age_s:.2f} s"
+                )
             await asyncio.sleep(_RESTART_S)
 
     async def watch(self) -> None:
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -178,6 +178,16 @@
     endpoint.close()
 
 
+def test_signals_during_the_end_do_not_change_the_status(gateway):
+    process, _, _ = gateway
+    wait_for(process, "readiness changed", ready=True)
+    process.send_signal(signal.SIGTERM)
+    wait_for(process, "gateway stopped")
+    while process.poll() is None:
+        process.send_signal(signal.SIGHUP)
+    assert process.returncode == 0
+
+
 def test_a_reload_during_the_start_does_not_end_the_process(tmp_path):
     path = tmp_path / "settings.json"
     os.mkfifo(path)
