Go on with what a lost gathering host had made

Change: a gathering host tells the submitter which results are held whenever a stage ends and with each sign of life. An order goes to the next host with them; that host counts their room, makes only what is missing and frees them. The old one, if it only was frozen, hears that the order has moved and leaves the results alone. A host that started anew gets them with the next repeat.

--- a/chervilarch/gathering.py
+++ b/chervilarch/gathering.py
@@ -163,6 +163,7 @@
 
     def _send_submit(self, ticket: Ticket) -> None:
         ticket.sends += 1
+        # With what is made, as the peer may have started anew meanwhile.
         self._send(
             ticket.peer,
             StageMessage(Kind.SUBMIT, ticket.number, ticket.order),
@@ -190,7 +191,7 @@
             silent_ms=round((now - ticket.heard_at) * 1000),
         )
         self._forget(ticket)
-        self._send(ticket.peer, StageMessage(Kind.CANCEL, ticket.number))
+        self._send(ticket.peer, StageMessage(Kind.MOVED, ticket.number))
         self._number += 1
         ticket.number = self._number
         self._place(ticket)
@@ -224,6 +225,8 @@
             if ticket is not None:
                 ticket.is_accepted = True
                 ticket.heard_at = self._loop.now()
+                # Kept, so that another host can go on with them.
+                ticket.order = ticket.order._replace(made=message.progress)
         elif message.kind is Kind.RESULTS:
             self._take_results(ticket, message, source)
         elif message.kind is Kind.FREE:
@@ -237,6 +240,9 @@
         if served is None:
             served = _Served(self._desk.run(message.order), self._loop.now())
             self._served[key] = served
+            served.run.on_progress = lambda: self._answer(
+                served, source, message.number
+            )
             if not served.run.future.done():
                 served.run.future.add_done_callback(
                     lambda _: self._answer(served, source, message.number)
@@ -249,7 +255,10 @@
         if (source, number) not in self._served:
             return
         if not served.run.future.done():
-            self._send_to(source, StageMessage(Kind.ACCEPTED, number))
+            accepted = StageMessage(
+                Kind.ACCEPTED, number, progress=served.run.progress
+            )
+            self._send_to(source, accepted)
             return
         made = served.run.future.result()
         if isinstance(made, stage_graph.Made):
@@ -277,8 +286,12 @@
 
     def _end_served(self, source: tuple, message: StageMessage) -> None:
         served = self._served.pop((source, message.number), None)
-        if served is not None and message.kind is Kind.CANCEL:
+        if served is None:
+            return
+        if message.kind is Kind.CANCEL:
             self._drop(served)
+        elif message.kind is Kind.MOVED:
+            self._desk.leave(served.run)
 
     def _drop(self, served: _Served) -> None:
         """Stops an order that nobody waits for and frees its results."""
--- a/chervilarch/peer.capnp
+++ b/chervilarch/peer.capnp
@@ -67,6 +67,7 @@
   received @3;
   cancel @4;
   free @5;
+  moved @6;
 }
 
 struct StageNeed {
@@ -112,6 +113,8 @@
   failure @5 :Text;
   retryAfterMs @6 :UInt32;
   engine @7 :Text;
+  # Of each result, in a message about stages that are over.
+  resultStages @8 :List(UInt16);
 }
 
 enum StoreTopic {
--- a/chervilarch/piece_runner.py
+++ b/chervilarch/piece_runner.py
@@ -103,6 +103,18 @@
             pending.end(pieces.PieceFailure(pieces.FAILED))
             self.free(made)
 
+    def adopt(
+        self, results: tuple[pieces.PieceResult, ...], result_bytes: int
+    ) -> None:
+        """Counts the room of results that another host has had made."""
+        now = self.loop.now()
+        for result in results:
+            queue = self._queues.get(result.pool)
+            maker = queue.makers.get(result.endpoint) if queue else None
+            if maker is not None:
+                until = now + queue.limits.kept_s
+                maker.keep(result.handle, result_bytes, until)
+
     def free(self, results: list[pieces.PieceResult]) -> None:
         """Frees results that nobody needs any more."""
         for result in results:
--- a/chervilarch/stage_desk.py
+++ b/chervilarch/stage_desk.py
@@ -5,6 +5,7 @@
 results don't expire half way.
 """
 
+from collections.abc import Callable
 from concurrent.futures import Future
 
 from chervilarch import loop as loops
@@ -35,7 +36,16 @@
         self.order = order
         self.future: Future = Future()
         self.task: tasks.Task | None = None
+        self.stages: stage_graph.StageRun | None = None
         self.hold_until = float("inf")
+        # Results that are held now, and who is told of new ones.
+        self.progress: stage_graph.StageResults = order.made
+        self.on_progress: Callable[[], None] = _ignore
+
+    def note_progress(self, held: stage_graph.StageResults) -> None:
+        """Notes which results are held."""
+        self.progress = held
+        self.on_progress()
 
 
 class StageDesk:
@@ -84,9 +94,22 @@
         """Stops an order; results that were made are freed."""
         if run in self._held:
             self._held.remove(run)
+            self._free_made(run.order)
         if run.task is not None:
             run.task.cancel()
 
+    def leave(self, run: OrderRun) -> None:
+        """Stops an order whose results another host goes on with."""
+        if run in self._held:
+            self._held.remove(run)
+        if run.stages is not None:
+            run.stages.is_moved = True
+            run.task.cancel()
+
+    def _free_made(self, order: stage_graph.Order) -> None:
+        for _, results in order.made:
+            self._runner.free(list(results))
+
     def free(self, results: stage_graph.Results) -> None:
         """Frees results that the final call has read."""
         for result in results:
@@ -99,7 +122,7 @@
     def expected_s(self, order: stage_graph.Order, now: float) -> float:
         """Returns how long an order would take, up to the first event."""
         ends_s: dict[int, float] = {}
-        for number in order.wanted():
+        for number in order.unmade():
             stage = order.stages[number]
             queue = self._runner.queue(stage.pool)
             if queue is None:
@@ -131,9 +154,10 @@
         return seconds / max(1, len(pools))
 
     def _start(self, run: OrderRun) -> None:
-        run.task = tasks.Task(
-            stage_graph.StageRun(self._runner, run.order).run()
+        run.stages = stage_graph.StageRun(
+            self._runner, run.order, run.note_progress
         )
+        run.task = tasks.Task(run.stages.run())
         run.task.future.add_done_callback(
             lambda fut: self._finish(run, fut.result())
         )
@@ -198,6 +222,7 @@
             left_ms=round((run.order.deadline_at - self._loop.now()) * 1000),
             held=len(self._held),
         )
+        self._free_made(run.order)
         failure = pieces.PieceFailure(pieces.OVERLOADED, retry_s)
         tasks.resolve(run.future, failure)
 
@@ -235,6 +260,10 @@
 
     def _is_backed_up(self, order: stage_graph.Order) -> bool:
         queues = (
-            self._runner.queue(order.stages[n].pool) for n in order.wanted()
+            self._runner.queue(order.stages[n].pool) for n in order.unmade()
         )
         return any(queue and queue.is_backed_up() for queue in queues)
+
+
+def _ignore() -> None:
+    pass
--- a/chervilarch/stage_graph.py
+++ b/chervilarch/stage_graph.py
@@ -1,7 +1,7 @@
 """Runs the stages of one request, in the order of their needs."""
 
 import collections
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from chervilarch import piece_runner, pieces, route_book, state_log, tasks
@@ -13,6 +13,8 @@
 _MAX_REPEATS = 2
 
 Results = tuple[pieces.PieceResult, ...]
+# Results by the number of their stage.
+StageResults = tuple[tuple[int, Results], ...]
 
 
 class Made(NamedTuple):
@@ -71,6 +73,7 @@
         stages: the stages by number.
         data_centre: where the final call will probably go, "" if unknown.
         prompt: set if the final call goes to a model engine.
+        made: results of stages that another host has had made.
     """
 
     request_id: str
@@ -81,11 +84,24 @@
     stages: tuple[StageNeed, ...]
     data_centre: str = ""
     prompt: Prompt = Prompt()
+    made: "StageResults" = ()
 
     def wanted(self) -> list[int]:
         """Returns the stages that are not left out."""
         return [n for n, stage in enumerate(self.stages) if stage.count > 0]
 
+    def unmade(self) -> list[int]:
+        """Returns the stages that are still to be made."""
+        made = {number for number, _ in self.made}
+
+        def is_needed(number: int) -> bool:
+            followers = self.followers(number)
+            return number not in made and (
+                not followers or any(is_needed(n) for n in followers)
+            )
+
+        return [n for n in self.wanted() if is_needed(n)]
+
     def inputs_of(self, number: int) -> list[int]:
         """Returns the stages whose results a stage gets."""
         after = self.stages[number].after
@@ -109,13 +125,30 @@
 class StageRun:
     """The stages of one order and their results."""
 
-    def __init__(self, runner: "piece_runner.PieceRunner", order: Order):
+    def __init__(
+        self,
+        runner: "piece_runner.PieceRunner",
+        order: Order,
+        on_progress: Callable[[StageResults], None],
+    ):
+        """Creates the run.
+
+        Args:
+            runner: makes pieces.
+            order: what is to be made.
+            on_progress: told which results are held, as stages end.
+        """
         self._runner = runner
         self._order = order
-        self._results: dict[int, Results] = {}
+        self._on_progress = on_progress
+        self._results: dict[int, Results] = dict(order.made)
         self._running: dict[int, pieces.PendingJob] = {}
         self._repeats = 0
-        self._pledged = set(order.wanted())
+        # Set when another host goes on with the results.
+        self.is_moved = False
+        for number, results in order.made:
+            runner.adopt(results, order.stages[number].result_bytes)
+        self._pledged = set(order.unmade())
         for number in self._pledged:
             self._pledge(number, 1)
 
@@ -143,7 +176,7 @@
         for pending in self._running.values():
             self._runner.cancel(pending)
         self._running.clear()
-        if not is_whole:
+        if not is_whole and not self.is_moved:
             for results in self._results.values():
                 self._runner.free(list(results))
 
@@ -248,6 +281,7 @@
                 self._results[number] = made
                 self._log_done(number, made)
                 self._free_inputs(number)
+                self._on_progress(tuple(self._results.items()))
             elif (
                 made.reason != pieces.INPUT_GONE
                 or not self._make_inputs_again(number)
--- a/chervilarch/stage_messages.py
+++ b/chervilarch/stage_messages.py
@@ -14,7 +14,8 @@
     """What a message says.
 
     `SUBMIT` is repeated as long as the sender wants the results; `RECEIVED`
-    makes them the receiver's, `CANCEL` has them freed.
+    makes them the receiver's, `CANCEL` has them freed, and `MOVED` leaves them
+    to the host that goes on with the order.
     """
 
     SUBMIT = "submit"
@@ -23,6 +24,7 @@
     RECEIVED = "received"
     CANCEL = "cancel"
     FREE = "free"
+    MOVED = "moved"
 
 
 class StageMessage(NamedTuple):
@@ -32,6 +34,7 @@
         kind: what it says.
         number: number of the order at the host that submits it.
         order: set for `SUBMIT`.
+        progress: set for `ACCEPTED`: the results that are held so far.
         results: set for `RESULTS` that succeeded and for `FREE`.
         failure: set for `RESULTS` that failed.
         engine: with results, the endpoint that suits the final call best.
@@ -43,6 +46,7 @@
     results: stage_graph.Results = ()
     failure: pieces.PieceFailure | None = None
     engine: str = ""
+    progress: stage_graph.StageResults = ()
 
 
 def encode(key: bytes, message: StageMessage, now: float) -> bytes:
@@ -51,12 +55,18 @@
     msg.kind = message.kind.value
     msg.number = message.number
     msg.engine = message.engine
+    progress = message.progress
     if message.order is not None:
         _fill_order(msg.order, message.order, now)
+        progress = message.order.made
     if message.failure is not None:
         msg.failure = message.failure.reason
         msg.retryAfterMs = int(message.failure.retry_after_s * _MS_PER_S)
-    _fill_results(msg, message.results)
+    by_stage = [
+        (number, result) for number, results in progress for result in results
+    ]
+    _fill_results(msg, message.results or tuple(r for _, r in by_stage))
+    msg.resultStages = [number for number, _ in by_stage]
     return messages.seal(key, msg.to_bytes_packed())
 
 
@@ -74,9 +84,16 @@
         if msg.failure:
             retry_after_s = msg.retryAfterMs / _MS_PER_S
             failure = pieces.PieceFailure(msg.failure, retry_after_s)
-        order = _read_order(msg.order, now) if kind is Kind.SUBMIT else None
+        results, progress = _read_results(msg), ()
+        if len(msg.resultStages):
+            progress = _group(msg.resultStages, results)
+            results = ()
+        order = None
+        if kind is Kind.SUBMIT:
+            order = _read_order(msg.order, now)._replace(made=progress)
+            progress = ()
         return StageMessage(
-            kind, msg.number, order, _read_results(msg), failure, msg.engine
+            kind, msg.number, order, results, failure, msg.engine, progress
         )
     except (capnp.KjException, ValueError, IndexError) as exc:
         return messages.BadFrame(f"malformed stage message: {exc}")
@@ -146,3 +163,13 @@
         pieces.PieceResult(result.handle, *makers[result.maker])
         for result in msg.results
     )
+
+
+def _group(
+    numbers: list[int], results: stage_graph.Results
+) -> stage_graph.StageResults:
+    """Returns results by the stage that the same place in `numbers` names."""
+    found: dict[int, list[pieces.PieceResult]] = {}
+    for number, result in zip(numbers, results, strict=True):
+        found.setdefault(number, []).append(result)
+    return tuple((number, tuple(held)) for number, held in found.items())
--- a/tests/test_gathering.py
+++ b/tests/test_gathering.py
@@ -34,6 +34,7 @@
         self.runs: list[stage_desk.OrderRun] = []
         self.cancelled: list[str] = []
         self.freed: list[str] = []
+        self.left: list[str] = []
 
     def run(self, what):
         run = stage_desk.OrderRun(what)
@@ -43,6 +44,9 @@
     def cancel(self, run):
         self.cancelled.append(run.order.request_id)
 
+    def leave(self, run):
+        self.left.append(run.order.request_id)
+
     def free(self, results):
         self.freed += [result.handle for result in results]
 
@@ -182,3 +186,32 @@
         stage_messages.decode(KEY, messages.seal(KEY, b"\xff" * 9), 0.0),
         messages.BadFrame,
     )
+
+
+def test_another_host_goes_on_with_what_a_silent_one_had_made(world):
+    loop, clock, (owner, second, third) = world
+    third.gatherer.submit(order(now=loop.now()))
+    lh.run_until(loop, lambda: owner.desk.runs)
+    lh.settle(loop, 10)
+    held = ((0, (RESULT, RESULT._replace(handle="h2"))),)
+    owner.desk.runs[0].note_progress(held)
+    lh.settle(loop, 10)
+    loop.unwatch(owner.gatherer._socket._socket)
+    lh.advance(loop, clock, 2.0)
+    lh.run_until(loop, lambda: second.desk.runs)
+    assert second.desk.runs[0].order.made == held
+    owner.gatherer._socket._receive(0)
+    assert owner.desk.left == ["r1"] and owner.desk.freed == []
+
+
+def test_a_host_that_started_anew_gets_what_it_had_made_before(world):
+    loop, clock, (owner, second, third) = world
+    third.gatherer.submit(order(now=loop.now()))
+    lh.run_until(loop, lambda: owner.desk.runs)
+    held = ((0, (RESULT,)), (1, (RESULT._replace(handle="h2"),)))
+    owner.desk.runs[0].note_progress(held)
+    lh.settle(loop, 10)
+    owner.gatherer._served.clear()
+    lh.advance(loop, clock, 0.5)
+    lh.run_until(loop, lambda: len(owner.desk.runs) == 2)
+    assert owner.desk.runs[1].order.made == held
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -223,6 +223,8 @@
     def __init__(self):
         self.jobs: dict[int, list[pieces.PendingJob]] = {}
         self.freed: list[str] = []
+        self.adopted: list[str] = []
+        self.progress: list[stage_graph.StageResults] = []
         self.queues = {"p": queue_of("e1"), "q": queue_of("e2")}
         self.on_pumped = None
 
@@ -237,6 +239,9 @@
     def cancel(self, pending):
         pending.end(pieces.PieceFailure(pieces.FAILED))
 
+    def adopt(self, results, result_bytes):
+        self.adopted += [result.handle for result in results]
+
     def free(self, results):
         self.freed += [result.handle for result in results]
 
@@ -262,7 +267,9 @@
 def start(runner, what):
     from chervilarch import tasks
 
-    return tasks.Task(stage_graph.StageRun(runner, what).run())
+    return tasks.Task(
+        stage_graph.StageRun(runner, what, runner.progress.append).run()
+    )
 
 
 def test_a_chain_runs_each_stage_once_and_frees_what_was_used():
@@ -317,6 +324,51 @@
     assert runner.queues["p"].pledged == 0
 
 
+def test_an_order_goes_on_with_what_another_host_had_made():
+    runner = FakeRunner()
+    whole = order(need("p"), need("q", (0,), 2), need("p", (1,)))
+    start(runner, whole)
+    runner.make(0)
+    runner.make(1)
+    held = runner.progress[-1]
+    assert [number for number, _ in held] == [1]
+    other = FakeRunner()
+    moved = whole._replace(made=held)
+    assert moved.unmade() == [2] and whole.unmade() == [0, 1, 2]
+    task = start(other, moved)
+    assert other.adopted == ["s1.0.1", "s1.1.1"] and list(other.jobs) == [2]
+    other.make(2)
+    assert [result.handle for result in task.future.result()] == ["s2.0.1"]
+    assert other.freed == ["s1.0.1", "s1.1.1"]
+
+
+def test_adopted_results_that_are_gone_are_made_again():
+    runner = FakeRunner()
+    result = pieces.PieceResult("old", "e1", "x", "dc1", "p")
+    what = order(need("p"), need("q", (0,)))._replace(made=((0, (result,)),))
+    start(runner, what)
+    assert list(runner.jobs) == [1]
+    runner.jobs[1][-1].end(pieces.PieceFailure(pieces.INPUT_GONE))
+    assert set(runner.jobs) == {0, 1}
+
+
+def test_an_order_that_moved_on_leaves_its_results(desk):
+    made, runner, loop, _ = desk
+    now = loop.now()
+    run = made.run(
+        order(
+            need("p"),
+            need("q", (0,)),
+            objective_at=now + 100,
+            deadline_at=now + 200,
+        )
+    )
+    runner.make(0)
+    assert [number for number, _ in run.progress] == [0]
+    made.leave(run)
+    assert runner.freed == []
+
+
 @pytest.fixture
 def desk():
     loop, clock = lh.new_loop()
