Let a host that starts while the store is away ask a live one

Change: hosts greet the seeds of their settings until they hear of a host. One that can't read the store at its start asks a live host, near if there is one, for the newest values of each topic over TCP, sealed as datagrams are. The pages of the process itself have a module of their own.

--- a/chervilarch/fleet.py
+++ b/chervilarch/fleet.py
@@ -18,6 +18,8 @@
 
 _STORE_TIMEOUT_S = 1.5
 _RETRY_S = 1.0
+# Seeds are greeted so often until a host is heard; they may start later.
+_GREET_PERIOD_S = 0.25
 # A host that sees no other reads the store's list again after this time.
 _ALONE_S = 5.0
 # The ports of the other sockets for peers follow that of gossip.
@@ -36,10 +38,23 @@
         key: bytes,
         clock: clocks.Clock,
         rng: random.Random,
+        seeds: tuple[str, ...] = (),
     ):
+        """Creates the fleet; nothing is started.
+
+        Args:
+            loop: the event loop.
+            source: the platform's store.
+            own: this host.
+            key: seals datagrams.
+            clock: for gossip's own thread.
+            rng: chooses whom gossip asks.
+            seeds: IP addresses of hosts that may be running.
+        """
         self._loop = loop
         self._store = source
         self._own = own
+        self._seeds = seeds
         self.gossip = gossip.GossipController(
             own, key, clock, metrics.Metrics(None), rng
         )
@@ -48,6 +63,7 @@
         """Starts gossip and looks for other hosts."""
         self.gossip.start()
         tasks.Task(self._join())
+        self._greet_seeds()
 
     def leave(self) -> None:
         """Tells the others to send no more work here."""
@@ -69,6 +85,10 @@
             if member.data_centre == self._own.data_centre
         ]
 
+    def store_peers(self) -> list[gathering.Peer]:
+        """Returns the sockets for news of the live hosts of all places."""
+        return [store_peer(member) for member in self._live_members()]
+
     def _live_members(self) -> list[membership.Member]:
         return [
             member
@@ -80,6 +100,17 @@
         """Returns how many hosts are known, this one and dead ones too."""
         return len(self.gossip.members())
 
+    def _greet_seeds(self) -> None:
+        """Finds the others without the store, which may be away."""
+        if self.peers():
+            return
+        own_ip, port = self._own.address.rsplit(":", 1)
+        for ip in self._seeds:
+            if ip != own_ip:
+                # Hosts use the same ports.
+                self.gossip.greet(f"{ip}:{port}")
+        self._loop.call_later(_GREET_PERIOD_S, self._greet_seeds)
+
     def _join(self) -> tasks.Steps[None]:
         """Enters this host into the store's list, and reads the list."""
         own = self._own
--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -71,6 +71,7 @@
         self._newest_timeout_s = _FIRST_NEWEST_TIMEOUT_S
         self._has_gap = False
         self._heard_of_reader = False
+        self._newest: dict[str, bytes] = {}
         self._news: Future = Future()
         self.read_at = float("-inf")
         self.on_snapshot: Callable[[dict[str, bytes]], None] = _ignore
@@ -81,6 +82,7 @@
         # Set by whoever shares readings between hosts.
         self.turn: Callable[[], int] = _first
         self.on_news: Callable[[store.TopicNews], None] = _ignore
+        self.ask_peer: Callable[[], Future] = _ask_nobody
 
     def start(self) -> None:
         """Begins to follow."""
@@ -96,6 +98,16 @@
             self._topic, self._offset, self._offset, self.read_at
         )
 
+    def snapshot(self) -> store.TopicNews:
+        """Returns how far this host has read, and the newest values."""
+        state = self.state()
+        return state._replace(
+            changes=tuple(
+                store.Change(state.end, key, value)
+                for key, value in self._newest.items()
+            )
+        )
+
     def take_news(self, news: store.TopicNews, host: str) -> None:
         """Takes what another host has read."""
         if self._offset is None or news.end < self._offset:
@@ -116,6 +128,8 @@
     def _run(self) -> tasks.Steps[None]:
         while True:
             has_snapshot = yield from self._read_snapshot()
+            if not has_snapshot and not self.has_read():
+                has_snapshot = yield from self._take_snapshot_of_peer()
             while has_snapshot:
                 yield from self._rest()
                 has_snapshot = yield from self._read_changes()
@@ -156,12 +170,32 @@
             if not page.has_more or not page.changes:
                 break
             after = page.changes[-1].key
-        self._offset = end
         self._newest_timeout_s = _FIRST_NEWEST_TIMEOUT_S
         self._note_success(began_at, "")
+        self._take_snapshot(values, end)
+        return True
+
+    def _take_snapshot_of_peer(self) -> tasks.Steps[bool]:
+        """Takes another host's newest values while the store is away."""
+        news: store.TopicNews | None = yield self.ask_peer()
+        if news is None:
+            return False
+        self.read_at = news.read_at
+        state_log.log_change(
+            "newest values from a peer",
+            topic=self._topic.value,
+            values=len(news.changes),
+            age_s=round(self._loop.now() - news.read_at, 3),
+        )
+        values = {change.key: change.value for change in news.changes}
+        self._take_snapshot(values, news.end)
+        return True
+
+    def _take_snapshot(self, values: dict[str, bytes], end: int) -> None:
+        self._newest = values
+        self._offset = end
         self.on_snapshot(values)
         self.on_read()
-        return True
 
     def _read_changes(self) -> tasks.Steps[bool]:
         """Reads once; False if a snapshot is needed."""
@@ -207,12 +241,15 @@
         self, changes: Iterable[store.Change], end: int
     ) -> list[store.Change]:
         """Hands over the new changes; returns those that others must hear."""
-        told = [
-            change
-            for change in changes
-            if change.offset >= self._offset
-            and self.on_change(change.key, change.value)
-        ]
+        told = []
+        for change in changes:
+            if change.offset < self._offset:
+                continue
+            self._newest[change.key] = change.value
+            if not change.value:
+                del self._newest[change.key]
+            if self.on_change(change.key, change.value):
+                told.append(change)
         self._offset = max(self._offset, end)
         self.on_read()
         return told
@@ -432,3 +469,7 @@
 
 def _first() -> int:
     return 0
+
+
+def _ask_nobody() -> Future:
+    return tasks.done(None)
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -17,6 +17,7 @@
     inbound,
     membership,
     outgoing,
+    pages,
     piece_runner,
     placement,
     serving,
@@ -71,12 +72,12 @@
             self._loop, cfg.caller_address, self._handler
         )
         self._ready = inbound.Server(
-            self._loop, cfg.ready_address, serving.PageHandler(self._ready_page)
+            self._loop, cfg.ready_address, pages.PageHandler(self._ready_page)
         )
         self._metrics = inbound.Server(
             self._loop,
             f"{cfg.ip}:{cfg.metrics_port}",
-            serving.PageHandler(self._metrics_page),
+            pages.PageHandler(self._metrics_page),
         )
         self._asked_to_stop = False
         self._drain_began_at = 0.0
@@ -227,7 +228,7 @@
         gossip.first_incarnation(loop.clock),
         caller_address=cfg.caller_address,
     )
-    hosts = fleet.Fleet(loop, source, own, key, loop.clock, rng)
+    hosts = fleet.Fleet(loop, source, own, key, loop.clock, rng, cfg.seed_ips())
     stages = gathering.Gatherer(
         loop,
         stage_desk.StageDesk(loop, runner, engines),
@@ -239,11 +240,14 @@
         loop,
         fleet.store_peer(own),
         hosts.neighbours,
+        hosts.store_peers,
         {
             store.Topic.CONFIGURATION: configuration.follower,
             store.Topic.ENDPOINTS: endpoints.follower,
         },
         key,
+        client,
+        rng,
     )
     configuration.add_listener(lambda book: runner.set_pools(book.pools))
     endpoints.add_listener(place.set_endpoints)
--- a/chervilarch/gateway_settings.py
+++ b/chervilarch/gateway_settings.py
@@ -43,6 +43,8 @@
         store_address: where the platform's store is.
         deployment: keeps the datagrams of deployments apart; the store's
             address unless it is set.
+        seeds: addresses of hosts that may be running; peers are met at the
+            peer ports of these, the ports given here don't matter.
         bounds: what the deployment promises.
     """
 
@@ -55,8 +57,13 @@
     metrics_port: int
     store_address: str
     deployment: str
+    seeds: tuple[str, ...]
     bounds: GatewayBounds
 
+    def seed_ips(self) -> tuple[str, ...]:
+        """Returns the IP addresses of the seeds."""
+        return tuple(seed.rsplit(":", 1)[0] for seed in self.seeds)
+
 
 def load(path: pathlib.Path) -> GatewaySettings | settings.SettingsError:
     """Reads and checks a settings file."""
@@ -66,12 +73,14 @@
     faults = schemas.check(document, schemas.GATEWAY_SETTINGS)
     if faults:
         return settings.SettingsError([f"{path}: {fault}" for fault in faults])
-    fields = {"deployment": document["store_address"], **document}
+    defaults = {"deployment": document["store_address"], "seeds": []}
+    fields = defaults | document
     fields = {name: fields[name] for name in GatewaySettings._fields}
     bounds = fields["bounds"]
     fields["bounds"] = GatewayBounds(
         *(bounds[name] for name in GatewayBounds._fields)
     )
+    fields["seeds"] = tuple(fields["seeds"])
     fields["peer_ports"] = tuple(fields["peer_ports"])
     first, last = fields["peer_ports"]
     if last - first + 1 < _PEER_PORTS:
--- a/chervilarch/gossip.py
+++ b/chervilarch/gossip.py
@@ -119,6 +119,11 @@
         self._socket.bind(self._address)
         self._thread.start()
 
+    def greet(self, address: str) -> None:
+        """Makes this router known to one that may be running."""
+        with self._lock:
+            self._send("ping", address)
+
     def announce_leaving(self) -> None:
         """Tells some peers that this router leaves; it goes on listening."""
         with self._lock:
--- /dev/null
+++ b/chervilarch/pages.py
@@ -0,0 +1,37 @@
+"""Serves pages of the process itself: readiness, metrics, values for peers."""
+
+from collections.abc import Callable
+
+from chervilarch import inbound
+
+
+class PageHandler:
+    """Implements `inbound.Handler` for pages of the process itself."""
+
+    def __init__(self, page: Callable[[str], tuple[int, str, bytes]]):
+        """Creates the handler.
+
+        Args:
+            page: returns status, content type and body for a target.
+        """
+        self._page = page
+
+    def limits(self) -> inbound.Limits:
+        """Returns the limits in force."""
+        return inbound.Limits()
+
+    def is_closing(self) -> bool:
+        """Tells whether connections end with the present answer."""
+        return False
+
+    def begin(
+        self, req: inbound.Inbound, reply: inbound.Responder
+    ) -> Callable[[], None]:
+        """Serves a page at once."""
+        status, content_type, body = self._page(req.target)
+        reply.send(status, [("Content-Type", content_type)], body)
+        return _ignore
+
+
+def _ignore() -> None:
+    pass
--- a/chervilarch/schemas.py
+++ b/chervilarch/schemas.py
@@ -42,6 +42,7 @@
         "metrics_port": _PORT,
         "store_address": _ADDRESS,
         "deployment": _NAME,
+        "seeds": {"type": "array", "items": _ADDRESS},
         "bounds": {
             "type": "object",
             "required": [
--- a/chervilarch/store_sharing.py
+++ b/chervilarch/store_sharing.py
@@ -5,18 +5,28 @@
 they have not heard of a newer reading for a little longer, the second before
 the third. So a reader that is lost, or news that is lost, delays the others by
 a tenth of the time between reads.
+
+A host that starts while the store is away asks another one for what it holds.
 """
 
+import functools
+import random
 import zlib
 from collections.abc import Callable
+from concurrent.futures import Future
 
 from chervilarch import (
+    exchanges,
     followers,
+    inbound,
     messages,
+    outgoing,
+    pages,
     peer_socket,
     state_log,
     store,
     store_messages,
+    tasks,
 )
 from chervilarch import loop as loops
 from chervilarch.gathering import Peer
@@ -26,6 +36,9 @@
 # What an unfragmented datagram holds beside the hash and the offsets; records
 # of endpoints have about 200 bytes.
 _MAX_CHANGES_BYTES = 1000
+# A peer that is alive answers in milliseconds.
+_ASK_TIMEOUT_S = 0.5
+_BINARY = "application/octet-stream"
 # The records of some hundred endpoints that start at once.
 _MAX_PARTS = 32
 
@@ -38,17 +51,23 @@
         loop: loops.Loop,
         own: Peer,
         neighbours: Callable[[], list[Peer]],
+        peers: Callable[[], list[Peer]],
         topics: dict[store.Topic, followers.TopicFollower],
         key: bytes,
+        client: outgoing.Client,
+        rng: random.Random,
     ):
-        """Binds the socket and connects the followers.
+        """Binds the sockets and connects the followers.
 
         Args:
             loop: the event loop.
-            own: this host and the address of its socket for news.
+            own: this host and the address of its sockets for news.
             neighbours: returns the live hosts of this data centre.
+            peers: returns the live hosts of all data centres.
             topics: the followers that share their readings.
-            key: seals datagrams.
+            key: seals what is sent.
+            client: asks peers.
+            rng: chooses the peer that is asked.
 
         Raises:
             OSError: the address can't be bound.
@@ -56,18 +75,27 @@
         self._loop = loop
         self._own = own
         self._neighbours = neighbours
+        self._peers = peers
+        self._client = client
+        self._rng = rng
         self._topics = topics
         self._key = key
         self._socket = peer_socket.PeerSocket(
             loop, own.address, self._take_frame
         )
-        for follower in topics.values():
+        host, port = self._socket.address
+        self._pages = inbound.Server(
+            loop, f"{host}:{port}", pages.PageHandler(self._page)
+        )
+        for topic, follower in topics.items():
             follower.turn = self.turn
             follower.on_news = self._tell
+            follower.ask_peer = functools.partial(self._ask, topic)
 
     def close(self) -> None:
         """Stops sharing."""
         self._socket.close()
+        self._pages.stop_accepting()
 
     def turn(self) -> int:
         """Returns how many neighbours read before this host does."""
@@ -91,6 +119,57 @@
             for peer in peers:
                 self._socket.send(peer.address, frame)
 
+    def _page(self, target: str) -> tuple[int, str, bytes]:
+        """Returns the newest values of a topic, for a host that has none."""
+        for topic, follower in self._topics.items():
+            if target == f"/{topic.value}" and follower.has_read():
+                news = [follower.snapshot()]
+                body = store_messages.encode(self._key, news, self._loop.now())
+                return 200, _BINARY, body
+        return 404, _BINARY, b""
+
+    def _ask(self, topic: store.Topic) -> Future:
+        """Asks a peer, near if there is one; the result may be None."""
+        peers = self._neighbours() or self._peers()
+        if not peers:
+            return tasks.done(None)
+        peer = self._rng.choice(peers)
+        host, port = peer.address
+        exchange = exchanges.Exchange(
+            "GET",
+            f"http://{host}:{port}/{topic.value}",
+            timeout_s=_ASK_TIMEOUT_S,
+            fresh=True,
+        )
+        fut: Future = Future()
+        self._client.call(exchange).add_done_callback(
+            lambda done: fut.set_result(
+                self._read_page(peer, topic, done.result())
+            )
+        )
+        return fut
+
+    def _read_page(
+        self, peer: Peer, topic: store.Topic, result: exchanges.TransferResult
+    ) -> store.TopicNews | None:
+        if isinstance(result, exchanges.TransferFailure):
+            reason = f"{result.kind.value}: {result.detail}"
+        elif result.status != 200:
+            reason = f"status {result.status}"
+        else:
+            now = self._loop.now()
+            news = store_messages.decode(self._key, result.body, now)
+            if not isinstance(news, messages.BadFrame):
+                return news[0]
+            reason = news.reason
+        state_log.log_fault(
+            "no values from a peer",
+            host=peer.name,
+            topic=topic.value,
+            reason=reason,
+        )
+        return None
+
     def _take_frame(self, frame: bytes, source: tuple) -> None:
         news = store_messages.decode(self._key, frame, self._loop.now())
         if isinstance(news, messages.BadFrame):
--- a/tests/loop_helpers.py
+++ b/tests/loop_helpers.py
@@ -147,17 +147,17 @@
         return tasks.done(None)
 
 
-def free_udp_ports(count: int) -> int:
-    """Returns the first of as many consecutive ports that are free."""
+def free_ports(count: int) -> int:
+    """Returns the first of consecutive ports that are free by TCP and UDP."""
     while True:
         with contextlib.ExitStack() as stack:
             first = 0
             try:
                 for number in range(count):
-                    sock = socket.socket(type=socket.SOCK_DGRAM)
-                    stack.enter_context(sock)
-                    sock.bind(("127.0.0.1", first + number if first else 0))
-                    first = first or sock.getsockname()[1]
+                    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                        sock = stack.enter_context(socket.socket(type=kind))
+                        sock.bind(("127.0.0.1", first and first + number))
+                        first = first or sock.getsockname()[1]
             except (OSError, OverflowError):
                 continue  # A port on the way is taken.
             return first
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -248,7 +248,7 @@
 
 def test_hosts_find_each_other_in_the_store_and_by_gossip(world):
     loop, clock, source = world
-    first = lh.free_udp_ports(2)
+    first = lh.free_ports(2)
     members = [
         membership.Member(f"n{n}", f"127.0.0.1:{first + n}", "dc1", 1 + n)
         for n in range(2)
@@ -267,3 +267,26 @@
         for fleet in found:
             fleet.gossip.stop()
     assert isinstance(found[0].gossip, gossip.GossipController)
+
+
+def test_a_host_that_starts_without_the_store_finds_others_by_seeds(world):
+    loop, clock, source = world
+    source.error = store.StoreError("down")
+    port = lh.free_ports(1)
+    key = fleets.deployment_key("d")
+    found = []
+    # Hosts use the same ports: addresses of loopback stand for hosts.
+    for n in (2, 3):
+        member = membership.Member(f"n{n}", f"127.0.0.{n}:{port}", "dc1", n)
+        rng = random.Random(n)
+        found.append(
+            fleets.Fleet(loop, source, member, key, clock, rng, ("127.0.0.2",))
+        )
+    found[0].start()
+    lh.advance(loop, clock, 1.0)
+    found[1].start()
+    try:
+        lh.run_until(loop, lambda: all(fleet.peers() for fleet in found))
+    finally:
+        for fleet in found:
+            fleet.gossip.stop()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -45,7 +45,7 @@
         self.loop = loops.Loop(clocks.SystemClock())
         self.store = lh.FakeStore()
         self.servers = []
-        port = lh.free_udp_ports(3)
+        port = lh.free_ports(3)
         cfg = gateway_settings.GatewaySettings(
             "n1",
             "dc1",
@@ -56,6 +56,7 @@
             0,
             "127.0.0.1:1",
             "test",
+            (),
             BOUNDS,
         )
         self.meters = telemetry.Telemetry()
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -64,7 +64,7 @@
 def gateway(tmp_path):
     store = StoreServer()
     ports = [free_port() for _ in range(3)]
-    peer = lh.free_udp_ports(3)
+    peer = lh.free_ports(3)
     settings = {
         "host": "n1",
         "data_centre": "dc1",
--- a/tests/test_gateway_settings.py
+++ b/tests/test_gateway_settings.py
@@ -48,6 +48,7 @@
     path = write(tmp_path, {**GOOD, "new_field": 1})
     cfg = gateway_settings.load(path)
     assert cfg.peer_ports == (7000, 7015) and cfg.bounds.grace_s == 8
+    assert cfg.deployment == cfg.store_address and cfg.seeds == ()
     assert check(path)[0] == ExitStatus.OK
 
 
@@ -59,6 +60,7 @@
         ({"peer_ports": [7000]}, "peer_ports"),
         ({"peer_ports": [7000, 7001]}, "at least 3 free ports"),
         ({"metrics_port": "9464"}, "metrics_port"),
+        ({"seeds": ["nowhere"]}, "seeds"),
         ({"bounds": {}}, "drain_s"),
     ],
 )
@@ -68,6 +70,11 @@
     assert named in err and str(tmp_path) in err
 
 
+def test_seeds_are_met_by_their_ip_address(tmp_path):
+    path = write(tmp_path, {**GOOD, "seeds": ["10.1.0.9:8628"]})
+    assert gateway_settings.load(path).seed_ips() == ("10.1.0.9",)
+
+
 @pytest.mark.parametrize("name", GOOD)
 def test_each_field_is_required(tmp_path, name):
     document = {key: value for key, value in GOOD.items() if key != name}
--- a/tests/test_store_sharing.py
+++ b/tests/test_store_sharing.py
@@ -1,5 +1,7 @@
 """Readings of the store that one host shares with its neighbours."""
 
+import random
+
 import loop_helpers as lh
 import pytest
 
@@ -8,6 +10,7 @@
     gathering,
     hosts,
     messages,
+    outgoing,
     store,
     store_messages,
     store_sharing,
@@ -37,10 +40,13 @@
         self.neighbours = []
         self.sharing = store_sharing.StoreSharing(
             loop,
-            gathering.Peer(name, ("127.0.0.1", 0)),
+            gathering.Peer(name, ("127.0.0.1", lh.free_ports(1))),
+            lambda: self.neighbours,
             lambda: self.neighbours,
             {ENDPOINTS: self.endpoints.follower},
             KEY,
+            outgoing.Client(loop),
+            random.Random(1),
         )
         self.peer = gathering.Peer(name, self.sharing._socket.address)
         self.told = []
@@ -212,6 +218,42 @@
     assert not ended
 
 
+def test_a_host_that_starts_while_the_store_is_away_asks_another(world):
+    loop, clock, shared, (first, second, third) = world
+    shared.write(ENDPOINTS, "e1", b"leaving 2")
+    lh.advance(loop, clock, 2 * PAUSE_S)
+    late = Host(loop, "n9", Link(shared))
+    late.source.error = store.StoreError("down")
+    late.endpoints.follower.start()
+    lh.advance(loop, clock, PAUSE_S)
+    assert not late.endpoints.follower.has_read()
+    late.neighbours = [third.peer]
+    clock.advance(PAUSE_S)
+    lh.run_until(loop, lambda: late.listed() == ["e0", "e2"])
+    assert late.endpoints.follower.state().end == 4
+    shared.write(ENDPOINTS, "e0", b"")
+    late.source.error = None
+    lh.advance(loop, clock, 2 * PAUSE_S)
+    assert late.listed() == ["e2"]
+    late.sharing.close()
+
+
+def test_a_peer_that_has_read_nothing_is_of_no_help(world):
+    loop, clock, shared, (first, second, third) = world
+    late, other = (Host(loop, name, Link(shared)) for name in ("n8", "n9"))
+    late.source.error = store.StoreError("down")
+    late.neighbours = [other.peer]
+    late.endpoints.follower.start()
+    lh.run_until(loop, lambda: other.sharing._pages.connection_count() == 1)
+    lh.run_until(loop, lambda: other.sharing._pages.connection_count() == 0)
+    assert not late.endpoints.follower.has_read()
+    late.source.error = None
+    lh.advance(loop, clock, PAUSE_S)
+    assert late.listed() == ["e0", "e1", "e2"]
+    late.sharing.close()
+    other.sharing.close()
+
+
 def test_news_is_the_same_after_the_wire():
     news = [
         store.TopicNews(ENDPOINTS, 3, 9, 99.5, (store.Change(4, "e1", b"x"),)),
