End the wait after a failed read when a neighbour has read

Change: any news that is new ends the wait.

Test: after 10 s of outage the later hosts know a change within 1 s of its end; failed before.

--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -138,8 +138,12 @@
     def _rest(self) -> tasks.Steps[None]:
         """Waits until this host has to read."""
         while not self._has_gap and self._due_at() > self._loop.now():
-            self._news = Future()
-            yield from tasks.wait(self._loop, self._news, self._due_at())
+            yield from self._wait_for_news(self._due_at())
+
+    def _wait_for_news(self, until: float) -> tasks.Steps[None]:
+        """Waits up to a monotonic time, or until a neighbour has read."""
+        self._news = Future()
+        yield from tasks.wait(self._loop, self._news, until)
 
     def _due_at(self) -> float:
         """Returns when to read, unless there is news of another's reading."""
@@ -213,8 +217,10 @@
                 )
                 return False
             self._note_failure(changes)
-            delay_s = self._delay_s * 2 ** self.turn()
-            yield tasks.sleep(self._loop, min(delay_s, _MAX_RETRY_IN_TURN_S))
+            delay_s = min(
+                self._delay_s * 2 ** self.turn(), _MAX_RETRY_IN_TURN_S
+            )
+            yield from self._wait_for_news(self._loop.now() + delay_s)
             return True
         end = first + len(changes.changes)
         self._has_gap = end < changes.end
--- a/tests/test_store_sharing.py
+++ b/tests/test_store_sharing.py
@@ -218,6 +218,27 @@
     assert not ended
 
 
+def test_news_after_an_outage_ends_the_wait_of_later_hosts(world):
+    loop, clock, shared, (first, second, third) = world
+    lh.advance(loop, clock, 3 * PAUSE_S)
+    for host in (first, second, third):
+        host.endpoints.follower._tells_changes = False
+        host.source.error = store.StoreError("down")
+    lh.advance(loop, clock, 10.0)
+    shared.write(ENDPOINTS, "e1", b"leaving 2")
+    before = third.reads()
+    lh.run_until(loop, lambda: _advance(loop, clock) and third.reads() > before)
+    for host in (first, second, third):
+        host.source.error = None
+    lh.advance(loop, clock, 1.0)
+    assert third.listed() == ["e0", "e2"]
+
+
+def _advance(loop, clock):
+    lh.advance(loop, clock, 0.01)
+    return True
+
+
 def test_a_host_that_starts_while_the_store_is_away_asks_another(world):
     loop, clock, shared, (first, second, third) = world
     shared.write(ENDPOINTS, "e1", b"leaving 2")
