Give topics a follower of their own module; drop what nothing decides by

`EngineLimits`, `Listing.slots` and `Listing.slow_for_s` were decoded and used by nothing; the types of the two fields of a record are still checked. No change of behaviour.

--- a/chervilarch/endpoint_list.py
+++ b/chervilarch/endpoint_list.py
@@ -14,15 +14,11 @@
 
     Attributes:
         entry: who it is and where; `incarnation` is its start in Unix ms.
-        slots: requests that it processes at a time.
         sequence: grows with each record of one start.
-        slow_for_s: how much longer it stays slow after its start, in seconds.
     """
 
     entry: hosts.HostEntry
-    slots: int
     sequence: int
-    slow_for_s: float = 0.0
 
 
 class _Seen(NamedTuple):
--- a/chervilarch/platform/documents.py
+++ b/chervilarch/platform/documents.py
@@ -61,15 +61,9 @@
     handle_s: float = 0
 
 
-class _Engine(msgspec.Struct):
-    slots: int
-    kv_tokens: int
-
-
 class _Service(msgspec.Struct):
     name: str
     pieces: _Pieces | None = None
-    engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct):
@@ -97,10 +91,11 @@
     service: str
     address: str
     zone: str
+    # Checked only: a record with another type comes from another writer.
     slots: int
     state: str
     sequence: int
-    # How much longer the endpoint stays slow after its start.
+    # Checked only, as `slots`.
     cold_remaining_ms: float = 0
     # Unix milliseconds of the endpoint's start.
     born: int = 0
@@ -154,12 +149,7 @@
         _STATES[server.state],
         server.born,
     )
-    return endpoint_list.Listing(
-        entry,
-        max(1, server.slots),
-        server.sequence,
-        server.cold_remaining_ms / _MS_PER_S,
-    )
+    return endpoint_list.Listing(entry, server.sequence)
 
 
 def _route(route: _Route) -> route_book.Route:
@@ -194,7 +184,7 @@
 
 
 def _pool(service: _Service) -> route_book.Pool:
-    pieces, engine = service.pieces, service.engine
+    pieces = service.pieces
     return route_book.Pool(
         service.name,
         pieces
@@ -207,5 +197,4 @@
             pieces.headroom_mb * _BYTES_PER_MB,
             pieces.handle_s,
         ),
-        engine and route_book.EngineLimits(engine.slots, engine.kv_tokens),
     )
--- a/chervilarch/route_book.py
+++ b/chervilarch/route_book.py
@@ -48,30 +48,16 @@
     kept_s: float
 
 
-class EngineLimits(NamedTuple):
-    """What one model engine takes.
-
-    Attributes:
-        slots: requests in one batch.
-        memory_tokens: tokens that running requests and cached parts share.
-    """
-
-    slots: int
-    memory_tokens: int
-
-
 class Pool(NamedTuple):
     """Endpoints of one kind.
 
     Attributes:
         name: the pool's name.
         pieces: set for pools that run stages.
-        engine: set for pools of model engines.
     """
 
     name: str
     pieces: PieceLimits | None = None
-    engine: EngineLimits | None = None
 
 
 class Route(NamedTuple):
--- a/chervilarch/store_sharing.py
+++ b/chervilarch/store_sharing.py
@@ -17,7 +17,6 @@
 
 from chervilarch import (
     exchanges,
-    followers,
     inbound,
     messages,
     outgoing,
@@ -27,6 +26,7 @@
     store,
     store_messages,
     tasks,
+    topic_follower,
 )
 from chervilarch import loop as loops
 from chervilarch.gathering import Peer
@@ -52,7 +52,7 @@
         own: Peer,
         neighbours: Callable[[], list[Peer]],
         peers: Callable[[], list[Peer]],
-        topics: dict[store.Topic, followers.TopicFollower],
+        topics: dict[store.Topic, topic_follower.TopicFollower],
         key: bytes,
         client: outgoing.Client,
         rng: random.Random,
--- a/tests/loop_helpers.py
+++ b/tests/loop_helpers.py
@@ -63,7 +63,7 @@
         state,
         incarnation,
     )
-    return endpoint_list.Listing(entry, 1, sequence)
+    return endpoint_list.Listing(entry, sequence)
 
 
 def route(**changes) -> route_book.Route:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -106,7 +106,6 @@
     assert route.stages == (route_book.Stage("s2", (), 8000),)
     assert book.pools["s2"].pieces.call_s == 0.15
     assert book.pools["s2"].pieces.room_bytes == 18e6
-    assert book.pools["s1"].engine.memory_tokens == 1000
     assert book.account_of_key("k2") == route_book.Account("t1", 1)
     assert book.account_of_key("k3") is None
 
@@ -133,11 +132,7 @@
     assert listing.entry == hosts.HostEntry(
         "i-1", "10.0.0.1:8080", "endpoint", "s1", "z1", "live", 99
     )
-    assert (listing.slots, listing.sequence, listing.slow_for_s) == (
-        128,
-        4,
-        1.5,
-    )
+    assert listing.sequence == 4
 
 
 @pytest.mark.parametrize(
