Hear a host that restarts with its clock set back; tell all of a leaving

- A process's first incarnation is the time of day.
One that restarts after its clock was set back has a lower one than before: its peers take its datagrams for replays, and a host that had left is not probed, so it stayed alone for good.
They now answer with what they hold of it, and it goes beyond that.
- A host that leaves drops out of its own list of live ones, whose first entry was taken for itself: the first peer was not told, and `turn` would raise.
The list names the host itself first, always.

Ruled out: a counter that outlasts the process (no disk; the store may be away).

--- a/chervilarch/gossip.py
+++ b/chervilarch/gossip.py
@@ -277,6 +277,7 @@
             sender.name, sender.incarnation, gossip.sequence
         ):
             self._metrics.count("gossip.replayed")
+            self._tell_of_later_start(sender)
             return False
         now = self._clock.monotonic()
         self._note_change(self._fleet.observe(sender, now))
@@ -291,6 +292,12 @@
             self._relay_probe(gossip)
         return True
 
+    def _tell_of_later_start(self, sender: membership.Member) -> None:
+        """Lets a process catch up that started with its clock set back."""
+        held = self._fleet.find(sender.name)
+        if held is not None and held.incarnation > sender.incarnation:
+            self._send("ping", sender.address, about=sender)
+
     def _take_ack(self, gossip: messages.Gossip) -> None:
         relay = self._relays.pop(gossip.probe, None)
         if relay is not None:
@@ -351,8 +358,12 @@
     ) -> tuple[membership.Member, ...]:
         news = self._fleet.take_news()
         held = self._fleet.find(about.name) if about else None
-        # Whoever is held dead or suspect must hear it to refute it.
-        if held is not None and held.status is not membership.Status.ALIVE:
+        # Whoever is held dead or suspect must hear it to refute it, and who
+        # started with its clock set back how far its incarnation was.
+        if held is not None and (
+            held.status is not membership.Status.ALIVE
+            or held.incarnation > about.incarnation
+        ):
             news = (held, *news)
         return news
 
--- a/chervilarch/membership.py
+++ b/chervilarch/membership.py
@@ -87,12 +87,13 @@
         return [self.own, *(known.member for known in self._known.values())]
 
     def live(self) -> list[Member]:
-        """Returns members held alive or only suspected, this router first."""
-        return [
+        """Returns this router, then those held alive or only suspected."""
+        others = [
             member
-            for member in self.members()
+            for member in self.members()[1:]
             if member.status in (Status.ALIVE, Status.SUSPECT)
         ]
+        return [self.own, *others]
 
     def find(self, name: str) -> Member | None:
         """Returns a member by name."""
@@ -203,9 +204,12 @@
         return tuple(known.member for known in chosen)
 
     def _refute(self, news: Member) -> None:
-        if news.status is Status.ALIVE or self.own.status is Status.LEFT:
+        if self.own.status is Status.LEFT:
             return
-        if news.incarnation >= self.own.incarnation:
+        # A process before this one may have seen a later time of day.
+        is_later = news.incarnation > self.own.incarnation
+        is_wrong = news.status is not Status.ALIVE
+        if is_later or is_wrong and news.incarnation == self.own.incarnation:
             self.own = self.own._replace(incarnation=news.incarnation + 1)
 
     def _store(self, member: Member, now: float) -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -290,3 +290,45 @@
     finally:
         for fleet in found:
             fleet.gossip.stop()
+
+
+@pytest.mark.parametrize("leaves", [True, False])
+def test_a_host_that_starts_with_its_clock_set_back_is_heard(world, leaves):
+    loop, clock, source = world
+    source.error = store.StoreError("down")
+    port = lh.free_ports(1)
+    key = fleets.deployment_key("d")
+
+    def start(n, incarnation):
+        member = membership.Member(
+            f"n{n}", f"127.0.0.{n}:{port}", "dc1", incarnation
+        )
+        rng = random.Random(n)
+        made = fleets.Fleet(
+            loop, source, member, key, clock, rng, ("127.0.0.2",)
+        )
+        made.start()
+        return made
+
+    stays, goes = start(2, 1000), start(3, 90_000)
+    try:
+        lh.run_until(loop, lambda: stays.peers() and goes.peers())
+        if leaves:
+            goes.gossip.announce_leaving()
+            lh.run_until(loop, lambda: not stays.peers())
+        goes.gossip.stop()
+        goes = start(3, 50_000)
+
+        def is_heard():
+            lh.advance(loop, clock, 0.05)
+            members = stays.gossip.members()[1:]
+            return goes.peers() and any(
+                member.incarnation > 90_000
+                and member.status is membership.Status.ALIVE
+                for member in members
+            )
+
+        lh.run_until(loop, is_heard)
+    finally:
+        stays.gossip.stop()
+        goes.gossip.stop()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -51,6 +51,16 @@
     assert fleet.own.status is Status.ALIVE
 
 
+def test_a_router_that_leaves_still_names_all_others(fleet):
+    fleet.own = fleet.own._replace(status=Status.LEFT)
+    assert [found.name for found in fleet.live()] == ["own", "b", "c", "d"]
+
+
+def test_a_router_goes_beyond_what_an_earlier_process_of_it_said(fleet):
+    fleet.observe(member("own", incarnation=7), 1.0)
+    assert fleet.own.incarnation == 8
+
+
 def test_old_news_changes_nothing(fleet):
     fleet.observe(member("b", incarnation=5), 1.0)
     fleet.observe(member("b", incarnation=4, status=Status.DEAD), 2.0)
