Prove the gateway's drain and its bound on headers that trickle in

The request now ends after the listener is closed. A header whose bytes come one by one gets 408 at the bound that any header has.

--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -77,7 +77,7 @@
         "bounds": {
             "drain_s": 2.0,
             "config_s": 2.0,
-            "grace_s": 8.0,
+            "grace_s": 60.0,
             "retry_share": 0.2,
             "retry_fixed": 56.0,
             "retry_window_s": 10.0,
@@ -87,7 +87,7 @@
     path.write_text(json.dumps(settings))
     config = {
         "version": 1,
-        "routes": [route()],
+        "routes": [route(timeout_ms=60_000)],
         "services": [{"name": "s1"}],
         "limits": LIMITS,
     }
@@ -133,6 +133,17 @@
     raise AssertionError("the gateway never became ready")
 
 
+def wait_until_refused(port):
+    for _ in range(100_000):
+        try:
+            ask(port)
+        except ConnectionRefusedError:
+            return
+        except ConnectionError:
+            pass  # Accepted just before the listener was closed.
+    raise AssertionError("the gateway never stopped listening")
+
+
 def test_a_process_serves_and_finishes_its_requests_when_stopped(gateway):
     process, store, ports = gateway
     began, may_end = threading.Event(), threading.Event()
@@ -170,6 +181,8 @@
     wait_for(process, "drain started")
     assert b" 503 " in ask(ports[1], "/chervilarch/readiness").split(b"\r\n")[0]
     assert b" 200 " in ask(ports[0]).split(b"\r\n")[0]
+    wait_until_refused(ports[0])
+    assert process.poll() is None
     may_end.set()
     caller.join(lh.GUARD_S)
     assert slow[0].endswith(b"out")
--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -145,6 +145,18 @@
     assert lh.receive(loop, idle, lambda data: b"<EOF>" in data) == b"<EOF>"
 
 
+def test_a_header_that_trickles_in_has_no_longer_time(world):
+    loop, clock, _, server = world
+    conn = lh.connect(server.port)
+    for byte in b"GET / HTTP/1.1\r\n"[:6]:
+        conn.sendall(bytes([byte]))
+        lh.run_until(loop, lambda: server.connection_count() == 1)
+        lh.settle(loop, 20)
+        clock.advance(0.55)
+    got = lh.receive(loop, conn, lambda data: b"<EOF>" in data)
+    assert got.startswith(b"HTTP/1.1 408")
+
+
 def test_answers_end_their_connections_while_draining(world):
     loop, _, handler, server = world
     conn = begin(world)
