Let one of the hosts with the most processor gather the stage work

Cause: the gathering host is the one whose name has the highest hash, whatever it is. Of the site with 89 hosts it is one with 0.387 of a core and a link of 10 Mbit/s; on the site with 74 it is by chance one with 2.15 cores, and took 0.85 of a core at most.

Change: hosts tell how much processor they have by gossip, in thousandths of a core so that all compare the same numbers; those with the most are ranked by hash as before. Hosts of one kind choose as they did.

--- a/chervilarch/fleet.py
+++ b/chervilarch/fleet.py
@@ -167,7 +167,8 @@
 
 def _peer(member: membership.Member, offset: int) -> gathering.Peer:
     host, port = member.address.rsplit(":", 1)
-    return gathering.Peer(member.name, (host, int(port) + offset))
+    address = (host, int(port) + offset)
+    return gathering.Peer(member.name, address, member.milli_cores)
 
 
 def deployment_key(deployment: str) -> bytes:
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -227,6 +227,7 @@
         cfg.data_centre,
         gossip.first_incarnation(loop.clock),
         caller_address=cfg.caller_address,
+        milli_cores=cfg.milli_cores(),
     )
     hosts = fleet.Fleet(loop, source, own, key, loop.clock, rng, cfg.seed_ips())
     stages = gathering.Gatherer(
--- a/chervilarch/gateway_settings.py
+++ b/chervilarch/gateway_settings.py
@@ -45,6 +45,8 @@
             address unless it is set.
         seeds: addresses of hosts that may be running; peers are met at the
             peer ports of these, the ports given here don't matter.
+        cores: speed of this host's processor in cores, 0 if unknown.
+        core_share: share of the time for which it may be used.
         bounds: what the deployment promises.
     """
 
@@ -58,8 +60,14 @@
     store_address: str
     deployment: str
     seeds: tuple[str, ...]
+    cores: float
+    core_share: float
     bounds: GatewayBounds
 
+    def milli_cores(self) -> int:
+        """Returns how much of a core this host has in 1/1000, 0 if unknown."""
+        return round(1000 * self.cores * self.core_share)
+
     def seed_ips(self) -> tuple[str, ...]:
         """Returns the IP addresses of the seeds."""
         return tuple(seed.rsplit(":", 1)[0] for seed in self.seeds)
@@ -73,7 +81,12 @@
     faults = schemas.check(document, schemas.GATEWAY_SETTINGS)
     if faults:
         return settings.SettingsError([f"{path}: {fault}" for fault in faults])
-    defaults = {"deployment": document["store_address"], "seeds": []}
+    defaults = {
+        "deployment": document["store_address"],
+        "seeds": [],
+        "cores": 0.0,
+        "core_share": 1.0,
+    }
     fields = defaults | document
     fields = {name: fields[name] for name in GatewaySettings._fields}
     bounds = fields["bounds"]
--- a/chervilarch/gathering.py
+++ b/chervilarch/gathering.py
@@ -1,9 +1,10 @@
 """Brings the stage work of all hosts together at one of them.
 
 Only one queue that sees the whole demand can fill calls and keep endpoints
-from being raced for. The gathering host is chosen by rendezvous hashing over
-the live hosts; it is a matter of performance only: any host can run an order,
-and two that both gather waste work but break nothing.
+from being raced for. The gathering host is one of the live hosts with the most
+processor, chosen by rendezvous hashing; it is a matter of performance only:
+any host can run an order, and two that both gather waste work but break
+nothing.
 """
 
 import zlib
@@ -39,10 +40,11 @@
 
 
 class Peer(NamedTuple):
-    """A live host and the address of one of its sockets."""
+    """A live host, the address of one of its sockets and its processor."""
 
     name: str
     address: tuple[str, int]
+    milli_cores: int = 0
 
 
 class Ticket:
@@ -142,7 +144,7 @@
             for peer in self._live_peers()
             if self._avoided.get(peer.name, now) <= now
         ]
-        best = max([self._own, *peers], key=lambda peer: rank(peer.name))
+        best = max([self._own, *peers], key=rank)
         return None if best is self._own else best
 
     def _place(self, ticket: Ticket) -> None:
@@ -312,6 +314,6 @@
         self._loop.call_later(_SWEEP_S, self._sweep)
 
 
-def rank(name: str) -> int:
+def rank(peer: Peer) -> tuple[float, int]:
     """Returns a host's rank; the live host with the highest one gathers."""
-    return zlib.crc32(name.encode())
+    return peer.milli_cores, zlib.crc32(peer.name.encode())
--- a/chervilarch/membership.py
+++ b/chervilarch/membership.py
@@ -48,6 +48,7 @@
         config_version: version it last said to have in force.
         config_through: offset it last said to have folded through.
         caller_address: "ip:port" where it serves callers.
+        milli_cores: thousandths of a core that it may use, 0 if unknown.
     """
 
     name: str
@@ -58,6 +59,7 @@
     config_version: int = -1
     config_through: int = -1
     caller_address: str = ""
+    milli_cores: int = 0
 
 
 class Change(NamedTuple):
--- a/chervilarch/messages.py
+++ b/chervilarch/messages.py
@@ -194,6 +194,7 @@
     slot.configVersion = member.config_version
     slot.configThrough = member.config_through
     slot.callerAddress = member.caller_address
+    slot.milliCores = member.milli_cores
 
 
 def _read_member(slot) -> membership.Member:
@@ -206,4 +207,5 @@
         config_version=slot.configVersion,
         config_through=slot.configThrough,
         caller_address=slot.callerAddress,
+        milli_cores=slot.milliCores,
     )
--- a/chervilarch/peer.capnp
+++ b/chervilarch/peer.capnp
@@ -18,6 +18,7 @@
   configVersion @5 :Int64;
   configThrough @6 :Int64;
   callerAddress @7 :Text;
+  milliCores @8 :UInt32;
 }
 
 struct LeavingEndpoint {
--- a/chervilarch/schemas.py
+++ b/chervilarch/schemas.py
@@ -43,6 +43,8 @@
         "store_address": _ADDRESS,
         "deployment": _NAME,
         "seeds": {"type": "array", "items": _ADDRESS},
+        "cores": _POSITIVE,
+        "core_share": _POSITIVE,
         "bounds": {
             "type": "object",
             "required": [
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -57,6 +57,8 @@
             "127.0.0.1:1",
             "test",
             (),
+            0.0,
+            1.0,
             BOUNDS,
         )
         self.meters = telemetry.Telemetry()
--- a/tests/test_gateway_settings.py
+++ b/tests/test_gateway_settings.py
@@ -61,6 +61,7 @@
         ({"peer_ports": [7000, 7001]}, "at least 3 free ports"),
         ({"metrics_port": "9464"}, "metrics_port"),
         ({"seeds": ["nowhere"]}, "seeds"),
+        ({"cores": "two"}, "cores"),
         ({"bounds": {}}, "drain_s"),
     ],
 )
@@ -70,6 +71,12 @@
     assert named in err and str(tmp_path) in err
 
 
+def test_the_processor_is_what_may_be_used_of_all_cores(tmp_path):
+    path = write(tmp_path, {**GOOD, "cores": 3, "core_share": 0.5})
+    assert gateway_settings.load(path).milli_cores() == 1500
+    assert gateway_settings.load(write(tmp_path, GOOD)).milli_cores() == 0
+
+
 def test_seeds_are_met_by_their_ip_address(tmp_path):
     path = write(tmp_path, {**GOOD, "seeds": ["10.1.0.9:8628"]})
     assert gateway_settings.load(path).seed_ips() == ("10.1.0.9",)
--- a/tests/test_gathering.py
+++ b/tests/test_gathering.py
@@ -70,7 +70,7 @@
     loop, clock = lh.new_loop()
     hosts = [Host(loop, name) for name in ("n1", "n2", "n3")]
     by_choice = sorted(
-        hosts, key=lambda host: gathering.rank(host.peer.name), reverse=True
+        hosts, key=lambda host: gathering.rank(host.peer), reverse=True
     )
     for host in hosts:
         host.peers = [other.peer for other in hosts if other is not host]
@@ -215,3 +215,15 @@
     lh.advance(loop, clock, 0.5)
     lh.run_until(loop, lambda: len(owner.desk.runs) == 2)
     assert owner.desk.runs[1].order.made == held
+
+
+def test_the_host_with_the_most_processor_gathers(world):
+    loop, _, (owner, second, third) = world
+    for host in (owner, second, third):
+        host.peers = [
+            peer._replace(milli_cores=2000 if peer == third.peer else 387)
+            for peer in host.peers
+        ]
+    second.gatherer.submit(order(now=loop.now()))
+    lh.run_until(loop, lambda: third.desk.runs)
+    assert owner.desk.runs == []
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -97,7 +97,7 @@
 
 GOSSIP = messages.Gossip(
     "ping",
-    member("own", config_version=3, config_through=5),
+    member("own", config_version=3, config_through=5, milli_cores=387),
     "10.0.0.2:1",
     7,
     8,
