Decide once which stages are needed; refuse bad datagrams in one place

Read again before the landing, no change of behaviour: `Order` and `StageRun` both had the recursion that tells which stages are still to be made, now it is the order's. Stages and news of the store each decoded a datagram and logged a bad one; the socket they share does it, under the same names of events. Two tests share how they start a call that hangs. `rank` returns whole numbers.

--- a/chervilarch/gathering.py
+++ b/chervilarch/gathering.py
@@ -14,7 +14,6 @@
 
 from chervilarch import loop as loops
 from chervilarch import (
-    messages,
     peer_socket,
     stage_desk,
     stage_graph,
@@ -103,7 +102,11 @@
         self._served: dict[tuple, _Served] = {}
         self._avoided: dict[str, float] = {}
         self._socket = peer_socket.PeerSocket(
-            loop, own.address, self._take_frame
+            loop,
+            own.address,
+            lambda frame: stage_messages.decode(key, frame, loop.now()),
+            self._take,
+            "stage message refused",
         )
         loop.call_later(_SWEEP_S, self._sweep)
 
@@ -210,15 +213,6 @@
         frame = stage_messages.encode(self._key, message, self._loop.now())
         self._socket.send(address, frame)
 
-    def _take_frame(self, frame: bytes, source: tuple) -> None:
-        message = stage_messages.decode(self._key, frame, self._loop.now())
-        if isinstance(message, messages.BadFrame):
-            state_log.log_fault(
-                "stage message refused", host=source[0], reason=message.reason
-            )
-            return
-        self._take(message, source)
-
     def _take(self, message: StageMessage, source: tuple) -> None:
         ticket = self._tickets.get(message.number)
         if message.kind is Kind.SUBMIT:
@@ -314,6 +308,6 @@
         self._loop.call_later(_SWEEP_S, self._sweep)
 
 
-def rank(peer: Peer) -> tuple[float, int]:
+def rank(peer: Peer) -> tuple[int, int]:
     """Returns a host's rank; the live host with the highest one gathers."""
     return peer.milli_cores, zlib.crc32(peer.name.encode())
--- a/chervilarch/peer_socket.py
+++ b/chervilarch/peer_socket.py
@@ -3,34 +3,41 @@
 import selectors
 import socket
 from collections.abc import Callable
+from typing import Any
 
 from chervilarch import loop as loops
-from chervilarch import state_log
+from chervilarch import messages, state_log
 
 _MAX_DATAGRAM = 65507
 
 
 class PeerSocket:
-    """Sends and receives datagrams; what they hold is the owner's."""
+    """Sends datagrams, and hands over the messages of those that come."""
 
     def __init__(
         self,
         loop: loops.Loop,
         address: tuple[str, int],
-        on_frame: Callable[[bytes, tuple], None],
+        decode: Callable[[bytes], Any],
+        on_message: Callable[[Any, tuple], None],
+        refused_event: str,
     ):
         """Binds the socket and starts to listen.
 
         Args:
             loop: the event loop.
             address: where to listen.
-            on_frame: called with each datagram and its sender's address.
+            decode: returns the message of a datagram, or a `BadFrame`.
+            on_message: called with each message and its sender's address.
+            refused_event: name of the log's event for a `BadFrame`.
 
         Raises:
             OSError: the address can't be bound.
         """
         self._loop = loop
-        self._on_frame = on_frame
+        self._decode = decode
+        self._on_message = on_message
+        self._refused_event = refused_event
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
         self._socket.bind(address)
@@ -60,4 +67,10 @@
                 frame, source = self._socket.recvfrom(_MAX_DATAGRAM)
             except OSError:
                 return  # Nothing is left to read.
-            self._on_frame(frame, source)
+            message = self._decode(frame)
+            if isinstance(message, messages.BadFrame):
+                state_log.log_fault(
+                    self._refused_event, host=source[0], reason=message.reason
+                )
+                continue
+            self._on_message(message, source)
--- a/chervilarch/stage_graph.py
+++ b/chervilarch/stage_graph.py
@@ -1,7 +1,7 @@
 """Runs the stages of one request, in the order of their needs."""
 
 import collections
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 from typing import NamedTuple
 
 from chervilarch import piece_runner, pieces, route_book, state_log, tasks
@@ -92,15 +92,17 @@
 
     def unmade(self) -> list[int]:
         """Returns the stages that are still to be made."""
-        made = {number for number, _ in self.made}
+        made = dict(self.made)
+        return [n for n in self.wanted() if self.is_needed(n, made)]
 
-        def is_needed(number: int) -> bool:
-            followers = self.followers(number)
-            return number not in made and (
-                not followers or any(is_needed(n) for n in followers)
-            )
+    def is_needed(self, number: int, made: Container[int]) -> bool:
+        """Tells whether a stage's results are still to be made."""
+        return number not in made and self.is_awaited(number, made)
 
-        return [n for n in self.wanted() if is_needed(n)]
+    def is_awaited(self, number: int, made: Container[int]) -> bool:
+        """Tells whether any stage that is to be run needs a stage's results."""
+        followers = self.followers(number)
+        return not followers or any(self.is_needed(n, made) for n in followers)
 
     def inputs_of(self, number: int) -> list[int]:
         """Returns the stages whose results a stage gets."""
@@ -219,14 +221,7 @@
 
     def _is_needed(self, number: int) -> bool:
         """Tells whether a stage's results are still to be made."""
-        if number in self._results:
-            return False
-        return self._is_awaited(number)
-
-    def _is_awaited(self, number: int) -> bool:
-        """Tells whether any stage that is to be run needs a stage's results."""
-        followers = self._order.followers(number)
-        return not followers or any(self._is_needed(n) for n in followers)
+        return self._order.is_needed(number, self._results)
 
     def _start(self, number: int, after: list[int]) -> None:
         order = self._order
@@ -315,7 +310,7 @@
     def _free_inputs(self, number: int) -> None:
         """Frees the results that only this stage still needed."""
         for n in self._order.stages[number].after:
-            if not self._is_awaited(n):
+            if not self._order.is_awaited(n, self._results):
                 self._runner.free(list(self._results.pop(n, ())))
 
 
--- a/chervilarch/store_sharing.py
+++ b/chervilarch/store_sharing.py
@@ -81,7 +81,11 @@
         self._topics = topics
         self._key = key
         self._socket = peer_socket.PeerSocket(
-            loop, own.address, self._take_frame
+            loop,
+            own.address,
+            lambda frame: store_messages.decode(key, frame, loop.now()),
+            self._take,
+            "news of the store refused",
         )
         host, port = self._socket.address
         self._pages = inbound.Server(
@@ -170,13 +174,7 @@
         )
         return None
 
-    def _take_frame(self, frame: bytes, source: tuple) -> None:
-        news = store_messages.decode(self._key, frame, self._loop.now())
-        if isinstance(news, messages.BadFrame):
-            state_log.log_fault(
-                "news of the store refused", host=source[0], reason=news.reason
-            )
-            return
+    def _take(self, news: list[store.TopicNews], source: tuple) -> None:
         for item in news:
             follower = self._topics.get(item.topic)
             if follower is not None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -298,7 +298,8 @@
     assert status(world.ask(KEY)) == 504
 
 
-def test_a_caller_that_leaves_has_its_repeatable_call_cut(world):
+def start_a_call_that_hangs(world):
+    """Returns the caller's connection and what the endpoint reads last."""
     cut = []
 
     def wait_for_end(conn):
@@ -310,23 +311,18 @@
     conn = world.send(KEY)
     lh.run_until(world.loop, lambda: server.connections == 1)
     lh.run_until(world.loop, lambda: world.phase.in_flight == 1)
+    return conn, cut
+
+
+def test_a_caller_that_leaves_has_its_repeatable_call_cut(world):
+    conn, cut = start_a_call_that_hangs(world)
     conn.close()
     lh.run_until(world.loop, lambda: cut == [b""])
     assert world.phase.in_flight == 0
 
 
 def test_what_is_in_flight_at_the_end_is_stopped_in_order(world):
-    cut = []
-
-    def wait_for_end(conn):
-        lh.read_request(conn)
-        cut.append(conn.recv(1))
-
-    server = world.endpoint("e1", wait_for_end)
-    world.start(route())
-    conn = world.send(KEY)
-    lh.run_until(world.loop, lambda: server.connections == 1)
-    lh.run_until(world.loop, lambda: world.phase.in_flight == 1)
+    conn, cut = start_a_call_that_hangs(world)
     world.handler.close()
     world.ctrl.stages.close()
     world.ctrl.client.close()
