Take signals in the loop: a flood of reloads ended the process

Python's handlers run between any two byte codes, also inside each other: a flood nests them until the stack ends. The error then left main(), and the interpreter's end set SIGHUP back to its default.

Change: the three signals are blocked in all threads and taken by the loop, each kind once a round, with sigtimedwait. Blocked signals can't change the exit status; a reload during the start is logged after it. Each is asked for by itself now.

--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -48,6 +48,7 @@
 _LEAST_HOSTS = 4
 # Stage work is repeated by its gathering host only; a partition makes more.
 _GATHERING_HOSTS = 3
+_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 _TEXT = "text/plain; charset=utf-8"
 
 
@@ -107,16 +108,16 @@
         self._ctrl.sharing.close()
         self._ctrl.client.close()
 
-    def ask_stop(self) -> None:
-        """Begins a graceful shutdown; safe in a signal handler."""
-        self._asked_to_stop = True
-        self._loop.wake()
-
-    def note_reload(self) -> None:
-        """Logs that new settings wait for the next start."""
-        state_log.log_change(
-            "settings read again", needs_restart="every changed field"
-        )
+    def _take_signals(self) -> None:
+        """Takes the blocked signals that wait, each kind once."""
+        # One by one: a flood of one kind must not hide another.
+        taken = [n for n in _SIGNALS if signal.sigtimedwait([n], 0)]
+        if signal.SIGTERM in taken or signal.SIGINT in taken:
+            self._asked_to_stop = True
+        if signal.SIGHUP in taken:
+            state_log.log_change(
+                "settings read again", needs_restart="every changed field"
+            )
 
     def not_ready_reason(self) -> str:
         """Returns why the balancer should send nothing here, or ""."""
@@ -130,6 +131,7 @@
 
     def _check(self) -> None:
         """Notices signals, changes of readiness and of the fleet's size."""
+        self._take_signals()
         self._ctrl.retry_budgets.set_hosts(self._ctrl.fleet.size())
         is_ready = not self.not_ready_reason()
         if is_ready != self._was_ready:
@@ -284,6 +286,10 @@
     if args.check:
         print(f"{args.settings}: settings are good", file=env.stdout)
         return ExitStatus.OK
+    # Blocked in every thread and taken by the loop: handlers would run inside
+    # each other in a flood, and the interpreter sets them back to the default
+    # before the process has ended.
+    signal.pthread_sigmask(signal.SIG_BLOCK, _SIGNALS)
     meters = telemetry.Telemetry()
     log_handler = state_log.BoundedHandler(env.stdout.fileno())
     log_handler.on_left_out = meters.count_left_out
@@ -292,18 +298,7 @@
         gateway = Gateway(cfg, env, meters)
     except OSError as exc:
         return _fail(env, [f"an address can't be bound: {exc}; free its port"])
-    handlers = {
-        signal.SIGTERM: gateway.ask_stop,
-        signal.SIGINT: gateway.ask_stop,
-        signal.SIGHUP: gateway.note_reload,
-    }
-    for number, handler in handlers.items():
-        signal.signal(number, lambda *_, handle=handler: handle())
     gateway.run()
-    # The interpreter's end sets what is handled, not what is ignored, back to
-    # the default, and a late signal would change the exit status.
-    for number in handlers:
-        signal.signal(number, signal.SIG_IGN)
     return ExitStatus.OK
 
 
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -201,6 +201,28 @@
     assert process.returncode == 0
 
 
+def test_a_flood_of_reloads_does_not_end_the_process(gateway):
+    process, _, ports = gateway
+    wait_for(process, "readiness changed", ready=True)
+    stopped = threading.Event()
+
+    def flood():
+        while process.poll() is None and not stopped.is_set():
+            process.send_signal(signal.SIGHUP)
+
+    senders = [threading.Thread(target=flood) for _ in range(2)]
+    for sender in senders:
+        sender.start()
+    wait_for(process, "settings read again")
+    assert b" 200 " in ask(ports[1], "/chervilarch/readiness").split(b"\r\n")[0]
+    process.send_signal(signal.SIGTERM)
+    status = process.wait(lh.GUARD_S)
+    stopped.set()
+    for sender in senders:
+        sender.join(lh.GUARD_S)
+    assert status == 0
+
+
 def test_a_reload_during_the_start_does_not_end_the_process(tmp_path):
     path = tmp_path / "settings.json"
     os.mkfifo(path)
