Router: not ready until the claims of other hosts are read

Readiness asked for the configuration, which a peer gives at once, not for the claims.

Ruled out: failed appends (a new line "append failed" logs them; none came), claims that time out (the calls took 0.04 s, the time-out is 3 s), requests taken after the drain's wait.

Change: not ready while the window of claims is read from a log that answers; when the log can't be reached a host is still ready, for all other requests. A test fails without it. Failed appends are logged, not only counted.

--- a/chervilarch/calls_controller.py
+++ b/chervilarch/calls_controller.py
@@ -124,6 +124,13 @@
             log_client.LONG_POLL_S + MAX_VIEW_AGE_S
         )
 
+    def is_catching_up(self) -> bool:
+        """Tells whether the window is being read from a log that answers."""
+        with self._cond:
+            is_whole = self._building is None
+        is_read = is_whole and self.follower.last_contact > float("-inf")
+        return not is_read and not self.follower.is_failing()
+
     def synchronize(self, timeout_s: float) -> bool:
         """Waits until all that is in the log now was folded.
 
@@ -325,6 +332,12 @@
             result = self._client.append(records.CALLS_STREAM, group)
             if isinstance(result, log_client.LogError):
                 self._metrics.count("calls.append_failed")
+                state_log.log_fault(
+                    "append failed",
+                    stream=records.CALLS_STREAM,
+                    records=len(group),
+                    reason=result.reason,
+                )
             self._stop.wait(append_period_s(self._writers()))
 
     def _run_sync(self) -> None:
--- a/chervilarch/follower.py
+++ b/chervilarch/follower.py
@@ -55,6 +55,10 @@
         """Asks the thread to end; a read under way is not waited for."""
         self._stop.set()
 
+    def is_failing(self) -> bool:
+        """Tells whether the log's last answer was none."""
+        return self._reachable is False
+
     def contact_age_s(self) -> float:
         """Returns how long ago the log last answered, in seconds."""
         return self._clock.monotonic() - self.last_contact
--- a/chervilarch/server.py
+++ b/chervilarch/server.py
@@ -107,6 +107,9 @@
             return "shutting down"
         if self.ctrl.rules.book is None:
             return "no configuration yet"
+        # While the log can't be reached, other requests are still served.
+        if self.ctrl.calls.is_catching_up():
+            return "claims of other hosts are still being read"
         age_s = self.ctrl.configuration.contact_age_s()
         if age_s > self.cfg.bounds.stale_after_s:
             return f"neither log nor peers heard for {age_s:.0f} s"
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -1,11 +1,20 @@
 """Claims: the first by offset holds, nobody takes over, keys grow old."""
 
 import threading
+import types
 
 import pytest
 from helpers import FakeLog, new_key
 
-from chervilarch import calls, calls_controller, clocks, metrics, records
+from chervilarch import (
+    calls,
+    calls_controller,
+    clocks,
+    drain,
+    metrics,
+    records,
+    server,
+)
 
 CALL = calls.CallKey("buyers", new_key())
 MADE_AT = calls.key_time(CALL.key)
@@ -155,3 +164,25 @@
             writers / calls_controller.MIN_APPEND_PERIOD_S,
         )
     assert 350 / calls_controller.append_period_s(350) <= 201
+
+
+def test_a_host_is_not_ready_while_it_reads_the_claims(log):
+    controller = calls_controller.CallsController(
+        log, clocks.ManualClock(MADE_AT), metrics.Metrics(None), lambda: 1
+    )
+    ctrl = types.SimpleNamespace(
+        calls=controller,
+        rules=types.SimpleNamespace(book=object()),
+        configuration=types.SimpleNamespace(contact_age_s=lambda: 0.0),
+    )
+    cfg = types.SimpleNamespace(bounds=types.SimpleNamespace(stale_after_s=5.0))
+    app = server.Application(ctrl, cfg, drain.Gate())
+    assert "still being read" in app.not_ready_reason()
+    # A log that can't be reached doesn't take every host out.
+    controller.follower._note(False, "refused")
+    assert app.not_ready_reason() == ""
+    controller.follower._note(True, "")
+    controller.take_page(log.page(0))
+    assert "still being read" in app.not_ready_reason()
+    controller.follower.last_contact = MADE_AT
+    assert app.not_ready_reason() == ""
