Count a request that comes again from its caller's first attempt

Ruled out: knowing them by id (each attempt has its own) or by account.

Change: the time that callers of a route allow lies within 0.15 of its longest; one that allows under three quarters of it has waited, and its objective is moved back by the difference. It then gives way to what can be on time. 'request taken' logs waited_ms. Callers with short deadlines of their own are taken for returned ones; that counts only while work waits.

--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -18,6 +18,7 @@
     membership,
     outgoing,
     pages,
+    patience,
     piece_runner,
     placement,
     serving,
@@ -268,6 +269,7 @@
         sharing=sharing,
         retry_budgets=retry_budgets,
         meters=meters,
+        patience=patience.Patience(),
         answered_routes=set(),
     )
 
--- a/chervilarch/routed_context.py
+++ b/chervilarch/routed_context.py
@@ -9,6 +9,7 @@
     gathering,
     inbound,
     outgoing,
+    patience,
     placement,
     route_book,
     routed,
@@ -37,6 +38,7 @@
     sharing: store_sharing.StoreSharing
     retry_budgets: budgets.PoolBudgets
     meters: telemetry.Telemetry
+    patience: patience.Patience
     answered_routes: set[str]
 
 
--- a/chervilarch/routed_filters.py
+++ b/chervilarch/routed_filters.py
@@ -74,13 +74,20 @@
 def set_deadline(
     ctx: RoutedContext, following: Next
 ) -> tasks.Steps[outcomes.Outcome]:
-    """Takes the earlier of the route's time-out and the caller's deadline."""
+    """Takes the earlier of the route's time-out and the caller's deadline.
+
+    The objective counts from the caller's first attempt.
+    """
     req = ctx.req
     allowed_s = req.route.timeout_s
+    waited_s = 0.0
     if req.allowed_s is not None:
         allowed_s = min(allowed_s, req.allowed_s)
+        waited_s = ctx.ctrl.patience.note(
+            req.route.name, req.allowed_s, ctx.now()
+        )
     req.deadline_at = req.arrived_at + allowed_s
-    req.objective_at = req.arrived_at + req.route.objective_s
+    req.objective_at = req.arrived_at + req.route.objective_s - waited_s
     state_log.log_decision(
         "request taken",
         request_id=req.id,
@@ -88,6 +95,7 @@
         route=req.route.name,
         priority=req.priority,
         allowed_ms=round(allowed_s * 1000),
+        waited_ms=round(waited_s * 1000),
         pieces=req.piece_counts,
         config_version=ctx.book.version,
         config_age_s=round(ctx.now() - ctx.ctrl.configuration.taken_at, 1),
