--- a/chervilarch/piece_runner.py
+++ b/chervilarch/piece_runner.py
@@ -81,9 +81,9 @@
 
     def submit(self, job: pieces.Job) -> pieces.PendingJob:
         """Starts a job; its future gets results or a `PieceFailure`."""
-        pending = pieces.PendingJob(job)
-        queue = self._queues.get(job.pool)
         now = self.loop.now()
+        pending = pieces.PendingJob(job, now)
+        queue = self._queues.get(job.pool)
         if queue is None or not queue.makers:
             pending.end(pieces.PieceFailure(pieces.NO_ENDPOINT))
             return pending
@@ -196,6 +196,17 @@
         now = self.loop.now()
         for pending in queue.expire(now):
             made = pending.made()
+            state_log.log_decision(
+                "pieces out of time",
+                is_problem=True,
+                request_id=pending.job.request_id,
+                stage=pending.job.stage,
+                pool=pool,
+                made=len(made),
+                waited_ms=round((now - pending.queued_at) * 1000),
+                late_ms=round((now - pending.job.aim_at) * 1000),
+                waiting=queue.backlog(),
+            )
             pending.end(pieces.PieceFailure(pieces.LATE))
             self.free(made)
         while True:
--- a/tests/test_piece_runner.py
+++ b/tests/test_piece_runner.py
@@ -160,6 +160,19 @@
     assert sorted(world.client.freed) == ["h0", "h1", "h2", "h3"]
 
 
+def test_a_job_that_waited_in_vain_is_logged_with_what_was_before_it(
+    world, caplog
+):
+    caplog.set_level("INFO")
+    world.submit(12)
+    lh.advance(world.loop, world.clock, 0.2)
+    world.submit(2, deadline_s=0.4)
+    lh.advance(world.loop, world.clock, 0.5)
+    lines = [r for r in caplog.records if "out of time" in r.getMessage()]
+    assert lines[0].fields["waited_ms"] >= 400
+    assert lines[0].fields["waiting"] >= 4
+
+
 def test_a_cancelled_job_is_made_no_further(world):
     pending = world.submit(5)
     world.client.started[0].make_all()
