Have orders follow to a better gathering host that appears

Ruled out: hosts that are held silent or dead (no such lines of the gathering hosts), and hosts that don't know the best one (lists arrive by 38.0 s).

Change: twice a second a host looks whether its choice of a gathering host has got better than before; if so its orders at lesser ones are placed there with what is made of them, as when a gathering host is lost. A choice that got worse moves nothing. What the former host says of a moved order counts no more. Tests: orders move, local and remote, with their results; they stay while their host does. The first fails without the change.

--- a/chervilarch/gathering.py
+++ b/chervilarch/gathering.py
@@ -99,7 +99,10 @@
         self._key = key
         self._number = int(loop.clock.wall() * 1000) << 20
         self._tickets: dict[int, Ticket] = {}
+        self._local: dict[int, Ticket] = {}
         self._served: dict[tuple, _Served] = {}
+        # The rank of the gathering host when it was last looked at.
+        self._rank = rank(own)
         self._avoided: dict[str, float] = {}
         self._socket = peer_socket.PeerSocket(
             loop,
@@ -127,6 +130,7 @@
     def cancel(self, ticket: Ticket) -> None:
         """Stops an order; its future is not resolved."""
         if ticket.local is not None:
+            self._local.pop(ticket.number, None)
             self._desk.cancel(ticket.local)
         elif self._forget(ticket):
             self._send(ticket.peer, StageMessage(Kind.CANCEL, ticket.number))
@@ -157,15 +161,25 @@
         ticket.sends = 0
         ticket.is_accepted = False
         if peer is None:
-            ticket.local = self._desk.run(ticket.order)
-            ticket.local.future.add_done_callback(
-                lambda fut: tasks.resolve(ticket.future, fut.result())
-            )
+            self._run_here(ticket)
             return
         self._tickets[ticket.number] = ticket
         ticket.heard_at = self._loop.now()
         self._send_submit(ticket)
 
+    def _run_here(self, ticket: Ticket) -> None:
+        run = self._desk.run(ticket.order)
+        ticket.local = run
+        self._local[ticket.number] = ticket
+
+        def finish(fut: Future) -> None:
+            # An order that moved on ends here without a result.
+            if ticket.local is run:
+                self._local.pop(ticket.number, None)
+                tasks.resolve(ticket.future, fut.result())
+
+        run.future.add_done_callback(finish)
+
     def _send_submit(self, ticket: Ticket) -> None:
         ticket.sends += 1
         # With what is made, as the peer may have started anew meanwhile.
@@ -195,12 +209,44 @@
             host=ticket.peer.name,
             silent_ms=round((now - ticket.heard_at) * 1000),
         )
-        self._forget(ticket)
-        self._send(ticket.peer, StageMessage(Kind.MOVED, ticket.number))
+        self._move(ticket)
+
+    def _move(self, ticket: Ticket) -> None:
+        """Places an order anew, with what is made of it."""
+        run, ticket.local = ticket.local, None
+        if run is not None:
+            self._local.pop(ticket.number, None)
+            ticket.order = ticket.order._replace(made=run.progress)
+            self._desk.leave(run)
+        else:
+            self._forget(ticket)
+            self._send(ticket.peer, StageMessage(Kind.MOVED, ticket.number))
         self._number += 1
         ticket.number = self._number
         self._place(ticket)
 
+    def _follow_best(self) -> None:
+        """Moves orders to a better gathering host that has appeared.
+
+        Hosts that gather side by side send calls to endpoints that the other
+        one has filled.
+        """
+        peer = self._choose_peer() or self._own
+        former, self._rank = self._rank, rank(peer)
+        if self._rank <= former:
+            return
+        moved = [
+            ticket
+            for ticket in [*self._tickets.values(), *self._local.values()]
+            if rank(ticket.peer or self._own) < self._rank
+        ]
+        for ticket in moved:
+            self._move(ticket)
+        if moved:
+            state_log.log_change(
+                "orders moved", host=peer.name, orders=len(moved)
+            )
+
     def _forget(self, ticket: Ticket) -> bool:
         if ticket.timer is not None:
             ticket.timer.cancel()
@@ -305,6 +351,7 @@
             if served.heard_at < oldest:
                 del self._served[key]
                 self._drop(served)
+        self._follow_best()
         self._loop.call_later(_SWEEP_S, self._sweep)
 
 
--- a/tests/test_gathering.py
+++ b/tests/test_gathering.py
@@ -10,6 +10,7 @@
     stage_desk,
     stage_graph,
     stage_messages,
+    tasks,
 )
 
 KEY = b"k" * 16
@@ -227,3 +228,41 @@
     second.gatherer.submit(order(now=loop.now()))
     lh.run_until(loop, lambda: third.desk.runs)
     assert owner.desk.runs == []
+
+
+def test_orders_follow_to_a_better_gathering_host(world):
+    loop, clock, (owner, second, third) = world
+    # At first the two others know each other only.
+    second.peers, third.peers = [third.peer], [second.peer]
+    local = second.gatherer.submit(order("local", now=loop.now()))
+    remote = third.gatherer.submit(order("remote", now=loop.now()))
+    lh.run_until(loop, lambda: len(second.desk.runs) == 2)
+    held = ((0, (RESULT, RESULT._replace(handle="h2"))),)
+    for run in second.desk.runs:
+        run.note_progress(held)
+    lh.settle(loop, 10)
+    second.peers.append(owner.peer)
+    third.peers.append(owner.peer)
+    lh.advance(loop, clock, 0.6)
+    lh.run_until(loop, lambda: len(owner.desk.runs) == 2)
+    assert [run.order.made for run in owner.desk.runs] == [held, held]
+    lh.run_until(loop, lambda: len(second.desk.left) == 2)
+    # What the former host still says of a moved order counts no more.
+    tasks.resolve(
+        second.desk.runs[0].future, pieces.PieceFailure(pieces.FAILED)
+    )
+    made = stage_graph.Made((RESULT,))
+    for run in owner.desk.runs:
+        tasks.resolve(run.future, made)
+    lh.run_until(loop, lambda: remote.future.done() and local.future.done())
+    assert local.future.result() == remote.future.result() == made
+
+
+def test_orders_stay_while_the_gathering_host_does(world):
+    loop, clock, (owner, second, third) = world
+    third.gatherer.submit(order(now=loop.now()))
+    lh.run_until(loop, lambda: owner.desk.runs)
+    second.peers, third.peers = [third.peer], [owner.peer]
+    lh.advance(loop, clock, 1.2)
+    assert len(owner.desk.runs) == 1
+    assert owner.desk.left == second.desk.runs == []
