Don't refuse an order for being late once it was begun

Streams that callers had a part of were broken off so.

Change: an order says whether its caller has a part of the answer; it aims anew from now, and neither it nor one whose results another host hands over is held or refused unless the deadline can't be met. Callers that resume a stream count too.

Measured: the new test fails before.

--- a/chervilarch/peer.capnp
+++ b/chervilarch/peer.capnp
@@ -92,6 +92,7 @@
   sharedName @8 :Data;
   sharedTokens @9 :UInt32;
   ownTokens @10 :UInt32;
+  isBegun @11 :Bool;
 }
 
 struct StageMaker {
--- a/chervilarch/stage_desk.py
+++ b/chervilarch/stage_desk.py
@@ -75,12 +75,14 @@
         now = self._loop.now()
         expected_s = self.expected_s(order, now)
         is_late = now + expected_s > order.objective_at
+        # What others have begun is not given up for being late.
+        may_wait = not order.is_begun and not order.made
         wait_s = expected_s + self._held_s()
         if now + expected_s > order.deadline_at or (
-            is_late and now + wait_s > order.deadline_at
+            may_wait and is_late and now + wait_s > order.deadline_at
         ):
             self._refuse(run, expected_s)
-        elif is_late:
+        elif is_late and may_wait:
             self._hold(run, expected_s)
         else:
             self._start(run)
--- a/chervilarch/stage_graph.py
+++ b/chervilarch/stage_graph.py
@@ -74,6 +74,8 @@
         data_centre: where the final call will probably go, "" if unknown.
         prompt: set if the final call goes to a model engine.
         made: results of stages that another host has had made.
+        is_begun: the caller has a part of the answer, which a refusal would
+            break off.
     """
 
     request_id: str
@@ -85,6 +87,7 @@
     data_centre: str = ""
     prompt: Prompt = Prompt()
     made: "StageResults" = ()
+    is_begun: bool = False
 
     def wanted(self) -> list[int]:
         """Returns the stages that are not left out."""
--- a/chervilarch/stage_inputs.py
+++ b/chervilarch/stage_inputs.py
@@ -23,9 +23,19 @@
         """Returns the names of the results."""
         return tuple(result.handle for result in self._results)
 
-    def make(self) -> tasks.Steps["outcomes.Outcome | None"]:
-        """Runs the stages; returns an outcome only if that failed."""
+    def make(
+        self, is_begun: bool = False
+    ) -> tasks.Steps["outcomes.Outcome | None"]:
+        """Runs the stages; returns an outcome only if that failed.
+
+        Args:
+            is_begun: the caller has a part of the answer.
+        """
         order = self._order()
+        if is_begun or self._ctx.req.resume_after:
+            now = self._ctx.now()
+            objective_at = now + self._ctx.req.route.objective_s
+            order = order._replace(objective_at=objective_at, is_begun=True)
         if not order.wanted():
             return None
         ticket = self._ctx.ctrl.stages.submit(order)
--- a/chervilarch/stage_messages.py
+++ b/chervilarch/stage_messages.py
@@ -108,6 +108,7 @@
     slot.sharedTokens = order.prompt.shared_tokens
     slot.ownTokens = order.prompt.own_tokens
     slot.priority = order.priority
+    slot.isBegun = order.is_begun
     slot.objectiveMs = int((order.objective_at - now) * _MS_PER_S)
     slot.deadlineMs = int((order.deadline_at - now) * _MS_PER_S)
     stages = slot.init("stages", len(order.stages))
@@ -138,6 +139,7 @@
             slot.sharedTokens,
             slot.ownTokens,
         ),
+        is_begun=slot.isBegun,
     )
 
 
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -122,7 +122,7 @@
         if not self._has_event and not is_gone:
             return None
         self._inputs.free()
-        return (yield from self._inputs.make())
+        return (yield from self._inputs.make(self._has_event))
 
     def _attempt(
         self, lease: placement.Lease
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -217,6 +217,9 @@
     assert pending.future.result() == (result,)
 
 
+MADE_BEFORE = pieces.PieceResult("h", "e", "x", "dc1", "p")
+
+
 class FakeRunner:
     """Takes jobs; the test ends them."""
 
@@ -413,6 +416,24 @@
     assert 60.0 / 4 < failure.retry_after_s < 59.0 / 3
 
 
+@pytest.mark.parametrize(
+    "begun", [{"is_begun": True}, {"made": ((0, (MADE_BEFORE,)),)}]
+)
+def test_what_was_begun_is_not_refused_for_being_late(desk, begun):
+    service, runner, loop, clock = desk
+    runner.queues["p"].pledged = 40
+    now = loop.now()
+    what = order(
+        need("p"),
+        need("p", after=(0,)),
+        objective_at=now - 1.0,
+        deadline_at=now + 60.0,
+    )
+    run = service.run(what._replace(**begun))
+    lh.advance(loop, clock, 0.5)
+    assert not run.future.done() and len(runner.jobs) == 1
+
+
 def test_a_hopeless_order_is_refused_at_once_with_a_time_to_come_back(desk):
     service, runner, loop, _ = desk
     runner.queues["p"].pledged = 400
