Answer what is in flight at the end of a drain; move orders off leaving hosts

Ruled out: requests taken after the drain's notice; the answer at the deadline (it lay after the grace period).

Change: 0.2 s before a draining process ends, what is in flight is answered: 503 with a time to come back if the final call was not sent, else 504. A host that leaves ranks last as a gathering host, and orders leave a host that is no longer alive, with what is made of them, within 0.5 s.

Each part has a test that failed first.

--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -43,8 +43,10 @@
 # The balancer asks once a second and takes a host out after two misses.
 _DRAIN_NOTICE_S = 2.5
 _DRAIN_POLL_S = 0.05
-# Time kept at the end of the grace period for the process to end.
+# Time kept at the end of the grace period for the process to end, and before
+# that to pass on the answers to requests that are cut off.
 _EXIT_MARGIN_S = 0.5
+_LAST_ANSWERS_S = 0.2
 # A host that knows no other takes the budget as shared by so many.
 _LEAST_HOSTS = 4
 # Stage work is repeated by its gathering host only; a partition makes more.
@@ -150,6 +152,7 @@
         self._phase.is_draining = True
         self._drain_began_at = self._loop.now()
         self._ctrl.fleet.leave()
+        self._ctrl.stages.leave()
         state_log.log_change("drain started", in_flight=self._phase.in_flight)
         self._loop.call_later(_DRAIN_NOTICE_S, self._stop_accepting)
 
@@ -161,12 +164,13 @@
         """Ends once nothing is in flight, or when the grace period ends."""
         self._callers.close_idle()
         grace_s = self._cfg.bounds.grace_s - _EXIT_MARGIN_S
-        is_over = self._loop.now() - self._drain_began_at >= grace_s
-        if is_over or not self._callers.connection_count():
-            if self._phase.in_flight:
-                state_log.log_fault(
-                    "requests cut off", in_flight=self._phase.in_flight
-                )
+        elapsed_s = self._loop.now() - self._drain_began_at
+        if elapsed_s >= grace_s - _LAST_ANSWERS_S and self._phase.in_flight:
+            state_log.log_fault(
+                "requests cut off", in_flight=self._phase.in_flight
+            )
+            self._handler.cut_off()
+        if elapsed_s >= grace_s or not self._callers.connection_count():
             self._loop.stop()
             return
         self._loop.call_later(_DRAIN_POLL_S, self._finish_drain)
--- a/chervilarch/gathering.py
+++ b/chervilarch/gathering.py
@@ -36,6 +36,8 @@
 # An order whose sender wasn't heard for this time is dropped.
 _ABANDONED_S = 2.0
 _SWEEP_S = 0.5
+# Ranks a host that is leaving behind all others.
+_LEAVING_CORES = -1
 
 
 class Peer(NamedTuple):
@@ -120,6 +122,12 @@
         self._served.clear()
         self._socket.close()
 
+    def leave(self) -> None:
+        """Has own orders gathered elsewhere, as this host is about to stop."""
+        self._own = self._own._replace(milli_cores=_LEAVING_CORES)
+        self._rank = rank(self._own)
+        self._follow_best()
+
     def submit(self, order: stage_graph.Order) -> Ticket:
         """Has an order run; its future gets `Made` or a `PieceFailure`."""
         self._number += 1
@@ -226,20 +234,20 @@
         self._place(ticket)
 
     def _follow_best(self) -> None:
-        """Moves orders to a better gathering host that has appeared.
+        """Moves orders to a better host that appeared, or from one that left.
 
         Hosts that gather side by side send calls to endpoints that the other
         one has filled.
         """
         peer = self._choose_peer() or self._own
         former, self._rank = self._rank, rank(peer)
-        if self._rank <= former:
-            return
-        moved = [
-            ticket
-            for ticket in [*self._tickets.values(), *self._local.values()]
-            if rank(ticket.peer or self._own) < self._rank
-        ]
+        live = {self._own.name, *(peer.name for peer in self._live_peers())}
+        moved = []
+        for ticket in [*self._tickets.values(), *self._local.values()]:
+            host = ticket.peer or self._own
+            is_lesser = self._rank > former and rank(host) < self._rank
+            if is_lesser or host.name not in live:
+                moved.append(ticket)
         for ticket in moved:
             self._move(ticket)
         if moved:
--- a/chervilarch/outcomes.py
+++ b/chervilarch/outcomes.py
@@ -32,6 +32,7 @@
     STAGE_FAILED = "stage-failed"
     CONNECTION_LOST = "connection-lost"
     ANSWER_NOT_KEPT = "answer-not-kept"
+    SHUTTING_DOWN = "shutting-down"
     INTERNAL = "internal"
 
 
--- a/chervilarch/serving.py
+++ b/chervilarch/serving.py
@@ -38,6 +38,11 @@
         for exchange in list(self._exchanges):
             exchange.leave("cut off by shutdown")
 
+    def cut_off(self) -> None:
+        """Answers all requests that are in flight, as the process ends."""
+        for exchange in list(self._exchanges):
+            exchange.cut_off()
+
     def limits(self) -> inbound.Limits:
         """Returns the limits in force."""
         book = self._ctrl.configuration.book
@@ -105,20 +110,32 @@
 
     def _time_out(self) -> None:
         """Answers at the deadline, whatever is under way."""
+        self._give_up(
+            outcomes.Reason.DEADLINE_PASSED,
+            "the deadline passed before the final call",
+            "no whole answer before the deadline",
+            "allow a longer deadline",
+        )
+
+    def cut_off(self) -> None:
+        """Answers before the process ends, whatever is under way."""
+        self._give_up(
+            outcomes.Reason.SHUTTING_DOWN,
+            "this host stops and the final call was not sent",
+            "this host stops and had no whole answer",
+            "send the request to another host",
+        )
+
+    def _give_up(
+        self, reason: outcomes.Reason, unsent: str, sent: str, remedy: str
+    ) -> None:
+        """Ends the request with what can be said of its final call."""
         if self._is_ended:
             return
         if self._req.sends == 0:
-            outcome: outcomes.Outcome = outcomes.NotRun(
-                outcomes.Reason.DEADLINE_PASSED,
-                "the deadline passed before the final call",
-                "allow a longer deadline",
-            )
+            outcome: outcomes.Outcome = outcomes.NotRun(reason, unsent, remedy)
         else:
-            outcome = outcomes.TooLate(
-                outcomes.Reason.DEADLINE_PASSED,
-                "no whole answer before the deadline",
-                "allow a longer deadline",
-            )
+            outcome = outcomes.TooLate(reason, sent, remedy)
         self._finish(outcome)
         self._task.cancel()
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -331,6 +331,52 @@
     conn.close()
 
 
+def read_status(world, conn):
+    """Returns the status of the answer that comes on a connection."""
+    conn.setblocking(False)
+    data = bytearray()
+
+    def is_read():
+        try:
+            data.extend(conn.recv(65536))
+        except BlockingIOError:
+            pass
+        return b"\r\n" in data
+
+    lh.run_until(world.loop, is_read)
+    return status(bytes(data))
+
+
+def test_what_is_cut_off_at_the_end_gets_an_answer(world):
+    conn, cut = start_a_call_that_hangs(world)
+    world.handler.cut_off()
+    assert world.phase.in_flight == 0
+    # It may have run: that promises nothing.
+    assert read_status(world, conn) == 504
+    lh.run_until(world.loop, lambda: cut == [b""])
+    conn.close()
+
+
+def test_what_waits_for_stages_at_the_end_is_refused(world):
+    waiting = []
+
+    def wait_for_end(conn):
+        lh.read_request(conn)
+        waiting.append(conn)
+        conn.recv(1)
+
+    world.endpoint("e1", serving_with(stream(events(1, 2))))
+    world.endpoint("m1", wait_for_end, pool="p1")
+    stages = [{"service": "p1", "after": [], "bytes": 100}]
+    services = [{"name": "s1"}, {"name": "p1", "pieces": PIECES}]
+    world.start(stream_route(stages=stages), services=services)
+    conn = world.send(KEY, ("Pieces", "1"), ("Piece-Key", "pk"))
+    lh.run_until(world.loop, lambda: waiting)
+    world.handler.cut_off()
+    assert read_status(world, conn) == 503
+    conn.close()
+
+
 def events(first, last):
     return b"".join(
         b"id: %d\ndata: e%d\n\n" % (n, n) for n in range(first, last + 1)
@@ -530,6 +576,26 @@
     assert len(second.calls) == 2
 
 
+def test_stages_made_again_in_the_middle_of_a_stream_are_known_as_such(world):
+    asked = []
+
+    def serve(conn):
+        asked.append(lh.read_request(conn))
+        first = len(asked)
+        conn.sendall(stream(events(first, first), ends=first == 2))
+
+    world.endpoint("e1", serve)
+    world.endpoint("e2", serve)
+    start_stages(world, stream_route, StageServer())
+    orders = []
+    submit = world.ctrl.stages.submit
+    world.ctrl.stages.submit = lambda what: orders.append(what) or submit(what)
+    got = world.ask(KEY, ("Pieces", "1,1"), ("Piece-Key", "pk"))
+    assert events(2, 2) in got
+    assert [what.is_begun for what in orders] == [False, True]
+    assert orders[1].objective_at > orders[0].objective_at
+
+
 def test_without_endpoints_for_a_stage_a_request_is_refused(world):
     world.endpoint("e1", serving_with(stream(events(1, 2))))
     stages = [{"service": "p1", "after": [], "bytes": 100}]
--- a/tests/test_gathering.py
+++ b/tests/test_gathering.py
@@ -174,13 +174,14 @@
 
 
 def test_messages_survive_the_wire():
+    what = order(now=100.0)._replace(is_begun=True)
     message = stage_messages.StageMessage(
-        stage_messages.Kind.SUBMIT, 7, order(now=100.0), (RESULT, RESULT)
+        stage_messages.Kind.SUBMIT, 7, what, (RESULT, RESULT)
     )
     frame = stage_messages.encode(KEY, message, 100.0)
     got = stage_messages.decode(KEY, frame, 200.0)
     assert got.results == (RESULT, RESULT)
-    assert got.order == order(now=200.0)
+    assert got.order == order(now=200.0)._replace(is_begun=True)
     bad = stage_messages.decode(b"x" * 16, frame, 0.0)
     assert isinstance(bad, messages.BadFrame)
     assert isinstance(
@@ -258,6 +259,19 @@
     assert local.future.result() == remote.future.result() == made
 
 
+def test_orders_leave_a_host_that_leaves(world):
+    loop, clock, (owner, second, third) = world
+    third.gatherer.submit(order(now=loop.now()))
+    lh.run_until(loop, lambda: owner.desk.runs)
+    held = ((0, (RESULT,)),)
+    owner.desk.runs[0].note_progress(held)
+    lh.settle(loop, 10)
+    third.peers.remove(owner.peer)
+    lh.advance(loop, clock, 0.6)
+    lh.run_until(loop, lambda: second.desk.runs and owner.desk.left)
+    assert second.desk.runs[0].order.made == held
+
+
 def test_orders_stay_while_the_gathering_host_does(world):
     loop, clock, (owner, second, third) = world
     third.gatherer.submit(order(now=loop.now()))
@@ -266,3 +280,27 @@
     lh.advance(loop, clock, 1.2)
     assert len(owner.desk.runs) == 1
     assert owner.desk.left == second.desk.runs == []
+
+
+def test_a_host_that_leaves_has_its_own_orders_gathered_elsewhere(world):
+    loop, _, (owner, second, _) = world
+    ticket = owner.gatherer.submit(order(now=loop.now()))
+    held = ((0, (RESULT,)),)
+    owner.desk.runs[0].note_progress(held)
+    owner.gatherer.leave()
+    lh.run_until(loop, lambda: second.desk.runs)
+    assert second.desk.runs[0].order.made == held
+    assert owner.desk.left == ["r1"]
+    made = stage_graph.Made((RESULT,))
+    tasks.resolve(second.desk.runs[0].future, made)
+    lh.run_until(loop, lambda: ticket.future.done())
+
+
+def test_a_host_that_leaves_alone_goes_on_with_its_orders(world):
+    loop, _, (owner, _, _) = world
+    owner.peers.clear()
+    owner.gatherer.submit(order(now=loop.now()))
+    owner.gatherer.leave()
+    assert owner.desk.left == [] and len(owner.desk.runs) == 1
+    owner.gatherer.submit(order("r2", now=loop.now()))
+    assert len(owner.desk.runs) == 2
