--- /dev/null
+++ b/bench/log_cost.py
@@ -0,0 +1,107 @@
+"""Processor time that a gateway's log costs a request.
+
+A real gateway serves the soak's callers with three budgets of lines: none,
+the gateway's own, and no bound.
+"""
+
+import argparse
+import asyncio
+import functools
+import pathlib
+import random
+import sys
+import tempfile
+
+from chervilarch import gateway_main, state_log
+from soak import callers, gateways, link, records, store, trouble, wire
+
+_BUDGETS = {
+    "no lines": 0,
+    "the gateway's budget": state_log.MAX_LINES_PER_S,
+    "no bound": 1_000_000,
+}
+# About 30 requests a second, as a host of the users' sites gets.
+_CALLERS = 8
+_START_TIMEOUT_S = 20.0
+_WARM_S = 2.0
+# For the links to end.
+_CLOSE_S = 0.2
+_IP = "127.91.1.1"
+_SEED = 7
+
+
+async def _play(
+    lines_per_s: int, seconds: float, folder: pathlib.Path
+) -> tuple[float, int]:
+    """Returns the processor time used, in seconds, and the requests."""
+    rng = random.Random(_SEED)
+    seen = records.Records()
+    source = store.StoreStandIn()
+    server = await asyncio.start_server(
+        lambda reader, writer: wire.serve(reader, writer, source.handle),
+        "127.0.0.1",
+        0,
+    )
+    store_link = link.Link(server.sockets[0].getsockname())
+    await store_link.start()
+    gateway = gateways.Gateway("gw-0", _IP, "a", folder, store_link, seen)
+    gateway.argv = [sys.executable, "-m", "bench.log_cost"]
+    gateway.argv += ["--serve", str(lines_per_s)]
+    world = trouble.World(source, [gateway], seen, rng, [])
+    await world.start()
+    tasks = [asyncio.create_task(gateway.run())]
+    tasks.append(asyncio.create_task(gateway.watch()))
+    try:
+        async with asyncio.timeout(_START_TIMEOUT_S):
+            while not gateway.is_in_rotation:
+                await asyncio.sleep(0.05)
+        for number in range(_CALLERS):
+            caller = callers.Caller(
+                number, [gateway], seen, random.Random(number)
+            )
+            tasks.append(asyncio.create_task(caller.run()))
+        await asyncio.sleep(_WARM_S)
+        used_s, answers = gateway.processor_s(), len(seen.answers)
+        await asyncio.sleep(seconds)
+        used_s = gateway.processor_s() - used_s
+        return used_s, len(seen.answers) - answers
+    finally:
+        gateway.stop()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        store_link.reset()
+        await asyncio.sleep(_CLOSE_S)
+        server.close()
+
+
+def main() -> int:
+    """Measures each budget in turn; returns the exit status."""
+    parser = argparse.ArgumentParser(prog="bench.log_cost", description=__doc__)
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--rounds", type=int, default=2)
+    parser.add_argument("--serve", type=int, help="run a gateway: lines/s")
+    args = parser.parse_args()
+    if args.serve is not None:
+        state_log.BoundedHandler = functools.partial(
+            state_log.BoundedHandler, max_lines_per_s=args.serve
+        )
+        return gateway_main.main([])
+    for number in range(args.rounds):
+        for name, lines_per_s in _BUDGETS.items():
+            with tempfile.TemporaryDirectory() as folder:
+                path = pathlib.Path(folder)
+                used_s, requests = asyncio.run(
+                    _play(lines_per_s, args.seconds, path)
+                )
+                lines = (path / "gw-0.log").read_bytes().count(b"\n")
+            print(
+                f"round {number + 1}, {name}: "
+                f"{1e6 * used_s / max(1, requests):.0f} us a request, "
+                f"{requests / args.seconds:.0f} requests/s, {lines} lines"
+            )
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -29,6 +29,7 @@
 
     Attributes:
         is_in_rotation: whether callers get new connections to it.
+        argv: the command that starts it.
     """
 
     def __init__(
@@ -43,6 +44,7 @@
         self.name = name
         self.store_link = store_link
         self.is_in_rotation = False
+        self.argv = [sys.executable, "-m", "chervilarch.gateway_main"]
         self._folder = folder
         self._seen = seen
         self._misses = 0
@@ -80,7 +82,7 @@
             began_at = time.monotonic()
             with open(self._folder / f"{self.name}.log", "ab") as log:
                 self._process = subprocess.Popen(
-                    [sys.executable, "-m", "chervilarch.gateway_main"],
+                    self.argv,
                     env={
                         **os.environ,
                         "CHERVILARCH_SETTINGS": str(self._settings),
@@ -120,6 +122,13 @@
         if number != signal.SIGHUP or _is_set_up(process.pid):
             process.send_signal(number)
 
+    def processor_s(self) -> float:
+        """Returns the processor time that the process has used, in seconds."""
+        text = pathlib.Path(f"/proc/{self._process.pid}/stat").read_text()
+        # After the name in brackets: fields 14 and 15 are the ticks used.
+        user, system = text.rpartition(")")[2].split()[11:13]
+        return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
+
     async def terminate(self) -> None:
         """Sends SIGTERM, and SIGKILL after the grace period."""
         process = self._process
