Split the tests of the gateway's whole path and of stages by what they test

The world of stand-ins is in gateway_world.py with its fixture in conftest.py; no test was changed but for the imports.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,8 @@
-"""Passes over the tests that KNOWN-RED.txt lists, and prints them."""
+"""Shared fixtures; passes over the tests that KNOWN-RED.txt lists."""
 
 import pathlib
 
+import gateway_world
 import pytest
 
 KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
@@ -25,3 +26,11 @@
 def pytest_report_header():
     """Prints the listed tests."""
     return [f"known red: {name}" for name in known_red()]
+
+
+@pytest.fixture
+def world():
+    """A gateway with its stand-ins; other modules have a world of their own."""
+    made = gateway_world.World()
+    yield made
+    made.close()
--- /dev/null
+++ b/tests/gateway_world.py
@@ -0,0 +1,209 @@
+"""A gateway with its store and stand-ins, for tests of its whole path."""
+
+import json
+import socket
+
+import loop_helpers as lh
+
+from chervilarch import (
+    clocks,
+    gateway,
+    gateway_settings,
+    inbound,
+    outgoing,
+    serving,
+    store,
+    telemetry,
+)
+from chervilarch import loop as loops
+
+LIMITS = {
+    "max_header_bytes": 16384,
+    "max_body_bytes": 4194304,
+    "header_timeout_ms": 3000,
+    "idle_timeout_ms": 15000,
+}
+BOUNDS = gateway_settings.GatewayBounds(2.0, 2.0, 8.0, 0.2, 56.0, 10.0)
+KEY = ("Authorization", "Bearer k1")
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class World:
+    """A gateway with its store and stand-ins."""
+
+    def __init__(self):
+        self.loop = loops.Loop(clocks.SystemClock())
+        self.store = lh.FakeStore()
+        self.servers = []
+        port = lh.free_ports(3)
+        cfg = gateway_settings.GatewaySettings(
+            "n1",
+            "dc1",
+            "127.0.0.1:0",
+            "127.0.0.1:0",
+            "127.0.0.1",
+            (port, port + 2),
+            0,
+            "127.0.0.1:1",
+            "test",
+            (),
+            0.0,
+            1.0,
+            BOUNDS,
+        )
+        self.meters = telemetry.Telemetry()
+        client = outgoing.Client(self.loop)
+        self.ctrl = gateway.build(
+            cfg, self.loop, self.meters, client, self.store
+        )
+        self.phase = serving.Phase()
+        self.handler = serving.CallerHandler(self.ctrl, self.phase)
+        self.server = inbound.Server(self.loop, "127.0.0.1:0", self.handler)
+
+    def close(self):
+        self.server.stop_accepting()
+        self.ctrl.stages.close()
+        self.ctrl.sharing.close()
+        for server in self.servers:
+            server.close()
+
+    def endpoint(self, name, serve, pool="s1", **fields):
+        """Adds a stand-in endpoint and lists it."""
+        server = lh.RawServer(serve)
+        self.servers.append(server)
+        entry = {
+            "service": pool,
+            "address": server.address,
+            "zone": "dc1",
+            "slots": 8,
+            "state": "ready",
+            "sequence": 1,
+            "born": 1,
+            **fields,
+        }
+        self.store.write(
+            store.Topic.ENDPOINTS, name, json.dumps(entry).encode()
+        )
+        return server
+
+    def start(self, *routes, services=({"name": "s1"},), tenants=True):
+        config = {
+            "version": 1,
+            "routes": list(routes),
+            "services": list(services),
+            "limits": LIMITS,
+        }
+        if tenants:
+            config["tenants"] = [{"name": "t1", "api_keys": ["k1"]}]
+        self.store.write(
+            store.Topic.CONFIGURATION, "config", json.dumps(config).encode()
+        )
+        self.ctrl.configuration.follower._pause_s = 0.05
+        self.ctrl.configuration.follower.start()
+        self.ctrl.endpoints.follower.start()
+
+    def send(self, *headers, method="POST", path="/x/1", body=b"in"):
+        conn = lh.connect(self.server.port)
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            "Host: a.example",
+            "Request-Id: id1",
+            "Deadline-Ms: 5000",
+            f"Content-Length: {len(body)}",
+            *(f"{name}: {value}" for name, value in headers),
+        ]
+        conn.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        return conn
+
+    def ask(self, *headers, **changes):
+        """Sends a request and returns the whole answer."""
+        conn = self.send(("Connection", "close"), *headers, **changes)
+        got = lh.receive(self.loop, conn, lambda data: b"<EOF>" in data)
+        return got.removesuffix(b"<EOF>")
+
+
+def route(**changes):
+    return {
+        "name": "r1",
+        "host": "a.example",
+        "path_prefix": "/x/",
+        "kind": "safe",
+        "timeout_ms": 4000,
+        "target_latency_ms": 1000,
+        "service": "s1",
+        "max_attempts": 2,
+        **changes,
+    }
+
+
+def stream_route(**changes):
+    return route(
+        kind="streaming", resumable=True, gap_aim_ms=500, sticky=True, **changes
+    )
+
+
+def answer(
+    status=200, body=b"out", request_id="id1", stamp="s1", extra="", cut=0
+):
+    head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body) + cut}\r\n"
+    if request_id:
+        head += f"Request-Id: {request_id}\r\n"
+    if stamp:
+        head += f"Response-Stamp: {stamp}\r\n"
+    return f"{head}{extra}\r\n".encode() + body
+
+
+def serving_with(data, seen=None):
+    def serve(conn):
+        request = lh.read_request(conn)
+        if seen is not None:
+            seen.append(request)
+        conn.sendall(data)
+
+    return serve
+
+
+def decline(seen=None):
+    data = answer(503, b"", stamp="", extra="Not-Executed: 1\r\n")
+    return serving_with(data, seen)
+
+
+def status(got):
+    return int(got.split(b" ")[1])
+
+
+def events(first, last):
+    return b"".join(
+        b"id: %d\ndata: e%d\n\n" % (n, n) for n in range(first, last + 1)
+    )
+
+
+def stream(data, ends=True):
+    head = (
+        b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        b"Request-Id: id1\r\nResponse-Stamp: s1\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n"
+    )
+    chunk = b"%x\r\n%s\r\n" % (len(data), data)
+    return head + chunk + (b"0\r\n\r\n" if ends else b"")
+
+
+def read_status(world, conn):
+    """Returns the status of the answer that comes on a connection."""
+    conn.setblocking(False)
+    data = bytearray()
+
+    def is_read():
+        try:
+            data.extend(conn.recv(65536))
+        except BlockingIOError:
+            pass
+        return b"\r\n" in data
+
+    lh.run_until(world.loop, is_read)
+    return status(bytes(data))
--- a/tests/loop_helpers.py
+++ b/tests/loop_helpers.py
@@ -7,7 +7,15 @@
 import time
 from collections.abc import Callable
 
-from chervilarch import clocks, endpoint_list, hosts, route_book, store, tasks
+from chervilarch import (
+    clocks,
+    endpoint_list,
+    hosts,
+    piece_queue,
+    route_book,
+    store,
+    tasks,
+)
 from chervilarch import loop as loops
 
 # No test waits so long unless it fails.
@@ -253,3 +261,27 @@
 
     run_until(loop, is_enough)
     return bytes(got)
+
+
+PIECE_LIMITS = route_book.PieceLimits(
+    slots=1,
+    queue=2,
+    batch=4,
+    call_s=0.15,
+    piece_s=0.03,
+    room_bytes=1000,
+    kept_s=4.0,
+)
+
+
+def piece_queue_of(*names, limits=PIECE_LIMITS, data_centres=()):
+    """Returns a queue with endpoints of these names."""
+    queue = piece_queue.PieceQueue("p", limits)
+    places = dict(zip(names, data_centres, strict=False))
+    queue.set_endpoints(
+        {
+            name: listing(name, data_centre=places.get(name, "dc1"))
+            for name in names
+        }
+    )
+    return queue
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -12,7 +12,7 @@
 
 import loop_helpers as lh
 import pytest
-from test_gateway import LIMITS, answer, free_port, route
+from gateway_world import LIMITS, answer, free_port, route
 
 from chervilarch.exits import ExitStatus
 
--- /dev/null
+++ b/tests/test_gateway_stages.py
@@ -0,0 +1,154 @@
+"""Stages before the final call, over the whole path of the gateway."""
+
+import json
+
+import loop_helpers as lh
+from gateway_world import (
+    KEY,
+    answer,
+    events,
+    read_status,
+    serving_with,
+    status,
+    stream,
+    stream_route,
+)
+
+PIECES = {
+    "slots": 1,
+    "queue": 2,
+    "batch": 4,
+    "call_ms": 50.0,
+    "item_ms": 5.0,
+    "headroom_mb": 1.0,
+    "handle_s": 4.0,
+}
+
+
+class StageServer:
+    """Makes pieces; `lost` handles are named as gone."""
+
+    def __init__(self):
+        self.calls = []
+        self.freed = []
+
+    def serve(self, conn):
+        request = lh.read_request(conn)
+        path = request.split(b" ")[1]
+        document = json.loads(request.partition(b"\r\n\r\n")[2])
+        if path.endswith(b"stage-free"):
+            self.freed += document["handles"]
+            conn.sendall(answer(200, b"{}"))
+            return
+        self.calls.append(document["items"])
+        made = [
+            {"handle": f"h{item['stage']}.{item['piece']}.{item['id']}"}
+            for item in document["items"]
+        ]
+        conn.sendall(answer(200, json.dumps({"items": made}).encode()))
+
+
+def start_stages(world, route_of, second):
+    stages = [
+        {"service": "p1", "after": [], "bytes": 100},
+        {"service": "p2", "after": [0], "bytes": 100},
+    ]
+    services = [
+        {"name": "s1"},
+        {"name": "p1", "pieces": PIECES},
+        {"name": "p2", "pieces": PIECES},
+    ]
+    first = StageServer()
+    world.endpoint("m1", first.serve, pool="p1")
+    world.endpoint("m2", second.serve, pool="p2")
+    world.start(route_of(stages=stages), services=services)
+    return first
+
+
+def test_stages_run_before_the_call_and_their_results_are_freed(world):
+    seen = []
+    second = StageServer()
+    world.endpoint("e1", serving_with(stream(events(1, 2)), seen))
+    first = start_stages(world, stream_route, second)
+    got = world.ask(KEY, ("Pieces", "2,1"), ("Piece-Key", "pk"))
+    assert events(1, 2) in got
+    assert [item["key"] for item in first.calls[0]] == ["pk", "pk"]
+    assert second.calls[0][0]["inputs"] == ["h0.0.id1", "h0.1.id1"]
+    assert b"Inputs: h1.0.id1\r\n" in seen[0]
+    lh.run_until(
+        world.loop,
+        lambda: (
+            sorted(first.freed + second.freed)
+            == ["h0.0.id1", "h0.1.id1", "h1.0.id1"]
+        ),
+    )
+
+
+def test_results_that_an_engine_misses_are_made_again(world):
+    seen = []
+
+    def serve(conn):
+        request = lh.read_request(conn)
+        seen.append(request)
+        if len(seen) == 1:
+            gone = answer(409, b"", stamp="", extra="Not-Executed: 1\r\n")
+            conn.sendall(gone)
+        else:
+            conn.sendall(stream(events(1, 2)))
+
+    second = StageServer()
+    world.endpoint("e1", serve)
+    world.endpoint("e2", serve)
+    start_stages(world, stream_route, second)
+    got = world.ask(KEY, ("Pieces", "1,1"), ("Piece-Key", "pk"))
+    assert events(1, 2) in got
+    assert len(second.calls) == 2
+
+
+def test_stages_made_again_in_the_middle_of_a_stream_are_known_as_such(world):
+    asked = []
+
+    def serve(conn):
+        asked.append(lh.read_request(conn))
+        first = len(asked)
+        conn.sendall(stream(events(first, first), ends=first == 2))
+
+    world.endpoint("e1", serve)
+    world.endpoint("e2", serve)
+    start_stages(world, stream_route, StageServer())
+    orders = []
+    submit = world.ctrl.stages.submit
+    world.ctrl.stages.submit = lambda what: orders.append(what) or submit(what)
+    got = world.ask(KEY, ("Pieces", "1,1"), ("Piece-Key", "pk"))
+    assert events(2, 2) in got
+    assert [what.is_begun for what in orders] == [False, True]
+    assert orders[1].objective_at > orders[0].objective_at
+
+
+def test_without_endpoints_for_a_stage_a_request_is_refused(world):
+    world.endpoint("e1", serving_with(stream(events(1, 2))))
+    stages = [{"service": "p1", "after": [], "bytes": 100}]
+    services = [{"name": "s1"}, {"name": "p1", "pieces": PIECES}]
+    world.start(stream_route(stages=stages), services=services)
+    got = world.ask(KEY, ("Pieces", "1"), ("Piece-Key", "pk"))
+    assert status(got) == 503 and b"retry-after" in got.lower()
+
+
+def test_what_waits_for_stages_at_the_end_is_refused(world):
+    waiting = []
+
+    def wait_for_end(conn):
+        lh.read_request(conn)
+        waiting.append(conn)
+        conn.recv(1)
+
+    world.endpoint("e1", serving_with(stream(events(1, 2))))
+    world.endpoint("m1", wait_for_end, pool="p1")
+    stages = [{"service": "p1", "after": [], "bytes": 100}]
+    services = [{"name": "s1"}, {"name": "p1", "pieces": PIECES}]
+    world.start(stream_route(stages=stages), services=services)
+    conn = world.send(KEY, ("Pieces", "1"), ("Piece-Key", "pk"))
+    lh.run_until(world.loop, lambda: waiting)
+    world.handler.cut_off()
+    assert read_status(world, conn) == 503
+    conn.close()
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -1,28 +1,12 @@
-"""The queue of stage work and the graph of a request's stages."""
-
-import random
+"""The queue of stage work."""
 
 import loop_helpers as lh
-import pytest
 
 from chervilarch import (
-    piece_queue,
     pieces,
-    placement,
-    route_book,
-    stage_desk,
-    stage_graph,
 )
 
-LIMITS = route_book.PieceLimits(
-    slots=1,
-    queue=2,
-    batch=4,
-    call_s=0.15,
-    piece_s=0.03,
-    room_bytes=1000,
-    kept_s=4.0,
-)
+LIMITS = lh.PIECE_LIMITS
 
 
 def job(name="r1", count=2, aim_at=10.0, priority=1, size=0, **changes):
@@ -32,24 +16,12 @@
     return pieces.PendingJob(plain._replace(**changes))
 
 
-def queue_of(*names, limits=LIMITS, data_centres=()):
-    queue = piece_queue.PieceQueue("p", limits)
-    places = dict(zip(names, data_centres, strict=False))
-    queue.set_endpoints(
-        {
-            name: lh.listing(name, data_centre=places.get(name, "dc1"))
-            for name in names
-        }
-    )
-    return queue
-
-
 def taken(batch):
     return [(pending.job.request_id, piece) for pending, piece in batch.pieces]
 
 
 def test_pieces_of_several_requests_share_a_call():
-    queue = queue_of("e1")
+    queue = lh.piece_queue_of("e1")
     queue.add(job("a", 2))
     queue.add(job("b", 3))
     assert taken(queue.next_batch(0.0)) == [
@@ -63,7 +35,7 @@
 
 
 def test_timely_jobs_go_before_late_ones_then_by_priority():
-    queue = queue_of("e1")
+    queue = lh.piece_queue_of("e1")
     queue.add(job("late", 1, aim_at=1.0, priority=0))
     queue.add(job("low", 1, priority=2))
     queue.add(job("high", 1, priority=0))
@@ -72,7 +44,7 @@
 
 
 def test_a_begun_job_goes_first():
-    queue = queue_of("e1")
+    queue = lh.piece_queue_of("e1")
     begun = job("begun", 5, priority=9)
     queue.add(begun)
     queue.finish(queue.next_batch(0.0))
@@ -81,7 +53,7 @@
 
 
 def test_a_job_is_begun_only_with_room_for_all_of_it():
-    queue = queue_of("e1")
+    queue = lh.piece_queue_of("e1")
     queue.add(job("large", 5, size=200))
     assert queue.next_batch(0.0) is None
     queue.add(job("small", 2, size=100, priority=5))
@@ -89,7 +61,7 @@
 
 
 def test_room_is_taken_until_results_are_freed_or_expire():
-    queue = queue_of("e1")
+    queue = lh.piece_queue_of("e1")
     maker = queue.makers["e1"]
     maker.keep("h1", 900, until=4.0)
     queue.add(job("a", 1, size=200))
@@ -111,7 +83,7 @@
 
 
 def test_a_slow_endpoint_stays_idle_if_a_busy_one_ends_sooner():
-    queue = queue_of("fast", "slow")
+    queue = lh.piece_queue_of("fast", "slow")
     queue.makers["slow"].slowness = 8.0
     queue.add(job("a", 1))
     assert queue.next_batch(0.0).maker is queue.makers["fast"]
@@ -123,7 +95,7 @@
 
 
 def test_a_job_goes_near_its_inputs_and_waits_a_little_for_that():
-    queue = queue_of("e1", "e2", data_centres=("dc1", "dc2"))
+    queue = lh.piece_queue_of("e1", "e2", data_centres=("dc1", "dc2"))
     near = (("dc2", 8_000_000),)
     queue.add(job("a", 1, near=near))
     assert queue.next_batch(0.0).maker is queue.makers["e2"]
@@ -136,7 +108,7 @@
 
 
 def test_a_job_without_time_to_spare_waits_for_no_near_endpoint():
-    queue = queue_of("e1", "e2", data_centres=("dc1", "dc2"))
+    queue = lh.piece_queue_of("e1", "e2", data_centres=("dc1", "dc2"))
     near = (("dc2", 8_000_000),)
     queue.add(job("a", 1, near=near))
     queue.next_batch(0.0)
@@ -145,7 +117,7 @@
 
 
 def test_a_failed_endpoint_rests_and_longer_each_time():
-    queue = queue_of("e1")
+    queue = lh.piece_queue_of("e1")
     maker = queue.makers["e1"]
     first, second = maker.note_failure(0.0), maker.note_failure(1.0)
     assert second == 2 * first
@@ -155,7 +127,7 @@
 
 
 def test_an_endpoint_full_of_others_results_rests_longer_each_time():
-    queue = queue_of("e1")
+    queue = lh.piece_queue_of("e1")
     maker = queue.makers["e1"]
     queue.rest_full(maker, 0.0)
     first = maker.resting_until
@@ -170,7 +142,7 @@
 
 
 def test_a_suspect_endpoint_gets_small_calls_until_one_is_in_time():
-    queue = queue_of("e1")
+    queue = lh.piece_queue_of("e1")
     maker = queue.makers["e1"]
     maker.note_failure(0.0)
     queue.add(job("a", 8))
@@ -182,7 +154,7 @@
 
 
 def test_begun_jobs_that_block_each_other_give_up_results():
-    queue = queue_of("e1")
+    queue = lh.piece_queue_of("e1")
     maker = queue.makers["e1"]
     stuck = [job(name, 2, size=400, priority=n) for n, name in enumerate("ab")]
     for pending in stuck:
@@ -201,7 +173,7 @@
 
 
 def test_jobs_past_their_deadline_are_handed_back():
-    queue = queue_of("e1")
+    queue = lh.piece_queue_of("e1")
     late = job("late", 1, deadline_at=1.0)
     queue.add(late)
     assert queue.expire(0.5) == []
@@ -215,250 +187,3 @@
     assert pending.take_result(0, result)
     assert not pending.take_result(0, result._replace(handle="h2"))
     assert pending.future.result() == (result,)
-
-
-MADE_BEFORE = pieces.PieceResult("h", "e", "x", "dc1", "p")
-
-
-class FakeRunner:
-    """Takes jobs; the test ends them."""
-
-    def __init__(self):
-        self.jobs: dict[int, list[pieces.PendingJob]] = {}
-        self.freed: list[str] = []
-        self.adopted: list[str] = []
-        self.progress: list[stage_graph.StageResults] = []
-        self.queues = {"p": queue_of("e1"), "q": queue_of("e2")}
-        self.on_pumped = None
-
-    def queue(self, pool):
-        return self.queues.get(pool)
-
-    def submit(self, new):
-        pending = pieces.PendingJob(new)
-        self.jobs.setdefault(new.stage, []).append(pending)
-        return pending
-
-    def cancel(self, pending):
-        pending.end(pieces.PieceFailure(pieces.FAILED))
-
-    def adopt(self, results, result_bytes):
-        self.adopted += [result.handle for result in results]
-
-    def free(self, results):
-        self.freed += [result.handle for result in results]
-
-    def make(self, stage):
-        """Ends the newest job of a stage with results."""
-        pending = self.jobs[stage][-1]
-        times = len(self.jobs[stage])
-        for piece in range(pending.job.count):
-            handle = f"s{stage}.{piece}.{times}"
-            pending.take_result(
-                piece, pieces.PieceResult(handle, "e1", "x", "dc1", "p")
-            )
-
-
-def need(pool, after=(), count=1):
-    return stage_graph.StageNeed(pool, after, count, 10)
-
-
-def order(*stages, objective_at=100.0, deadline_at=200.0, name="r1"):
-    return stage_graph.Order(name, "key", 1, objective_at, deadline_at, stages)
-
-
-def start(runner, what):
-    from chervilarch import tasks
-
-    return tasks.Task(
-        stage_graph.StageRun(runner, what, runner.progress.append).run()
-    )
-
-
-def test_a_chain_runs_each_stage_once_and_frees_what_was_used():
-    runner = FakeRunner()
-    task = start(runner, order(need("p"), need("q", (0,), 2), need("p", (1,))))
-    for stage in range(3):
-        assert list(runner.jobs) == list(range(stage + 1))
-        runner.make(stage)
-    assert [result.handle for result in task.future.result()] == ["s2.0.1"]
-    assert runner.freed == ["s0.0.1", "s1.0.1", "s1.1.1"]
-    assert all(len(jobs) == 1 for jobs in runner.jobs.values())
-    assert runner.jobs[1][0].job.inputs == ("s0.0.1",)
-    assert runner.jobs[2][0].job.inputs == ("s1.0.1", "s1.1.1")
-
-
-def test_a_final_stage_waits_for_the_longest_chain():
-    runner = FakeRunner()
-    task = start(runner, order(need("p"), need("p"), need("q", (1,))))
-    assert list(runner.jobs) == [1]
-    runner.make(1)
-    assert set(runner.jobs) == {0, 1, 2}
-    runner.make(2)
-    runner.make(0)
-    handles = [result.handle for result in task.future.result()]
-    assert handles == ["s0.0.1", "s2.0.1"]
-
-
-def test_a_stage_left_out_is_no_input():
-    runner = FakeRunner()
-    task = start(runner, order(need("p", count=0), need("q", (0,))))
-    assert runner.jobs[1][0].job.inputs == ()
-    runner.make(1)
-    assert len(task.future.result()) == 1
-
-
-def test_lost_inputs_are_made_again_but_not_for_ever():
-    runner = FakeRunner()
-    task = start(runner, order(need("p"), need("q", (0,))))
-    for _ in range(3):
-        runner.make(0)
-        runner.jobs[1][-1].end(pieces.PieceFailure(pieces.INPUT_GONE))
-    assert len(runner.jobs[0]) == 3
-    assert task.future.result().reason == pieces.INPUT_GONE
-
-
-def test_a_cancelled_order_frees_what_was_made():
-    runner = FakeRunner()
-    task = start(runner, order(need("p"), need("p")))
-    runner.make(0)
-    task.cancel()
-    assert runner.freed == ["s0.0.1"]
-    assert runner.queues["p"].pledged == 0
-
-
-def test_an_order_goes_on_with_what_another_host_had_made():
-    runner = FakeRunner()
-    whole = order(need("p"), need("q", (0,), 2), need("p", (1,)))
-    start(runner, whole)
-    runner.make(0)
-    runner.make(1)
-    held = runner.progress[-1]
-    assert [number for number, _ in held] == [1]
-    other = FakeRunner()
-    moved = whole._replace(made=held)
-    assert moved.unmade() == [2] and whole.unmade() == [0, 1, 2]
-    task = start(other, moved)
-    assert other.adopted == ["s1.0.1", "s1.1.1"] and list(other.jobs) == [2]
-    other.make(2)
-    assert [result.handle for result in task.future.result()] == ["s2.0.1"]
-    assert other.freed == ["s1.0.1", "s1.1.1"]
-
-
-def test_adopted_results_that_are_gone_are_made_again():
-    runner = FakeRunner()
-    result = pieces.PieceResult("old", "e1", "x", "dc1", "p")
-    what = order(need("p"), need("q", (0,)))._replace(made=((0, (result,)),))
-    start(runner, what)
-    assert list(runner.jobs) == [1]
-    runner.jobs[1][-1].end(pieces.PieceFailure(pieces.INPUT_GONE))
-    assert set(runner.jobs) == {0, 1}
-
-
-def test_an_order_that_moved_on_leaves_its_results(desk):
-    made, runner, loop, _ = desk
-    now = loop.now()
-    run = made.run(
-        order(
-            need("p"),
-            need("q", (0,)),
-            objective_at=now + 100,
-            deadline_at=now + 200,
-        )
-    )
-    runner.make(0)
-    assert [number for number, _ in run.progress] == [0]
-    made.leave(run)
-    assert runner.freed == []
-
-
-@pytest.fixture
-def desk():
-    loop, clock = lh.new_loop()
-    runner = FakeRunner()
-    engines = placement.Placement("dc1", clock, random.Random(1))
-    listed = {name: lh.listing(name, "s") for name in ("e8", "e9")}
-    engines.set_endpoints({"s": listed})
-    yield stage_desk.StageDesk(loop, runner, engines), runner, loop, clock
-    loop.close()
-
-
-def test_an_order_that_cannot_be_on_time_is_held_until_there_is_room(desk):
-    service, runner, loop, _ = desk
-    runner.queues["p"].pledged = 40
-    now = loop.now()
-    run = service.run(
-        order(need("p"), objective_at=now + 1.0, deadline_at=now + 60.0)
-    )
-    assert runner.jobs == {}
-    lh.settle(loop)
-    assert runner.jobs == {}
-    runner.queues["p"].pledged = 0
-    runner.on_pumped()
-    lh.settle(loop)
-    runner.make(0)
-    assert len(run.future.result().results) == 1
-
-
-def test_an_order_is_held_for_a_moment_only(desk):
-    service, runner, loop, clock = desk
-    runner.queues["p"].pledged = 40
-    now = loop.now()
-    run = service.run(
-        order(need("p"), objective_at=now + 1.0, deadline_at=now + 60.0)
-    )
-    lh.settle(loop)
-    assert not run.future.done()
-    lh.advance(loop, clock, 0.3)
-    failure = run.future.result()
-    assert failure.reason == pieces.OVERLOADED
-    # Callers honour up to a third of the time that they have left.
-    assert 60.0 / 4 < failure.retry_after_s < 59.0 / 3
-
-
-@pytest.mark.parametrize(
-    "begun", [{"is_begun": True}, {"made": ((0, (MADE_BEFORE,)),)}]
-)
-def test_what_was_begun_is_not_refused_for_being_late(desk, begun):
-    service, runner, loop, clock = desk
-    runner.queues["p"].pledged = 40
-    now = loop.now()
-    what = order(
-        need("p"),
-        need("p", after=(0,)),
-        objective_at=now - 1.0,
-        deadline_at=now + 60.0,
-    )
-    run = service.run(what._replace(**begun))
-    lh.advance(loop, clock, 0.5)
-    assert not run.future.done() and len(runner.jobs) == 1
-
-
-def test_a_hopeless_order_is_refused_at_once_with_a_time_to_come_back(desk):
-    service, runner, loop, _ = desk
-    runner.queues["p"].pledged = 400
-    now = loop.now()
-    run = service.run(
-        order(need("p"), objective_at=now + 1.0, deadline_at=now + 2.0)
-    )
-    failure = run.future.result()
-    assert failure.reason == pieces.OVERLOADED
-    assert failure.retry_after_s > 0
-
-
-def test_prompts_of_all_orders_are_spread_over_the_engines(desk):
-    service, runner, loop, _ = desk
-    prompt = stage_graph.Prompt("s", b"same", 6000, 1000)
-    engines = []
-    for number in range(10):
-        now = loop.now()
-        what = order(need("p"), objective_at=now + 50, deadline_at=now + 60)
-        run = service.run(what._replace(prompt=prompt))
-        runner.jobs[0][-1].take_result(
-            0, pieces.PieceResult(f"h{number}", "e1", "x", "dc1", "p")
-        )
-        engines.append(run.future.result().engine)
-    assert set(engines) == {"e8", "e9"}
-    results = run.future.result().results
-    service.free(results)
-    assert runner.freed == ["h9"]
