--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -10,6 +10,7 @@
     placement,
     stage_desk,
     stage_graph,
+    tasks,
 )
 
 MADE_BEFORE = pieces.PieceResult("h", "e", "x", "dc1", "p")
@@ -66,8 +67,6 @@
 
 
 def start(runner, what):
-    from chervilarch import tasks
-
     return tasks.Task(
         stage_graph.StageRun(runner, what, runner.progress.append).run()
     )
@@ -128,7 +127,7 @@
 def test_an_order_goes_on_with_what_another_host_had_made():
     runner = FakeRunner()
     whole = order(need("p"), need("q", (0,), 2), need("p", (1,)))
-    start(runner, whole)
+    former = start(runner, whole)
     runner.make(0)
     runner.make(1)
     held = runner.progress[-1]
@@ -141,16 +140,18 @@
     other.make(2)
     assert [result.handle for result in task.future.result()] == ["s2.0.1"]
     assert other.freed == ["s1.0.1", "s1.1.1"]
+    former.cancel()
 
 
 def test_adopted_results_that_are_gone_are_made_again():
     runner = FakeRunner()
     result = pieces.PieceResult("old", "e1", "x", "dc1", "p")
     what = order(need("p"), need("q", (0,)))._replace(made=((0, (result,)),))
-    start(runner, what)
+    task = start(runner, what)
     assert list(runner.jobs) == [1]
     runner.jobs[1][-1].end(pieces.PieceFailure(pieces.INPUT_GONE))
     assert set(runner.jobs) == {0, 1}
+    task.cancel()
 
 
 def test_an_order_that_moved_on_leaves_its_results(desk):
