--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -105,7 +105,6 @@
 
     def _close(self) -> None:
         """Ends what still runs, so that nothing is left half done."""
-        self._handler.close()
         self._ctrl.stages.close()
         self._ctrl.fleet.stop()
         self._ctrl.sharing.close()
--- a/chervilarch/serving.py
+++ b/chervilarch/serving.py
@@ -33,11 +33,6 @@
         self._phase = phase
         self._exchanges: set[_Exchange] = set()
 
-    def close(self) -> None:
-        """Stops the work for all requests that are in flight."""
-        for exchange in list(self._exchanges):
-            exchange.leave("cut off by shutdown")
-
     def cut_off(self) -> None:
         """Answers all requests that are in flight, as the process ends."""
         for exchange in list(self._exchanges):
@@ -102,10 +97,10 @@
                 self._req.deadline_at - _ANSWER_MARGIN_S, self._time_out
             )
 
-    def leave(self, outcome: str = "caller left") -> None:
+    def leave(self) -> None:
         """Stops the work for a caller that gets no answer any more."""
         if not self._is_ended:
-            self._end(outcome)
+            self._end("caller left")
             self._task.cancel()
 
     def _time_out(self) -> None:
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -1,7 +1,6 @@
 """A gateway with its store and stand-ins, for tests of its whole path."""
 
 import json
-import socket
 
 import loop_helpers as lh
 
@@ -27,12 +26,6 @@
 KEY = ("Authorization", "Bearer k1")
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 class World:
     """A gateway with its store and stand-ins."""
 
@@ -158,19 +151,9 @@
     return f"{head}{extra}\r\n".encode() + body
 
 
-def serving_with(data, seen=None):
-    def serve(conn):
-        request = lh.read_request(conn)
-        if seen is not None:
-            seen.append(request)
-        conn.sendall(data)
-
-    return serve
-
-
 def decline(seen=None):
     data = answer(503, b"", stamp="", extra="Not-Executed: 1\r\n")
-    return serving_with(data, seen)
+    return lh.serving_with(data, seen)
 
 
 def status(got):
--- a/tests/loop_helpers.py
+++ b/tests/loop_helpers.py
@@ -212,6 +212,18 @@
                 return
 
 
+def serving_with(data, seen=None):
+    """Returns what serves a connection: reads a request, answers with data."""
+
+    def serve(conn):
+        request = read_request(conn)
+        if seen is not None:
+            seen.append(request)
+        conn.sendall(data)
+
+    return serve
+
+
 def read_request(conn: socket.socket) -> bytes:
     """Reads a request's head and its body by length."""
     data = b""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -13,7 +13,6 @@
     events,
     read_status,
     route,
-    serving_with,
     status,
     stream,
     stream_route,
@@ -22,7 +21,7 @@
 
 def test_a_request_passes_unchanged_and_its_answer_too(world):
     seen = []
-    world.endpoint("e1", serving_with(answer(), seen))
+    world.endpoint("e1", lh.serving_with(answer(), seen))
     world.start(route())
     got = world.ask(KEY, ("X-App", "1"), path="/x/a%20b?q=%2F..")
     assert status(got) == 200 and got.endswith(b"out")
@@ -42,7 +41,7 @@
 def test_what_the_configuration_does_not_allow_is_refused(
     world, headers, path, expected
 ):
-    world.endpoint("e1", serving_with(answer()))
+    world.endpoint("e1", lh.serving_with(answer()))
     world.start(route())
     assert status(world.ask(*headers, path=path)) == expected
 
@@ -63,15 +62,15 @@
     ],
 )
 def test_what_is_no_answer_to_this_request_is_never_passed_on(world, bad):
-    world.endpoint("e1", serving_with(bad))
+    world.endpoint("e1", lh.serving_with(bad))
     world.start(route(kind="non_idempotent"))
     assert status(world.ask(KEY)) == 502
 
 
 def test_a_call_that_may_run_once_is_sent_once_however_it_ends(world):
     seen = []
-    world.endpoint("e1", serving_with(b"", seen))
-    world.endpoint("e2", serving_with(b"", seen))
+    world.endpoint("e1", lh.serving_with(b"", seen))
+    world.endpoint("e2", lh.serving_with(b"", seen))
     world.start(route(kind="non_idempotent"))
     assert status(world.ask(KEY)) == 502
     assert len(seen) == 1
@@ -80,7 +79,7 @@
 def test_a_declined_call_goes_on_to_another_endpoint(world):
     seen = []
     world.endpoint("e1", decline(seen))
-    world.endpoint("e2", serving_with(answer(), seen))
+    world.endpoint("e2", lh.serving_with(answer(), seen))
     world.start(route(kind="non_idempotent"))
     for _ in range(4):
         assert status(world.ask(KEY)) == 200
@@ -94,14 +93,14 @@
 
 
 def test_a_fault_of_one_endpoint_is_made_good_by_another(world):
-    world.endpoint("e1", serving_with(answer(500, b"sorry")))
-    world.endpoint("e2", serving_with(answer()))
+    world.endpoint("e1", lh.serving_with(answer(500, b"sorry")))
+    world.endpoint("e2", lh.serving_with(answer()))
     world.start(route())
     assert {status(world.ask(KEY)) for _ in range(4)} == {200}
 
 
 def test_a_fault_that_may_not_be_repeated_is_passed_on_as_it_is(world):
-    world.endpoint("e1", serving_with(answer(500, b"sorry", stamp="s9")))
+    world.endpoint("e1", lh.serving_with(answer(500, b"sorry", stamp="s9")))
     world.start(route(kind="non_idempotent"))
     got = world.ask(KEY)
     assert status(got) == 500 and got.endswith(b"sorry")
@@ -111,8 +110,8 @@
 def test_an_address_in_other_use_is_not_asked_again(world):
     seen = []
     taken = answer(421, b"", stamp="", extra="Instance-Id: other\r\n")
-    world.endpoint("e1", serving_with(taken, seen))
-    world.endpoint("e2", serving_with(answer()))
+    world.endpoint("e1", lh.serving_with(taken, seen))
+    world.endpoint("e2", lh.serving_with(answer()))
     world.start(route())
     for _ in range(4):
         assert status(world.ask(KEY)) == 200
@@ -154,7 +153,7 @@
 
 def test_what_is_in_flight_at_the_end_is_stopped_in_order(world):
     conn, cut = start_a_call_that_hangs(world)
-    world.handler.close()
+    world.handler.cut_off()
     world.ctrl.stages.close()
     world.ctrl.client.close()
     lh.run_until(world.loop, lambda: cut == [b""])
@@ -173,7 +172,7 @@
 
 
 def test_a_stream_is_passed_on_whole(world):
-    world.endpoint("e1", serving_with(stream(events(1, 5))))
+    world.endpoint("e1", lh.serving_with(stream(events(1, 5))))
     world.start(stream_route())
     got = world.ask(KEY)
     assert events(1, 5) in got and got.endswith(b"0\r\n\r\n")
@@ -256,8 +255,8 @@
 def test_a_stream_that_may_not_be_resumed_never_looks_whole(world, ends):
     seen = []
     part = events(1, 2) + b"id: 3\ndat"
-    world.endpoint("e1", serving_with(stream(part, ends), seen))
-    world.endpoint("e2", serving_with(stream(part, ends), seen))
+    world.endpoint("e1", lh.serving_with(stream(part, ends), seen))
+    world.endpoint("e2", lh.serving_with(stream(part, ends), seen))
     world.start({**stream_route(), "resumable": False})
     got = world.ask(KEY)
     assert events(1, 2) in got and not got.endswith(b"0\r\n\r\n")
@@ -265,7 +264,7 @@
 
 
 def test_the_metrics_page_counts_what_happened(world):
-    world.endpoint("e1", serving_with(answer()))
+    world.endpoint("e1", lh.serving_with(answer()))
     world.start(route())
     world.ask(KEY)
     text = world.meters.text().decode()
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -12,7 +12,7 @@
 
 import loop_helpers as lh
 import pytest
-from gateway_world import LIMITS, answer, free_port, route
+from gateway_world import LIMITS, answer, route
 
 from chervilarch.exits import ExitStatus
 
@@ -63,7 +63,7 @@
 @pytest.fixture
 def gateway(tmp_path):
     store = StoreServer()
-    ports = [free_port() for _ in range(3)]
+    ports = [lh.free_ports(1) for _ in range(3)]
     peer = lh.free_ports(3)
     settings = {
         "host": "n1",
--- a/tests/test_gateway_stages.py
+++ b/tests/test_gateway_stages.py
@@ -8,7 +8,6 @@
     answer,
     events,
     read_status,
-    serving_with,
     status,
     stream,
     stream_route,
@@ -68,7 +67,7 @@
 def test_stages_run_before_the_call_and_their_results_are_freed(world):
     seen = []
     second = StageServer()
-    world.endpoint("e1", serving_with(stream(events(1, 2)), seen))
+    world.endpoint("e1", lh.serving_with(stream(events(1, 2)), seen))
     first = start_stages(world, stream_route, second)
     got = world.ask(KEY, ("Pieces", "2,1"), ("Piece-Key", "pk"))
     assert events(1, 2) in got
@@ -126,7 +125,7 @@
 
 
 def test_without_endpoints_for_a_stage_a_request_is_refused(world):
-    world.endpoint("e1", serving_with(stream(events(1, 2))))
+    world.endpoint("e1", lh.serving_with(stream(events(1, 2))))
     stages = [{"service": "p1", "after": [], "bytes": 100}]
     services = [{"name": "s1"}, {"name": "p1", "pieces": PIECES}]
     world.start(stream_route(stages=stages), services=services)
@@ -142,7 +141,7 @@
         waiting.append(conn)
         conn.recv(1)
 
-    world.endpoint("e1", serving_with(stream(events(1, 2))))
+    world.endpoint("e1", lh.serving_with(stream(events(1, 2))))
     world.endpoint("m1", wait_for_end, pool="p1")
     stages = [{"service": "p1", "after": [], "bytes": 100}]
     services = [{"name": "s1"}, {"name": "p1", "pieces": PIECES}]
--- a/tests/test_outgoing.py
+++ b/tests/test_outgoing.py
@@ -26,13 +26,7 @@
 
 
 def replying(data, seen=None):
-    def serve(conn):
-        request = lh.read_request(conn)
-        if seen is not None:
-            seen.append(request)
-        conn.sendall(data)
-
-    return lh.RawServer(serve)
+    return lh.RawServer(lh.serving_with(data, seen))
 
 
 def test_a_reply_is_whole_and_stray_bytes_after_it_belong_to_nobody(world):
