Start the soak's stand-ins in one place for the soak and the log's bench

Both repeated the start of the store and the wait for readiness; three tests of the desk repeated an order.

--- a/bench/log_cost.py
+++ b/bench/log_cost.py
@@ -13,7 +13,7 @@
 import tempfile
 
 from chervilarch import gateway_main, state_log
-from soak import callers, gateways, link, records, store, trouble, wire
+from soak import callers, gateways, link, records, store, trouble
 
 _BUDGETS = {
     "no lines": 0,
@@ -22,7 +22,6 @@
 }
 # About 30 requests a second, as a host of the users' sites gets.
 _CALLERS = 8
-_START_TIMEOUT_S = 20.0
 _WARM_S = 2.0
 # For the links to end.
 _CLOSE_S = 0.2
@@ -37,12 +36,7 @@
     rng = random.Random(_SEED)
     seen = records.Records()
     source = store.StoreStandIn()
-    server = await asyncio.start_server(
-        lambda reader, writer: wire.serve(reader, writer, source.handle),
-        "127.0.0.1",
-        0,
-    )
-    store_link = link.Link(server.sockets[0].getsockname())
+    store_link = link.Link(await source.start())
     await store_link.start()
     gateway = gateways.Gateway("gw-0", _IP, "a", folder, store_link, seen)
     gateway.argv = [sys.executable, "-m", "bench.log_cost"]
@@ -52,9 +46,7 @@
     tasks = [asyncio.create_task(gateway.run())]
     tasks.append(asyncio.create_task(gateway.watch()))
     try:
-        async with asyncio.timeout(_START_TIMEOUT_S):
-            while not gateway.is_in_rotation:
-                await asyncio.sleep(0.05)
+        await gateways.wait_until_in_rotation([gateway])
         for number in range(_CALLERS):
             caller = callers.Caller(
                 number, [gateway], seen, random.Random(number)
@@ -72,7 +64,6 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         store_link.reset()
         await asyncio.sleep(_CLOSE_S)
-        server.close()
 
 
 def main() -> int:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,10 +11,9 @@
 import tempfile
 import time
 
-from soak import callers, checks, gateways, link, records, store, trouble, wire
+from soak import callers, checks, gateways, link, records, store, trouble
 
 _CALLERS = 12
-_START_TIMEOUT_S = 15.0
 # After the last fault; the users' platform gives 12 s and more to recover.
 _RECOVERY_S = 6.0
 _CALM_S = 2.0
@@ -33,14 +32,10 @@
     rng = random.Random(seed)
     seen = records.Records()
     source = store.StoreStandIn()
-    server = await asyncio.start_server(
-        lambda reader, writer: wire.serve(reader, writer, source.handle),
-        "127.0.0.1",
-        0,
-    )
+    store_address = await source.start()
     found = []
     for number, data_centre in enumerate(_DATA_CENTRES):
-        store_link = link.Link(server.sockets[0].getsockname())
+        store_link = link.Link(store_address)
         await store_link.start()
         found.append(
             gateways.Gateway(
@@ -57,9 +52,7 @@
     tasks = [asyncio.create_task(gateway.run()) for gateway in found]
     tasks += [asyncio.create_task(gateway.watch()) for gateway in found]
     try:
-        async with asyncio.timeout(_START_TIMEOUT_S):
-            while not all(gateway.is_in_rotation for gateway in found):
-                await asyncio.sleep(0.05)
+        await gateways.wait_until_in_rotation(found)
         tasks += [
             asyncio.create_task(
                 callers.Caller(
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -16,6 +16,9 @@
 _CHECK_PERIOD_S = 0.3
 _MISSES = 2
 _CHECK_TIMEOUT_S = 0.5
+# Several hosts start in about 2 s; load stretches that.
+_START_TIMEOUT_S = 15.0
+_START_POLL_S = 0.05
 # Below the ports that the kernel hands out; each gateway has an address of its
 # own.
 CALLER_PORT = 8625
@@ -165,6 +168,17 @@
             return False
 
 
+async def wait_until_in_rotation(found: list[Gateway]) -> None:
+    """Waits until callers may connect to all gateways.
+
+    Raises:
+        TimeoutError: one never became ready.
+    """
+    async with asyncio.timeout(_START_TIMEOUT_S):
+        while not all(gateway.is_in_rotation for gateway in found):
+            await asyncio.sleep(_START_POLL_S)
+
+
 def _is_set_up(pid: int) -> bool:
     """Tells whether a process ignores or handles SIGHUP."""
     status = pathlib.Path(f"/proc/{pid}/status").read_text()
--- a/soak/store.py
+++ b/soak/store.py
@@ -32,6 +32,15 @@
         self.loses_answers = False
         self.delay_s = 0.0
 
+    async def start(self) -> tuple[str, int]:
+        """Serves on loopback; returns the address."""
+        server = await asyncio.start_server(
+            lambda reader, writer: wire.serve(reader, writer, self.handle),
+            "127.0.0.1",
+            0,
+        )
+        return server.sockets[0].getsockname()
+
     async def write(self, topic: str, key: str, value: bytes) -> None:
         """Appends a record; an empty value removes the key."""
         async with self._changed:
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -182,13 +182,17 @@
     loop.close()
 
 
+def run_due(service, loop, objective_s, deadline_s):
+    """Has an order of one stage run that is due after so many seconds."""
+    now = loop.now()
+    due = {"objective_at": now + objective_s, "deadline_at": now + deadline_s}
+    return service.run(order(need("p"), **due))
+
+
 def test_an_order_that_cannot_be_on_time_is_held_until_there_is_room(desk):
     service, runner, loop, _ = desk
     runner.queues["p"].pledged = 40
-    now = loop.now()
-    run = service.run(
-        order(need("p"), objective_at=now + 1.0, deadline_at=now + 60.0)
-    )
+    run = run_due(service, loop, 1.0, 60.0)
     assert runner.jobs == {}
     lh.settle(loop)
     assert runner.jobs == {}
@@ -202,10 +206,7 @@
 def test_an_order_is_held_for_a_moment_only(desk):
     service, runner, loop, clock = desk
     runner.queues["p"].pledged = 40
-    now = loop.now()
-    run = service.run(
-        order(need("p"), objective_at=now + 1.0, deadline_at=now + 60.0)
-    )
+    run = run_due(service, loop, 1.0, 60.0)
     lh.settle(loop)
     assert not run.future.done()
     lh.advance(loop, clock, 0.3)
@@ -237,10 +238,7 @@
 def test_a_hopeless_order_is_refused_at_once_with_a_time_to_come_back(desk):
     service, runner, loop, _ = desk
     runner.queues["p"].pledged = 400
-    now = loop.now()
-    run = service.run(
-        order(need("p"), objective_at=now + 1.0, deadline_at=now + 2.0)
-    )
+    run = run_due(service, loop, 1.0, 2.0)
     failure = run.future.result()
     assert failure.reason == pieces.OVERLOADED
     assert failure.retry_after_s > 0
