--- a/chervilarch/endpoint_state.py
+++ b/chervilarch/endpoint_state.py
@@ -66,6 +66,9 @@
         self.work = work
         self.started_at = now
         self.expected_s = 0.0
+        # Whether the first event of a stream has arrived; only the gateway sets
+        # it.
+        self.has_answered = False
         # Only the router sets this.
         self.deviation_s = 0.0
 
--- a/chervilarch/final_call.py
+++ b/chervilarch/final_call.py
@@ -110,6 +110,7 @@
         request_id=ctx.req.id,
         endpoint=entry.name,
         kind=attempt_result.cause.value,
+        has_begun=lease.slot.has_answered,
         detail=attempt_result.detail,
         elapsed_ms=ctx.elapsed_ms(),
     )
--- a/chervilarch/placement.py
+++ b/chervilarch/placement.py
@@ -155,6 +155,7 @@
 
     def record_first_event(self, lease: Lease) -> None:
         """Records the first event of a stream, which continues to run."""
+        lease.slot.has_answered = True
         endpoint = self._endpoint(lease)
         if endpoint is None:
             return
--- a/chervilarch/routed_filters.py
+++ b/chervilarch/routed_filters.py
@@ -100,6 +100,7 @@
         allowed_ms=round(allowed_s * 1000),
         waited_ms=round(waited_s * 1000),
         pieces=req.piece_counts,
+        prompt_parts=[part for part, _ in req.prompt.parts],
         config_version=ctx.table.version,
         config_age_s=round(ctx.now() - ctx.ctrl.configuration.applied_at, 1),
         endpoints_age_s=round(
