--- a/tests/test_caller_wait.py
+++ b/tests/test_caller_wait.py
@@ -2,7 +2,7 @@
 
 import types
 
-from chervilarch import caller_wait, routed_filters
+from chervilarch import caller_wait, routed, routed_filters
 
 
 def test_a_shorter_allowed_time_shows_a_retry():
@@ -44,6 +44,7 @@
             route=route,
             priority=1,
             piece_counts=[],
+            prompt=routed.Prompt(),
             arrived_at=now,
             allowed_s=allowed_s,
         )
