Block prompt parts that crash engines, on all hosts

Cause: an attempt that was lost without an event was always sent to another engine, and every host forgot why it was lost. Nothing related the loss of an engine to what the prompts that it held have in common. Class: a request whose repetition does the damage again, with evidence spread over hosts.

Change: an attempt lost before its first event is held against its prompt's shared parts if the engine then refuses connections or leaves the list. Reports go to all hosts (advisories, datagrams with repeats and exchanges). A part that was in three such crashes and is not known to have started since (five if it started in the last minute) is blocked; parts that always came together are blocked together only, until a start or a crash tells them apart. Blocked prompts get 503 with the time left before any stage runs. After 30 s (doubled each time) one prompt on one host tests the block.

--- /dev/null
+++ b/chervilarch/advisory_messages.py
@@ -0,0 +1,100 @@
+"""Codec of the datagrams by which hosts share what they learned."""
+
+from typing import NamedTuple
+
+import capnp
+
+from chervilarch import crash_evidence, messages
+
+_MS_PER_S = 1000
+
+Advisory = crash_evidence.Item
+
+
+class AdvisoryMessage(NamedTuple):
+    """Content of one datagram.
+
+    Attributes:
+        items: what the sender learned.
+        wants_all: whether the sender asks for all that the receiver knows.
+    """
+
+    items: tuple[Advisory, ...] = ()
+    wants_all: bool = False
+
+
+def encode(key: bytes, message: AdvisoryMessage, now: float) -> bytes:
+    """Returns the sealed datagram of a message."""
+    msg = messages.SCHEMA.Advisories.new_message()
+    msg.wantsAll = message.wants_all
+    crashes = _of_type(message, crash_evidence.CrashReport)
+    for slot, report in _slots(msg, "crashes", crashes):
+        slot.endpoint = report.endpoint
+        slot.incarnation = report.incarnation
+        slot.ageMs = _to_ms(now - report.crashed_at)
+        prompts = slot.init("prompts", len(report.prompts))
+        for prompt_slot, prompt in zip(prompts, report.prompts, strict=True):
+            prompt_slot.parts = sorted(prompt)
+    starts = _of_type(message, crash_evidence.PartStart)
+    for slot, start in _slots(msg, "starts", starts):
+        slot.part = start.part
+        slot.ageMs = _to_ms(now - start.started_at)
+    blocks = _of_type(message, crash_evidence.PromptBlock)
+    for slot, block in _slots(msg, "blocks", blocks):
+        slot.parts = sorted(block.parts)
+        slot.round = block.round
+        slot.isActive = block.is_active
+        slot.sinceMs = _to_ms(now - block.since)
+        slot.endsInMs = _to_ms(block.ends_at - now)
+        slot.heldMs = _to_ms(block.held_until - now)
+    return messages.seal(key, msg.to_bytes_packed())
+
+
+def decode(
+    key: bytes, frame: bytes, now: float
+) -> AdvisoryMessage | messages.BadFrame:
+    """Returns the message of a sealed datagram."""
+    payload = messages.unseal(key, frame)
+    if isinstance(payload, messages.BadFrame):
+        return payload
+    try:
+        msg = messages.SCHEMA.Advisories.from_bytes_packed(payload)
+        crashes = (
+            crash_evidence.CrashReport(
+                slot.endpoint,
+                slot.incarnation,
+                now - slot.ageMs / _MS_PER_S,
+                frozenset(frozenset(prompt.parts) for prompt in slot.prompts),
+            )
+            for slot in msg.crashes
+        )
+        starts = (
+            crash_evidence.PartStart(slot.part, now - slot.ageMs / _MS_PER_S)
+            for slot in msg.starts
+        )
+        blocks = (
+            crash_evidence.PromptBlock(
+                frozenset(slot.parts),
+                slot.round,
+                slot.isActive,
+                now - slot.sinceMs / _MS_PER_S,
+                now + slot.endsInMs / _MS_PER_S,
+                now + slot.heldMs / _MS_PER_S,
+            )
+            for slot in msg.blocks
+        )
+        return AdvisoryMessage((*blocks, *starts, *crashes), msg.wantsAll)
+    except (capnp.KjException, ValueError) as exc:
+        return messages.BadFrame(f"malformed advisories: {exc}")
+
+
+def _of_type(message: AdvisoryMessage, item_type: type) -> list:
+    return [item for item in message.items if isinstance(item, item_type)]
+
+
+def _slots(msg, field: str, items: list):
+    return zip(msg.init(field, len(items)), items, strict=True)
+
+
+def _to_ms(seconds: float) -> int:
+    return int(seconds * _MS_PER_S)
--- /dev/null
+++ b/chervilarch/crash_evidence.py
@@ -0,0 +1,494 @@
+"""Finds prompt parts that crash engines; keeps the blocks of such prompts.
+
+A crash report names the prompts that an engine held without a first event when
+it ended. Sound prompts are among them by chance, but they start elsewhere soon;
+a part that crashes engines never starts. A part is blamed for the crashes since
+it was last known to start. Parts that always occurred together can't be told
+apart, so a block names all of them and refuses only prompts that have them all;
+a start of one of them narrows the block to the others.
+
+Does no I/O. Hosts exchange reports, starts and blocks and come to the same
+blocks; merging an item twice, or in another order, gives the same result, apart
+from small differences of time.
+"""
+
+import collections
+from collections.abc import Iterable
+from typing import NamedTuple
+
+# Starts that are older don't speak for a part.
+_HISTORY_S = 60.0
+# Reports count only after this time, in which other hosts tell which of the
+# parts they have seen start.
+SETTLE_S = 0.2
+_REPORT_TTL_S = 120.0
+_FIRST_BLOCK_S = 30.0
+_MAX_BLOCK_S = 480.0
+# After its time a block is lifted for one prompt, on one host; the others wait
+# this long to learn whether that prompt starts.
+_PROBE_S = 10.0
+# A block that no prompt has met for this time after its end is forgotten.
+_BLOCK_RETENTION_S = 600.0
+# Times of hosts differ by the delay of a message; smaller differences must not
+# prolong a block each time it is exchanged.
+_TIME_SLACK_S = 0.5
+_MAX_REPORTS = 64
+_MAX_PROMPTS = 32
+_MAX_BLOCKS = 64
+_MAX_STARTS = 4096
+# Parts of a prompt that are considered, from its start.
+MAX_PARTS = 16
+
+Prompt = frozenset[str]
+
+
+class _Thresholds(NamedTuple):
+    """Crashes without a start after which something is done about a part.
+
+    Attributes:
+        if_unknown: for a part of which no recent start is known.
+        if_known: for any other part.
+    """
+
+    if_unknown: int
+    if_known: int
+
+    def needed(self, is_known: bool) -> int:
+        """Returns the number of crashes for a part."""
+        return self.if_known if is_known else self.if_unknown
+
+
+# Prompts with the part are refused. The users allow five crashes.
+_BLOCKING = _Thresholds(3, 5)
+# A prompt with the part isn't sent to a second engine.
+_SUSPICIOUS = _Thresholds(2, 4)
+
+
+class CrashReport(NamedTuple):
+    """A run of an engine that ended with prompts waiting for a first event.
+
+    Attributes:
+        endpoint: id of the engine.
+        incarnation: tells its runs apart.
+        crashed_at: monotonic time in seconds.
+        prompts: ids of the shared parts of each of these prompts.
+    """
+
+    endpoint: str
+    incarnation: int
+    crashed_at: float
+    prompts: frozenset[Prompt]
+
+
+class PartStart(NamedTuple):
+    """A part whose prompt gave a first event.
+
+    Attributes:
+        part: id of the part.
+        started_at: monotonic time in seconds.
+    """
+
+    part: str
+    started_at: float
+
+
+class PromptBlock(NamedTuple):
+    """Refuses prompts that have all of some parts.
+
+    Attributes:
+        parts: ids of the parts.
+        round: 1, or one more than that of the block before with these parts.
+        is_active: False once a prompt with these parts started, or narrower
+            blocks took its place.
+        since: monotonic time of the first crash that it is based on.
+        ends_at: monotonic time at which its round ends.
+        held_until: like `ends_at`, or later while a host tries one prompt.
+    """
+
+    parts: Prompt
+    round: int
+    is_active: bool
+    since: float
+    ends_at: float
+    held_until: float
+
+
+class Admission(NamedTuple):
+    """Whether a prompt may be sent.
+
+    Attributes:
+        block: the block that refuses it, or None.
+        probed: the block that it tests, or None.
+    """
+
+    block: PromptBlock | None = None
+    probed: PromptBlock | None = None
+
+
+Item = CrashReport | PartStart | PromptBlock
+
+
+class CrashEvidence:
+    """Crash reports, starts and blocks, as far as this host knows them."""
+
+    def __init__(self) -> None:
+        self._reports: dict[tuple[str, int], CrashReport] = {}
+        self._starts: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+        self._blocks: dict[Prompt, PromptBlock] = {}
+        # Time of the newest crash that names each part.
+        self._last_crashes: dict[str, float] = {}
+        # Groups by thresholds, until reports, blocks or starts of blamed parts
+        # change.
+        self._cached_groups: dict[
+            _Thresholds, dict[Prompt, list[CrashReport]]
+        ] = {}
+
+    def items(self, now: float, max_age_s: float = _REPORT_TTL_S) -> list[Item]:
+        """Returns the blocks, and the reports of a limited age with starts."""
+        reports = [
+            report
+            for report in self._reports.values()
+            if now - report.crashed_at <= max_age_s
+        ]
+        named = {part for report in reports for part in _parts(report)}
+        starts = [
+            PartStart(part, self._starts[part])
+            for part in sorted(named)
+            if part in self._starts
+        ]
+        return [*self._blocks.values(), *starts, *reports]
+
+    def merge(self, item: Item, now: float) -> bool:
+        """Applies an item of another host; returns whether it was new."""
+        if isinstance(item, CrashReport):
+            return self.add_report(item, now)
+        if isinstance(item, PartStart):
+            return self._add_start(item.part, item.started_at)
+        return self._merge_block(item)
+
+    def add_report(self, report: CrashReport, now: float) -> bool:
+        """Adds a report, or its prompts to one on the same run."""
+        key = (report.endpoint, report.incarnation)
+        known = self._reports.get(key)
+        prompts = report.prompts
+        if known is not None:
+            prompts |= known.prompts
+            report = report._replace(
+                crashed_at=min(known.crashed_at, report.crashed_at)
+            )
+        if len(prompts) > _MAX_PROMPTS:
+            prompts = frozenset(sorted(prompts, key=sorted)[:_MAX_PROMPTS])
+        if known is not None and prompts == known.prompts:
+            return False
+        if now - report.crashed_at > _REPORT_TTL_S:
+            return False
+        self._reports[key] = report._replace(prompts=prompts)
+        while len(self._reports) > _MAX_REPORTS:
+            oldest = min(self._reports.values(), key=lambda r: r.crashed_at)
+            del self._reports[oldest.endpoint, oldest.incarnation]
+        self._index_reports()
+        return True
+
+    def record_start(
+        self, prompt: Iterable[str], now: float
+    ) -> list[PartStart]:
+        """Records a prompt's first event; returns starts that others need."""
+        needed = []
+        for part in prompt:
+            is_needed = self._is_blamed(part)
+            self._add_start(part, now)
+            if is_needed:
+                needed.append(PartStart(part, now))
+        return needed
+
+    def known_starts(self, report: CrashReport, now: float) -> list[PartStart]:
+        """Returns the recent starts of a report's parts, for other hosts."""
+        return [
+            PartStart(part, self._starts[part])
+            for part in sorted(_parts(report))
+            if self._is_known(part, now)
+        ]
+
+    def admit(self, prompt: Prompt, now: float) -> Admission:
+        """Decides on a new prompt; one that tests a block holds the others."""
+        block = self.find_block(prompt, now)
+        if block is not None:
+            return Admission(block)
+        ended = [b for b in self.active_blocks() if b.parts <= prompt]
+        if not ended:
+            return Admission()
+        latest = max(ended, key=lambda block: block.held_until)
+        probed = latest._replace(held_until=now + _PROBE_S)
+        self._blocks[latest.parts] = probed
+        return Admission(probed=probed)
+
+    def find_block(self, prompt: Prompt, now: float) -> PromptBlock | None:
+        """Returns the block that refuses a prompt at this time, if any.
+
+        Until the reports that call for a block are settled, a provisional one
+        of round 0 takes its place.
+        """
+        for block in self.active_blocks():
+            if block.parts <= prompt and now < block.held_until:
+                return block
+        if not self._reports:
+            return None
+        for group, reports in self._current_groups(_BLOCKING, now).items():
+            if group <= prompt:
+                crashes = [report.crashed_at for report in reports]
+                settled_at = max(crashes) + SETTLE_S
+                return PromptBlock(
+                    group, 0, True, min(crashes), settled_at, settled_at
+                )
+        return None
+
+    def is_suspect(self, prompt: Prompt, now: float) -> bool:
+        """Returns whether a prompt may be about to cause a further crash."""
+        if not self._reports:
+            return False
+        groups = self._current_groups(_SUSPICIOUS, now)
+        return any(group <= prompt for group in groups)
+
+    def update_blocks(self, now: float) -> list[PromptBlock]:
+        """Adds, renews, narrows and ends blocks; returns the changed ones."""
+        self._cached_groups.clear()
+        self._expire(now)
+        before = dict(self._blocks)
+        self._narrow_blocks()
+        self._renew_blocks(now)
+        while self._add_blocks(now):
+            pass
+        while len(self._blocks) > _MAX_BLOCKS:
+            first = min(self._blocks.values(), key=lambda b: b.held_until)
+            del self._blocks[first.parts]
+        return [
+            block
+            for parts, block in self._blocks.items()
+            if before.get(parts) != block
+        ]
+
+    def _expire(self, now: float) -> None:
+        for key, report in list(self._reports.items()):
+            if now - report.crashed_at > _REPORT_TTL_S:
+                del self._reports[key]
+        self._index_reports()
+        for parts, block in list(self._blocks.items()):
+            if now - block.held_until > _BLOCK_RETENTION_S:
+                del self._blocks[parts]
+
+    def _add_start(self, part: str, started_at: float) -> bool:
+        if started_at <= self._starts.get(part, float("-inf")):
+            return False
+        if self._is_blamed(part):
+            self._cached_groups.clear()
+        self._starts[part] = started_at
+        self._starts.move_to_end(part)
+        if len(self._starts) > _MAX_STARTS:
+            self._starts.popitem(last=False)
+        return True
+
+    def _is_known(self, part: str, now: float) -> bool:
+        """Returns whether a part has started recently."""
+        return now - self._starts.get(part, float("-inf")) < _HISTORY_S
+
+    def _is_blamed(self, part: str) -> bool:
+        """Returns whether a start of a part would tell other hosts anything."""
+        started_at = self._starts.get(part, float("-inf"))
+        return self._last_crashes.get(part, float("-inf")) > started_at or any(
+            block.is_active and part in block.parts
+            for block in self._blocks.values()
+        )
+
+    def _index_reports(self) -> None:
+        self._cached_groups.clear()
+        self._last_crashes = {}
+        for report in self._reports.values():
+            for part in _parts(report):
+                known = self._last_crashes.get(part, float("-inf"))
+                self._last_crashes[part] = max(known, report.crashed_at)
+
+    def _merge_block(self, block: PromptBlock) -> bool:
+        known = self._blocks.get(block.parts)
+        if known is not None:
+            if block.round < known.round:
+                return False
+            if block.round == known.round:
+                if not known.is_active:
+                    return False
+                is_later = block.held_until > known.held_until + _TIME_SLACK_S
+                if block.is_active and not is_later:
+                    return False
+        self._blocks[block.parts] = block
+        if not block.is_active:
+            self._acquit(block.parts)
+        self._index_reports()
+        return True
+
+    def _acquit(self, parts: Prompt) -> None:
+        """Removes the prompts of an ended block from the reports."""
+        for key, report in list(self._reports.items()):
+            prompts = frozenset(p for p in report.prompts if not parts <= p)
+            self._reports[key] = report._replace(prompts=prompts)
+
+    def active_blocks(self) -> list[PromptBlock]:
+        """Returns the blocks in force, and those whose test is due."""
+        return [block for block in self._blocks.values() if block.is_active]
+
+    def _blamed_reports(self) -> dict[str, list[CrashReport]]:
+        """Returns the reports that each part is blamed for.
+
+        A crash with a blocked prompt counts only against that prompt's parts.
+        """
+        blamed: dict[str, list[CrashReport]] = collections.defaultdict(list)
+        blocks = self.active_blocks()
+        for report in self._reports.values():
+            culprits = {
+                part
+                for block in blocks
+                if _has_prompt(report, block.parts)
+                for part in block.parts
+            }
+            for part in culprits or _parts(report):
+                if self._starts.get(part, float("-inf")) < report.crashed_at:
+                    blamed[part].append(report)
+        return blamed
+
+    def _add_blocks(self, now: float) -> bool:
+        """Blocks the most blamed parts; returns whether there were any."""
+        groups = self._blamed_groups(_BLOCKING, now, SETTLE_S)
+        if not groups:
+            return False
+        most = max(len(reports) for reports in groups.values())
+        for group, reports in groups.items():
+            if len(reports) == most:
+                self._add_block(group, reports, now)
+        return True
+
+    def _current_groups(
+        self, thresholds: _Thresholds, now: float
+    ) -> dict[Prompt, list[CrashReport]]:
+        if thresholds not in self._cached_groups:
+            groups = self._blamed_groups(thresholds, now)
+            self._cached_groups[thresholds] = groups
+        return self._cached_groups[thresholds]
+
+    def _blamed_groups(
+        self, thresholds: _Thresholds, now: float, min_age_s: float = 0.0
+    ) -> dict[Prompt, list[CrashReport]]:
+        """Returns groups of parts that are blamed often enough.
+
+        Args:
+            thresholds: how many crashes that takes.
+            now: monotonic time in seconds.
+            min_age_s: age from which on a report counts.
+
+        Returns:
+            The reports that each group is blamed for. A group holds a blamed
+            part and those that can't be told apart from it. Left out are groups
+            that a block covers, and those that a larger group explains as well:
+            it refuses fewer prompts.
+        """
+        groups: dict[Prompt, list[CrashReport]] = {}
+        for part, reports in self._blamed_reports().items():
+            counted = [r for r in reports if now - r.crashed_at >= min_age_s]
+            if len(counted) < thresholds.needed(self._is_known(part, now)):
+                continue
+            group = self._common_parts(part, counted)
+            if not self._is_covered(group, counted):
+                groups[group] = counted
+        return {
+            group: counted
+            for group, counted in groups.items()
+            if not any(
+                group < other and len(reports) >= len(counted)
+                for other, reports in groups.items()
+            )
+        }
+
+    def _is_covered(self, group: Prompt, reports: list[CrashReport]) -> bool:
+        """Returns whether a block refuses the prompts of all these reports."""
+        return any(
+            block.parts <= group
+            or group < block.parts
+            and all(_has_prompt(report, block.parts) for report in reports)
+            for block in self.active_blocks()
+        )
+
+    def _common_parts(self, part: str, reports: list[CrashReport]) -> Prompt:
+        """Returns the parts that can't be told apart from a blamed one."""
+        first = min(report.crashed_at for report in reports)
+        group = frozenset.intersection(
+            *(
+                prompt
+                for report in reports
+                for prompt in report.prompts
+                if part in prompt
+            )
+        )
+        return frozenset(
+            other
+            for other in group
+            if self._starts.get(other, float("-inf")) < first
+        ) | {part}
+
+    def _add_block(
+        self, group: Prompt, reports: list[CrashReport], now: float
+    ) -> None:
+        for block in self.active_blocks():
+            if group < block.parts:
+                self._end_block(block)
+        known = self._blocks.get(group)
+        number = known.round + 1 if known else 1
+        first = min(report.crashed_at for report in reports)
+        self._start_round(group, number, first, now)
+
+    def _start_round(
+        self, parts: Prompt, number: int, since: float, now: float
+    ) -> None:
+        block_s = min(_MAX_BLOCK_S, _FIRST_BLOCK_S * 2 ** (number - 1))
+        ends_at = now + block_s
+        self._blocks[parts] = PromptBlock(
+            parts, number, True, since, ends_at, ends_at
+        )
+
+    def _end_block(self, block: PromptBlock) -> None:
+        self._blocks[block.parts] = block._replace(is_active=False)
+
+    def _narrow_blocks(self) -> None:
+        """Leaves parts out of blocks that have started meanwhile."""
+        for block in self.active_blocks():
+            kept = frozenset(
+                part
+                for part in block.parts
+                if self._starts.get(part, float("-inf")) <= block.since
+            )
+            if kept == block.parts:
+                continue
+            self._end_block(block)
+            if kept and kept not in self._blocks:
+                self._blocks[kept] = block._replace(parts=kept)
+
+    def _renew_blocks(self, now: float) -> None:
+        """Starts a new round of blocks whose prompts still crash engines."""
+        for block in self.active_blocks():
+            crashes = [
+                report.crashed_at
+                for report in self._reports.values()
+                if report.crashed_at > block.ends_at
+                and _has_prompt(report, block.parts)
+            ]
+            if crashes:
+                self._start_round(
+                    block.parts, block.round + 1, min(crashes), now
+                )
+
+
+def _has_prompt(report: CrashReport, parts: Prompt) -> bool:
+    """Returns whether a report names a prompt with all of some parts."""
+    return any(parts <= prompt for prompt in report.prompts)
+
+
+def _parts(report: CrashReport) -> set[str]:
+    return {part for prompt in report.prompts for part in prompt}
--- a/chervilarch/final_call.py
+++ b/chervilarch/final_call.py
@@ -8,6 +8,7 @@
 
 from chervilarch import (
     attempts,
+    crash_evidence,
     exchanges,
     outcomes,
     placement,
@@ -79,13 +80,21 @@
     ctx: contexts.RoutedContext,
     lease: placement.Lease,
     attempt_result: Success | attempts.Failure,
-) -> None:
-    """Counts an ended attempt and ends its lease of the endpoint."""
+) -> "Future[None]":
+    """Counts an ended attempt and ends its lease of the endpoint.
+
+    Returns:
+        Resolves once it is known whether the endpoint crashed, as far as that
+        matters.
+    """
+    guard = ctx.ctrl.prompt_guard
     if isinstance(attempt_result, Success):
         ctx.req.possible_runs += 1
         ctx.ctrl.answered_routes.add(ctx.req.route.name)
         ctx.ctrl.placement.finish(lease, attempt_result.head.status < 500)
-        return
+        if attempt_result.head.status < 400:
+            guard.record_start(lease)
+        return guard.record_end(lease, None)
     ctx.req.possible_runs += not attempt_result.certainly_not_run()
     entry = lease.listing.entry
     if attempt_result.cause is attempts.FailureCause.NOT_SENT:
@@ -114,6 +123,30 @@
         detail=attempt_result.detail,
         elapsed_ms=ctx.elapsed_ms(),
     )
+    return guard.record_end(lease, attempt_result.cause)
+
+
+def blocked_outcome(
+    ctx: contexts.RoutedContext, block: crash_evidence.PromptBlock
+) -> outcomes.NotRun:
+    """Returns the outcome of a request that was refused for its prompt."""
+    parts = ",".join(sorted(block.parts))
+    return outcomes.NotRun(
+        outcomes.Reason.PROMPT_BLOCKED,
+        f"engines crashed on prompts with these parts: {parts}",
+        "change the prompt, or send it again after the time given",
+        max(0.0, block.held_until - ctx.now()),
+    )
+
+
+def find_block(
+    ctx: contexts.RoutedContext,
+) -> crash_evidence.PromptBlock | None:
+    """Returns a block that came into force since the request was admitted."""
+    req = ctx.req
+    return ctx.ctrl.prompt_guard.find_block(
+        req.prompt.shared_parts(), req.probed_block
+    )
 
 
 def failure_outcome(
@@ -268,7 +301,7 @@
         transfer = ctx.ctrl.client.start(
             exchange, lambda result: self._resolve(fut, transfer, result)
         )
-        log_send(ctx, lease)
+        record_send(ctx, lease)
         self._running.append(RunningAttempt(lease, transfer, fut))
         return True
 
@@ -289,10 +322,12 @@
             if self._ctx.req.is_retryable():
                 attempt.transfer.cancel()
             self._ctx.ctrl.placement.abandon(attempt.lease, is_suspect=True)
+            self._ctx.ctrl.prompt_guard.record_end(attempt.lease, None)
 
 
-def log_send(ctx: contexts.RoutedContext, lease: placement.Lease) -> None:
-    """Logs that a request was sent to an endpoint."""
+def record_send(ctx: contexts.RoutedContext, lease: placement.Lease) -> None:
+    """Records and logs that a request was sent to an endpoint."""
+    ctx.ctrl.prompt_guard.record_send(lease, ctx.req.prompt.shared_parts())
     entry = lease.listing.entry
     state_log.log_decision(
         "request sent",
--- a/chervilarch/fleet.py
+++ b/chervilarch/fleet.py
@@ -26,6 +26,7 @@
 # Ports of the other sockets for peers, relative to the gossip port.
 _STAGE_PORT_OFFSET = 1
 _STORE_PORT_OFFSET = 2
+_ADVISORY_PORT_OFFSET = 3
 
 
 class Fleet:
@@ -91,6 +92,10 @@
         """Returns the hosts believed alive, with sockets for topic updates."""
         return [store_peer(member) for member in self._alive_members()]
 
+    def advisory_peers(self) -> list[stage_coordination.Peer]:
+        """Returns the hosts believed alive, with sockets for advisories."""
+        return [advisory_peer(member) for member in self._alive_members()]
+
     def _alive_members(self) -> list[membership.Member]:
         return [
             member
@@ -176,6 +181,11 @@
     return _peer(member, _STORE_PORT_OFFSET)
 
 
+def advisory_peer(member: membership.Member) -> stage_coordination.Peer:
+    """Returns a member with the address of its socket for advisories."""
+    return _peer(member, _ADVISORY_PORT_OFFSET)
+
+
 def _peer(member: membership.Member, offset: int) -> stage_coordination.Peer:
     host, port = member.address.rsplit(":", 1)
     address = (host, int(port) + offset)
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 from chervilarch import (
+    advisories,
     budgets,
     caller_wait,
     environment,
@@ -20,6 +21,7 @@
     pages,
     piece_runner,
     placement,
+    prompt_guard,
     serving,
     settings,
     stage_coordination,
@@ -98,6 +100,7 @@
         self._ctrl.configuration.topic_follower.start()
         self._ctrl.endpoints.topic_follower.start()
         self._ctrl.fleet.start()
+        self._ctrl.advisories.start()
         state_log.log_change(
             "gateway started",
             host=self._cfg.host,
@@ -114,6 +117,7 @@
         self._ctrl.stage_coordinator.close()
         self._ctrl.fleet.stop()
         self._ctrl.sharing.close()
+        self._ctrl.advisories.close()
         self._ctrl.client.close()
 
     def _handle_signals(self) -> None:
@@ -280,10 +284,19 @@
         client,
         rng,
     )
+    exchange = advisories.AdvisoryExchange(
+        loop,
+        fleet.advisory_peer(own),
+        gateways.advisory_peers,
+        key,
+        rng,
+    )
+    guard = prompt_guard.PromptGuard(loop, exchange, meters, rng)
     configuration.add_listener(lambda table: runner.set_pools(table.pools))
     endpoints.add_listener(own_placement.set_endpoints)
     endpoints.add_listener(coordinator_placement.set_endpoints)
     endpoints.add_listener(runner.set_endpoints)
+    endpoints.add_listener(guard.set_endpoints)
     return RoutedControllers(
         loop=loop,
         client=client,
@@ -298,6 +311,8 @@
         meters=meters,
         caller_wait=caller_wait.WaitEstimator(),
         answered_routes=set(),
+        advisories=exchange,
+        prompt_guard=guard,
     )
 
 
--- a/chervilarch/gateway_settings.py
+++ b/chervilarch/gateway_settings.py
@@ -5,8 +5,8 @@
 
 from chervilarch import schemas, settings
 
-# One each for gossip, for stages and for topic updates of the store.
-_PEER_PORTS = 3
+# One each for gossip, stages, topic updates of the store and advisories.
+_PEER_PORTS = 4
 
 
 class GatewayBounds(NamedTuple):
--- a/chervilarch/peer.capnp
+++ b/chervilarch/peer.capnp
@@ -148,3 +148,37 @@
 struct StoreNews {
   topics @0 :List(TopicNews);
 }
+
+struct PromptParts {
+  parts @0 :List(Text);
+}
+
+# Times are in milliseconds before or after the message was sent.
+struct CrashReport {
+  endpoint @0 :Text;
+  incarnation @1 :UInt64;
+  ageMs @2 :Int64;
+  prompts @3 :List(PromptParts);
+}
+
+struct PartStart {
+  part @0 :Text;
+  ageMs @1 :Int64;
+}
+
+struct PromptBlock {
+  parts @0 :List(Text);
+  round @1 :UInt32;
+  isActive @2 :Bool;
+  sinceMs @3 :Int64;
+  endsInMs @4 :Int64;
+  heldMs @5 :Int64;
+}
+
+# What a host learned about endpoints and prompts.
+struct Advisories {
+  wantsAll @0 :Bool;
+  crashes @1 :List(CrashReport);
+  starts @2 :List(PartStart);
+  blocks @3 :List(PromptBlock);
+}
--- a/chervilarch/routed.py
+++ b/chervilarch/routed.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple, Protocol
 
 from chervilarch import (
+    crash_evidence,
     endpoint_list,
     exchanges,
     http_server,
@@ -33,6 +34,11 @@
         """Returns the name of the prefix that other requests share."""
         return ",".join(part for part, _ in self.parts[:-1]).encode()
 
+    def shared_parts(self) -> crash_evidence.Prompt:
+        """Returns the ids of the parts that other prompts may share."""
+        shared = self.parts[:-1][: crash_evidence.MAX_PARTS]
+        return frozenset(part for part, _ in shared)
+
     def shared_tokens(self) -> int:
         """Returns the number of tokens of the shared prefix."""
         return sum(tokens for _, tokens in self.parts[:-1])
@@ -89,6 +95,8 @@
         self.input_key = input_key
         self.resume_after = resume_after
         self.account: routing_table.Account | None = None
+        # The block of prompts that this request tests, if any.
+        self.probed_block: crash_evidence.PromptBlock | None = None
         self.route: routing_table.Route | None = None
         self.priority = 0
         self.deadline_at = float("inf")
--- a/chervilarch/routed_context.py
+++ b/chervilarch/routed_context.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from chervilarch import (
+    advisories,
     budgets,
     caller_wait,
     fleet,
@@ -10,6 +11,7 @@
     http_client,
     http_server,
     placement,
+    prompt_guard,
     routed,
     routing_table,
     stage_coordination,
@@ -40,6 +42,8 @@
     meters: telemetry.Telemetry
     caller_wait: caller_wait.WaitEstimator
     answered_routes: set[str]
+    advisories: advisories.AdvisoryExchange
+    prompt_guard: prompt_guard.PromptGuard
 
 
 class RoutedContext:
--- a/chervilarch/routed_filters.py
+++ b/chervilarch/routed_filters.py
@@ -110,6 +110,18 @@
     return (yield from call_next())
 
 
+def refuse_blocked_prompts(
+    ctx: RoutedContext, call_next: NextFilter
+) -> tasks.Coroutine[outcomes.Outcome]:
+    """Refuses prompts that crash engines, before any stage runs."""
+    req = ctx.req
+    admission = ctx.ctrl.prompt_guard.admit(req.prompt.shared_parts())
+    if admission.block is not None:
+        return final_call.blocked_outcome(ctx, admission.block)
+    req.probed_block = admission.probed
+    return (yield from call_next())
+
+
 def run_call(
     ctx: RoutedContext, call_next: NextFilter
 ) -> tasks.Coroutine[outcomes.Outcome]:
@@ -140,6 +152,7 @@
     find_route,
     identify_account,
     set_deadline,
+    refuse_blocked_prompts,
     run_call,
 )
 
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -4,6 +4,8 @@
 endpoint after the last one.
 """
 
+from concurrent.futures import Future
+
 from chervilarch import (
     attempts,
     exchanges,
@@ -26,6 +28,9 @@
 # times the route's gap objective, but at least the minimum.
 _GAP_RATIO = 2.0
 _MIN_GAP_S = 0.8
+# Before a prompt is sent to another engine, a check of whether the last one
+# crashed may take this long. One that crashed refuses connections at once.
+_CRASH_CHECK_WAIT_S = 0.05
 _EVENT_END = b"\n\n"
 
 
@@ -84,6 +89,7 @@
         self._splitter = EventSplitter()
         self._splitter.last_id = ctx.req.resume_after
         self._has_sent_event = False
+        self._crash_checked: Future = tasks.done(None)
 
     def run(self) -> tasks.Coroutine[outcomes.Outcome]:
         """Returns an `Answer` once the stream is complete, or a failure."""
@@ -91,6 +97,11 @@
         ctx.ctrl.retry_budgets.earn(self._pool)
         last: attempts.Failure | None = None
         while True:
+            block = final_call.find_block(ctx)
+            if block is not None and not ctx.req.possible_runs:
+                return final_call.blocked_outcome(ctx, block)
+            if block is not None:
+                break
             lease = ctx.ctrl.placement.pick(self._requirements(), self._tried)
             if lease is None:
                 break
@@ -99,6 +110,8 @@
                 return outcomes.Answer(attempt_result)
             last = attempt_result
             self._splitter.discard_partial()
+            if (yield from self._may_crash_engine(attempt_result)):
+                break
             if not final_call.try_spend_retry(ctx, self._pool):
                 break
             failed = yield from self._rerun_stages(attempt_result)
@@ -106,6 +119,17 @@
                 return failed
         return final_call.failure_outcome(ctx, last)
 
+    def _may_crash_engine(
+        self, attempt_result: attempts.Failure
+    ) -> tasks.Coroutine[bool]:
+        """Returns whether a failed prompt is suspected to crash engines."""
+        ctx = self._ctx
+        if attempt_result.certainly_not_run():
+            return False
+        until = ctx.now() + _CRASH_CHECK_WAIT_S
+        yield from tasks.wait(ctx.ctrl.loop, self._crash_checked, until)
+        return ctx.ctrl.prompt_guard.is_suspect(ctx.req.prompt.shared_parts())
+
     def _requirements(self) -> placement.Requirements:
         prompt = self._ctx.req.prompt
         return placement.Requirements(
@@ -148,7 +172,7 @@
         transfer = ctx.ctrl.client.start(
             exchange, mailbox.put, lambda chunk: mailbox.put(_Chunk(chunk))
         )
-        final_call.log_send(ctx, lease)
+        final_call.record_send(ctx, lease)
         attempt_result: final_call.Success | attempts.Failure = (
             attempts.Failure(attempts.FailureCause.LOST, "the caller left")
         )
@@ -160,7 +184,10 @@
             transfer.cancel()
             if not has_result:
                 ctx.ctrl.placement.abandon(lease)
-        final_call.finish_attempt(ctx, lease, attempt_result)
+                ctx.ctrl.prompt_guard.record_end(lease, None)
+        self._crash_checked = final_call.finish_attempt(
+            ctx, lease, attempt_result
+        )
         return attempt_result
 
     def _relay(
@@ -224,6 +251,7 @@
     def _on_first_event(self, lease: placement.Lease, head) -> None:
         ctx = self._ctx
         ctx.ctrl.placement.record_first_event(lease)
+        ctx.ctrl.prompt_guard.record_start(lease)
         # The endpoint fetches its inputs before it generates an event, so the
         # results can be freed.
         self._inputs.free()
--- a/chervilarch/telemetry.py
+++ b/chervilarch/telemetry.py
@@ -31,6 +31,9 @@
         self._batch_sizes = self._histogram(
             "stage_call_pieces", "Pieces a call", ["pool"], _BATCH_BUCKETS
         )
+        self._prompt_blocks = self._counter(
+            "prompt_blocks", "Blocks of prompts that crash engines", []
+        )
         self._dropped_lines = self._counter(
             "log_lines_left_out", "Log lines beyond the bound", ["event"]
         )
@@ -57,6 +60,10 @@
         """Records the number of pieces in a stage call."""
         self._batch_sizes.labels(pool).observe(count)
 
+    def count_prompt_block(self) -> None:
+        """Counts a block of prompts that became known to this host."""
+        self._prompt_blocks.inc()
+
     def count_dropped_lines(self, event: str, lines: int) -> None:
         """Counts log lines that were dropped."""
         self._dropped_lines.labels(event).inc(lines)
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -33,14 +33,14 @@
         self.loop = loops.Loop(clocks.SystemClock())
         self.store = lh.FakeStore()
         self.servers = []
-        port = lh.free_ports(3)
+        port = lh.free_ports(4)
         cfg = gateway_settings.GatewaySettings(
             "n1",
             "dc1",
             "127.0.0.1:0",
             "127.0.0.1:0",
             "127.0.0.1",
-            (port, port + 2),
+            (port, port + 3),
             0,
             "127.0.0.1:1",
             "test",
@@ -62,6 +62,7 @@
         self.server.stop_accepting()
         self.ctrl.stage_coordinator.close()
         self.ctrl.sharing.close()
+        self.ctrl.advisories.close()
         for server in self.servers:
             server.close()
 
--- /dev/null
+++ b/tests/test_advisories.py
@@ -0,0 +1,136 @@
+"""Hosts tell each other what they learned, also after a cut or a restart."""
+
+import random
+
+import loop_helpers as lh
+import pytest
+
+from chervilarch import advisories, advisory_messages, prompt_guard, telemetry
+from chervilarch import crash_evidence as ce
+from chervilarch.stage_coordination import Peer
+
+_KEY = b"k" * 16
+_BAD = frozenset(("p1", "bad"))
+
+
+class Host:
+    """One host's exchange and prompt guard."""
+
+    def __init__(self, loop, name, hosts):
+        own = Peer(name, ("127.0.0.1", lh.free_ports(1)))
+        self.own = own
+        self.cut_off = False
+        rng = random.Random(name)
+        self.exchange = advisories.AdvisoryExchange(
+            loop, own, lambda: self.peers(hosts), _KEY, rng
+        )
+        self.guard = prompt_guard.PromptGuard(
+            loop, self.exchange, telemetry.Telemetry(), rng
+        )
+        self.peer = own._replace(address=self.exchange._socket.address)
+        hosts.append(self)
+        self.exchange.start()
+
+    def peers(self, hosts):
+        return [
+            host.peer
+            for host in hosts
+            if host is not self and not (self.cut_off or host.cut_off)
+        ]
+
+    def learn(self, number, now):
+        report = ce.CrashReport(f"e{number}", 1, now, frozenset({_BAD}))
+        self.guard._evidence.add_report(report, now)
+        self.exchange.publish([report])
+        self.guard._update_later(is_own=True)
+
+    def refuses(self):
+        return self.guard.find_block(_BAD, None) is not None
+
+
+@pytest.fixture
+def fleet():
+    loop, clock = lh.new_loop()
+    hosts = []
+    yield loop, clock, hosts
+    for host in hosts:
+        host.exchange.close()
+
+
+def add_hosts(fleet, count):
+    loop, _, hosts = fleet
+    return [Host(loop, f"h{len(hosts)}", hosts) for _ in range(count)]
+
+
+def advance(fleet, seconds):
+    loop, clock, _ = fleet
+    lh.advance(loop, clock, seconds)
+
+
+def test_crashes_seen_by_different_hosts_block_a_prompt_on_all(fleet):
+    hosts = add_hosts(fleet, 4)
+    for number, host in enumerate(hosts[:3]):
+        host.learn(number, fleet[1].now)
+    advance(fleet, 1.0)
+    assert all(host.refuses() for host in hosts)
+
+
+def test_a_host_that_joins_learns_of_old_blocks(fleet):
+    hosts = add_hosts(fleet, 2)
+    for number in range(3):
+        hosts[0].learn(number, fleet[1].now)
+    advance(fleet, 15.0)
+    (late,) = add_hosts(fleet, 1)
+    advance(fleet, 1.0)
+    assert late.refuses()
+
+
+def test_hosts_on_both_sides_of_a_cut_agree_after_it(fleet):
+    hosts = add_hosts(fleet, 4)
+    advance(fleet, 1.0)
+    hosts[3].cut_off = True
+    for number in range(3):
+        hosts[0].learn(number, fleet[1].now)
+    advance(fleet, 4.0)
+    assert hosts[1].refuses() and not hosts[3].refuses()
+    hosts[3].cut_off = False
+    advance(fleet, 3.0)
+    assert hosts[3].refuses()
+
+
+def test_the_start_of_a_tested_prompt_ends_its_block_on_all(fleet):
+    hosts = add_hosts(fleet, 3)
+    for number in range(3):
+        hosts[0].learn(number, fleet[1].now)
+    advance(fleet, 31.0)
+    admissions = [host.guard.admit(_BAD) for host in hosts[:1]]
+    assert admissions[0].probed is not None
+    advance(fleet, 0.2)
+    assert all(host.refuses() for host in hosts[1:])
+    starts = hosts[0].guard._evidence.record_start(_BAD, fleet[1].now)
+    hosts[0].guard._publish_starts(starts)
+    hosts[0].guard._update_blocks(is_own=True)
+    advance(fleet, 0.2)
+    assert not any(host.refuses() for host in hosts)
+
+
+def test_starts_known_to_other_hosts_speak_for_a_part(fleet):
+    hosts = add_hosts(fleet, 3)
+    hosts[2].guard._evidence.record_start(_BAD, fleet[1].now)
+    advance(fleet, 1.0)
+    for number in range(3):
+        hosts[0].learn(number, fleet[1].now)
+    advance(fleet, 1.0)
+    assert not any(host.refuses() for host in hosts)
+
+
+def test_messages_survive_encoding():
+    now = 1000.0
+    items = (
+        ce.PromptBlock(_BAD, 2, True, now - 3.0, now + 30.0, now + 40.0),
+        ce.PartStart("p1", now - 1.0),
+        ce.CrashReport("e1", 7, now - 2.0, frozenset({_BAD, frozenset()})),
+    )
+    message = advisory_messages.AdvisoryMessage(items, True)
+    frame = advisory_messages.encode(_KEY, message, now)
+    assert advisory_messages.decode(_KEY, frame, now) == message
