Keep prompt blocks in the platform's store for hosts that start

Class: state that must last kept on hosts that have no disk.

Change: the host whose report or start changes a block writes it to a topic of its own (again until the store takes it), one that starts reads the topic once. Calls: one a start, one a change of a block.

Evidence: test_a_block_is_known_after_all_hosts_restarted_at_once fails without the read at the start and passes with it. The soak's stand-in store now creates a topic on its first use, as the platform's does.

--- a/chervilarch/crash_evidence.py
+++ b/chervilarch/crash_evidence.py
@@ -28,7 +28,7 @@
 # this long to learn whether that prompt starts.
 _PROBE_S = 10.0
 # A block that no prompt has met for this time after its end is forgotten.
-_BLOCK_RETENTION_S = 600.0
+BLOCK_RETENTION_S = 600.0
 # Times of hosts differ by the delay of a message; smaller differences must not
 # prolong a block each time it is exchanged.
 _TIME_SLACK_S = 0.5
@@ -275,7 +275,7 @@
                 del self._reports[key]
         self._index_reports()
         for parts, block in list(self._blocks.items()):
-            if now - block.held_until > _BLOCK_RETENTION_S:
+            if now - block.held_until > BLOCK_RETENTION_S:
                 del self._blocks[parts]
 
     def _add_start(self, part: str, started_at: float) -> bool:
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -101,6 +101,7 @@
         self._ctrl.endpoints.topic_follower.start()
         self._ctrl.fleet.start()
         self._ctrl.advisories.start()
+        self._ctrl.prompt_guard.start()
         state_log.log_change(
             "gateway started",
             host=self._cfg.host,
@@ -291,7 +292,7 @@
         key,
         rng,
     )
-    guard = prompt_guard.PromptGuard(loop, exchange, meters, rng)
+    guard = prompt_guard.PromptGuard(loop, exchange, meters, rng, store_client)
     configuration.add_listener(lambda table: runner.set_pools(table.pools))
     endpoints.add_listener(own_placement.set_endpoints)
     endpoints.add_listener(coordinator_placement.set_endpoints)
--- a/chervilarch/platform/store.py
+++ b/chervilarch/platform/store.py
@@ -20,6 +20,7 @@
     store.Topic.CONFIGURATION: "keyed.op",
     store.Topic.ENDPOINTS: "keyed.servers",
     store.Topic.ROUTERS: "keyed.routers",
+    store.Topic.BLOCKS: "keyed.blocks",
 }
 # Key of the operators' record; other keys of that topic aren't for us.
 CONFIGURATION_KEY = "config"
--- a/chervilarch/prompt_guard.py
+++ b/chervilarch/prompt_guard.py
@@ -7,12 +7,14 @@
 from chervilarch import (
     advisories,
     attempts,
+    block_records,
     crash_evidence,
     endpoint_list,
     endpoint_state,
     placement,
     reachability,
     state_log,
+    store,
     tasks,
     telemetry,
 )
@@ -49,7 +51,18 @@
         exchange: advisories.AdvisoryExchange,
         meters: telemetry.Telemetry,
         rng: random.Random,
+        source: store.Store,
     ):
+        """Creates the guard and adds it to the exchange.
+
+        Args:
+            loop: the event loop.
+            exchange: connects the guards of all hosts.
+            meters: counts blocks.
+            rng: spreads the answers of several hosts over time.
+            source: the platform's store, which keeps blocks for hosts that
+                start.
+        """
         self._loop = loop
         self._rng = rng
         self._exchange = exchange
@@ -64,8 +77,15 @@
         self._logged: dict[tuple[Prompt, int], crash_evidence.PromptBlock] = {}
         # When a start of each part was last sent to other hosts, or by one.
         self._told_at: dict[str, float] = {}
+        self._records = block_records.BlockRecords(
+            loop, source, loop.clock, self.merge
+        )
         exchange.add_source(self)
 
+    def start(self) -> None:
+        """Reads the blocks that the store keeps."""
+        self._records.start()
+
     def admit(self, prompt: Prompt) -> crash_evidence.Admission:
         """Decides on a new request; it may become the test of a block."""
         if not prompt:
@@ -151,7 +171,7 @@
         return self._evidence.items(now, max_age_s)
 
     def merge(self, items: list[crash_evidence.Item]) -> None:
-        """Applies what other hosts learned."""
+        """Applies what other hosts learned, or the store has kept."""
         now = self._loop.now()
         reports = []
         is_new = False
@@ -264,6 +284,7 @@
         changed = self._evidence.update_blocks(self._loop.now())
         if is_own:
             self._exchange.publish(changed)
+            self._records.write(changed)
         self._log_blocks()
 
     def _log_blocks(self) -> None:
--- a/chervilarch/store.py
+++ b/chervilarch/store.py
@@ -6,11 +6,15 @@
 
 
 class Topic(enum.Enum):
-    """Topics of the store; `ROUTERS` is the list of all gateways."""
+    """Topics of the store.
+
+    `ROUTERS` is the list of all gateways, `BLOCKS` holds the blocks of prompts.
+    """
 
     CONFIGURATION = "configuration"
     ENDPOINTS = "endpoints"
     ROUTERS = "routers"
+    BLOCKS = "blocks"
 
 
 class Record(NamedTuple):
--- a/soak/store.py
+++ b/soak/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import collections
 import json
 import struct
 from urllib import parse
@@ -26,12 +27,11 @@
     """
 
     def __init__(self) -> None:
-        self._topics: dict[str, list[tuple[str, bytes]]] = {
-            CONFIG_TOPIC: [],
-            ENDPOINTS_TOPIC: [],
-            GATEWAYS_TOPIC: [],
-        }
-        self._first_offsets = dict.fromkeys(self._topics, 0)
+        # A topic is created on its first use.
+        self._topics: dict[str, list[tuple[str, bytes]]] = (
+            collections.defaultdict(list)
+        )
+        self._first_offsets: dict[str, int] = collections.defaultdict(int)
         self._appended = asyncio.Condition()
         self.is_down = False
         self.loses_answers = False
--- a/tests/test_advisories.py
+++ b/tests/test_advisories.py
@@ -5,7 +5,13 @@
 import loop_helpers as lh
 import pytest
 
-from chervilarch import advisories, advisory_messages, prompt_guard, telemetry
+from chervilarch import (
+    advisories,
+    advisory_messages,
+    prompt_guard,
+    store,
+    telemetry,
+)
 from chervilarch import crash_evidence as ce
 from chervilarch.stage_coordination import Peer
 
@@ -16,7 +22,7 @@
 class Host:
     """One host's exchange and prompt guard."""
 
-    def __init__(self, loop, name, hosts):
+    def __init__(self, loop, name, hosts, source):
         own = Peer(name, ("127.0.0.1", lh.free_ports(1)))
         self.own = own
         self.cut_off = False
@@ -25,11 +31,12 @@
             loop, own, lambda: self.peers(hosts), _KEY, rng
         )
         self.guard = prompt_guard.PromptGuard(
-            loop, self.exchange, telemetry.Telemetry(), rng
+            loop, self.exchange, telemetry.Telemetry(), rng, source
         )
         self.peer = own._replace(address=self.exchange._socket.address)
         hosts.append(self)
         self.exchange.start()
+        self.guard.start()
 
     def peers(self, hosts):
         return [
@@ -52,18 +59,18 @@
 def fleet():
     loop, clock = lh.new_loop()
     hosts = []
-    yield loop, clock, hosts
+    yield loop, clock, hosts, lh.FakeStore()
     for host in hosts:
         host.exchange.close()
 
 
 def add_hosts(fleet, count):
-    loop, _, hosts = fleet
-    return [Host(loop, f"h{len(hosts)}", hosts) for _ in range(count)]
+    loop, _, hosts, source = fleet
+    return [Host(loop, f"h{len(hosts)}", hosts, source) for _ in range(count)]
 
 
 def advance(fleet, seconds):
-    loop, clock, _ = fleet
+    loop, clock, *_ = fleet
     lh.advance(loop, clock, seconds)
 
 
@@ -124,6 +131,59 @@
     assert not any(host.refuses() for host in hosts)
 
 
+def test_a_block_is_known_after_all_hosts_restarted_at_once(fleet):
+    hosts = add_hosts(fleet, 2)
+    for number in range(3):
+        hosts[0].learn(number, fleet[1].now)
+    advance(fleet, 1.0)
+    for host in hosts:
+        host.exchange.close()
+        host.cut_off = True
+    (restarted,) = add_hosts(fleet, 1)
+    advance(fleet, 0.1)
+    assert restarted.refuses()
+
+
+def test_an_ended_block_stays_ended_after_a_restart(fleet):
+    hosts = add_hosts(fleet, 1)
+    for number in range(3):
+        hosts[0].learn(number, fleet[1].now)
+    advance(fleet, 31.0)
+    hosts[0].guard._publish_starts(
+        hosts[0].guard._evidence.record_start(_BAD, fleet[1].now)
+    )
+    hosts[0].guard._update_blocks(is_own=True)
+    advance(fleet, 0.1)
+    hosts[0].cut_off = True
+    (restarted,) = add_hosts(fleet, 1)
+    advance(fleet, 0.1)
+    assert not restarted.refuses()
+
+
+def test_a_block_is_stored_once_the_store_is_back(fleet):
+    hosts = add_hosts(fleet, 1)
+    fleet[3].error = store.StoreError("away")
+    for number in range(3):
+        hosts[0].learn(number, fleet[1].now)
+    advance(fleet, 3.0)
+    fleet[3].error = None
+    advance(fleet, 1.5)
+    assert len(fleet[3].log[store.Topic.BLOCKS]) == 1
+
+
+def test_a_block_that_was_long_unused_is_removed_from_the_store(fleet):
+    hosts = add_hosts(fleet, 1)
+    for number in range(3):
+        hosts[0].learn(number, fleet[1].now)
+    advance(fleet, 1.0)
+    hosts[0].cut_off = True
+    fleet[1].advance(3600.0)
+    (restarted,) = add_hosts(fleet, 1)
+    advance(fleet, 0.1)
+    assert not restarted.refuses()
+    assert fleet[3].log[store.Topic.BLOCKS][-1].value == b""
+
+
 def test_messages_survive_encoding():
     now = 1000.0
     items = (
