Spare engines suspected prompts on buffered routes too

Cause, found by looking for the same fault elsewhere: calls whose answer isn't streamed resent a prompt after its engine had crashed, and didn't look for a block that came into force while their stages ran. The test of the fault, now with a buffered route too, passed there only because the block comes after three crashes; the suspicion after two was ignored.

--- a/chervilarch/final_call.py
+++ b/chervilarch/final_call.py
@@ -25,6 +25,9 @@
 MIN_CALL_S = 0.02
 # Retry-After of a request that no endpoint took.
 DECLINED_RETRY_S = 0.1
+# Before a request is sent to another endpoint, a check of whether the last one
+# crashed may take this long. One that crashed refuses connections at once.
+_CRASH_CHECK_WAIT_S = 0.05
 # A hedge starts once the first attempt has taken this many times its expected
 # time plus this extra time.
 _HEDGE_RATIO = 2.5
@@ -149,6 +152,26 @@
     )
 
 
+def may_crash_endpoint(
+    ctx: contexts.RoutedContext,
+    failure: attempts.Failure,
+    crash_checked: "Future[None]",
+) -> tasks.Coroutine[bool]:
+    """Returns whether a failed request is suspected to crash endpoints.
+
+    Args:
+        ctx: the request.
+        failure: how its last attempt ended.
+        crash_checked: resolves once it is known whether that crashed an
+            endpoint.
+    """
+    if failure.certainly_not_run():
+        return False
+    until = ctx.now() + _CRASH_CHECK_WAIT_S
+    yield from tasks.wait(ctx.ctrl.loop, crash_checked, until)
+    return ctx.ctrl.prompt_guard.is_suspect(ctx.req.prompt.shared_parts())
+
+
 def failure_outcome(
     ctx: contexts.RoutedContext, last: attempts.Failure | None
 ) -> outcomes.Outcome:
@@ -220,6 +243,10 @@
     def _run(self) -> tasks.Coroutine[outcomes.Outcome]:
         ctx = self._ctx
         last: Success | attempts.Failure | None = None
+        may_crash = False
+        block = find_block(ctx)
+        if block is not None:
+            return blocked_outcome(ctx, block)
         ctx.ctrl.retry_budgets.earn(self._pool)
         self._send()
         while self._running:
@@ -227,13 +254,22 @@
             for attempt in [a for a in self._running if a.future.done()]:
                 self._running.remove(attempt)
                 attempt_result = attempt.future.result()
-                finish_attempt(ctx, attempt.lease, attempt_result)
+                crash_checked = finish_attempt(
+                    ctx, attempt.lease, attempt_result
+                )
                 if isinstance(
                     attempt_result, Success
                 ) and not self._is_retryable_error(attempt_result):
                     return outcomes.Answer(attempt_result)
                 last = attempt_result
-            if not self._running and try_spend_retry(ctx, self._pool):
+                may_crash = isinstance(last, attempts.Failure) and (
+                    yield from may_crash_endpoint(ctx, last, crash_checked)
+                )
+            if (
+                not self._running
+                and not may_crash
+                and try_spend_retry(ctx, self._pool)
+            ):
                 self._send()
         if isinstance(last, Success):
             return outcomes.Answer(last)
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -28,9 +28,6 @@
 # times the route's gap objective, but at least the minimum.
 _GAP_RATIO = 2.0
 _MIN_GAP_S = 0.8
-# Before a prompt is sent to another engine, a check of whether the last one
-# crashed may take this long. One that crashed refuses connections at once.
-_CRASH_CHECK_WAIT_S = 0.05
 _EVENT_END = b"\n\n"
 
 
@@ -110,7 +107,10 @@
                 return outcomes.Answer(attempt_result)
             last = attempt_result
             self._splitter.discard_partial()
-            if (yield from self._may_crash_engine(attempt_result)):
+            may_crash = yield from final_call.may_crash_endpoint(
+                ctx, attempt_result, self._crash_checked
+            )
+            if may_crash:
                 break
             if not final_call.try_spend_retry(ctx, self._pool):
                 break
@@ -119,17 +119,6 @@
                 return failed
         return final_call.failure_outcome(ctx, last)
 
-    def _may_crash_engine(
-        self, attempt_result: attempts.Failure
-    ) -> tasks.Coroutine[bool]:
-        """Returns whether a failed prompt is suspected to crash engines."""
-        ctx = self._ctx
-        if attempt_result.certainly_not_run():
-            return False
-        until = ctx.now() + _CRASH_CHECK_WAIT_S
-        yield from tasks.wait(ctx.ctrl.loop, self._crash_checked, until)
-        return ctx.ctrl.prompt_guard.is_suspect(ctx.req.prompt.shared_parts())
-
     def _requirements(self) -> placement.Requirements:
         prompt = self._ctx.req.prompt
         return placement.Requirements(
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -4,7 +4,9 @@
 import pytest
 from gateway_world import (
     KEY,
+    answer,
     events,
+    route_document,
     status,
     stream,
     stream_route_document,
@@ -34,7 +36,9 @@
         def serve(conn):
             request = lh.read_request(conn)
             if b"bad:" not in request:
-                conn.sendall(stream(events(1, 2)))
+                is_stream = b" /x/" in request
+                sound = stream(events(1, 2)) if is_stream else answer()
+                conn.sendall(sound)
                 return
             crashed.append(name)
             conn.sendall(_HEAD)
@@ -47,15 +51,19 @@
     return crashed
 
 
+@pytest.mark.parametrize("path", ["/x/1", "/buffered/1"])
 def test_a_prompt_part_that_crashes_engines_is_refused_after_a_few(
-    world, engines
+    world, engines, path
 ):
-    world.start(stream_route_document())
+    world.start(
+        stream_route_document(),
+        route_document(name="r2", path_prefix="/buffered/", sticky=True),
+    )
     answers = []
     for number in range(2 * _MAX_CRASHES):
-        deadly = world.fetch(KEY, ("Prompt-Prefix", _deadly(number)))
-        answers.append(status(deadly))
-        sound = world.fetch(KEY, ("Prompt-Prefix", _SOUND))
+        prompt = ("Prompt-Prefix", _deadly(number))
+        answers.append(status(world.fetch(KEY, prompt, path=path)))
+        sound = world.fetch(KEY, ("Prompt-Prefix", _SOUND), path=path)
         assert status(sound) == 200
     assert len(engines) <= _MAX_CRASHES
     assert answers[-1] == 503
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -4,6 +4,9 @@
 store is in memory, and the tests wait for events.
 """
 
+import socket
+import struct
+
 import loop_helpers as lh
 import pytest
 from gateway_world import (
@@ -266,6 +269,41 @@
     assert len(requests) == 1
 
 
+@pytest.mark.parametrize(
+    ("data", "is_complete"),
+    [(events(1, 2), True), (events(1, 2) + b"id: 3\ndat", False)],
+)
+def test_a_stream_without_a_length_is_complete_only_after_a_whole_event(
+    world, data, is_complete
+):
+    head = stream(b"").partition(b"Transfer-Encoding")[0] + b"\r\n"
+    world.endpoint("e1", lh.answer_with(head + data))
+    world.start({**stream_route_document(), "resumable": False})
+    received = world.fetch(KEY)
+    assert events(1, 2) in received and b"id: 3" not in received
+    assert received.endswith(b"0\r\n\r\n") is is_complete
+
+
+@pytest.mark.parametrize(("is_reset", "expected"), [(False, 200), (True, 502)])
+def test_an_answer_without_a_length_is_complete_unless_it_is_reset(
+    world, is_reset, expected
+):
+    head = answer(body=b"").replace(b"Content-Length: 0\r\n", b"")
+
+    def serve(conn):
+        lh.read_request(conn)
+        conn.sendall(head + b"out")
+        if is_reset:
+            linger = struct.pack("ii", 1, 0)
+            conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+    world.endpoint("e1", serve)
+    world.start(route_document(kind="non_idempotent"))
+    received = world.fetch(KEY)
+    assert status(received) == expected
+    assert received.endswith(b"out") is not is_reset
+
+
 def test_the_metrics_page_counts_requests(world):
     world.endpoint("e1", lh.answer_with(answer()))
     world.start(route_document())
