--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -1,6 +1,7 @@
 """Tests of the gateway as a process: start, serving, shutdown."""
 
 import base64
+import collections
 import json
 import os
 import signal
@@ -21,7 +22,7 @@
     """A fake of the platform's store over HTTP."""
 
     def __init__(self):
-        self.topics = {"keyed.op": [], "keyed.servers": [], "keyed.routers": []}
+        self.topics = collections.defaultdict(list)
         self.lock = threading.Lock()
         self.server = lh.RawServer(self.serve)
 
