--- a/chervilarch/final_call.py
+++ b/chervilarch/final_call.py
@@ -79,6 +79,15 @@
     return Success(head, result.body)
 
 
+def record_head(
+    ctx: contexts.RoutedContext, lease: placement.Lease, head: routed.ReplyHead
+) -> None:
+    """Records what the head of an attempt's reply says of the endpoint."""
+    # A status of 0 means that there was no reply.
+    if head.status and not head.is_misdirected:
+        ctx.ctrl.limits.record_answer(lease.slot.endpoint, head.limit_per_s)
+
+
 def finish_attempt(
     ctx: contexts.RoutedContext,
     lease: placement.Lease,
@@ -335,14 +344,18 @@
             ctx.req.resume_after,
         )
         transfer = ctx.ctrl.client.start(
-            exchange, lambda result: self._resolve(fut, transfer, result)
+            exchange,
+            lambda result: self._resolve(fut, lease, transfer, result),
         )
         record_send(ctx, lease)
         self._running.append(RunningAttempt(lease, transfer, fut))
         return True
 
-    def _resolve(self, fut: Future, transfer, result) -> None:
+    def _resolve(
+        self, fut: Future, lease: placement.Lease, transfer, result
+    ) -> None:
         head = self._ctx.ctrl.wire.parse_head(transfer.status, transfer.headers)
+        record_head(self._ctx, lease, head)
         tasks.resolve(fut, classify(head, result, self._ctx.req.id))
 
     def _abandon_running(self) -> None:
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -9,6 +9,7 @@
     advisories,
     budgets,
     caller_wait,
+    endpoint_limits,
     environment,
     fleet,
     followers,
@@ -250,8 +251,15 @@
         cfg.bounds.retry_window_s,
     )
     stage_budgets.set_hosts(_MAX_COORDINATORS)
+    limits = endpoint_limits.EndpointLimits(loop)
     runner = piece_runner.PieceRunner(
-        loop, client, http_wire, stage_budgets, meters, endpoints.mark_ended
+        loop,
+        client,
+        http_wire,
+        stage_budgets,
+        meters,
+        endpoints.mark_ended,
+        limits,
     )
     key = fleet.deployment_key(cfg.deployment)
     own = membership.Member(
@@ -298,6 +306,7 @@
     endpoints.add_listener(coordinator_placement.set_endpoints)
     endpoints.add_listener(runner.set_endpoints)
     endpoints.add_listener(guard.set_endpoints)
+    endpoints.add_listener(limits.set_endpoints)
     return RoutedControllers(
         loop=loop,
         client=client,
@@ -314,6 +323,7 @@
         answered_routes=set(),
         advisories=exchange,
         prompt_guard=guard,
+        limits=limits,
     )
 
 
--- a/chervilarch/piece_calls.py
+++ b/chervilarch/piece_calls.py
@@ -1,6 +1,7 @@
 """One call for pieces: sends it and handles its reply."""
 
 from chervilarch import (
+    endpoint_state,
     exchanges,
     piece_queue,
     piece_runner,
@@ -90,6 +91,7 @@
     ) -> list[routed.PieceReply] | None:
         """Returns the reply to each piece; None if the call failed."""
         replies, reason = None, ""
+        self._record_head(result)
         if isinstance(result, exchanges.TransferFailure):
             reason = f"{result.kind.value}: {result.detail}"
         elif result.status != _OK:
@@ -108,6 +110,23 @@
         self._runner.meters.observe_stage_call(self._pool, elapsed_s)
         return replies
 
+    def _parse_head(
+        self, result: exchanges.TransferResult
+    ) -> routed.ReplyHead | None:
+        if isinstance(result, exchanges.TransferFailure):
+            return None
+        headers = list(result.headers.items())
+        return self._runner.wire.parse_head(result.status, headers)
+
+    def _record_head(self, result: exchanges.TransferResult) -> None:
+        """Records the limit that the worker names."""
+        head = self._parse_head(result)
+        if head is None or head.is_misdirected:
+            return
+        entry = self._batch.worker.listing.entry
+        run = endpoint_state.EndpointRun(entry.name, entry.incarnation)
+        self._runner.limits.record_answer(run, head.limit_per_s)
+
     def _record_failure(
         self, result: exchanges.TransferResult, reason: str
     ) -> None:
@@ -115,10 +134,7 @@
         now = self._loop.now()
         worker = self._batch.worker
         entry = worker.listing.entry
-        head = None
-        if isinstance(result, exchanges.Reply):
-            headers = list(result.headers.items())
-            head = self._runner.wire.parse_head(result.status, headers)
+        head = self._parse_head(result)
         if head is not None and head.is_misdirected:
             self._runner.on_endpoint_removed(entry.name, entry.incarnation)
         elif head is not None and head.did_not_run:
--- a/chervilarch/piece_runner.py
+++ b/chervilarch/piece_runner.py
@@ -5,6 +5,7 @@
 
 from chervilarch import (
     budgets,
+    endpoint_limits,
     endpoint_list,
     exchanges,
     http_client,
@@ -40,6 +41,7 @@
         retry_budgets: budgets.PoolBudgets,
         meters: telemetry.Telemetry,
         on_endpoint_removed: Callable[[str, int], None],
+        limits: endpoint_limits.EndpointLimits,
     ):
         self.loop = loop
         self.client = client
@@ -47,6 +49,7 @@
         self._budgets = retry_budgets
         self.meters = meters
         self.on_endpoint_removed = on_endpoint_removed
+        self.limits = limits
         self._queues: dict[str, piece_queue.PieceQueue] = {}
         self._listed: dict[str, dict[str, endpoint_list.Listing]] = {}
         self._to_free: dict[str, list[str]] = collections.defaultdict(list)
--- a/chervilarch/platform/wire.py
+++ b/chervilarch/platform/wire.py
@@ -1,5 +1,6 @@
 """Translates the platform's HTTP requests, replies and stage calls."""
 
+import math
 from urllib import parse
 
 import msgspec
@@ -11,6 +12,7 @@
     outcomes,
     pieces,
     routed,
+    state_log,
 )
 
 _MS_PER_S = 1000
@@ -173,6 +175,7 @@
             "not-executed" in by_name or status == _MISDIRECTED_STATUS,
             status == _MISDIRECTED_STATUS,
             [item for item in headers if item[0] not in dropped],
+            _parse_limit(by_name.get("server-limit")),
         )
 
     def build_refusal(
@@ -263,6 +266,20 @@
     return None if text is None else float(text) / _MS_PER_S
 
 
+def _parse_limit(text: str | None) -> float | None:
+    """Parses a number of requests a second; None if there is none."""
+    if text is None:
+        return None
+    try:
+        limit = float(text)
+    except ValueError:
+        limit = math.nan
+    if not math.isfinite(limit) or limit < 0:
+        state_log.log_fault("endpoint limit unreadable", value=text)
+        return None
+    return limit
+
+
 def _parse_integers(text: str) -> tuple[int, ...]:
     return tuple(int(count) for count in text.split(",")) if text else ()
 
--- a/chervilarch/routed.py
+++ b/chervilarch/routed.py
@@ -122,6 +122,8 @@
         did_not_run: whether the endpoint states that it didn't run the request.
         is_misdirected: whether another endpoint has the address now.
         headers: headers to forward to the caller.
+        limit_per_s: requests a second that the endpoint takes from all hosts
+            together, None if it names no limit.
     """
 
     status: int
@@ -130,6 +132,7 @@
     did_not_run: bool
     is_misdirected: bool
     headers: http_server.Headers
+    limit_per_s: float | None = None
 
 
 class PieceReply(NamedTuple):
--- a/chervilarch/routed_context.py
+++ b/chervilarch/routed_context.py
@@ -6,6 +6,7 @@
     advisories,
     budgets,
     caller_wait,
+    endpoint_limits,
     fleet,
     followers,
     http_client,
@@ -44,6 +45,7 @@
     answered_routes: set[str]
     advisories: advisories.AdvisoryExchange
     prompt_guard: prompt_guard.PromptGuard
+    limits: endpoint_limits.EndpointLimits
 
 
 class RoutedContext:
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -12,6 +12,7 @@
     final_call,
     outcomes,
     placement,
+    routed,
     stage_inputs,
     state_log,
     tasks,
@@ -184,6 +185,7 @@
     ) -> tasks.Coroutine["final_call.Success | attempts.Failure"]:
         """Relays events until the stream ends."""
         ctx = self._ctx
+        head: routed.ReplyHead | None = None
         is_first = True
         while True:
             until = self._stalled_at(lease, is_first)
@@ -193,12 +195,14 @@
                     attempts.FailureCause.LATE, "no event in time"
                 )
             item = mailbox.pop()
-            if not isinstance(item, _Chunk):
-                return self._classify_end(transfer, item)
-            if is_first:
+            if head is None:
                 head = ctx.ctrl.wire.parse_head(
                     transfer.status, transfer.headers
                 )
+                final_call.record_head(ctx, lease, head)
+            if not isinstance(item, _Chunk):
+                return self._classify_end(head, item)
+            if is_first:
                 attempt_result = final_call.classify(
                     head, transfer.reply(0.0), ctx.req.id
                 )
@@ -257,11 +261,9 @@
             ctx.responder.send_head(head.status, head.headers)
 
     def _classify_end(
-        self, transfer, result: exchanges.TransferResult
+        self, head: routed.ReplyHead, result: exchanges.TransferResult
     ) -> "final_call.Success | attempts.Failure":
-        ctx = self._ctx
-        head = ctx.ctrl.wire.parse_head(transfer.status, transfer.headers)
-        attempt_result = final_call.classify(head, result, ctx.req.id)
+        attempt_result = final_call.classify(head, result, self._ctx.req.id)
         if head.status == 409 and head.did_not_run:
             return attempts.Failure(
                 attempts.FailureCause.INPUT_GONE, "a stage's result is gone"
--- a/tests/test_piece_runner.py
+++ b/tests/test_piece_runner.py
@@ -7,6 +7,7 @@
 
 from chervilarch import (
     budgets,
+    endpoint_limits,
     exchanges,
     piece_runner,
     pieces,
@@ -69,6 +70,7 @@
             budgets.PoolBudgets(share, fixed, 10.0),
             telemetry.Telemetry(),
             lambda name, incarnation: None,
+            endpoint_limits.EndpointLimits(self.loop),
         )
         self.runner.set_pools({"p": routing_table.Pool("p", WORKER_PROFILE)})
         self.runner.set_endpoints(
