Keep to the limits that endpoints name, all hosts together

Cause: the only bounds on an endpoint's load were each host's own estimates; no host read the header, and none knew what the others send. Class: a limit on the sum of all hosts that each host would have to keep by itself.

Change: hosts tell each other of limits (advisories). One host, by a hash over the live ones, gives the permits of an endpoint at the pace that it names; the others ask it by datagram before they send. A denied request tries endpoints without a limit first; if all have one, it waits for a permit as long as that can still be in time, else it is refused at once with the time until the next. The coordinator paces its proposals and its calls of stage workers, which need no permits as nobody else calls them; results of such workers expire instead of being freed.

--- a/chervilarch/advisory_messages.py
+++ b/chervilarch/advisory_messages.py
@@ -4,11 +4,11 @@
 
 import capnp
 
-from chervilarch import crash_evidence, messages
+from chervilarch import crash_evidence, endpoint_limits, messages
 
 _MS_PER_S = 1000
 
-Advisory = crash_evidence.Item
+Advisory = crash_evidence.Item | endpoint_limits.EndpointLimit
 
 
 class AdvisoryMessage(NamedTuple):
@@ -47,6 +47,12 @@
         slot.sinceMs = _to_ms(now - block.since)
         slot.endsInMs = _to_ms(block.ends_at - now)
         slot.heldMs = _to_ms(block.held_until - now)
+    limits = _of_type(message, endpoint_limits.EndpointLimit)
+    for slot, limit in _slots(msg, "limits", limits):
+        slot.endpoint = limit.endpoint
+        slot.incarnation = limit.incarnation
+        slot.perSecond = limit.per_s
+        slot.ageMs = _to_ms(now - limit.seen_at)
     return messages.seal(key, msg.to_bytes_packed())
 
 
@@ -83,7 +89,17 @@
             )
             for slot in msg.blocks
         )
-        return AdvisoryMessage((*blocks, *starts, *crashes), msg.wantsAll)
+        limits = (
+            endpoint_limits.EndpointLimit(
+                slot.endpoint,
+                slot.incarnation,
+                slot.perSecond,
+                now - slot.ageMs / _MS_PER_S,
+            )
+            for slot in msg.limits
+        )
+        items = (*blocks, *starts, *crashes, *limits)
+        return AdvisoryMessage(items, msg.wantsAll)
     except (capnp.KjException, ValueError) as exc:
         return messages.BadFrame(f"malformed advisories: {exc}")
 
--- /dev/null
+++ b/chervilarch/endpoint_lease.py
@@ -0,0 +1,88 @@
+"""Leases an endpoint for a final call, with a permit if it needs one."""
+
+from chervilarch import outcomes, placement, state_log, tasks
+from chervilarch import routed_context as contexts
+
+# Wait for a permit that is accepted while other endpoints are left.
+_SHORT_WAIT_S = 0.05
+# Share of the time left that may be spent waiting for a permit. Up to the
+# objective it may be more.
+_WAIT_SHARE = 0.2
+
+
+def lease(
+    ctx: contexts.RoutedContext,
+    requirements: placement.Requirements,
+    tried: set[str],
+    may_wait: bool = True,
+) -> tasks.Coroutine[placement.Lease | outcomes.NotRun | None]:
+    """Chooses an endpoint that wasn't tried.
+
+    Args:
+        ctx: the request.
+        requirements: what the call needs of the endpoint.
+        tried: ids of endpoints that aren't to be chosen.
+        may_wait: whether to wait for a permit if all endpoints need one.
+
+    Returns:
+        The lease, a refusal if all endpoints limit their requests and have no
+        permit in time, or None if there is no endpoint.
+    """
+    own = ctx.ctrl.placement
+    while True:
+        chosen = own.pick(requirements, tried)
+        if chosen is None:
+            return None
+        run = chosen.slot.endpoint
+        if ctx.ctrl.limits.per_s(run) is None:
+            return chosen
+        # An endpoint without a permit is chosen only if no other is left.
+        is_last = own.wait_s(run) > 0.0
+        max_wait_s = _SHORT_WAIT_S
+        if is_last and may_wait:
+            max_wait_s = longest_wait_s(ctx, chosen.slot.expected_s)
+        is_leased = False
+        try:
+            permit = yield ctx.ctrl.permits.acquire(run, max_wait_s)
+            if permit.is_granted:
+                if permit.wait_s > 0.0:
+                    yield tasks.sleep(ctx.ctrl.loop, permit.wait_s)
+                is_leased = True
+                return chosen
+        finally:
+            if not is_leased:
+                own.abandon(chosen)
+        own.defer(run, ctx.now() + permit.wait_s)
+        state_log.log_decision(
+            "permit denied",
+            request_id=ctx.req.id,
+            endpoint=run.key,
+            per_s=ctx.ctrl.limits.per_s(run),
+            wait_ms=round(permit.wait_s * 1000),
+            max_wait_ms=round(max_wait_s * 1000),
+        )
+        if is_last:
+            return refusal(permit.wait_s)
+
+
+def longest_wait_s(ctx: contexts.RoutedContext, expected_s: float) -> float:
+    """Returns how long a request may wait for a permit."""
+    remaining_s = ctx.remaining_s() - expected_s
+    to_objective_s = ctx.req.objective_at - ctx.now() - expected_s
+    return max(
+        0.0, min(remaining_s, max(to_objective_s, _WAIT_SHARE * remaining_s))
+    )
+
+
+def refusal(wait_s: float) -> outcomes.NotRun:
+    """Returns the outcome of a request that gets no permit in time.
+
+    Args:
+        wait_s: time until an endpoint has one.
+    """
+    return outcomes.NotRun(
+        outcomes.Reason.ENDPOINT_LIMIT,
+        "all endpoints of the pool get as many requests as they take",
+        "send the request again after the time given",
+        wait_s,
+    )
--- a/chervilarch/endpoint_limits.py
+++ b/chervilarch/endpoint_limits.py
@@ -1,10 +1,23 @@
-"""Limits on requests that endpoints name in their answers."""
+"""Limits on requests that endpoints name in their answers.
 
+A limit holds for all hosts together, so hosts tell each other of limits that
+begin, change or end. Limits of endpoints that get no requests stay as they were
+last seen.
+"""
+
+from collections.abc import Callable
 from typing import NamedTuple
 
 from chervilarch import endpoint_list, endpoint_state, state_log
 from chervilarch import loop as loops
 
+# An endpoint that takes no requests still gets one at times, as only its answer
+# can tell that this is over.
+_MIN_PER_S = 0.1
+# Other hosts needn't know of smaller changes.
+_CHANGE_SHARE = 0.1
+_MAX_LIMITS = 4096
+
 
 class EndpointLimit(NamedTuple):
     """What a run of an endpoint last said about its limit.
@@ -24,11 +37,21 @@
 
 
 class EndpointLimits:
-    """The limits in force, as far as this host knows them."""
+    """The limits in force, as far as this host knows them.
+
+    Attributes:
+        publish: sends news to other hosts.
+    """
 
     def __init__(self, loop: loops.Loop):
         self._loop = loop
         self._limits: dict[endpoint_state.EndpointRun, EndpointLimit] = {}
+        self.publish: Callable[[list[EndpointLimit]], None] = _ignore
+
+    def per_s(self, run: endpoint_state.EndpointRun) -> float | None:
+        """Returns the limit of a run, None if it has none."""
+        limit = self._limits.get(run)
+        return limit.per_s if limit is not None and limit.per_s else None
 
     def record_answer(
         self, run: endpoint_state.EndpointRun, per_s: float | None
@@ -37,12 +60,13 @@
         known = self._limits.get(run)
         if known is None and per_s is None:
             return
-        limit = EndpointLimit(
-            run.key, run.incarnation, per_s or 0.0, self._loop.now()
-        )
-        self._limits[run] = limit
-        if known is None or known.per_s != limit.per_s:
+        named = 0.0 if per_s is None else max(_MIN_PER_S, per_s)
+        now = self._loop.now()
+        limit = EndpointLimit(run.key, run.incarnation, named, now)
+        self._set(limit)
+        if known is None or _is_news(known, limit):
             self._log(limit)
+            self.publish([limit])
 
     def set_endpoints(
         self, listed: dict[str, dict[str, endpoint_list.Listing]]
@@ -57,7 +81,44 @@
             run: limit for run, limit in self._limits.items() if run in runs
         }
 
+    def items(self, now: float, max_age_s: float) -> list[EndpointLimit]:
+        """Returns what other hosts should know."""
+        return [
+            limit
+            for limit in self._limits.values()
+            if now - limit.seen_at <= max_age_s
+        ]
+
+    def merge(self, items: list) -> None:
+        """Applies what other hosts learned; the newest answer counts."""
+        for limit in items:
+            if not isinstance(limit, EndpointLimit):
+                continue
+            run = endpoint_state.EndpointRun(limit.endpoint, limit.incarnation)
+            known = self._limits.get(run)
+            if known is not None and limit.seen_at <= known.seen_at:
+                continue
+            self._set(limit)
+            if known is None or _is_news(known, limit):
+                self._log(limit)
+
+    def _set(self, limit: EndpointLimit) -> None:
+        run = endpoint_state.EndpointRun(limit.endpoint, limit.incarnation)
+        self._limits.pop(run, None)
+        self._limits[run] = limit
+        if len(self._limits) > _MAX_LIMITS:
+            del self._limits[next(iter(self._limits))]
+
     def _log(self, limit: EndpointLimit) -> None:
         state_log.log_change(
             "endpoint limit", endpoint=limit.endpoint, per_s=limit.per_s
         )
+
+
+def _is_news(known: EndpointLimit, limit: EndpointLimit) -> bool:
+    change = abs(limit.per_s - known.per_s)
+    return change > _CHANGE_SHARE * min(limit.per_s, known.per_s)
+
+
+def _ignore(limits: list[EndpointLimit]) -> None:
+    pass
--- a/chervilarch/final_call.py
+++ b/chervilarch/final_call.py
@@ -9,6 +9,7 @@
 from chervilarch import (
     attempts,
     crash_evidence,
+    endpoint_lease,
     exchanges,
     outcomes,
     placement,
@@ -257,7 +258,7 @@
         if block is not None:
             return blocked_outcome(ctx, block)
         ctx.ctrl.retry_budgets.earn(self._pool)
-        self._send()
+        refusal = yield from self._send()
         while self._running:
             yield from self._wait()
             for attempt in [a for a in self._running if a.future.done()]:
@@ -279,9 +280,11 @@
                 and not may_crash
                 and try_spend_retry(ctx, self._pool)
             ):
-                self._send()
+                refusal = yield from self._send()
         if isinstance(last, Success):
             return outcomes.Answer(last)
+        if refusal is not None and not ctx.req.possible_runs:
+            return refusal
         return failure_outcome(ctx, last)
 
     def _is_retryable_error(self, success: Success) -> bool:
@@ -321,18 +324,25 @@
         if ctx.remaining_s() > RETURN_MARGIN_S + MIN_CALL_S and (
             ctx.ctrl.retry_budgets.spend(self._pool, ctx.now())
         ):
-            if self._send():
+            running = len(self._running)
+            yield from self._send(may_wait=False)
+            if len(self._running) > running:
                 return
         yield first_reply
 
-    def _send(self) -> bool:
+    def _send(
+        self, may_wait: bool = True
+    ) -> tasks.Coroutine[outcomes.NotRun | None]:
+        """Sends an attempt if it can; may return why it can't."""
         ctx = self._ctx
         requirements = placement.Requirements(
             self._pool, finish_by=ctx.req.deadline_at
         )
-        lease = ctx.ctrl.placement.pick(requirements, self._tried)
-        if lease is None:
-            return False
+        lease = yield from endpoint_lease.lease(
+            ctx, requirements, self._tried, may_wait
+        )
+        if not isinstance(lease, placement.Lease):
+            return lease
         self._tried.add(lease.listing.entry.name)
         ctx.req.attempts_sent += 1
         fut: Future = Future()
@@ -349,7 +359,7 @@
         )
         record_send(ctx, lease)
         self._running.append(RunningAttempt(lease, transfer, fut))
-        return True
+        return None
 
     def _resolve(
         self, fut: Future, lease: placement.Lease, transfer, result
--- a/chervilarch/fleet.py
+++ b/chervilarch/fleet.py
@@ -27,6 +27,7 @@
 _STAGE_PORT_OFFSET = 1
 _STORE_PORT_OFFSET = 2
 _ADVISORY_PORT_OFFSET = 3
+_PERMIT_PORT_OFFSET = 4
 
 
 class Fleet:
@@ -96,6 +97,10 @@
         """Returns the hosts believed alive, with sockets for advisories."""
         return [advisory_peer(member) for member in self._alive_members()]
 
+    def permit_peers(self) -> list[stage_coordination.Peer]:
+        """Returns the hosts believed alive, with sockets for permits."""
+        return [permit_peer(member) for member in self._alive_members()]
+
     def _alive_members(self) -> list[membership.Member]:
         return [
             member
@@ -186,6 +191,11 @@
     return _peer(member, _ADVISORY_PORT_OFFSET)
 
 
+def permit_peer(member: membership.Member) -> stage_coordination.Peer:
+    """Returns a member with the address of its socket for permits."""
+    return _peer(member, _PERMIT_PORT_OFFSET)
+
+
 def _peer(member: membership.Member, offset: int) -> stage_coordination.Peer:
     host, port = member.address.rsplit(":", 1)
     address = (host, int(port) + offset)
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -20,6 +20,7 @@
     http_server,
     membership,
     pages,
+    permits,
     piece_runner,
     placement,
     prompt_guard,
@@ -120,6 +121,7 @@
         self._ctrl.fleet.stop()
         self._ctrl.sharing.close()
         self._ctrl.advisories.close()
+        self._ctrl.permits.close()
         self._ctrl.client.close()
 
     def _handle_signals(self) -> None:
@@ -166,6 +168,7 @@
         self._drain_started_at = self._loop.now()
         self._ctrl.fleet.leave()
         self._ctrl.stage_coordinator.leave()
+        self._ctrl.permits.leave()
         state_log.log_change(
             "drain started", in_flight=self._serving_state.in_flight
         )
@@ -300,6 +303,11 @@
         key,
         rng,
     )
+    exchange.add_source(limits)
+    limits.publish = exchange.publish
+    request_permits = permits.Permits(
+        loop, fleet.permit_peer(own), gateways.permit_peers, key, limits
+    )
     guard = prompt_guard.PromptGuard(loop, exchange, meters, rng, store_client)
     configuration.add_listener(lambda table: runner.set_pools(table.pools))
     endpoints.add_listener(own_placement.set_endpoints)
@@ -324,6 +332,7 @@
         advisories=exchange,
         prompt_guard=guard,
         limits=limits,
+        permits=request_permits,
     )
 
 
--- a/chervilarch/gateway_settings.py
+++ b/chervilarch/gateway_settings.py
@@ -5,8 +5,8 @@
 
 from chervilarch import schemas, settings
 
-# One each for gossip, stages, topic updates of the store and advisories.
-_PEER_PORTS = 4
+# One each for gossip, stages, topic updates of the store, advisories, permits.
+_PEER_PORTS = 5
 
 
 class GatewayBounds(NamedTuple):
--- a/chervilarch/outcomes.py
+++ b/chervilarch/outcomes.py
@@ -31,6 +31,7 @@
     IN_PROGRESS = "in-progress"
     NO_ENDPOINT = "no-endpoint"
     STAGE_FAILED = "stage-failed"
+    ENDPOINT_LIMIT = "endpoint-limit"
     PROMPT_BLOCKED = "prompt-blocked"
     CONNECTION_LOST = "connection-lost"
     ANSWER_NOT_KEPT = "answer-not-kept"
--- a/chervilarch/peer.capnp
+++ b/chervilarch/peer.capnp
@@ -175,10 +175,36 @@
   heldMs @5 :Int64;
 }
 
+struct EndpointLimit {
+  endpoint @0 :Text;
+  incarnation @1 :UInt64;
+  perSecond @2 :Float64;
+  ageMs @3 :Int64;
+}
+
 # What a host learned about endpoints and prompts.
 struct Advisories {
   wantsAll @0 :Bool;
   crashes @1 :List(CrashReport);
   starts @2 :List(PartStart);
   blocks @3 :List(PromptBlock);
+  limits @4 :List(EndpointLimit);
+}
+
+# A request for a permit to send a request to an endpoint with a limit, and the
+# reply of the host that gives the permits of that endpoint.
+enum PermitKind {
+  request @0;
+  granted @1;
+  denied @2;
+}
+
+struct Permit {
+  kind @0 :PermitKind;
+  number @1 :UInt64;
+  endpoint @2 :Text;
+  incarnation @3 :UInt64;
+  perSecond @4 :Float64;
+  # Longest wait that a request accepts, or the wait that a reply tells.
+  waitMs @5 :UInt32;
 }
--- a/chervilarch/piece_calls.py
+++ b/chervilarch/piece_calls.py
@@ -1,7 +1,6 @@
 """One call for pieces: sends it and handles its reply."""
 
 from chervilarch import (
-    endpoint_state,
     exchanges,
     piece_queue,
     piece_runner,
@@ -60,6 +59,7 @@
         self._overdue = self._loop.call_later(
             _OVERDUE_RATIO * batch.expected_s + _OVERDUE_S, self._on_overdue
         )
+        runner.pace(batch.worker)
         runner.client.start(exchange, self._on_done)
 
     def _on_overdue(self) -> None:
@@ -123,8 +123,7 @@
         head = self._parse_head(result)
         if head is None or head.is_misdirected:
             return
-        entry = self._batch.worker.listing.entry
-        run = endpoint_state.EndpointRun(entry.name, entry.incarnation)
+        run = self._batch.worker.run()
         self._runner.limits.record_answer(run, head.limit_per_s)
 
     def _record_failure(
--- a/chervilarch/piece_queue.py
+++ b/chervilarch/piece_queue.py
@@ -9,7 +9,7 @@
 
 from typing import NamedTuple
 
-from chervilarch import endpoint_list, pieces, routing_table
+from chervilarch import endpoint_list, endpoint_state, pieces, routing_table
 from chervilarch.pieces import PendingJob, PieceResult
 
 # Weight of the newest call in an endpoint's moving average of slowness.
@@ -57,6 +57,11 @@
         self.reserved_bytes = 0
         self._results: dict[str, tuple[int, float]] = {}
 
+    def run(self) -> endpoint_state.EndpointRun:
+        """Returns the run of the endpoint."""
+        entry = self.listing.entry
+        return endpoint_state.EndpointRun(entry.name, entry.incarnation)
+
     def add_result(self, handle: str, size: int, until: float) -> None:
         """Counts a result's memory until a monotonic time."""
         self._results[handle] = (size, until)
--- a/chervilarch/piece_runner.py
+++ b/chervilarch/piece_runner.py
@@ -120,17 +120,31 @@
                 worker.add_result(result.handle, result_bytes, until)
 
     def free(self, results: list[pieces.PieceResult]) -> None:
-        """Frees results that are no longer needed."""
+        """Frees results that are no longer needed.
+
+        A worker that limits its requests isn't asked to: its results expire.
+        """
         for result in results:
-            self._to_free[result.address].append(result.handle)
             queue = self._queues.get(result.pool)
             worker = queue.workers.get(result.endpoint) if queue else None
+            if worker is not None and self.limits.per_s(worker.run()):
+                continue
+            self._to_free[result.address].append(result.handle)
             if worker is not None:
                 worker.remove_result(result.handle)
-        if results and not self._is_freeing:
+        if self._to_free and not self._is_freeing:
             self._is_freeing = True
             self.loop.call_later(_FREE_PERIOD_S, self._send_frees)
 
+    def pace(self, worker: piece_queue.Worker) -> None:
+        """Delays the next call of a worker that limits its requests.
+
+        Only the coordinator calls workers, so it needs no permits.
+        """
+        per_s = self.limits.per_s(worker.run())
+        if per_s is not None:
+            worker.backoff_until = self.loop.now() + 1.0 / per_s
+
     def retry(
         self,
         queue: piece_queue.PieceQueue,
--- a/chervilarch/placement.py
+++ b/chervilarch/placement.py
@@ -80,6 +80,8 @@
         self._slot_numbers = itertools.count()
         self._pools: dict[str, dict[str, endpoint_state.Endpoint]] = {}
         self._listings: dict[str, endpoint_list.Listing] = {}
+        # When endpoints that limit their requests take the next one.
+        self._deferred: dict[endpoint_state.EndpointRun, float] = {}
 
     def set_endpoints(
         self, listed: dict[str, dict[str, endpoint_list.Listing]]
@@ -110,6 +112,31 @@
             return ""
         return endpoints[_affinity_endpoint(endpoints, shared)].data_centre
 
+    def defer(self, run: endpoint_state.EndpointRun, until: float) -> None:
+        """Prefers other endpoints to one until a monotonic time."""
+        now = self._clock.monotonic()
+        self._deferred = {
+            other: at for other, at in self._deferred.items() if at > now
+        }
+        self._deferred[run] = max(until, self._deferred.get(run, until))
+
+    def wait_s(self, run: endpoint_state.EndpointRun) -> float:
+        """Returns how long an endpoint is still deferred."""
+        until = self._deferred.get(run, float("-inf"))
+        return max(0.0, until - self._clock.monotonic())
+
+    def shortest_wait_s(self, pool: str) -> float:
+        """Returns how long all open endpoints of a pool are deferred."""
+        now = self._clock.monotonic()
+        return min(
+            (
+                self.wait_s(_run_of(name, endpoint))
+                for name, endpoint in self._pools.get(pool, {}).items()
+                if endpoint.is_open(now)
+            ),
+            default=0.0,
+        )
+
     def pick(self, requirements: Requirements, tried: set[str]) -> Lease | None:
         """Chooses an endpoint that wasn't tried; None if there is none."""
         now = self._clock.monotonic()
@@ -126,6 +153,8 @@
         } or candidates
         if not usable:
             return None
+        if self._deferred:
+            usable = self._not_deferred(usable)
         preferred = usable.get(requirements.preferred)
         if preferred is not None and now >= preferred.suspect_until:
             name = requirements.preferred
@@ -153,6 +182,21 @@
         endpoint.units += units
         return Lease(self._listings[name], slot)
 
+    def _not_deferred(
+        self, usable: dict[str, endpoint_state.Endpoint]
+    ) -> dict[str, endpoint_state.Endpoint]:
+        """Returns the endpoints that aren't deferred, or the next to be so."""
+        waits_s = {
+            name: self.wait_s(_run_of(name, endpoint))
+            for name, endpoint in usable.items()
+        }
+        shortest_s = min(waits_s.values())
+        return {
+            name: endpoint
+            for name, endpoint in usable.items()
+            if waits_s[name] == shortest_s
+        }
+
     def record_first_event(self, lease: Lease) -> None:
         """Records the first event of a stream, which continues to run."""
         lease.slot.has_answered = True
@@ -279,6 +323,12 @@
         return chosen.key
 
 
+def _run_of(
+    name: str, endpoint: endpoint_state.Endpoint
+) -> endpoint_state.EndpointRun:
+    return endpoint_state.EndpointRun(name, endpoint.incarnation)
+
+
 def _affinity_endpoint(names: Iterable[str], shared: bytes) -> str:
     """Returns the endpoint with the highest hash, the same on every host."""
     return max(names, key=lambda name: zlib.crc32(shared + name.encode()))
--- a/chervilarch/routed_context.py
+++ b/chervilarch/routed_context.py
@@ -11,6 +11,7 @@
     followers,
     http_client,
     http_server,
+    permits,
     placement,
     prompt_guard,
     routed,
@@ -46,6 +47,7 @@
     advisories: advisories.AdvisoryExchange
     prompt_guard: prompt_guard.PromptGuard
     limits: endpoint_limits.EndpointLimits
+    permits: permits.Permits
 
 
 class RoutedContext:
--- a/chervilarch/routed_filters.py
+++ b/chervilarch/routed_filters.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from chervilarch import (
+    endpoint_lease,
     final_call,
     outcomes,
     stage_inputs,
@@ -126,6 +127,11 @@
     ctx: RoutedContext, call_next: NextFilter
 ) -> tasks.Coroutine[outcomes.Outcome]:
     """Runs the stages and the final call; the last filter."""
+    # Stages aren't run for a final call that can't be sent.
+    pool = ctx.req.route.pool_for(ctx.req.id)
+    wait_s = ctx.ctrl.placement.shortest_wait_s(pool)
+    if wait_s > endpoint_lease.longest_wait_s(ctx, 0.0):
+        return endpoint_lease.refusal(wait_s)
     inputs = stage_inputs.StageInputs(ctx)
     try:
         failed = yield from inputs.run()
--- a/chervilarch/stage_scheduler.py
+++ b/chervilarch/stage_scheduler.py
@@ -8,15 +8,16 @@
 from collections.abc import Callable
 from concurrent.futures import Future
 
-from chervilarch import loop as loops
-from chervilarch import piece_runner as piece_runners
 from chervilarch import (
+    endpoint_state,
     pieces,
     placement,
     stage_graph,
     state_log,
     tasks,
 )
+from chervilarch import loop as loops
+from chervilarch import piece_runner as piece_runners
 
 # Longest deferral. A later refusal leaves the caller less time to retry, and
 # few graphs deferred for longer are still served under peak load.
@@ -207,6 +208,7 @@
         )
         if lease is None:
             return ""
+        self._pace(lease.slot.endpoint)
         handle = results[0].handle
         self._leases[handle] = lease
         self._loop.call_later(
@@ -214,6 +216,13 @@
         )
         return lease.listing.entry.name
 
+    def _pace(self, run: endpoint_state.EndpointRun) -> None:
+        """Proposes an engine that limits its requests no more often."""
+        per_s = self._piece_runner.limits.per_s(run)
+        if per_s is not None:
+            wait_s = self._engine_placement.wait_s(run) + 1.0 / per_s
+            self._engine_placement.defer(run, self._loop.now() + wait_s)
+
     def _expire_lease(self, handle: str) -> None:
         lease = self._leases.pop(handle, None)
         if lease is not None:
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -8,6 +8,7 @@
 
 from chervilarch import (
     attempts,
+    endpoint_lease,
     exchanges,
     final_call,
     outcomes,
@@ -95,13 +96,10 @@
         ctx.ctrl.retry_budgets.earn(self._pool)
         last: attempts.Failure | None = None
         while True:
-            block = final_call.find_block(ctx)
-            if block is not None and not ctx.req.possible_runs:
-                return final_call.blocked_outcome(ctx, block)
-            if block is not None:
-                break
-            lease = ctx.ctrl.placement.pick(self._requirements(), self._tried)
-            if lease is None:
+            lease = yield from self._lease()
+            if isinstance(lease, outcomes.NotRun) and not ctx.req.possible_runs:
+                return lease
+            if not isinstance(lease, placement.Lease):
                 break
             attempt_result = yield from self._attempt(lease)
             if isinstance(attempt_result, final_call.Success):
@@ -120,6 +118,19 @@
                 return failed
         return final_call.failure_outcome(ctx, last)
 
+    def _lease(
+        self,
+    ) -> tasks.Coroutine[placement.Lease | outcomes.NotRun | None]:
+        """Leases an endpoint, unless the request must not be sent."""
+        block = final_call.find_block(self._ctx)
+        if block is not None:
+            return final_call.blocked_outcome(self._ctx, block)
+        return (
+            yield from endpoint_lease.lease(
+                self._ctx, self._requirements(), self._tried
+            )
+        )
+
     def _requirements(self) -> placement.Requirements:
         prompt = self._ctx.req.prompt
         return placement.Requirements(
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -33,14 +33,14 @@
         self.loop = loops.Loop(clocks.SystemClock())
         self.store = lh.FakeStore()
         self.servers = []
-        port = lh.free_ports(4)
+        port = lh.free_ports(5)
         cfg = gateway_settings.GatewaySettings(
             "n1",
             "dc1",
             "127.0.0.1:0",
             "127.0.0.1:0",
             "127.0.0.1",
-            (port, port + 3),
+            (port, port + 4),
             0,
             "127.0.0.1:1",
             "test",
@@ -63,6 +63,7 @@
         self.ctrl.stage_coordinator.close()
         self.ctrl.sharing.close()
         self.ctrl.advisories.close()
+        self.ctrl.permits.close()
         for server in self.servers:
             server.close()
 
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -1,14 +1,20 @@
-"""Requests to an endpoint that names how many it takes a second."""
+"""Requests to endpoints that name how many they take a second."""
 
 import loop_helpers as lh
 import pytest
-from gateway_world import KEY, answer, route_document, status
+from gateway_world import KEY, answer, read_status, route_document, status
+
+from chervilarch import advisories, endpoint_limits, endpoint_state, permits
+from chervilarch.stage_coordination import Peer
 
 _LIMIT_PER_S = 2.0
-# The users allow half as much again, and five requests.
+# The users allow half as much again, and five requests, in a window.
 _SLACK_RATIO = 1.5
 _SLACK_REQUESTS = 5
+_WINDOW_S = 4.0
 _REQUESTS = 40
+_SEAL_KEY = b"k" * 16
+_RUN = endpoint_state.EndpointRun("e1", 1)
 
 
 @pytest.fixture
@@ -20,11 +26,224 @@
     return requests
 
 
+def allowed_requests(seconds, per_s=_LIMIT_PER_S):
+    return _SLACK_RATIO * per_s * seconds + _SLACK_REQUESTS
+
+
 def test_an_endpoint_gets_no_more_requests_than_it_says(world, limited):
     world.start(route_document(target_latency_ms=100))
+    world.fetch(KEY)
     started_at = world.loop.now()
-    answers = [status(world.fetch(KEY)) for _ in range(_REQUESTS)]
+    callers = [world.send(KEY) for _ in range(_REQUESTS)]
+    answers = [read_status(world, caller) for caller in callers]
     elapsed_s = world.loop.now() - started_at
-    allowed = _SLACK_RATIO * _LIMIT_PER_S * elapsed_s + _SLACK_REQUESTS
-    assert len(limited) <= allowed
+    assert len(limited) <= allowed_requests(elapsed_s)
     assert set(answers) == {200, 503}
+    assert len(limited) == 1 + answers.count(200)
+
+
+def test_a_refusal_for_a_limit_tells_when_to_come_back(world, limited):
+    world.start(route_document(target_latency_ms=100, timeout_ms=200))
+    world.fetch(KEY)
+    for _ in range(5):
+        received = world.fetch(KEY)
+        if status(received) == 503:
+            break
+    head = received.partition(b"\r\n\r\n")[0].lower()
+    wait_s = float(head.partition(b"retry-after: ")[2].split(b"\r\n")[0])
+    assert status(received) == 503 and 0.0 < wait_s <= 1.0 / _LIMIT_PER_S
+
+
+def test_other_endpoints_take_what_one_does_not(world, limited):
+    requests = []
+    world.endpoint("e2", lh.answer_with(answer(), requests))
+    world.start(route_document())
+    callers = [world.send(KEY) for _ in range(_REQUESTS)]
+    assert {read_status(world, caller) for caller in callers} == {200}
+    started_at = world.loop.now()
+    callers = [world.send(KEY) for _ in range(_REQUESTS)]
+    before = len(limited)
+    assert {read_status(world, caller) for caller in callers} == {200}
+    elapsed_s = world.loop.now() - started_at
+    assert len(limited) - before <= allowed_requests(elapsed_s)
+
+
+def test_a_limit_ends_with_an_answer_that_names_none(world):
+    names_limit = [True]
+    requests = []
+
+    def serve(conn):
+        requests.append(lh.read_request(conn))
+        extra = "Server-Limit: 1\r\n" if names_limit[0] else ""
+        conn.sendall(answer(extra=extra))
+
+    world.endpoint("e1", serve)
+    world.start(route_document())
+    world.fetch(KEY)
+    names_limit[0] = False
+    world.fetch(KEY)
+    callers = [world.send(KEY) for _ in range(_REQUESTS)]
+    assert {read_status(world, caller) for caller in callers} == {200}
+
+
+class Host:
+    """One host's limits and permits."""
+
+    def __init__(self, loop, name, hosts):
+        self.own = Peer(name, ("127.0.0.1", lh.free_ports(1)))
+        self.cut_off = False
+        self.loop = loop
+        self.granted_at = []
+        self.limits = endpoint_limits.EndpointLimits(loop)
+        self.permits = permits.Permits(
+            loop,
+            self.own,
+            lambda: self.peers(hosts),
+            _SEAL_KEY,
+            self.limits,
+        )
+        hosts.append(self)
+
+    def peers(self, hosts):
+        return [
+            host.own
+            for host in hosts
+            if host is not self and self.cut_off == host.cut_off
+        ]
+
+    def ask(self, max_wait_s=0.0):
+        fut = self.permits.acquire(_RUN, max_wait_s)
+        fut.add_done_callback(self._count)
+
+    def _count(self, fut):
+        permit = fut.result()
+        if permit.is_granted:
+            self.granted_at.append(self.loop.now() + permit.wait_s)
+
+
+@pytest.fixture
+def fleet():
+    loop, clock = lh.new_loop()
+    hosts = []
+    for number in range(8):
+        Host(loop, f"h{number}", hosts)
+    yield loop, clock, hosts
+    for host in hosts:
+        host.permits.close()
+
+
+def run_load(fleet, seconds, max_wait_s=0.0, per_s=_LIMIT_PER_S):
+    """Lets every host ask ten times a second; returns the times of permits."""
+    loop, clock, hosts = fleet
+    for host in hosts:
+        host.limits.record_answer(_RUN, per_s)
+        host.granted_at.clear()
+    for _ in range(round(10 * seconds)):
+        for host in hosts:
+            host.ask(max_wait_s)
+        lh.advance(loop, clock, 0.1)
+    return sorted(at for host in hosts for at in host.granted_at)
+
+
+def most_in_window(times):
+    return max(
+        sum(start <= at < start + _WINDOW_S for at in times) for start in times
+    )
+
+
+@pytest.mark.parametrize("max_wait_s", [0.0, 1.0])
+def test_all_hosts_together_keep_to_a_limit_and_use_it(fleet, max_wait_s):
+    times = run_load(fleet, 20.0, max_wait_s)
+    assert most_in_window(times) <= allowed_requests(_WINDOW_S)
+    assert len(times) >= 0.9 * _LIMIT_PER_S * 20.0
+
+
+def test_a_limit_holds_while_hosts_restart_one_after_the_other(fleet):
+    loop, _, hosts = fleet
+    times = []
+    for number in range(8):
+        times += run_load(fleet, 2.0)
+        hosts[number].permits.close()
+        del hosts[number]
+        Host(loop, f"h{number}", hosts)
+        hosts.insert(number, hosts.pop())
+    assert most_in_window(sorted(times)) <= allowed_requests(_WINDOW_S)
+
+
+def test_a_silent_host_delays_permits_but_does_not_stop_them(fleet):
+    loop, clock, hosts = fleet
+    run_load(fleet, 1.0)
+    giver = max(hosts, key=lambda host: permits._rank(_RUN, host.own))
+    giver.permits.close()
+    hosts.remove(giver)
+    peers = [host.own for host in hosts] + [giver.own]
+    for host in hosts:
+        host.permits._live_peers = lambda own=host.own: [
+            peer for peer in peers if peer is not own
+        ]
+    times = run_load(fleet, 10.0)
+    assert len(times) >= 0.5 * _LIMIT_PER_S * 10.0
+    assert most_in_window(times) <= allowed_requests(_WINDOW_S)
+
+
+def test_each_side_of_a_cut_keeps_to_a_limit(fleet):
+    _, _, hosts = fleet
+    for host in hosts[:3]:
+        host.cut_off = True
+    run_load(fleet, 8.0)
+    for side in (hosts[:3], hosts[3:]):
+        times = sorted(at for host in side for at in host.granted_at)
+        assert most_in_window(times) <= allowed_requests(_WINDOW_S)
+
+
+def test_limits_of_several_endpoints_are_kept_apart(fleet):
+    loop, clock, hosts = fleet
+    others = [endpoint_state.EndpointRun(f"e{n}", 1) for n in range(20)]
+    counts = dict.fromkeys(others, 0)
+    for host in hosts:
+        for number, run in enumerate(others):
+            host.limits.record_answer(run, 1.0 + number)
+
+    def count(run, permit):
+        counts[run] += permit.is_granted
+
+    for _ in range(40):
+        for host in hosts:
+            for run in others:
+                fut = host.permits.acquire(run, 0.0)
+                fut.add_done_callback(
+                    lambda done, run=run: count(run, done.result())
+                )
+        lh.advance(loop, clock, 0.1)
+    for number, run in enumerate(others):
+        assert counts[run] <= allowed_requests(_WINDOW_S, 1.0 + number)
+        assert counts[run] >= min(40, 0.9 * _WINDOW_S * (1.0 + number))
+
+
+def test_hosts_tell_each_other_of_limits_and_their_end(fleet):
+    loop, clock, hosts = fleet
+    sources = [host.limits for host in hosts[:2]]
+    sources[0].publish = sources[1].merge
+    sources[0].record_answer(_RUN, 3.0)
+    assert sources[1].per_s(_RUN) == 3.0
+    late = endpoint_limits.EndpointLimits(loop)
+    late.merge(sources[0].items(loop.now(), advisories._EXCHANGED_AGE_S))
+    assert late.per_s(_RUN) == 3.0
+    clock.advance(1.0)
+    sources[0].record_answer(_RUN, None)
+    assert sources[1].per_s(_RUN) is None
+    # An older answer doesn't bring the limit back.
+    sources[1].merge(late.items(loop.now(), advisories._EXCHANGED_AGE_S))
+    assert sources[1].per_s(_RUN) is None
+
+
+def test_memory_is_bounded(fleet):
+    loop, _, hosts = fleet
+    host = hosts[0]
+    host.peers = lambda hosts: []
+    for number in range(5000):
+        run = endpoint_state.EndpointRun(f"e{number}", 1)
+        host.limits.record_answer(run, 1.0)
+        host.permits.acquire(run, 0.0)
+    assert len(host.limits._limits) <= 4096
+    assert len(host.permits._schedules) <= 4096
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -66,14 +66,14 @@
 def gateway(tmp_path):
     store = StoreServer()
     ports = [lh.free_ports(1) for _ in range(3)]
-    peer = lh.free_ports(4)
+    peer = lh.free_ports(5)
     settings = {
         "host": "n1",
         "data_centre": "dc1",
         "caller_address": f"127.0.0.1:{ports[0]}",
         "ready_address": f"127.0.0.1:{ports[1]}",
         "ip": "127.0.0.1",
-        "peer_ports": [peer, peer + 3],
+        "peer_ports": [peer, peer + 4],
         "metrics_port": ports[2],
         "store_address": store.server.address,
         "bounds": {
--- a/tests/test_gateway_settings.py
+++ b/tests/test_gateway_settings.py
@@ -58,7 +58,7 @@
         ({"host": None}, "host"),
         ({"caller_address": "nowhere"}, "caller_address"),
         ({"peer_ports": [7000]}, "peer_ports"),
-        ({"peer_ports": [7000, 7002]}, "at least 4 free ports"),
+        ({"peer_ports": [7000, 7003]}, "at least 5 free ports"),
         ({"metrics_port": "9464"}, "metrics_port"),
         ({"seeds": ["nowhere"]}, "seeds"),
         ({"cores": "two"}, "cores"),
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -6,6 +6,7 @@
 import pytest
 
 from chervilarch import (
+    endpoint_limits,
     pieces,
     placement,
     stage_graph,
@@ -29,6 +30,7 @@
             "q": lh.piece_queue_of("e2"),
         }
         self.on_dispatched = None
+        self.limits = endpoint_limits.EndpointLimits(None)
 
     def queue(self, pool):
         return self.queues.get(pool)
