Bound streams and replies of endpoints that never stop

Cause: an incomplete event had no bound, and every chunk restarted the time until a stream counts as stalled. A buffered body was bounded (16 MiB), but not all of them together. Class: a bound on each step instead of on the whole.

Change: an incomplete event is at most 1 MiB; stalling counts from the last complete event; the kept bodies of all transfers are at most 64 MiB together.

Evidence: of tests/test_endless_replies.py four of 23 cases failed before (both bodies on a stream route: 504 at the deadline instead of 502 at once; the shared bound; resuming), all hold now. Heads without end (one line, many lines, interim replies) and chunk sizes were bounded already, by libcurl.

--- a/chervilarch/http_client.py
+++ b/chervilarch/http_client.py
@@ -17,6 +17,8 @@
 
 CONNECT_TIMEOUT_S = 0.5
 MAX_REPLY_BYTES = 16 * 1024 * 1024
+# Bound on the bodies of all running transfers together.
+MAX_KEPT_BYTES = 64 * 1024 * 1024
 _MAX_IDLE_CONNECTIONS = 32
 # Below the shortest idle time-out of the servers whose connections are reused.
 _CONNECTION_MAX_IDLE_S = 3
@@ -87,12 +89,23 @@
             return len(chunk)
         if len(self._body) + len(chunk) > MAX_REPLY_BYTES:
             return 0
+        if self._client.kept_bytes + len(chunk) > MAX_KEPT_BYTES:
+            return 0
         self._body += chunk
+        self._client.kept_bytes += len(chunk)
         return len(chunk)
 
+    def kept_bytes(self) -> int:
+        """Returns the bytes of the body that are kept for `on_done`."""
+        return len(self._body)
+
 
 class Client:
-    """Drives a `pycurl.CurlMulti` from the event loop."""
+    """Drives a `pycurl.CurlMulti` from the event loop.
+
+    Attributes:
+        kept_bytes: bytes of the bodies of all running transfers.
+    """
 
     def __init__(self, loop: loops.Loop):
         self._loop = loop
@@ -104,6 +117,7 @@
         self._running: dict[pycurl.Curl, Transfer] = {}
         self._spare_handles: list[pycurl.Curl] = []
         self._queued_chunks: list[tuple[Transfer, bytes]] = []
+        self.kept_bytes = 0
 
     def start(
         self,
@@ -148,6 +162,7 @@
         if curl is None:
             return
         del self._running[curl]
+        self.kept_bytes -= transfer.kept_bytes()
         self._multi.remove_handle(curl)
         if len(self._spare_handles) < _MAX_SPARE_HANDLES:
             curl.reset()
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -9,6 +9,7 @@
 from chervilarch import (
     attempts,
     endpoint_lease,
+    event_stream,
     exchanges,
     final_call,
     outcomes,
@@ -62,6 +63,10 @@
                 self.events += 1
         return complete
 
+    def is_overlong(self) -> bool:
+        """Returns whether an incomplete event exceeds the bound."""
+        return len(self._partial) > event_stream.MAX_EVENT_BYTES
+
     def discard_partial(self) -> bool:
         """Drops an incomplete event; returns whether there was one."""
         had_partial, self._partial = bool(self._partial.strip()), b""
@@ -198,8 +203,9 @@
         ctx = self._ctx
         head: routed.ReplyHead | None = None
         is_first = True
+        last_event_at = lease.slot.started_at
         while True:
-            until = self._stalled_at(lease, is_first)
+            until = self._stalled_at(lease, is_first, last_event_at)
             got = yield from tasks.wait(ctx.ctrl.loop, mailbox.ready(), until)
             if isinstance(got, tasks.TimedOut):
                 return attempts.Failure(
@@ -213,15 +219,12 @@
                 final_call.record_head(ctx, lease, head)
             if not isinstance(item, _Chunk):
                 return self._classify_end(head, item)
-            if is_first:
-                attempt_result = final_call.classify(
-                    head, transfer.reply(0.0), ctx.req.id
-                )
-                if isinstance(attempt_result, attempts.Failure):
-                    return attempt_result
-            complete = self._splitter.feed(item.chunk)
+            complete = self._split(head, transfer, item.chunk, is_first)
+            if isinstance(complete, attempts.Failure):
+                return complete
             if not complete:
                 continue
+            last_event_at = ctx.now()
             if is_first:
                 is_first = False
                 self._on_first_event(lease, head)
@@ -230,20 +233,51 @@
                 transfer.pause()
                 ctx.responder.on_writable(transfer.resume)
 
-    def _stalled_at(self, lease: placement.Lease, is_first: bool) -> float:
-        """Returns when a stream counts as stalled, in monotonic seconds."""
+    def _split(
+        self,
+        head: routed.ReplyHead,
+        transfer,
+        chunk: bytes,
+        is_first: bool,
+    ) -> bytes | attempts.Failure:
+        """Returns the events that a chunk completes, unless it can't be used.
+
+        Args:
+            head: head of the reply.
+            transfer: the attempt's transfer.
+            chunk: bytes of the reply's body.
+            is_first: whether no event is complete yet.
+        """
+        if is_first:
+            attempt_result = final_call.classify(
+                head, transfer.reply(0.0), self._ctx.req.id
+            )
+            if isinstance(attempt_result, attempts.Failure):
+                return attempt_result
+        complete = self._splitter.feed(chunk)
+        if self._splitter.is_overlong():
+            return attempts.Failure(
+                attempts.FailureCause.FAILED, "an event is too long"
+            )
+        return complete
+
+    def _stalled_at(
+        self, lease: placement.Lease, is_first: bool, last_event_at: float
+    ) -> float:
+        """Returns when a stream counts as stalled, in monotonic seconds.
+
+        Bytes that complete no event don't count.
+        """
         ctx = self._ctx
         if not self._can_resume():
             return ctx.req.deadline_at
         if is_first:
             allowed_s = _FIRST_EVENT_RATIO * lease.slot.expected_s
             allowed_s = max(allowed_s, ctx.req.route.objective_s / 2)
-            since = lease.slot.started_at
-            return min(
-                since + allowed_s + _FIRST_EVENT_EXTRA_S, ctx.req.deadline_at
-            )
+            allowed_s += _FIRST_EVENT_EXTRA_S
+            return min(last_event_at + allowed_s, ctx.req.deadline_at)
         gap_s = _GAP_RATIO * ctx.req.route.gap_objective_s
-        return min(ctx.now() + max(_MIN_GAP_S, gap_s), ctx.req.deadline_at)
+        return min(last_event_at + max(_MIN_GAP_S, gap_s), ctx.req.deadline_at)
 
     def _can_resume(self) -> bool:
         req = self._ctx.req
--- /dev/null
+++ b/tests/test_endless_replies.py
@@ -0,0 +1,159 @@
+"""Endpoints that send bytes without end until the connection is closed."""
+
+import threading
+
+import loop_helpers as lh
+import pytest
+from gateway_world import (
+    KEY,
+    events,
+    route_document,
+    status,
+    stream_route_document,
+)
+
+from chervilarch import clocks, exchanges, http_client
+from chervilarch import loop as loops
+
+_HEAD = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: id1\r\nResponse-Stamp: s1\r\n"
+    b"Content-Type: text/event-stream\r\n"
+)
+_BLOCK = 64 * 1024
+# What a transfer may read before it gives up, with what is in socket buffers.
+_MAX_READ_BYTES = http_client.MAX_REPLY_BYTES + 16 * 1024 * 1024
+
+
+class EndlessServer:
+    """Sends a start, then a block again and again until the peer closes."""
+
+    def __init__(self, start, block, pause_s=0.0):
+        self._start = start
+        self._block = block
+        self._pause_s = pause_s
+        self.sent_bytes = 0
+        self.has_ended = threading.Event()
+        self.stop = threading.Event()
+
+    def serve(self, conn):
+        lh.read_request(conn)
+        try:
+            conn.sendall(self._start)
+            while not self.stop.wait(self._pause_s):
+                conn.sendall(self._block)
+                self.sent_bytes += len(self._block)
+                assert self.sent_bytes < 8 * _MAX_READ_BYTES
+        finally:
+            self.has_ended.set()
+
+
+@pytest.fixture
+def endless():
+    servers = []
+
+    def create(*args):
+        servers.append(EndlessServer(*args))
+        return servers[-1]
+
+    yield create
+    for server in servers:
+        server.stop.set()
+
+
+CASES = {
+    "no protocol": (b"", b"\x00junk" * 1000),
+    "one header line": (_HEAD + b"X: ", b"x" * _BLOCK),
+    "many header lines": (_HEAD, b"X: y\r\n" * 1000),
+    "interim replies": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1000),
+    "body": (_HEAD + b"\r\n", b"x" * _BLOCK),
+    "chunked body": (
+        _HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"%x\r\n%s\r\n" % (_BLOCK, b"x" * _BLOCK),
+    ),
+    "chunk size": (
+        _HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"0" * _BLOCK,
+    ),
+}
+
+
+@pytest.mark.parametrize("case", CASES)
+def test_a_transfer_gives_up_on_an_endless_reply(endless, case):
+    server = endless(*CASES[case])
+    loop = loops.Loop(clocks.SystemClock())
+    client = http_client.Client(loop)
+    raw = lh.RawServer(server.serve)
+    exchange = exchanges.Exchange(
+        "GET", f"http://{raw.address}/", timeout_s=60.0, fresh=True
+    )
+    fut = client.call(exchange)
+    lh.run_until(loop, fut.done)
+    assert isinstance(fut.result(), exchanges.TransferFailure)
+    assert server.has_ended.wait(lh.TIMEOUT_S)
+    assert server.sent_bytes < _MAX_READ_BYTES
+
+
+def test_endless_replies_share_a_bound_on_memory(endless):
+    loop = loops.Loop(clocks.SystemClock())
+    client = http_client.Client(loop)
+    # One reply stays below its own bound.
+    block = b"x" * (http_client.MAX_REPLY_BYTES - _BLOCK)
+    start = b"HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n"
+    most = 0
+    transfers = []
+    for _ in range(8):
+        server = endless(start + block, b"", 0.01)
+        raw = lh.RawServer(server.serve)
+        exchange = exchanges.Exchange(
+            "GET", f"http://{raw.address}/", timeout_s=60.0, fresh=True
+        )
+        transfers.append(client.start(exchange, lambda result: None))
+
+    def is_full():
+        nonlocal most
+        kept = sum(len(t.reply(0.0).body) for t in transfers if t.curl)
+        most = max(most, kept)
+        return sum(t.curl is None for t in transfers) >= 4
+
+    lh.run_until(loop, is_full)
+    assert most <= http_client.MAX_KEPT_BYTES
+    client.close()
+
+
+@pytest.mark.parametrize("path", ["/x/1", "/buffered/1"])
+@pytest.mark.parametrize("case", CASES)
+def test_a_request_ends_soon_when_its_endpoint_never_stops(
+    world, endless, case, path
+):
+    server = endless(*CASES[case])
+    world.endpoint("e1", server.serve)
+    world.start(
+        {**stream_route_document(), "resumable": False},
+        route_document(
+            name="r2", path_prefix="/buffered/", kind="non_idempotent"
+        ),
+    )
+    assert status(world.fetch(KEY, path=path)) == 502
+    assert server.has_ended.wait(lh.TIMEOUT_S)
+    assert server.sent_bytes < _MAX_READ_BYTES
+
+
+def test_bytes_without_an_event_do_not_keep_a_stream_from_resuming(
+    world, endless
+):
+    start = _HEAD + b"\r\n" + events(1, 2)
+    server = endless(start, b": comment\n", 0.02)
+    requests = []
+
+    def resume(conn):
+        requests.append(lh.read_request(conn))
+        conn.sendall(_HEAD + b"\r\n" + events(3, 4))
+
+    world.endpoint("e1", server.serve)
+    world.start(stream_route_document(timeout_ms=60000))
+    conn = world.send(KEY, ("Connection", "close"))
+    lh.run_until(world.loop, lambda: server.sent_bytes > 100)
+    world.endpoint("e2", resume)
+    received = lh.receive(world.loop, conn, lambda data: b"<EOF>" in data)
+    assert b"Last-Event-Id: 2" in requests[0]
+    assert events(1, 2) in received and events(3, 4) in received
