Let the soak spread crashing prompt parts and name endpoint limits

Two faults and two checks more, of what endpoints saw: a part is sent at most three times later than 3 s after its fifth crash, and an endpoint with a limit gets at most half as much again and five in 4 s, from undisturbed gateways.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -18,6 +18,8 @@
 _STREAM_EVENTS = 30
 # Share of the requests whose caller gives up and closes the connection early.
 _GIVE_UP_SHARE = 0.05
+# Share of the prompts with a deadly part while there is one.
+_DEADLY_SHARE = 0.3
 _MAX_REQUESTS_PER_CONNECTION = 8
 # Relative weights of the routes that `soak.faults.configuration` describes.
 _ROUTE_WEIGHTS = {"book": 3, "look": 3, "draft": 2, "note": 2}
@@ -66,7 +68,11 @@
             route = self._rng.choices(
                 list(_ROUTE_WEIGHTS), list(_ROUTE_WEIGHTS.values())
             )[0]
-            exchange = _Exchange(next(self._ids), route, gateway.name)
+            deadly = self._history.deadly_parts
+            parts = [f"{self._rng.randint(0, 3):x}"]
+            if deadly and self._rng.random() < _DEADLY_SHARE:
+                parts.append(self._rng.choice(deadly))
+            exchange = _Exchange(next(self._ids), route, gateway.name, parts)
             gives_up = self._rng.random() < _GIVE_UP_SHARE
             give_up_after_s = self._rng.uniform(0.0, 0.4) if gives_up else None
             answer = await exchange.run(conn, reader, writer, give_up_after_s)
@@ -84,8 +90,11 @@
 class _Exchange:
     """One request and its answer."""
 
-    def __init__(self, request_id: str, route: str, gateway: str):
+    def __init__(
+        self, request_id: str, route: str, gateway: str, parts: list[str]
+    ):
         self._id = request_id
+        self._parts = [*parts, request_id]
         self._route = route
         self._gateway = gateway
         self._body = b"" if route == "look" else request_id.encode() * 9
@@ -147,7 +156,10 @@
                 ("Pieces", f"{endpoints.PIECES},{endpoints.PIECES}"),
                 ("Piece-Key", f"key-{self._id}"),
                 ("Token-Usage", "100,20"),
-                ("Prompt-Prefix", f"{len(self._id):x}:60,{self._id}:40"),
+                (
+                    "Prompt-Prefix",
+                    ",".join(f"{part}:40" for part in self._parts),
+                ),
             ]
         return h11.Request(
             method=_METHODS[self._route],
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -13,6 +13,13 @@
 _SLACK_S = 0.25
 # Least share of the requests sent after `recovery_due_at` that must be served.
 _MIN_SERVED_SHARE = 0.25
+# A prompt part must be known after this many crashes, but for a few requests.
+_KNOWN_CRASHES = 5
+_MAX_LATE_PROMPTS = 3
+# Requests that an endpoint with a limit may get in a window.
+_LIMIT_WINDOW_S = 4.0
+_LIMIT_RATIO = 1.5
+_LIMIT_SLACK = 5
 _OK = 200
 
 
@@ -31,6 +38,8 @@
         *_wrong_tenant(history),
         *_sent_to_leaving(history),
         *_stale_configuration(history),
+        *_sent_deadly_parts(history),
+        *_over_limit(history),
         *_unanswered_at_shutdown(history),
         *_not_recovered(history, recovery_due_at),
     ]
@@ -115,6 +124,48 @@
                 yield f"{run.request_id} was run by {pool}, moved long ago"
 
 
+def _sent_deadly_parts(history: History):
+    """Finds prompts that were sent although they had crashed enough engines."""
+    for part, crashes in history.crashes.items():
+        if len(crashes) < _KNOWN_CRASHES:
+            continue
+        known_at = sorted(crashes)[_KNOWN_CRASHES - 1] + SETTLING_S
+        late = [
+            run
+            for runs in history.runs.values()
+            for run in runs
+            if part in run.prompt
+            and run.started_at > known_at
+            and _is_settled(history, run.gateway, run.started_at)
+        ]
+        if len(late) > _MAX_LATE_PROMPTS:
+            yield f"{part} was sent {len(late)} times after {known_at:.1f}"
+
+
+def _over_limit(history: History):
+    """Finds endpoints that got more requests than the limit that they named."""
+    for limit in history.limits:
+        times = [
+            at
+            for at, gateway in history.arrivals[limit.endpoint]
+            if limit.began_at + SETTLING_S <= at <= limit.ended_at
+            and _is_settled(history, gateway, at)
+        ]
+        allowed = _LIMIT_RATIO * limit.per_s * _LIMIT_WINDOW_S + _LIMIT_SLACK
+        for first in times:
+            count = sum(first <= at < first + _LIMIT_WINDOW_S for at in times)
+            if count > allowed:
+                yield (
+                    f"{limit.endpoint} got {count} requests with a limit of "
+                    f"{limit.per_s}"
+                )
+                break
+
+
+def _is_settled(history: History, gateway: str, at: float) -> bool:
+    return history.is_undisturbed({gateway}, at - SETTLING_S, at)
+
+
 def _unanswered_at_shutdown(history: History):
     """Finds requests that got no status while their gateway was terminated.
 
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -10,6 +10,7 @@
 import json
 import random
 import time
+from collections.abc import Callable
 
 from soak import link, records, store, wire
 
@@ -26,6 +27,8 @@
 # if it expired after three missed heartbeats.
 _EXPIRY_S = 1.8
 PIECES = 4
+# Engines crash on prompts with a part whose id begins so.
+DEADLY = "dead"
 
 
 class Results:
@@ -71,6 +74,8 @@
             "late": after 1 s; batches take five times as long.
             "500": with status 500 after the work; for a batch with an error for
                 each piece.
+        limit_per_s: the limit that its answers name, 0.0 for none.
+        on_deadly_prompt: called when a prompt crashes it.
     """
 
     def __init__(
@@ -86,6 +91,8 @@
         self.pool = name.rsplit("-", 1)[0]
         self.link = link_
         self.mode = "well"
+        self.limit_per_s = 0.0
+        self.on_deadly_prompt: Callable[[Endpoint], None] | None = None
         self.is_draining = False
         self._data_centre = data_centre
         self._store_server = store_server
@@ -161,6 +168,10 @@
     async def _handle(
         self, req: wire.Request, answer: wire.AnswerWriter
     ) -> None:
+        arrival = (time.monotonic(), req.headers.get("x-gateway", ""))
+        self._history.arrivals[self.name].append(arrival)
+        if self.limit_per_s:
+            answer.headers["Server-Limit"] = f"{self.limit_per_s:.1f}"
         expected = req.headers.get("expect-instance", self.name)
         if expected != self.name:
             await answer.send(421, b"", {"Not-Executed": "1"})
@@ -182,6 +193,8 @@
         request_id = req.headers["request-id"]
         if route == "draft" and not await self._has_inputs(req, answer):
             return
+        entries = req.headers.get("prompt-prefix", "").split(",")
+        prompt = tuple(entry.partition(":")[0] for entry in entries)
         resumed_after = int(req.headers.get("last-event-id", 0))
         self._history.runs[request_id].append(
             records.Run(
@@ -193,6 +206,7 @@
                 resumed_after,
                 req.headers.get("tenant", ""),
                 "authorization" in req.headers,
+                prompt,
             )
         )
         stamp = f"{self.name}.{request_id}"
@@ -200,6 +214,12 @@
         if self.mode == "garbage":
             headers["Request-Id"] = "another"
         await asyncio.sleep(1.0 if self.mode == "late" else _REQUEST_S)
+        for part in prompt:
+            if part.startswith(DEADLY):
+                self._history.crashes[part].append(time.monotonic())
+                self.on_deadly_prompt(self)
+                answer.abort()
+                return
         if self.mode == "mute":
             await asyncio.sleep(records.SETTLING_S)
             answer.abort()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -42,6 +42,7 @@
         self._history = history
         self._rng = rng
         self._results = endpoints.Results()
+        self._replacing: set[asyncio.Task] = set()
         self._version = 0
         self._last_numbers = dict.fromkeys(POOLS, 0)
         # The option `--kinds` selects by parts of the methods' names.
@@ -59,6 +60,8 @@
             self._crash_endpoint,
             self._retire_endpoint,
             self._flap_endpoint,
+            self._name_limit,
+            self._spread_deadly_part,
             self._write_unreadable,
             self._publish,
         ]
@@ -192,6 +195,35 @@
             await asyncio.sleep(3.5)
             await endpoint.end(is_graceful=True)
 
+    async def _name_limit(self, rng: random.Random) -> None:
+        endpoint = rng.choice([e for e in self.endpoints if e.pool != "maker"])
+        began_at = time.monotonic()
+        endpoint.limit_per_s = round(rng.uniform(1.0, 4.0), 1)
+        per_s = endpoint.limit_per_s
+        await asyncio.sleep(records.SETTLING_S + _draw_duration_s(rng))
+        if endpoint.limit_per_s == per_s:
+            endpoint.limit_per_s = 0.0
+            self._history.limits.append(
+                records.Limit(endpoint.name, per_s, began_at, time.monotonic())
+            )
+
+    async def _spread_deadly_part(self, rng: random.Random) -> None:
+        """Lets callers use a prompt part that crashes engines."""
+        part = f"{endpoints.DEADLY}{rng.getrandbits(32):x}"
+        self._history.deadly_parts.append(part)
+        await asyncio.sleep(records.SETTLING_S + 2 * _draw_duration_s(rng))
+        self._history.deadly_parts.remove(part)
+
+    def _replace_crashed(self, endpoint: endpoints.Endpoint) -> None:
+        async def replace() -> None:
+            await endpoint.end(is_graceful=False)
+            await self._add_endpoint(endpoint.pool, endpoint.link)
+
+        # A draining or crashed endpoint is replaced by the fault that ends it.
+        if endpoint in self.endpoints:
+            self.endpoints.remove(endpoint)
+            self._replacing.add(asyncio.create_task(replace()))
+
     def _take_replaceable(
         self, rng: random.Random
     ) -> endpoints.Endpoint | None:
@@ -224,6 +256,7 @@
             self._history,
             self._results,
         )
+        endpoint.on_deadly_prompt = self._replace_crashed
         await endpoint.start()
         self.endpoints.append(endpoint)
 
--- a/soak/records.py
+++ b/soak/records.py
@@ -20,6 +20,7 @@
         resumed_after: the last event that the caller already has, 0 for none.
         tenant: the tenant that the endpoint was told.
         has_authorization: whether the caller's key reached the endpoint.
+        prompt: ids of the prompt's parts.
     """
 
     started_at: float
@@ -30,6 +31,7 @@
     resumed_after: int
     tenant: str
     has_authorization: bool
+    prompt: tuple[str, ...] = ()
 
 
 class Answer(NamedTuple):
@@ -62,6 +64,22 @@
     caller_gave_up: bool
 
 
+class Limit(NamedTuple):
+    """A time in which an endpoint names a limit in its answers.
+
+    Attributes:
+        endpoint: the endpoint's name.
+        per_s: requests a second that it takes from all gateways together.
+        began_at: when it began, in seconds of the soak's clock.
+        ended_at: when it ended.
+    """
+
+    endpoint: str
+    per_s: float
+    began_at: float
+    ended_at: float
+
+
 class Disturbance(NamedTuple):
     """An interval in which guarantees with a time limit don't bind a target.
 
@@ -91,6 +109,10 @@
         leaving_since: for each endpoint, when the store first held that it
             drains or no longer held its record.
         lookup_pools: when which pool was given the requests of route `look`.
+        deadly_parts: prompt parts that callers use and that crash engines.
+        crashes: for each such part, when engines crashed on it.
+        limits: the limits that endpoints named.
+        arrivals: time and gateway of the requests that reached each endpoint.
         violations: impossible events that a stand-in saw itself.
     """
 
@@ -100,6 +122,12 @@
         self.disturbances: list[Disturbance] = []
         self.leaving_since: dict[str, float] = {}
         self.lookup_pools: list[tuple[float, str]] = []
+        self.deadly_parts: list[str] = []
+        self.crashes: dict[str, list[float]] = collections.defaultdict(list)
+        self.limits: list[Limit] = []
+        self.arrivals: dict[str, list[tuple[float, str]]] = (
+            collections.defaultdict(list)
+        )
         self.violations: list[str] = []
 
     def is_undisturbed(
--- a/soak/wire.py
+++ b/soak/wire.py
@@ -19,16 +19,24 @@
 
 
 class AnswerWriter:
-    """Writes the answer to one request."""
+    """Writes the answer to one request.
+
+    Attributes:
+        headers: headers that are added to the answer.
+    """
 
     def __init__(self, conn: h11.Connection, writer: asyncio.StreamWriter):
         self._conn = conn
         self.writer = writer
+        self.headers: dict[str, str] = {}
 
     async def send_head(self, status: int, headers: dict[str, str]) -> None:
         """Sends the head; without a length the body is chunked."""
         await self._send_event(
-            h11.Response(status_code=status, headers=list(headers.items()))
+            h11.Response(
+                status_code=status,
+                headers=[*headers.items(), *self.headers.items()],
+            )
         )
 
     async def send_data(self, data: bytes) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -35,6 +35,9 @@
 
 STREAM = {"route": "note", "expected_events": 3, "events": (1, 2, 3)}
 LOOK = run(route="look", endpoint="desk-1")
+DEADLY = run(route="draft", prompt=("p1", "dead1", "own"))
+LIMIT = records.Limit("desk-1", 2.0, 5.0, 20.0)
+ARRIVALS = {"desk-1": [(10.0, "gw-0")] * 18}
 MOVED = [(1.0, "desk"), (5.0, "other")]
 
 
@@ -79,6 +82,17 @@
             ),
             "0 of 8 served",
         ),
+        (
+            build_history(
+                [DEADLY._replace(request_id=f"1-{n}") for n in range(4)],
+                crashes={"dead1": [1.0] * 5},
+            ),
+            "dead1 was sent 4 times",
+        ),
+        (
+            build_history(limits=[LIMIT], arrivals=ARRIVALS),
+            "desk-1 got 18 requests with a limit of 2.0",
+        ),
         (build_history(violations=["gw-0 ended with 1"]), "gw-0 ended"),
     ],
 )
@@ -95,6 +109,20 @@
             [run(), run(endpoint="desk-2")][:1], [answer(status=502)]
         ),
         build_history([], [answer(status=503)]),
+        build_history([DEADLY] * 9, crashes={"dead1": [1.0] * 4}),
+        build_history([DEADLY] * 3, crashes={"dead1": [1.0] * 5}),
+        build_history([DEADLY] * 9, crashes={"dead1": [8.0] * 5}),
+        build_history(
+            [DEADLY] * 9,
+            crashes={"dead1": [1.0] * 5},
+            disturbances=[disturbance("gw-0")],
+        ),
+        build_history(limits=[LIMIT], arrivals={"desk-1": [(10.0, "")] * 17}),
+        build_history(
+            limits=[LIMIT],
+            arrivals=ARRIVALS,
+            disturbances=[disturbance("gw-0")],
+        ),
         build_history(
             [run(route="draft")] * 2, [answer(**{**STREAM, "route": "draft"})]
         ),
