--- a/chervilarch/advisory_messages.py
+++ b/chervilarch/advisory_messages.py
@@ -4,7 +4,12 @@
 
 import capnp
 
-from chervilarch import crash_evidence, endpoint_limits, messages
+from chervilarch import (
+    crash_evidence,
+    endpoint_limits,
+    messages,
+    prompt_blocks,
+)
 
 _MS_PER_S = 1000
 
@@ -39,7 +44,7 @@
     for slot, start in _slots(msg, "starts", starts):
         slot.part = start.part
         slot.ageMs = _to_ms(now - start.started_at)
-    blocks = _of_type(message, crash_evidence.PromptBlock)
+    blocks = _of_type(message, prompt_blocks.PromptBlock)
     for slot, block in _slots(msg, "blocks", blocks):
         slot.parts = sorted(block.parts)
         slot.round = block.round
@@ -79,7 +84,7 @@
             for slot in msg.starts
         )
         blocks = (
-            crash_evidence.PromptBlock(
+            prompt_blocks.PromptBlock(
                 frozenset(slot.parts),
                 slot.round,
                 slot.isActive,
--- a/chervilarch/block_records.py
+++ b/chervilarch/block_records.py
@@ -11,7 +11,7 @@
 
 from chervilarch import clocks, state_log, store, tasks
 from chervilarch import loop as loops
-from chervilarch.crash_evidence import BLOCK_RETENTION_S, PromptBlock
+from chervilarch.prompt_blocks import BLOCK_RETENTION_S, PromptBlock
 
 _STORE_TIMEOUT_S = 1.0
 # Pause after a failed call; the store may be away for a while.
--- a/chervilarch/crash_evidence.py
+++ b/chervilarch/crash_evidence.py
@@ -1,4 +1,4 @@
-"""Finds prompt parts that crash engines; keeps the blocks of such prompts.
+"""Finds prompt parts that crash engines, and blocks prompts with them.
 
 A crash report names the prompts that an engine held without a first event when
 it ended. Sound prompts are among them by chance, but they start elsewhere soon;
@@ -16,31 +16,20 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from chervilarch.prompt_blocks import Prompt, PromptBlock, PromptBlocks
+
 # Starts that are older don't speak for a part.
 _HISTORY_S = 60.0
 # Reports count only after this time, in which other hosts tell which of the
 # parts they have seen start.
 SETTLE_S = 0.2
 _REPORT_TTL_S = 120.0
-_FIRST_BLOCK_S = 30.0
-_MAX_BLOCK_S = 480.0
-# After its time a block is lifted for one prompt, on one host; the others wait
-# this long to learn whether that prompt starts.
-_PROBE_S = 10.0
-# A block that no prompt has met for this time after its end is forgotten.
-BLOCK_RETENTION_S = 600.0
-# Times of hosts differ by the delay of a message; smaller differences must not
-# prolong a block each time it is exchanged.
-_TIME_SLACK_S = 0.5
 _MAX_REPORTS = 64
 _MAX_PROMPTS = 32
-_MAX_BLOCKS = 64
 _MAX_STARTS = 4096
 # Parts of a prompt that are considered, from its start.
 MAX_PARTS = 16
 
-Prompt = frozenset[str]
-
 
 class _Thresholds(NamedTuple):
     """Crashes without a start after which something is done about a part.
@@ -92,27 +81,6 @@
     started_at: float
 
 
-class PromptBlock(NamedTuple):
-    """Refuses prompts that have all of some parts.
-
-    Attributes:
-        parts: ids of the parts.
-        round: 1, or one more than that of the block before with these parts.
-        is_active: False once a prompt with these parts started, or narrower
-            blocks took its place.
-        since: monotonic time of the first crash that it is based on.
-        ends_at: monotonic time at which its round ends.
-        held_until: like `ends_at`, or later while a host tries one prompt.
-    """
-
-    parts: Prompt
-    round: int
-    is_active: bool
-    since: float
-    ends_at: float
-    held_until: float
-
-
 class Admission(NamedTuple):
     """Whether a prompt may be sent.
 
@@ -136,7 +104,7 @@
         self._starts: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
-        self._blocks: dict[Prompt, PromptBlock] = {}
+        self._blocks = PromptBlocks()
         # Time of the newest crash that names each part.
         self._last_crashes: dict[str, float] = {}
         # Groups by thresholds, until reports, blocks or starts of blamed parts
@@ -158,7 +126,7 @@
             for part in sorted(named)
             if part in self._starts
         ]
-        return [*self._blocks.values(), *starts, *reports]
+        return [*self._blocks.all(), *starts, *reports]
 
     def merge(self, item: Item, now: float) -> bool:
         """Applies an item of another host; returns whether it was new."""
@@ -216,13 +184,7 @@
         block = self.find_block(prompt, now)
         if block is not None:
             return Admission(block)
-        ended = [b for b in self.active_blocks() if b.parts <= prompt]
-        if not ended:
-            return Admission()
-        latest = max(ended, key=lambda block: block.held_until)
-        probed = latest._replace(held_until=now + _PROBE_S)
-        self._blocks[latest.parts] = probed
-        return Admission(probed=probed)
+        return Admission(probed=self._blocks.begin_test(prompt, now))
 
     def find_block(self, prompt: Prompt, now: float) -> PromptBlock | None:
         """Returns the block that refuses a prompt at this time, if any.
@@ -230,11 +192,9 @@
         Until the reports that call for a block are settled, a provisional one
         of round 0 takes its place.
         """
-        for block in self.active_blocks():
-            if block.parts <= prompt and now < block.held_until:
-                return block
-        if not self._reports:
-            return None
+        block = self._blocks.find(prompt, now)
+        if block is not None or not self._reports:
+            return block
         for group, reports in self._current_groups(_BLOCKING, now).items():
             if group <= prompt:
                 crashes = [report.crashed_at for report in reports]
@@ -255,28 +215,19 @@
         """Adds, renews, narrows and ends blocks; returns the changed ones."""
         self._cached_groups.clear()
         self._expire(now)
-        before = dict(self._blocks)
+        before = set(self._blocks.all())
         self._narrow_blocks()
         self._renew_blocks(now)
         while self._add_blocks(now):
             pass
-        while len(self._blocks) > _MAX_BLOCKS:
-            first = min(self._blocks.values(), key=lambda b: b.held_until)
-            del self._blocks[first.parts]
-        return [
-            block
-            for parts, block in self._blocks.items()
-            if before.get(parts) != block
-        ]
+        self._blocks.expire(now)
+        return [block for block in self._blocks.all() if block not in before]
 
     def _expire(self, now: float) -> None:
         for key, report in list(self._reports.items()):
             if now - report.crashed_at > _REPORT_TTL_S:
                 del self._reports[key]
         self._index_reports()
-        for parts, block in list(self._blocks.items()):
-            if now - block.held_until > BLOCK_RETENTION_S:
-                del self._blocks[parts]
 
     def _add_start(self, part: str, started_at: float) -> bool:
         if started_at <= self._starts.get(part, float("-inf")):
@@ -297,8 +248,7 @@
         """Returns whether a start of a part would tell other hosts anything."""
         started_at = self._starts.get(part, float("-inf"))
         return self._last_crashes.get(part, float("-inf")) > started_at or any(
-            block.is_active and part in block.parts
-            for block in self._blocks.values()
+            part in block.parts for block in self._blocks.active()
         )
 
     def _index_reports(self) -> None:
@@ -310,17 +260,8 @@
                 self._last_crashes[part] = max(known, report.crashed_at)
 
     def _merge_block(self, block: PromptBlock) -> bool:
-        known = self._blocks.get(block.parts)
-        if known is not None:
-            if block.round < known.round:
-                return False
-            if block.round == known.round:
-                if not known.is_active:
-                    return False
-                is_later = block.held_until > known.held_until + _TIME_SLACK_S
-                if block.is_active and not is_later:
-                    return False
-        self._blocks[block.parts] = block
+        if not self._blocks.merge(block):
+            return False
         if not block.is_active:
             self._acquit(block.parts)
         self._index_reports()
@@ -334,7 +275,7 @@
 
     def active_blocks(self) -> list[PromptBlock]:
         """Returns the blocks in force, and those whose test is due."""
-        return [block for block in self._blocks.values() if block.is_active]
+        return self._blocks.active()
 
     def _blamed_reports(self) -> dict[str, list[CrashReport]]:
         """Returns the reports that each part is blamed for.
@@ -342,7 +283,7 @@
         A crash with a blocked prompt counts only against that prompt's parts.
         """
         blamed: dict[str, list[CrashReport]] = collections.defaultdict(list)
-        blocks = self.active_blocks()
+        blocks = self._blocks.active()
         for report in self._reports.values():
             culprits = {
                 part
@@ -363,7 +304,7 @@
         most = max(len(reports) for reports in groups.values())
         for group, reports in groups.items():
             if len(reports) == most:
-                self._add_block(group, reports, now)
+                self._blocks.add(group, _first_crash_at(reports), now)
         return True
 
     def _current_groups(
@@ -413,12 +354,12 @@
             block.parts <= group
             or group < block.parts
             and all(_has_prompt(report, block.parts) for report in reports)
-            for block in self.active_blocks()
+            for block in self._blocks.active()
         )
 
     def _common_parts(self, part: str, reports: list[CrashReport]) -> Prompt:
         """Returns the parts that can't be told apart from a blamed one."""
-        first = min(report.crashed_at for report in reports)
+        first = _first_crash_at(reports)
         group = frozenset.intersection(
             *(
                 prompt
@@ -433,56 +374,32 @@
             if self._starts.get(other, float("-inf")) < first
         ) | {part}
 
-    def _add_block(
-        self, group: Prompt, reports: list[CrashReport], now: float
-    ) -> None:
-        for block in self.active_blocks():
-            if group < block.parts:
-                self._end_block(block)
-        known = self._blocks.get(group)
-        number = known.round + 1 if known else 1
-        first = min(report.crashed_at for report in reports)
-        self._start_round(group, number, first, now)
-
-    def _start_round(
-        self, parts: Prompt, number: int, since: float, now: float
-    ) -> None:
-        block_s = min(_MAX_BLOCK_S, _FIRST_BLOCK_S * 2 ** (number - 1))
-        ends_at = now + block_s
-        self._blocks[parts] = PromptBlock(
-            parts, number, True, since, ends_at, ends_at
-        )
-
-    def _end_block(self, block: PromptBlock) -> None:
-        self._blocks[block.parts] = block._replace(is_active=False)
-
     def _narrow_blocks(self) -> None:
         """Leaves parts out of blocks that have started meanwhile."""
-        for block in self.active_blocks():
+        for block in self._blocks.active():
             kept = frozenset(
                 part
                 for part in block.parts
                 if self._starts.get(part, float("-inf")) <= block.since
             )
-            if kept == block.parts:
-                continue
-            self._end_block(block)
-            if kept and kept not in self._blocks:
-                self._blocks[kept] = block._replace(parts=kept)
+            if kept != block.parts:
+                self._blocks.narrow(block, kept)
 
     def _renew_blocks(self, now: float) -> None:
         """Starts a new round of blocks whose prompts still crash engines."""
-        for block in self.active_blocks():
+        for block in self._blocks.active():
             crashes = [
-                report.crashed_at
+                report
                 for report in self._reports.values()
                 if report.crashed_at > block.ends_at
                 and _has_prompt(report, block.parts)
             ]
             if crashes:
-                self._start_round(
-                    block.parts, block.round + 1, min(crashes), now
-                )
+                self._blocks.add(block.parts, _first_crash_at(crashes), now)
+
+
+def _first_crash_at(reports: list[CrashReport]) -> float:
+    return min(report.crashed_at for report in reports)
 
 
 def _has_prompt(report: CrashReport, parts: Prompt) -> bool:
--- a/chervilarch/final_call.py
+++ b/chervilarch/final_call.py
@@ -8,11 +8,11 @@
 
 from chervilarch import (
     attempts,
-    crash_evidence,
     endpoint_lease,
     exchanges,
     outcomes,
     placement,
+    prompt_blocks,
     routed,
     stage_inputs,
     state_log,
@@ -140,7 +140,7 @@
 
 
 def blocked_outcome(
-    ctx: contexts.RoutedContext, block: crash_evidence.PromptBlock
+    ctx: contexts.RoutedContext, block: prompt_blocks.PromptBlock
 ) -> outcomes.NotRun:
     """Returns the outcome of a request that was refused for its prompt."""
     parts = ",".join(sorted(block.parts))
@@ -154,7 +154,7 @@
 
 def find_block(
     ctx: contexts.RoutedContext,
-) -> crash_evidence.PromptBlock | None:
+) -> prompt_blocks.PromptBlock | None:
     """Returns a block that came into force since the request was admitted."""
     req = ctx.req
     return ctx.ctrl.prompt_guard.find_block(
--- a/chervilarch/prompt_guard.py
+++ b/chervilarch/prompt_guard.py
@@ -19,7 +19,7 @@
     telemetry,
 )
 from chervilarch import loop as loops
-from chervilarch.crash_evidence import Prompt
+from chervilarch.prompt_blocks import Prompt, PromptBlock
 
 _CHECK_TIMEOUT_S = 0.5
 # A crash ends all attempts of an engine at once, but those that stall are given
@@ -74,7 +74,7 @@
             collections.deque[tuple[float, Prompt]],
         ] = collections.OrderedDict()
         self._checks: dict[endpoint_state.EndpointRun, Future] = {}
-        self._logged: dict[tuple[Prompt, int], crash_evidence.PromptBlock] = {}
+        self._logged: dict[tuple[Prompt, int], PromptBlock] = {}
         # When a start of each part was last sent to other hosts, or by one.
         self._told_at: dict[str, float] = {}
         self._records = block_records.BlockRecords(
@@ -99,8 +99,8 @@
         return admission
 
     def find_block(
-        self, prompt: Prompt, probed: crash_evidence.PromptBlock | None
-    ) -> crash_evidence.PromptBlock | None:
+        self, prompt: Prompt, probed: PromptBlock | None
+    ) -> PromptBlock | None:
         """Returns the block of a prompt, other than the one that it tests."""
         block = self._evidence.find_block(prompt, self._loop.now())
         if block is None or probed is None:
@@ -302,7 +302,7 @@
                 )
         self._logged = active
 
-    def _describe(self, block: crash_evidence.PromptBlock) -> dict:
+    def _describe(self, block: PromptBlock) -> dict:
         return {
             "prompt_parts": sorted(block.parts),
             "round": block.round,
--- a/chervilarch/routed.py
+++ b/chervilarch/routed.py
@@ -13,6 +13,7 @@
     http_server,
     outcomes,
     pieces,
+    prompt_blocks,
     routing_table,
 )
 
@@ -34,7 +35,7 @@
         """Returns the name of the prefix that other requests share."""
         return ",".join(part for part, _ in self.parts[:-1]).encode()
 
-    def shared_parts(self) -> crash_evidence.Prompt:
+    def shared_parts(self) -> prompt_blocks.Prompt:
         """Returns the ids of the parts that other prompts may share."""
         shared = self.parts[:-1][: crash_evidence.MAX_PARTS]
         return frozenset(part for part, _ in shared)
@@ -96,7 +97,7 @@
         self.resume_after = resume_after
         self.account: routing_table.Account | None = None
         # The block of prompts that this request tests, if any.
-        self.probed_block: crash_evidence.PromptBlock | None = None
+        self.probed_block: prompt_blocks.PromptBlock | None = None
         self.route: routing_table.Route | None = None
         self.priority = 0
         self.deadline_at = float("inf")
--- a/tests/test_advisories.py
+++ b/tests/test_advisories.py
@@ -13,6 +13,7 @@
     telemetry,
 )
 from chervilarch import crash_evidence as ce
+from chervilarch import prompt_blocks as pb
 from chervilarch.stage_coordination import Peer
 
 _KEY = b"k" * 16
@@ -187,7 +188,7 @@
 def test_messages_survive_encoding():
     now = 1000.0
     items = (
-        ce.PromptBlock(_BAD, 2, True, now - 3.0, now + 30.0, now + 40.0),
+        pb.PromptBlock(_BAD, 2, True, now - 3.0, now + 30.0, now + 40.0),
         ce.PartStart("p1", now - 1.0),
         ce.CrashReport("e1", 7, now - 2.0, frozenset({_BAD, frozenset()})),
     )
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -3,6 +3,7 @@
 import pytest
 
 from chervilarch import crash_evidence as ce
+from chervilarch import prompt_blocks as pb
 
 _BAD = frozenset(("p1", "p2", "bad"))
 _SETTLED_S = 1.0
@@ -160,11 +161,23 @@
         prompts = [{f"p{number}-{n}", f"q{number}-{n}"} for n in range(100)]
         crash(evidence, number, number * 0.01, *prompts)
         evidence.record_start({f"s{number}-{n}" for n in range(20)}, 0.0)
-        block = ce.PromptBlock(
+        block = pb.PromptBlock(
             frozenset({f"b{number}"}), 1, True, 0.0, 30.0, 30.0
         )
         evidence.merge(block, 0.0)
     evidence.update_blocks(21.0)
-    assert len(evidence._reports) <= 64 and len(evidence._blocks) <= 64
+    assert len(evidence._reports) <= 64 and len(evidence._blocks.all()) <= 64
     assert len(evidence._starts) <= 4096
     assert all(len(r.prompts) <= 32 for r in evidence._reports.values())
+
+
+def test_a_part_whose_block_ended_once_is_blocked_again_by_narrowing(evidence):
+    blocks = [
+        pb.PromptBlock(frozenset({"bad"}), 1, False, 0.0, 30.0, 30.0),
+        pb.PromptBlock(frozenset({"p1", "bad"}), 1, True, 40.0, 71.0, 71.0),
+    ]
+    for block in blocks:
+        evidence.merge(block, 41.0)
+    evidence.record_start({"p1"}, 42.0)
+    evidence.update_blocks(42.0)
+    assert blocked(evidence, {"p2", "bad"}, 43.0)
