--- a/soak/faults.py
+++ b/soak/faults.py
@@ -211,7 +211,7 @@
         """Lets callers use a prompt part that crashes engines."""
         part = f"{endpoints.DEADLY}{rng.getrandbits(32):x}"
         self._history.deadly_parts.append(part)
-        await asyncio.sleep(records.SETTLING_S + 2 * _draw_duration_s(rng))
+        await asyncio.sleep(3 * records.SETTLING_S + _draw_duration_s(rng))
         self._history.deadly_parts.remove(part)
 
     def _replace_crashed(self, endpoint: endpoints.Endpoint) -> None:
