--- a/soak/callers.py
+++ b/soak/callers.py
@@ -71,7 +71,8 @@
             deadly = self._history.deadly_parts
             parts = [f"{self._rng.randint(0, 3):x}"]
             if deadly and self._rng.random() < _DEADLY_SHARE:
-                parts.append(self._rng.choice(deadly))
+                # All callers use the same part, so that its crashes add up.
+                parts.append(deadly[0])
             exchange = _Exchange(next(self._ids), route, gateway.name, parts)
             gives_up = self._rng.random() < _GIVE_UP_SHARE
             give_up_after_s = self._rng.uniform(0.0, 0.4) if gives_up else None
