--- a/soak/faults.py
+++ b/soak/faults.py
@@ -209,6 +209,8 @@
 
     async def _spread_deadly_part(self, rng: random.Random) -> None:
         """Lets callers use a prompt part that crashes engines."""
+        if self._history.deadly_parts or len(self._history.crashes) > 1:
+            return
         part = f"{endpoints.DEADLY}{rng.getrandbits(32):x}"
         self._history.deadly_parts.append(part)
         await asyncio.sleep(3 * records.SETTLING_S + _draw_duration_s(rng))
