Don't send to an endpoint that began to leave during the wait for a permit

Found on reading the change: a request may wait seconds for a permit, with the endpoint chosen before, so it could reach one that has been draining for longer than the bound; a block that came into force meanwhile was missed as well. Class: a decision that is older than the state it was made from.

Change: after the wait the endpoint must still be usable, else another is chosen; blocks are looked up after the lease. The new test (both kinds of routes) failed before: 200 from the draining endpoint. Also: 'tested' for 'probed' throughout, and the promises in docs/INVARIANTS.md.

--- a/chervilarch/crash_evidence.py
+++ b/chervilarch/crash_evidence.py
@@ -86,11 +86,11 @@
 
     Attributes:
         block: the block that refuses it, or None.
-        probed: the block that it tests, or None.
+        tested: the block that it tests, or None.
     """
 
     block: PromptBlock | None = None
-    probed: PromptBlock | None = None
+    tested: PromptBlock | None = None
 
 
 Item = CrashReport | PartStart | PromptBlock
@@ -184,7 +184,7 @@
         block = self.find_block(prompt, now)
         if block is not None:
             return Admission(block)
-        return Admission(probed=self._blocks.begin_test(prompt, now))
+        return Admission(tested=self._blocks.begin_test(prompt, now))
 
     def find_block(self, prompt: Prompt, now: float) -> PromptBlock | None:
         """Returns the block that refuses a prompt at this time, if any.
--- a/chervilarch/endpoint_lease.py
+++ b/chervilarch/endpoint_lease.py
@@ -47,8 +47,11 @@
             if permit.is_granted:
                 if permit.wait_s > 0.0:
                     yield tasks.sleep(ctx.ctrl.loop, permit.wait_s)
-                is_leased = True
-                return chosen
+                # The endpoint may have begun to leave meanwhile.
+                is_leased = own.is_usable(chosen)
+                if is_leased:
+                    return chosen
+                continue
         finally:
             if not is_leased:
                 own.abandon(chosen)
--- a/chervilarch/final_call.py
+++ b/chervilarch/final_call.py
@@ -152,14 +152,20 @@
     )
 
 
-def find_block(
+def unless_blocked(
     ctx: contexts.RoutedContext,
-) -> prompt_blocks.PromptBlock | None:
-    """Returns a block that came into force since the request was admitted."""
+    lease: placement.Lease | outcomes.NotRun | None,
+) -> placement.Lease | outcomes.NotRun | None:
+    """Returns a lease, unless the prompt was blocked since its admission."""
     req = ctx.req
-    return ctx.ctrl.prompt_guard.find_block(
-        req.prompt.shared_parts(), req.probed_block
+    block = ctx.ctrl.prompt_guard.find_block(
+        req.prompt.shared_parts(), req.tested_block
     )
+    if block is None:
+        return lease
+    if isinstance(lease, placement.Lease):
+        ctx.ctrl.placement.abandon(lease)
+    return blocked_outcome(ctx, block)
 
 
 def may_crash_endpoint(
@@ -254,9 +260,6 @@
         ctx = self._ctx
         last: Success | attempts.Failure | None = None
         may_crash = False
-        block = find_block(ctx)
-        if block is not None:
-            return blocked_outcome(ctx, block)
         ctx.ctrl.retry_budgets.earn(self._pool)
         refusal = yield from self._send()
         while self._running:
@@ -341,6 +344,7 @@
         lease = yield from endpoint_lease.lease(
             ctx, requirements, self._tried, may_wait
         )
+        lease = unless_blocked(ctx, lease)
         if not isinstance(lease, placement.Lease):
             return lease
         self._tried.add(lease.listing.entry.name)
--- a/chervilarch/placement.py
+++ b/chervilarch/placement.py
@@ -112,6 +112,10 @@
             return ""
         return endpoints[_affinity_endpoint(endpoints, shared)].data_centre
 
+    def is_usable(self, lease: Lease) -> bool:
+        """Returns whether the endpoint of a lease may still get work."""
+        return self._endpoint(lease) is not None
+
     def defer(self, run: endpoint_state.EndpointRun, until: float) -> None:
         """Prefers other endpoints to one until a monotonic time."""
         now = self._clock.monotonic()
--- a/chervilarch/prompt_blocks.py
+++ b/chervilarch/prompt_blocks.py
@@ -11,7 +11,7 @@
 _MAX_BLOCK_S = 480.0
 # After its time a block is lifted for one prompt, on one host; the others wait
 # this long to learn whether that prompt starts.
-_PROBE_S = 10.0
+_TEST_S = 10.0
 # A block that no prompt has met for this time after its end is forgotten.
 BLOCK_RETENTION_S = 600.0
 # Times of hosts differ by the delay of a message; smaller differences must not
@@ -71,7 +71,7 @@
         if not ended:
             return None
         latest = max(ended, key=lambda block: block.held_until)
-        tested = latest._replace(held_until=now + _PROBE_S)
+        tested = latest._replace(held_until=now + _TEST_S)
         self._blocks[latest.parts] = tested
         return tested
 
--- a/chervilarch/prompt_guard.py
+++ b/chervilarch/prompt_guard.py
@@ -91,21 +91,21 @@
         if not prompt:
             return crash_evidence.Admission()
         admission = self._evidence.admit(prompt, self._loop.now())
-        if admission.probed is not None:
+        if admission.tested is not None:
             state_log.log_change(
-                "prompt block tested", **self._describe(admission.probed)
+                "prompt block tested", **self._describe(admission.tested)
             )
-            self._exchange.publish([admission.probed])
+            self._exchange.publish([admission.tested])
         return admission
 
     def find_block(
-        self, prompt: Prompt, probed: PromptBlock | None
+        self, prompt: Prompt, tested: PromptBlock | None
     ) -> PromptBlock | None:
         """Returns the block of a prompt, other than the one that it tests."""
         block = self._evidence.find_block(prompt, self._loop.now())
-        if block is None or probed is None:
+        if block is None or tested is None:
             return block
-        is_own = (block.parts, block.round) == (probed.parts, probed.round)
+        is_own = (block.parts, block.round) == (tested.parts, tested.round)
         return None if is_own else block
 
     def is_suspect(self, prompt: Prompt) -> bool:
--- a/chervilarch/routed.py
+++ b/chervilarch/routed.py
@@ -97,7 +97,7 @@
         self.resume_after = resume_after
         self.account: routing_table.Account | None = None
         # The block of prompts that this request tests, if any.
-        self.probed_block: prompt_blocks.PromptBlock | None = None
+        self.tested_block: prompt_blocks.PromptBlock | None = None
         self.route: routing_table.Route | None = None
         self.priority = 0
         self.deadline_at = float("inf")
--- a/chervilarch/routed_filters.py
+++ b/chervilarch/routed_filters.py
@@ -119,7 +119,7 @@
     admission = ctx.ctrl.prompt_guard.admit(req.prompt.shared_parts())
     if admission.block is not None:
         return final_call.blocked_outcome(ctx, admission.block)
-    req.probed_block = admission.probed
+    req.tested_block = admission.tested
     return (yield from call_next())
 
 
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -127,14 +127,10 @@
         self,
     ) -> tasks.Coroutine[placement.Lease | outcomes.NotRun | None]:
         """Leases an endpoint, unless the request must not be sent."""
-        block = final_call.find_block(self._ctx)
-        if block is not None:
-            return final_call.blocked_outcome(self._ctx, block)
-        return (
-            yield from endpoint_lease.lease(
-                self._ctx, self._requirements(), self._tried
-            )
+        lease = yield from endpoint_lease.lease(
+            self._ctx, self._requirements(), self._tried
         )
+        return final_call.unless_blocked(self._ctx, lease)
 
     def _requirements(self) -> placement.Requirements:
         prompt = self._ctx.req.prompt
--- a/tests/test_advisories.py
+++ b/tests/test_advisories.py
@@ -112,7 +112,7 @@
         hosts[0].learn(number, fleet[1].now)
     advance(fleet, 31.0)
     admissions = [host.guard.admit(_BAD) for host in hosts[:1]]
-    assert admissions[0].probed is not None
+    assert admissions[0].tested is not None
     advance(fleet, 0.2)
     assert all(host.refuses() for host in hosts[1:])
     starts = hosts[0].guard._evidence.record_start(_BAD, fleet[1].now)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -111,7 +111,7 @@
 
 def test_a_block_is_tested_by_one_prompt_and_renewed_by_its_crash(evidence):
     now = crash_thrice(evidence) + _ROUND_S
-    assert evidence.admit(_BAD, now).probed is not None
+    assert evidence.admit(_BAD, now).tested is not None
     assert evidence.admit(_BAD, now).block is not None
     crash(evidence, 9, now + 1.0, _BAD)
     evidence.update_blocks(now + 1.0 + _SETTLED_S)
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -2,7 +2,14 @@
 
 import loop_helpers as lh
 import pytest
-from gateway_world import KEY, answer, read_status, route_document, status
+from gateway_world import (
+    KEY,
+    answer,
+    read_status,
+    route_document,
+    status,
+    stream_route_document,
+)
 
 from chervilarch import advisories, endpoint_limits, endpoint_state, permits
 from chervilarch.stage_coordination import Peer
@@ -247,3 +254,25 @@
         host.permits.acquire(run, 0.0)
     assert len(host.limits._limits) <= 4096
     assert len(host.permits._schedules) <= 4096
+
+
+@pytest.mark.parametrize(
+    "document", [route_document(), stream_route_document()]
+)
+def test_a_request_that_waits_for_a_permit_is_not_sent_to_a_leaving_endpoint(
+    world, document
+):
+    requests = []
+    limit = "Server-Limit: 0.5\r\n"
+    reply = answer(extra=limit + "Content-Type: text/event-stream\r\n")
+    world.endpoint("e1", lh.answer_with(reply, requests))
+    world.start({**document, "timeout_ms": 9000, "target_latency_ms": 8000})
+    # The first tells the limit, two more use up the burst.
+    for _ in range(3):
+        world.fetch(KEY)
+    sent = len(requests)
+    waiting = world.send(KEY)
+    lh.run_until(world.loop, lambda: world.ctrl.placement._deferred)
+    world.endpoint("e1", lh.answer_with(reply), state="draining", sequence=2)
+    assert read_status(world, waiting) == 503
+    assert len(requests) == sent
