Keep the pace of a limited stage worker apart from its backoff

Found by the new test: a failed call set the worker's backoff to 0.4 s, which replaced the second that its limit asks for, so a failing worker got calls more often than it takes. Class: one variable for two reasons. paced_until is a field of its own; the test with failing replies failed before and passes now. Also a test that limited engines are proposed at their pace, which held.

--- a/chervilarch/advisories.py
+++ b/chervilarch/advisories.py
@@ -115,7 +115,7 @@
         if message.wants_all:
             peer = Peer("", source)
             # Sent also if empty: it ends the asking.
-            self._send([peer], self._all_items(float("inf")) or [])
+            self._send([peer], self._all_items(float("inf")))
             return
         self._has_answer = True
         for holder in self._sources:
--- a/chervilarch/piece_queue.py
+++ b/chervilarch/piece_queue.py
@@ -49,6 +49,8 @@
         self.slowness = 1.0
         self.free_at = 0.0
         self.backoff_until = float("-inf")
+        # When the worker's limit on requests allows the next call.
+        self.paced_until = float("-inf")
         self.failures = 0
         self.full_count = 0
         # Set by a failed or overdue call, cleared by one that is in time.
@@ -62,6 +64,10 @@
         entry = self.listing.entry
         return endpoint_state.EndpointRun(entry.name, entry.incarnation)
 
+    def unavailable_until(self) -> float:
+        """Returns the monotonic time from which it may get calls."""
+        return max(self.backoff_until, self.paced_until)
+
     def add_result(self, handle: str, size: int, until: float) -> None:
         """Counts a result's memory until a monotonic time."""
         self._results[handle] = (size, until)
@@ -168,7 +174,7 @@
         usable = [
             worker
             for worker in self.workers.values()
-            if worker.backoff_until <= now + _SHORT_BACKOFF_S
+            if worker.unavailable_until() <= now + _SHORT_BACKOFF_S
         ]
         if not usable:
             return self.call_s(1)
@@ -376,7 +382,11 @@
         return victim.restart()
 
     def _usable(self, now: float) -> list[Worker]:
-        return [w for w in self.workers.values() if w.backoff_until <= now]
+        return [
+            worker
+            for worker in self.workers.values()
+            if worker.unavailable_until() <= now
+        ]
 
     def _free_memory(self, worker: Worker, now: float) -> float:
         return self.profile.result_memory_bytes - worker.used_bytes(now)
--- a/chervilarch/piece_runner.py
+++ b/chervilarch/piece_runner.py
@@ -143,7 +143,7 @@
         """
         per_s = self.limits.per_s(worker.run())
         if per_s is not None:
-            worker.backoff_until = self.loop.now() + 1.0 / per_s
+            worker.paced_until = self.loop.now() + 1.0 / per_s
 
     def retry(
         self,
@@ -261,9 +261,9 @@
     ) -> None:
         """Dispatches when a backoff ends, or after the dispatch period."""
         backoff_ends = [
-            worker.backoff_until
+            worker.unavailable_until()
             for worker in queue.workers.values()
-            if worker.backoff_until > now
+            if worker.unavailable_until() > now
         ]
         due_at = min([*backoff_ends, now + _DISPATCH_PERIOD_S])
         timer = self._timers.get(pool)
--- a/tests/test_piece_runner.py
+++ b/tests/test_piece_runner.py
@@ -186,3 +186,31 @@
 def test_a_job_fails_at_once_without_endpoints(world):
     world.runner.set_endpoints({})
     assert world.submit().future.result().reason == pieces.NO_ENDPOINT
+
+
+@pytest.mark.parametrize("fails", [False, True])
+def test_a_worker_with_a_limit_is_called_and_freed_no_more_often(world, fails):
+    workers = world.runner.queue("p").workers.values()
+    for worker in workers:
+        world.runner.limits.record_answer(worker.run(), 1.0)
+    headers = {"server-limit": "1"}
+    results = []
+    answered = 0
+    for _ in range(30):
+        pending = world.submit(1)
+        for transfer in world.client.started[answered:]:
+            items = [{"handle": "h"} for _ in transfer.items()]
+            # Of a failing worker each second reply can't be used.
+            is_bad = fails and answered % 4 > 1
+            body = json.dumps({"items": [] if is_bad else items}).encode()
+            transfer.on_done(exchanges.Reply(200, headers, body, 0.1))
+            answered += 1
+        result = pending.future.result() if pending.is_ended else []
+        results += [] if isinstance(result, pieces.JobFailure) else result
+        lh.advance(world.loop, world.clock, 0.1)
+    world.runner.free(results)
+    lh.advance(world.loop, world.clock, 0.1)
+    # One at once, then one a second, for 3 s.
+    assert len(world.client.started) <= 4 * len(workers)
+    assert fails or len(world.client.started) >= 3 * len(workers)
+    assert world.client.freed == []
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -7,6 +7,7 @@
 
 from chervilarch import (
     endpoint_limits,
+    endpoint_state,
     pieces,
     placement,
     stage_graph,
@@ -286,3 +287,23 @@
     results = run.future.result().results
     scheduler.free(results)
     assert runner.freed == ["h9"]
+
+
+def test_an_engine_with_a_limit_is_proposed_no_more_often(env):
+    scheduler, runner, loop, _ = env
+    limited = endpoint_state.EndpointRun("e8", 1)
+    runner.limits = endpoint_limits.EndpointLimits(loop)
+    runner.limits.record_answer(limited, 1.0)
+    prompt = stage_graph.PromptSize("s", b"same", 6000, 1000)
+    engines = []
+    for number in range(10):
+        now = loop.now()
+        graph = build_graph(
+            spec("p"), objective_at=now + 50, deadline_at=now + 60
+        )
+        run = scheduler.run(graph._replace(prompt=prompt))
+        runner.jobs[0][-1].add_result(
+            0, pieces.PieceResult(f"h{number}", "e1", "x", "dc1", "p")
+        )
+        engines.append(run.future.result().proposed_engine)
+    assert engines.count("e8") == 1 and engines.count("e9") == 9
