--- a/chervilarch/endpoint_limits.py
+++ b/chervilarch/endpoint_limits.py
@@ -72,11 +72,7 @@
         self, listed: dict[str, dict[str, endpoint_list.Listing]]
     ) -> None:
         """Forgets the limits of runs that have ended."""
-        runs = {
-            endpoint_state.EndpointRun(name, listing.entry.incarnation)
-            for listings in listed.values()
-            for name, listing in listings.items()
-        }
+        runs = endpoint_list.runs(listed)
         self._limits = {
             run: limit for run, limit in self._limits.items() if run in runs
         }
--- a/chervilarch/endpoint_list.py
+++ b/chervilarch/endpoint_list.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from chervilarch import hosts
+from chervilarch import endpoint_state, hosts
 
 # Endpoints whose entry expired in an outage of the store renew it within about
 # this time after the outage, unless they have ended. The platform specifies the
@@ -22,6 +22,17 @@
     sequence: int
 
 
+def runs(
+    listed: dict[str, dict[str, Listing]],
+) -> set[endpoint_state.EndpointRun]:
+    """Returns the runs in a list of endpoints by pool and id."""
+    return {
+        endpoint_state.EndpointRun(name, listing.entry.incarnation)
+        for listings in listed.values()
+        for name, listing in listings.items()
+    }
+
+
 class _Seen(NamedTuple):
     incarnation: int
     sequence: int
--- a/chervilarch/prompt_guard.py
+++ b/chervilarch/prompt_guard.py
@@ -158,11 +158,7 @@
         self, listed: dict[str, dict[str, endpoint_list.Listing]]
     ) -> None:
         """Reports the runs that ended soon after they had lost prompts."""
-        runs = {
-            endpoint_state.EndpointRun(name, listing.entry.incarnation)
-            for listings in listed.values()
-            for name, listing in listings.items()
-        }
+        runs = endpoint_list.runs(listed)
         for run in [run for run in self._lost if run not in runs]:
             self._report(run, "left the list")
 
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -269,7 +269,8 @@
     assert failure.retry_after_s > 0
 
 
-def test_prompts_of_all_graphs_are_spread_over_the_engines(env):
+def propose_engines(env):
+    """Runs ten graphs with the same prompt; returns the engines and a run."""
     scheduler, runner, loop, _ = env
     prompt = stage_graph.PromptSize("s", b"same", 6000, 1000)
     engines = []
@@ -283,6 +284,12 @@
             0, pieces.PieceResult(f"h{number}", "e1", "x", "dc1", "p")
         )
         engines.append(run.future.result().proposed_engine)
+    return engines, run
+
+
+def test_prompts_of_all_graphs_are_spread_over_the_engines(env):
+    scheduler, runner, _, _ = env
+    engines, run = propose_engines(env)
     assert set(engines) == {"e8", "e9"}
     results = run.future.result().results
     scheduler.free(results)
@@ -290,20 +297,9 @@
 
 
 def test_an_engine_with_a_limit_is_proposed_no_more_often(env):
-    scheduler, runner, loop, _ = env
+    _, runner, loop, _ = env
     limited = endpoint_state.EndpointRun("e8", 1)
     runner.limits = endpoint_limits.EndpointLimits(loop)
     runner.limits.record_answer(limited, 1.0)
-    prompt = stage_graph.PromptSize("s", b"same", 6000, 1000)
-    engines = []
-    for number in range(10):
-        now = loop.now()
-        graph = build_graph(
-            spec("p"), objective_at=now + 50, deadline_at=now + 60
-        )
-        run = scheduler.run(graph._replace(prompt=prompt))
-        runner.jobs[0][-1].add_result(
-            0, pieces.PieceResult(f"h{number}", "e1", "x", "dc1", "p")
-        )
-        engines.append(run.future.result().proposed_engine)
+    engines, _ = propose_engines(env)
     assert engines.count("e8") == 1 and engines.count("e9") == 9
