--- a/chervilarch/crash_evidence.py
+++ b/chervilarch/crash_evidence.py
@@ -206,9 +206,10 @@
 
     def is_suspect(self, prompt: Prompt, now: float) -> bool:
         """Returns whether a prompt may be about to cause a further crash."""
-        if not self._reports:
-            return False
-        groups = self._current_groups(_SUSPICIOUS, now)
+        # A prompt that tests a block crosses it, but only once.
+        groups = [block.parts for block in self._blocks.active()]
+        if self._reports:
+            groups += self._current_groups(_SUSPICIOUS, now)
         return any(group <= prompt for group in groups)
 
     def update_blocks(self, now: float) -> list[PromptBlock]:
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -181,3 +181,10 @@
     evidence.record_start({"p1"}, 42.0)
     evidence.update_blocks(42.0)
     assert blocked(evidence, {"p2", "bad"}, 43.0)
+
+
+def test_a_prompt_that_fails_the_test_of_its_block_is_not_sent_again(evidence):
+    now = crash_thrice(evidence) + _ROUND_S
+    assert evidence.admit(_BAD, now).tested is not None
+    crash(evidence, 9, now + 0.1, _BAD)
+    assert evidence.is_suspect(_BAD, now + 0.1)
