--- a/chervilarch/crash_evidence.py
+++ b/chervilarch/crash_evidence.py
@@ -105,6 +105,8 @@
             collections.OrderedDict()
         )
         self._blocks = PromptBlocks()
+        # When each report became known here; a crash may show late.
+        self._learned_at: dict[tuple[str, int], float] = {}
         # Time of the newest crash that names each part.
         self._last_crashes: dict[str, float] = {}
         # Groups by thresholds, until reports, blocks or starts of blamed parts
@@ -153,9 +155,10 @@
         if now - report.crashed_at > _REPORT_TTL_S:
             return False
         self._reports[key] = report._replace(prompts=prompts)
+        self._learned_at.setdefault(key, now)
         while len(self._reports) > _MAX_REPORTS:
             oldest = min(self._reports.values(), key=lambda r: r.crashed_at)
-            del self._reports[oldest.endpoint, oldest.incarnation]
+            self._drop_report((oldest.endpoint, oldest.incarnation))
         self._index_reports()
         return True
 
@@ -197,11 +200,9 @@
             return block
         for group, reports in self._current_groups(_BLOCKING, now).items():
             if group <= prompt:
-                crashes = [report.crashed_at for report in reports]
-                settled_at = max(crashes) + SETTLE_S
-                return PromptBlock(
-                    group, 0, True, min(crashes), settled_at, settled_at
-                )
+                since = _first_crash_at(reports)
+                ends_at = max(self._settled_at(r) for r in reports)
+                return PromptBlock(group, 0, True, since, ends_at, ends_at)
         return None
 
     def is_suspect(self, prompt: Prompt, now: float) -> bool:
@@ -214,7 +215,6 @@
 
     def update_blocks(self, now: float) -> list[PromptBlock]:
         """Adds, renews, narrows and ends blocks; returns the changed ones."""
-        self._cached_groups.clear()
         self._expire(now)
         before = set(self._blocks.all())
         self._narrow_blocks()
@@ -227,9 +227,18 @@
     def _expire(self, now: float) -> None:
         for key, report in list(self._reports.items()):
             if now - report.crashed_at > _REPORT_TTL_S:
-                del self._reports[key]
+                self._drop_report(key)
         self._index_reports()
 
+    def _drop_report(self, key: tuple[str, int]) -> None:
+        del self._reports[key]
+        del self._learned_at[key]
+
+    def _settled_at(self, report: CrashReport) -> float:
+        """Returns from when on other hosts have told what they know."""
+        key = (report.endpoint, report.incarnation)
+        return self._learned_at[key] + SETTLE_S
+
     def _add_start(self, part: str, started_at: float) -> bool:
         if started_at <= self._starts.get(part, float("-inf")):
             return False
@@ -299,7 +308,7 @@
 
     def _add_blocks(self, now: float) -> bool:
         """Blocks the most blamed parts; returns whether there were any."""
-        groups = self._blamed_groups(_BLOCKING, now, SETTLE_S)
+        groups = self._blamed_groups(_BLOCKING, now, settled_only=True)
         if not groups:
             return False
         most = max(len(reports) for reports in groups.values())
@@ -317,14 +326,14 @@
         return self._cached_groups[thresholds]
 
     def _blamed_groups(
-        self, thresholds: _Thresholds, now: float, min_age_s: float = 0.0
+        self, thresholds: _Thresholds, now: float, settled_only: bool = False
     ) -> dict[Prompt, list[CrashReport]]:
         """Returns groups of parts that are blamed often enough.
 
         Args:
             thresholds: how many crashes that takes.
             now: monotonic time in seconds.
-            min_age_s: age from which on a report counts.
+            settled_only: whether only settled reports count.
 
         Returns:
             The reports that each group is blamed for. A group holds a blamed
@@ -334,7 +343,11 @@
         """
         groups: dict[Prompt, list[CrashReport]] = {}
         for part, reports in self._blamed_reports().items():
-            counted = [r for r in reports if now - r.crashed_at >= min_age_s]
+            counted = [
+                report
+                for report in reports
+                if not settled_only or now >= self._settled_at(report)
+            ]
             if len(counted) < thresholds.needed(self._is_known(part, now)):
                 continue
             group = self._common_parts(part, counted)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -188,3 +188,16 @@
     assert evidence.admit(_BAD, now).tested is not None
     crash(evidence, 9, now + 0.1, _BAD)
     assert evidence.is_suspect(_BAD, now + 0.1)
+
+
+def test_late_reports_wait_for_what_other_hosts_know_of_their_parts(evidence):
+    for number in range(3):
+        crash_at = 1.0 + number
+        report = ce.CrashReport(
+            f"e{number}", 1, crash_at, frozenset({frozenset({"known"})})
+        )
+        evidence.add_report(report, 9.0)
+    evidence.update_blocks(9.0)
+    evidence.merge(ce.PartStart("known", 0.5), 9.1)
+    evidence.update_blocks(10.0)
+    assert not blocked(evidence, {"known"}, 10.0)
