Simplify leases, crash checks and the wait for limits

Found on the last reading, no decision changes: - both calls looked for a new block after each lease: endpoint_lease does it - the result of a crash check was handed through returns and a field: the guard is asked for it - each request looked at every endpoint of its pool for a wait that hardly ever exists: it ends at once while nothing is deferred, and past times are forgotten - the refusal for limits is a filter of its own

--- a/chervilarch/endpoint_lease.py
+++ b/chervilarch/endpoint_lease.py
@@ -1,6 +1,12 @@
 """Leases an endpoint for a final call, with a permit if it needs one."""
 
-from chervilarch import outcomes, placement, state_log, tasks
+from chervilarch import (
+    outcomes,
+    placement,
+    prompt_blocks,
+    state_log,
+    tasks,
+)
 from chervilarch import routed_context as contexts
 
 # Wait for a permit that is accepted while other endpoints are left.
@@ -16,7 +22,7 @@
     tried: set[str],
     may_wait: bool = True,
 ) -> tasks.Coroutine[placement.Lease | outcomes.NotRun | None]:
-    """Chooses an endpoint that wasn't tried.
+    """Chooses an endpoint that wasn't tried, unless the prompt is blocked.
 
     Args:
         ctx: the request.
@@ -25,9 +31,28 @@
         may_wait: whether to wait for a permit if all endpoints need one.
 
     Returns:
-        The lease, a refusal if all endpoints limit their requests and have no
-        permit in time, or None if there is no endpoint.
+        The lease, a refusal if the prompt was blocked since its admission or no
+        endpoint has a permit in time, or None if there is no endpoint.
     """
+    leased = yield from _lease_with_permit(ctx, requirements, tried, may_wait)
+    req = ctx.req
+    # Looked up last: a wait for a permit may take seconds.
+    block = ctx.ctrl.prompt_guard.find_block(
+        req.prompt.shared_parts(), req.tested_block
+    )
+    if block is None:
+        return leased
+    if isinstance(leased, placement.Lease):
+        ctx.ctrl.placement.abandon(leased)
+    return blocked_outcome(ctx, block)
+
+
+def _lease_with_permit(
+    ctx: contexts.RoutedContext,
+    requirements: placement.Requirements,
+    tried: set[str],
+    may_wait: bool,
+) -> tasks.Coroutine[placement.Lease | outcomes.NotRun | None]:
     own = ctx.ctrl.placement
     while True:
         chosen = own.pick(requirements, tried)
@@ -89,3 +114,16 @@
         "send the request again after the time given",
         wait_s,
     )
+
+
+def blocked_outcome(
+    ctx: contexts.RoutedContext, block: prompt_blocks.PromptBlock
+) -> outcomes.NotRun:
+    """Returns the outcome of a request that was refused for its prompt."""
+    parts = ",".join(sorted(block.parts))
+    return outcomes.NotRun(
+        outcomes.Reason.PROMPT_BLOCKED,
+        f"engines crashed on prompts with these parts: {parts}",
+        "change the prompt, or send it again after the time given",
+        max(0.0, block.held_until - ctx.now()),
+    )
--- a/chervilarch/final_call.py
+++ b/chervilarch/final_call.py
@@ -12,7 +12,6 @@
     exchanges,
     outcomes,
     placement,
-    prompt_blocks,
     routed,
     stage_inputs,
     state_log,
@@ -93,13 +92,8 @@
     ctx: contexts.RoutedContext,
     lease: placement.Lease,
     attempt_result: Success | attempts.Failure,
-) -> "Future[None]":
-    """Counts an ended attempt and ends its lease of the endpoint.
-
-    Returns:
-        Resolves once it is known whether the endpoint crashed, as far as that
-        matters.
-    """
+) -> None:
+    """Counts an ended attempt and ends its lease of the endpoint."""
     guard = ctx.ctrl.prompt_guard
     if isinstance(attempt_result, Success):
         ctx.req.possible_runs += 1
@@ -107,7 +101,8 @@
         ctx.ctrl.placement.finish(lease, attempt_result.head.status < 500)
         if attempt_result.head.status < 400:
             guard.record_start(lease)
-        return guard.record_end(lease, None)
+        guard.record_end(lease, None)
+        return
     ctx.req.possible_runs += not attempt_result.certainly_not_run()
     entry = lease.listing.entry
     if attempt_result.cause is attempts.FailureCause.NOT_SENT:
@@ -136,56 +131,22 @@
         detail=attempt_result.detail,
         elapsed_ms=ctx.elapsed_ms(),
     )
-    return guard.record_end(lease, attempt_result.cause)
-
-
-def blocked_outcome(
-    ctx: contexts.RoutedContext, block: prompt_blocks.PromptBlock
-) -> outcomes.NotRun:
-    """Returns the outcome of a request that was refused for its prompt."""
-    parts = ",".join(sorted(block.parts))
-    return outcomes.NotRun(
-        outcomes.Reason.PROMPT_BLOCKED,
-        f"engines crashed on prompts with these parts: {parts}",
-        "change the prompt, or send it again after the time given",
-        max(0.0, block.held_until - ctx.now()),
-    )
-
-
-def unless_blocked(
-    ctx: contexts.RoutedContext,
-    lease: placement.Lease | outcomes.NotRun | None,
-) -> placement.Lease | outcomes.NotRun | None:
-    """Returns a lease, unless the prompt was blocked since its admission."""
-    req = ctx.req
-    block = ctx.ctrl.prompt_guard.find_block(
-        req.prompt.shared_parts(), req.tested_block
-    )
-    if block is None:
-        return lease
-    if isinstance(lease, placement.Lease):
-        ctx.ctrl.placement.abandon(lease)
-    return blocked_outcome(ctx, block)
+    guard.record_end(lease, attempt_result.cause)
 
 
 def may_crash_endpoint(
     ctx: contexts.RoutedContext,
+    lease: placement.Lease,
     failure: attempts.Failure,
-    crash_checked: "Future[None]",
 ) -> tasks.Coroutine[bool]:
-    """Returns whether a failed request is suspected to crash endpoints.
-
-    Args:
-        ctx: the request.
-        failure: how its last attempt ended.
-        crash_checked: resolves once it is known whether that crashed an
-            endpoint.
-    """
+    """Returns whether a failed request is suspected to crash endpoints."""
     if failure.certainly_not_run():
         return False
+    guard = ctx.ctrl.prompt_guard
+    checked = guard.crash_check(lease)
     until = ctx.now() + _CRASH_CHECK_WAIT_S
-    yield from tasks.wait(ctx.ctrl.loop, crash_checked, until)
-    return ctx.ctrl.prompt_guard.is_suspect(ctx.req.prompt.shared_parts())
+    yield from tasks.wait(ctx.ctrl.loop, checked, until)
+    return guard.is_suspect(ctx.req.prompt.shared_parts())
 
 
 def failure_outcome(
@@ -267,16 +228,14 @@
             for attempt in [a for a in self._running if a.future.done()]:
                 self._running.remove(attempt)
                 attempt_result = attempt.future.result()
-                crash_checked = finish_attempt(
-                    ctx, attempt.lease, attempt_result
-                )
+                finish_attempt(ctx, attempt.lease, attempt_result)
                 if isinstance(
                     attempt_result, Success
                 ) and not self._is_retryable_error(attempt_result):
                     return outcomes.Answer(attempt_result)
                 last = attempt_result
                 may_crash = isinstance(last, attempts.Failure) and (
-                    yield from may_crash_endpoint(ctx, last, crash_checked)
+                    yield from may_crash_endpoint(ctx, attempt.lease, last)
                 )
             if (
                 not self._running
@@ -344,7 +303,6 @@
         lease = yield from endpoint_lease.lease(
             ctx, requirements, self._tried, may_wait
         )
-        lease = unless_blocked(ctx, lease)
         if not isinstance(lease, placement.Lease):
             return lease
         self._tried.add(lease.listing.entry.name)
--- a/chervilarch/placement.py
+++ b/chervilarch/placement.py
@@ -118,10 +118,6 @@
 
     def defer(self, run: endpoint_state.EndpointRun, until: float) -> None:
         """Prefers other endpoints to one until a monotonic time."""
-        now = self._clock.monotonic()
-        self._deferred = {
-            other: at for other, at in self._deferred.items() if at > now
-        }
         self._deferred[run] = max(until, self._deferred.get(run, until))
 
     def wait_s(self, run: endpoint_state.EndpointRun) -> float:
@@ -132,6 +128,8 @@
     def shortest_wait_s(self, pool: str) -> float:
         """Returns how long all open endpoints of a pool are deferred."""
         now = self._clock.monotonic()
+        if not self._is_any_deferred(now):
+            return 0.0
         return min(
             (
                 self.wait_s(_run_of(name, endpoint))
@@ -157,7 +155,7 @@
         } or candidates
         if not usable:
             return None
-        if self._deferred:
+        if self._is_any_deferred(now):
             usable = self._not_deferred(usable)
         preferred = usable.get(requirements.preferred)
         if preferred is not None and now >= preferred.suspect_until:
@@ -186,6 +184,16 @@
         endpoint.units += units
         return Lease(self._listings[name], slot)
 
+    def _is_any_deferred(self, now: float) -> bool:
+        """Returns whether any endpoint is deferred; forgets past times."""
+        if self._deferred:
+            self._deferred = {
+                run: until
+                for run, until in self._deferred.items()
+                if until > now
+            }
+        return bool(self._deferred)
+
     def _not_deferred(
         self, usable: dict[str, endpoint_state.Endpoint]
     ) -> dict[str, endpoint_state.Endpoint]:
--- a/chervilarch/prompt_guard.py
+++ b/chervilarch/prompt_guard.py
@@ -130,16 +130,11 @@
 
     def record_end(
         self, lease: placement.Lease, cause: attempts.FailureCause | None
-    ) -> "Future[None]":
-        """Records the end of an attempt, with the cause of a failure.
-
-        Returns:
-            Resolves once it is known whether the engine refuses connections, as
-            far as that matters.
-        """
+    ) -> None:
+        """Records the end of an attempt, with the cause of a failure."""
         prompt = self._forget(lease)
         if not prompt or cause not in _CRASH_CAUSES:
-            return tasks.done(None)
+            return
         run = lease.slot.endpoint
         lost = self._lost.setdefault(
             run, collections.deque(maxlen=_MAX_LOST_PROMPTS)
@@ -148,11 +143,12 @@
         self._lost.move_to_end(run)
         if len(self._lost) > _MAX_LOST_RUNS:
             self._lost.popitem(last=False)
-        if cause is not attempts.FailureCause.LOST:
-            return tasks.done(None)
-        if run not in self._checks:
+        if cause is attempts.FailureCause.LOST and run not in self._checks:
             self._check(run, lease.listing.entry.address)
-        return self._checks.get(run) or tasks.done(None)
+
+    def crash_check(self, lease: placement.Lease) -> "Future[None]":
+        """Resolves once it is known whether an engine refuses connections."""
+        return self._checks.get(lease.slot.endpoint) or tasks.done(None)
 
     def set_endpoints(
         self, listed: dict[str, dict[str, endpoint_list.Listing]]
--- a/chervilarch/routed_filters.py
+++ b/chervilarch/routed_filters.py
@@ -118,20 +118,26 @@
     req = ctx.req
     admission = ctx.ctrl.prompt_guard.admit(req.prompt.shared_parts())
     if admission.block is not None:
-        return final_call.blocked_outcome(ctx, admission.block)
+        return endpoint_lease.blocked_outcome(ctx, admission.block)
     req.tested_block = admission.tested
     return (yield from call_next())
 
 
-def run_call(
+def refuse_over_limits(
     ctx: RoutedContext, call_next: NextFilter
 ) -> tasks.Coroutine[outcomes.Outcome]:
-    """Runs the stages and the final call; the last filter."""
-    # Stages aren't run for a final call that can't be sent.
+    """Refuses requests that would wait too long for an endpoint's limit."""
     pool = ctx.req.route.pool_for(ctx.req.id)
     wait_s = ctx.ctrl.placement.shortest_wait_s(pool)
     if wait_s > endpoint_lease.longest_wait_s(ctx, 0.0):
         return endpoint_lease.refusal(wait_s)
+    return (yield from call_next())
+
+
+def run_call(
+    ctx: RoutedContext, call_next: NextFilter
+) -> tasks.Coroutine[outcomes.Outcome]:
+    """Runs the stages and the final call; the last filter."""
     inputs = stage_inputs.StageInputs(ctx)
     try:
         failed = yield from inputs.run()
@@ -159,6 +165,7 @@
     identify_account,
     set_deadline,
     refuse_blocked_prompts,
+    refuse_over_limits,
     run_call,
 )
 
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -4,8 +4,6 @@
 endpoint after the last one.
 """
 
-from concurrent.futures import Future
-
 from chervilarch import (
     attempts,
     endpoint_lease,
@@ -93,7 +91,6 @@
         self._splitter = EventSplitter()
         self._splitter.last_id = ctx.req.resume_after
         self._has_sent_event = False
-        self._crash_checked: Future = tasks.done(None)
 
     def run(self) -> tasks.Coroutine[outcomes.Outcome]:
         """Returns an `Answer` once the stream is complete, or a failure."""
@@ -101,7 +98,9 @@
         ctx.ctrl.retry_budgets.earn(self._pool)
         last: attempts.Failure | None = None
         while True:
-            lease = yield from self._lease()
+            lease = yield from endpoint_lease.lease(
+                ctx, self._requirements(), self._tried
+            )
             if isinstance(lease, outcomes.NotRun) and not ctx.req.possible_runs:
                 return lease
             if not isinstance(lease, placement.Lease):
@@ -112,7 +111,7 @@
             last = attempt_result
             self._splitter.discard_partial()
             may_crash = yield from final_call.may_crash_endpoint(
-                ctx, attempt_result, self._crash_checked
+                ctx, lease, attempt_result
             )
             if may_crash:
                 break
@@ -123,15 +122,6 @@
                 return failed
         return final_call.failure_outcome(ctx, last)
 
-    def _lease(
-        self,
-    ) -> tasks.Coroutine[placement.Lease | outcomes.NotRun | None]:
-        """Leases an endpoint, unless the request must not be sent."""
-        lease = yield from endpoint_lease.lease(
-            self._ctx, self._requirements(), self._tried
-        )
-        return final_call.unless_blocked(self._ctx, lease)
-
     def _requirements(self) -> placement.Requirements:
         prompt = self._ctx.req.prompt
         return placement.Requirements(
@@ -187,9 +177,7 @@
             if not has_result:
                 ctx.ctrl.placement.abandon(lease)
                 ctx.ctrl.prompt_guard.record_end(lease, None)
-        self._crash_checked = final_call.finish_attempt(
-            ctx, lease, attempt_result
-        )
+        final_call.finish_attempt(ctx, lease, attempt_result)
         return attempt_result
 
     def _relay(
--- a/tests/test_prompt_guard.py
+++ b/tests/test_prompt_guard.py
@@ -81,7 +81,8 @@
     with socket.create_server(("127.0.0.1", 0)) as listener:
         address = f"127.0.0.1:{listener.getsockname()[1]}"
         lease = send(guard, "e1", address)
-        checked = guard.record_end(lease, attempts.FailureCause.LOST)
+        guard.record_end(lease, attempts.FailureCause.LOST)
+        checked = guard.crash_check(lease)
         lh.run_until(loop_and_clock[0], checked.done)
     assert crashes(guard) == set()
 
@@ -90,7 +91,8 @@
     guard, loop_and_clock
 ):
     lease = send(guard, "e1", f"127.0.0.1:{lh.free_ports(1)}")
-    checked = guard.record_end(lease, attempts.FailureCause.LOST)
+    guard.record_end(lease, attempts.FailureCause.LOST)
+    checked = guard.crash_check(lease)
     lh.run_until(loop_and_clock[0], checked.done)
     assert crashes(guard) == {"e1"}
 
@@ -98,7 +100,8 @@
 def test_prompts_that_had_an_event_are_not_blamed(guard, loop_and_clock):
     lease = send(guard, "e1", f"127.0.0.1:{lh.free_ports(1)}")
     guard.record_start(lease)
-    checked = guard.record_end(lease, attempts.FailureCause.LOST)
+    guard.record_end(lease, attempts.FailureCause.LOST)
+    checked = guard.crash_check(lease)
     lh.run_until(loop_and_clock[0], checked.done)
     list_endpoints(guard)
     assert crashes(guard) == set()
