--- a/chervilarch/prompt_guard.py
+++ b/chervilarch/prompt_guard.py
@@ -171,7 +171,7 @@
             if not isinstance(item, crash_evidence.Item):
                 continue
             if isinstance(item, crash_evidence.PartStart):
-                self._told_at[item.part] = now
+                self._mark_told(item.part)
             if self._evidence.merge(item, now):
                 is_new = True
                 if isinstance(item, crash_evidence.CrashReport):
@@ -198,17 +198,16 @@
         self._loop.call_later(self._rng.uniform(0.0, _MAX_TELL_DELAY_S), tell)
 
     def _publish_starts(self, starts: list[crash_evidence.PartStart]) -> None:
-        now = self._loop.now()
-        if len(self._told_at) > _MAX_TOLD_STARTS:
-            self._told_at = {
-                part: told_at
-                for part, told_at in self._told_at.items()
-                if now - told_at <= _TELL_PERIOD_S
-            }
         for start in starts:
-            self._told_at[start.part] = now
+            self._mark_told(start.part)
         self._exchange.publish(starts)
 
+    def _mark_told(self, part: str) -> None:
+        self._told_at.pop(part, None)
+        self._told_at[part] = self._loop.now()
+        if len(self._told_at) > _MAX_TOLD_STARTS:
+            del self._told_at[next(iter(self._told_at))]
+
     def _forget(self, lease: placement.Lease) -> Prompt:
         """Forgets an attempt; returns its prompt if it had no event yet."""
         run = lease.slot.endpoint
--- a/tests/test_prompt_guard.py
+++ b/tests/test_prompt_guard.py
@@ -9,6 +9,7 @@
 from chervilarch import (
     advisories,
     attempts,
+    crash_evidence,
     endpoint_state,
     placement,
     prompt_guard,
@@ -115,3 +116,11 @@
     assert len(guard._lost) <= 256
     assert all(len(prompts) <= 32 for prompts in guard._lost.values())
     assert guard._waiting == {}
+
+
+def test_the_record_of_told_starts_is_bounded(guard, loop_and_clock):
+    for number in range(5000):
+        loop_and_clock[1].advance(0.01)
+        now = loop_and_clock[0].now()
+        guard.merge([crash_evidence.PartStart(f"p{number}", now)])
+    assert len(guard._told_at) <= 1024
