--- a/chervilarch/fleet.py
+++ b/chervilarch/fleet.py
@@ -1,5 +1,6 @@
 """Finds the other gateways: by the platform's store, by seeds and by gossip."""
 
+import enum
 import hashlib
 import random
 
@@ -23,11 +24,15 @@
 # A host checks this often whether it knows a live peer; if not, it reads the
 # store's list again.
 _LIST_CHECK_PERIOD_S = 5.0
-# Ports of the other sockets for peers, relative to the gossip port.
-_STAGE_PORT_OFFSET = 1
-_STORE_PORT_OFFSET = 2
-_ADVISORY_PORT_OFFSET = 3
-_PERMIT_PORT_OFFSET = 4
+
+
+class PeerPort(enum.IntEnum):
+    """Ports of a host's sockets for peers, relative to its gossip port."""
+
+    STAGES = 1
+    STORE = 2
+    ADVISORIES = 3
+    PERMITS = 4
 
 
 class Fleet:
@@ -77,30 +82,18 @@
         """Stops gossip."""
         self.gossip.stop()
 
-    def stage_peers(self) -> list[stage_coordination.Peer]:
-        """Returns the hosts believed alive, with their sockets for stages."""
-        return [stage_peer(member) for member in self._alive_members()]
+    def peers(self, port: PeerPort) -> list[stage_coordination.Peer]:
+        """Returns the hosts believed alive, with the address of a socket."""
+        return [peer(member, port) for member in self._alive_members()]
 
-    def store_neighbours(self) -> list[stage_coordination.Peer]:
-        """Returns those of `store_peers` that are in this data centre."""
+    def neighbours(self, port: PeerPort) -> list[stage_coordination.Peer]:
+        """Returns those of `peers` that are in this data centre."""
         return [
-            store_peer(member)
+            peer(member, port)
             for member in self._alive_members()
             if member.data_centre == self._own.data_centre
         ]
 
-    def store_peers(self) -> list[stage_coordination.Peer]:
-        """Returns the hosts believed alive, with sockets for topic updates."""
-        return [store_peer(member) for member in self._alive_members()]
-
-    def advisory_peers(self) -> list[stage_coordination.Peer]:
-        """Returns the hosts believed alive, with sockets for advisories."""
-        return [advisory_peer(member) for member in self._alive_members()]
-
-    def permit_peers(self) -> list[stage_coordination.Peer]:
-        """Returns the hosts believed alive, with sockets for permits."""
-        return [permit_peer(member) for member in self._alive_members()]
-
     def _alive_members(self) -> list[membership.Member]:
         return [
             member
@@ -118,7 +111,7 @@
 
     def _contact_seeds(self) -> None:
         """Contacts the seeds, as the store may be unavailable."""
-        if self.stage_peers():
+        if self._alive_members():
             return
         own_ip, port = self._own.address.rsplit(":", 1)
         for ip in self._seeds:
@@ -149,7 +142,7 @@
                 continue
             self._add_listed_hosts(page)
             yield tasks.sleep(self._loop, _LIST_CHECK_PERIOD_S)
-            while self.stage_peers():
+            while self._alive_members():
                 yield tasks.sleep(self._loop, _LIST_CHECK_PERIOD_S)
 
     def _add_listed_hosts(self, page: store.NewestPage) -> None:
@@ -176,29 +169,10 @@
         self.gossip.add_listed_hosts(entries)
 
 
-def stage_peer(member: membership.Member) -> stage_coordination.Peer:
-    """Returns a member with the address of its socket for stages."""
-    return _peer(member, _STAGE_PORT_OFFSET)
-
-
-def store_peer(member: membership.Member) -> stage_coordination.Peer:
-    """Returns a member with the address of its socket for topic updates."""
-    return _peer(member, _STORE_PORT_OFFSET)
-
-
-def advisory_peer(member: membership.Member) -> stage_coordination.Peer:
-    """Returns a member with the address of its socket for advisories."""
-    return _peer(member, _ADVISORY_PORT_OFFSET)
-
-
-def permit_peer(member: membership.Member) -> stage_coordination.Peer:
-    """Returns a member with the address of its socket for permits."""
-    return _peer(member, _PERMIT_PORT_OFFSET)
-
-
-def _peer(member: membership.Member, offset: int) -> stage_coordination.Peer:
-    host, port = member.address.rsplit(":", 1)
-    address = (host, int(port) + offset)
+def peer(member: membership.Member, port: PeerPort) -> stage_coordination.Peer:
+    """Returns a member with the address of one of its sockets."""
+    host, gossip_port = member.address.rsplit(":", 1)
+    address = (host, int(gossip_port) + port)
     return stage_coordination.Peer(member.name, address, member.milli_cores)
 
 
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -1,6 +1,7 @@
 """`chervilarch-gateway`: the daemon on entry hosts of the platform."""
 
 import argparse
+import functools
 import random
 import signal
 from collections.abc import Sequence
@@ -279,15 +280,15 @@
     stages = stage_coordination.StageCoordinator(
         loop,
         stage_scheduler.StageScheduler(loop, runner, coordinator_placement),
-        fleet.stage_peer(own),
-        gateways.stage_peers,
+        fleet.peer(own, fleet.PeerPort.STAGES),
+        functools.partial(gateways.peers, fleet.PeerPort.STAGES),
         key,
     )
     sharing = store_sharing.StoreSharing(
         loop,
-        fleet.store_peer(own),
-        gateways.store_neighbours,
-        gateways.store_peers,
+        fleet.peer(own, fleet.PeerPort.STORE),
+        functools.partial(gateways.neighbours, fleet.PeerPort.STORE),
+        functools.partial(gateways.peers, fleet.PeerPort.STORE),
         {
             store.Topic.CONFIGURATION: configuration.topic_follower,
             store.Topic.ENDPOINTS: endpoints.topic_follower,
@@ -298,15 +299,19 @@
     )
     exchange = advisories.AdvisoryExchange(
         loop,
-        fleet.advisory_peer(own),
-        gateways.advisory_peers,
+        fleet.peer(own, fleet.PeerPort.ADVISORIES),
+        functools.partial(gateways.peers, fleet.PeerPort.ADVISORIES),
         key,
         rng,
     )
     exchange.add_source(limits)
     limits.publish = exchange.publish
     request_permits = permits.Permits(
-        loop, fleet.permit_peer(own), gateways.permit_peers, key, limits
+        loop,
+        fleet.peer(own, fleet.PeerPort.PERMITS),
+        functools.partial(gateways.peers, fleet.PeerPort.PERMITS),
+        key,
+        limits,
     )
     guard = prompt_guard.PromptGuard(loop, exchange, meters, rng, store_client)
     configuration.add_listener(lambda table: runner.set_pools(table.pools))
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -18,6 +18,7 @@
 from chervilarch import fleet as fleets
 
 LEAVING = hosts.LEAVING
+STAGES = fleets.PeerPort.STAGES
 
 
 def test_a_leaving_endpoint_gets_no_work_and_does_not_come_back():
@@ -266,9 +267,9 @@
         fleet.start()
     try:
         lh.run_until(
-            loop, lambda: all(fleet.stage_peers() for fleet in created)
+            loop, lambda: all(fleet.peers(STAGES) for fleet in created)
         )
-        assert created[0].stage_peers()[0].name == "n1"
+        assert created[0].peers(STAGES)[0].name == "n1"
     finally:
         for fleet in created:
             fleet.gossip.stop()
@@ -293,7 +294,7 @@
     created[1].start()
     try:
         lh.run_until(
-            loop, lambda: all(fleet.stage_peers() for fleet in created)
+            loop, lambda: all(fleet.peers(STAGES) for fleet in created)
         )
     finally:
         for fleet in created:
@@ -321,18 +322,18 @@
     staying, restarted = start(2, 1000), start(3, 90_000)
     try:
         lh.run_until(
-            loop, lambda: staying.stage_peers() and restarted.stage_peers()
+            loop, lambda: staying.peers(STAGES) and restarted.peers(STAGES)
         )
         if leaves:
             restarted.gossip.announce_leaving()
-            lh.run_until(loop, lambda: not staying.stage_peers())
+            lh.run_until(loop, lambda: not staying.peers(STAGES))
         restarted.gossip.stop()
         restarted = start(3, 50_000)
 
         def is_accepted():
             lh.advance(loop, clock, 0.05)
             members = staying.gossip.members()[1:]
-            return restarted.stage_peers() and any(
+            return restarted.peers(STAGES) and any(
                 member.incarnation > 90_000
                 and member.status is membership.Status.ALIVE
                 for member in members
