--- a/chervilarch/block_records.py
+++ b/chervilarch/block_records.py
@@ -17,6 +17,8 @@
 # Pause after a failed call; the store may be away for a while.
 _RETRY_S = 1.0
 _KEY_BYTES = 16
+# Changes that wait while the store is away; the oldest go first.
+_MAX_UNWRITTEN = 256
 
 
 class _Record(msgspec.Struct):
@@ -61,6 +63,8 @@
         """Writes blocks that changed; one that ended is removed."""
         for block in blocks:
             self._unwritten[_key(block)] = self._encode(block)
+            if len(self._unwritten) > _MAX_UNWRITTEN:
+                del self._unwritten[next(iter(self._unwritten))]
         if self._unwritten and not self._is_writing:
             self._is_writing = True
             tasks.Task(self._write())
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -184,8 +184,11 @@
     async def _crash_endpoint(self, rng: random.Random) -> None:
         endpoint = self._take_replaceable(rng)
         if endpoint is not None:
-            await endpoint.end(is_graceful=False)
-            await self._add_endpoint(endpoint.pool, endpoint.link)
+            await self._replace(endpoint)
+
+    async def _replace(self, endpoint: endpoints.Endpoint) -> None:
+        await endpoint.end(is_graceful=False)
+        await self._add_endpoint(endpoint.pool, endpoint.link)
 
     async def _retire_endpoint(self, rng: random.Random) -> None:
         endpoint = self._take_replaceable(rng)
@@ -217,14 +220,10 @@
         self._history.deadly_parts.remove(part)
 
     def _replace_crashed(self, endpoint: endpoints.Endpoint) -> None:
-        async def replace() -> None:
-            await endpoint.end(is_graceful=False)
-            await self._add_endpoint(endpoint.pool, endpoint.link)
-
         # A draining or crashed endpoint is replaced by the fault that ends it.
         if endpoint in self.endpoints:
             self.endpoints.remove(endpoint)
-            self._replacing.add(asyncio.create_task(replace()))
+            self._replacing.add(asyncio.create_task(self._replace(endpoint)))
 
     def _take_replaceable(
         self, rng: random.Random
--- a/tests/test_advisories.py
+++ b/tests/test_advisories.py
@@ -185,6 +185,16 @@
     assert fleet[3].log[store.Topic.BLOCKS][-1].value == b""
 
 
+def test_blocks_that_wait_for_the_store_are_bounded(fleet):
+    (host,) = add_hosts(fleet, 1)
+    fleet[3].error = store.StoreError("away")
+    for number in range(1000):
+        parts = frozenset({f"p{number}"})
+        block = pb.PromptBlock(parts, 1, True, 0.0, 30.0, 30.0)
+        host.guard._records.write([block])
+    assert len(host.guard._records._unwritten) <= 256
+
+
 def test_messages_survive_encoding():
     now = 1000.0
     items = (
