Refuse requests whose end is in doubt; serve the router by the same server

Cause: chervilarch-router's server (cheroot) took the last of two lengths, a length beside chunked, signed lengths and more, and read the rest of the bytes as a second request; h11 alone, in the gateway, took a length beside chunked, bare line feeds and folded lines. Two servers read HTTP in two ways.

Change: chervilarch-router is served by http_server too (wsgi_server runs the application on threads), which refuses what h11 lets pass, and refuses a body by its declared length before it is read. cheroot goes. A body of nested brackets is 400 with a problem document. A stop accepts what waits in the listener's queue, reads what waits in the kernel before a connection counts as idle, and gives a new connection half a second for its first request.

Weighed: checks in front of cheroot would keep two servers, two sets of limits.

One check changed: close_idle closed a connection that had just been opened; the test now moves the clock by that half second first, and a test beside it holds that within it a request is still served.

--- a/chervilarch/caller_input.py
+++ b/chervilarch/caller_input.py
@@ -1,41 +1,13 @@
-"""Reads and checks the body and headers that callers send."""
+"""Checks the body and headers that callers send."""
 
-import time
 from typing import Any
 
 import werkzeug
 
-from chervilarch import outcomes, request, settings
+from chervilarch import outcomes, request
 from chervilarch.outcomes import Reason
 
 MAX_TOKENS = 65536
-_READ_CHUNK_BYTES = 65536
-
-
-def read_body(
-    environ: dict[str, Any], bounds: settings.Bounds
-) -> bytes | outcomes.Rejected:
-    """Reads a request body; rejects one that is too large or too slow."""
-    limit = bounds.max_body_bytes
-    stream = environ["wsgi.input"]
-    length = environ.get("CONTENT_LENGTH")
-    if length and int(length) > limit:
-        return bad_request(f"the body is over {limit} bytes", "send less")
-    deadline = time.monotonic() + bounds.body_timeout_s
-    body = bytearray()
-    while not length or len(body) < int(length):
-        wanted = int(length) - len(body) if length else _READ_CHUNK_BYTES
-        chunk = stream.read(min(_READ_CHUNK_BYTES, wanted))
-        if not chunk:
-            break
-        body += chunk
-        if len(body) > limit:
-            return bad_request(f"the body is over {limit} bytes", "send less")
-        if time.monotonic() > deadline:
-            return bad_request("the body came too slowly", "send it faster")
-    if length and len(body) < int(length):
-        return bad_request("the body ended early", "send the whole body")
-    return bytes(body)
 
 
 def read_headers(
--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -4,6 +4,7 @@
 waits or runs, and an answer that ends early never looks complete.
 """
 
+import http
 import selectors
 import socket
 from collections.abc import Callable
@@ -12,6 +13,7 @@
 import h11
 
 from chervilarch import loop as loops
+from chervilarch import request_framing
 
 _RECV_BYTES = 64 * 1024
 _BACKLOG = 1024
@@ -24,17 +26,33 @@
 DEFAULT_BODY_BYTES = 4 * 1024 * 1024
 DEFAULT_HEADER_TIMEOUT_S = 3.0
 DEFAULT_IDLE_TIMEOUT_S = 15.0
+# On a new connection the first request may be on its way for this long; until
+# then a stop doesn't close it as idle.
+FIRST_REQUEST_WAIT_S = 0.5
+
+_REASON_PHRASES = {
+    status.value: status.phrase.encode() for status in http.HTTPStatus
+}
 
 Headers = list[tuple[str, str]]
 
 
 class Limits(NamedTuple):
-    """Limits on the size of a request and the time to send it."""
+    """Limits on the size of a request and the time to send it.
+
+    Attributes:
+        header_bytes: size of the head.
+        body_bytes: size of the body.
+        header_timeout_s: time to send the head.
+        idle_timeout_s: time that a connection may wait for a request.
+        body_timeout_s: time to send the body; None for `idle_timeout_s`.
+    """
 
     header_bytes: int = DEFAULT_HEADER_BYTES
     body_bytes: int = DEFAULT_BODY_BYTES
     header_timeout_s: float = DEFAULT_HEADER_TIMEOUT_S
     idle_timeout_s: float = DEFAULT_IDLE_TIMEOUT_S
+    body_timeout_s: float | None = None
 
 
 class Request(NamedTuple):
@@ -114,12 +132,42 @@
         self._conn.on_flushed = callback
 
 
+class Rejection(NamedTuple):
+    """Headers and body of the answer to a request that can't be read."""
+
+    headers: Headers
+    body: bytes
+
+
+def _empty_rejection(status: int, detail: str) -> Rejection:
+    return Rejection([], b"")
+
+
 class Server:
     """Accepts connections on one address."""
 
-    def __init__(self, loop: loops.Loop, address: str, handler: Handler):
+    def __init__(
+        self,
+        loop: loops.Loop,
+        address: str,
+        handler: Handler,
+        build_rejection: Callable[[int, str], Rejection] = _empty_rejection,
+    ):
+        """Binds the address.
+
+        Args:
+            loop: runs the server.
+            address: IP address and port to listen at.
+            handler: serves the requests.
+            build_rejection: returns the answer to a request that can't be read,
+                by its status and a description of the fault.
+
+        Raises:
+            OSError: the address can't be bound.
+        """
         self.loop = loop
         self.handler = handler
+        self.build_rejection = build_rejection
         host, port = address.rsplit(":", 1)
         self._listener = socket.socket()
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -131,15 +179,19 @@
         loop.watch(self._listener, selectors.EVENT_READ, self._accept)
 
     def stop_accepting(self) -> None:
-        """Closes the listener; open connections stay open."""
+        """Closes the listener; open connections stay open.
+
+        Connections that wait in the listener's queue are accepted first: the
+        kernel would reset them.
+        """
+        self._accept(selectors.EVENT_READ)
         self.loop.unwatch(self._listener)
         self._listener.close()
 
     def close_idle(self) -> None:
-        """Closes the connections that serve no request."""
+        """Closes the connections that serve no request and have none sent."""
         for conn in list(self._connections):
-            if conn.is_idle():
-                conn.close()
+            conn.close_if_idle()
 
     def remove(self, conn: "_Connection") -> None:
         """Removes a closed connection."""
@@ -168,13 +220,14 @@
         self._loop = server.loop
         self._sock = sock
         self._peer = peer
+        self._opened_at = self._loop.now()
+        self._has_served = False
         self._limits = server.handler.limits()
         self._codec = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
         )
         self._head: h11.Request | None = None
         self._body = bytearray()
-        self._body_bytes_due = 0
         self._first_byte_at = 0.0
         self._responder: Responder | None = None
         self._on_disconnect: Callable[[], None] | None = None
@@ -192,6 +245,17 @@
         """Returns whether no request is being read, served or answered."""
         return not (self._responder or self._first_byte_at or self._out)
 
+    def close_if_idle(self) -> None:
+        """Closes the connection unless a request was sent or may come soon."""
+        age_s = self._loop.now() - self._opened_at
+        if not self._has_served and age_s < FIRST_REQUEST_WAIT_S:
+            return
+        if self.is_idle():
+            # A request may wait in the kernel; closing would reset it.
+            self._receive()
+        if self.is_idle():
+            self.close()
+
     def unsent_bytes(self) -> int:
         """Returns the number of buffered bytes."""
         return len(self._out)
@@ -202,7 +266,7 @@
             return
         if self._server.handler.is_closing():
             headers = [*headers, ("Connection", "close")]
-        self.send_event(h11.Response(status_code=status, headers=headers))
+        self.send_event(_response_head(status, headers))
 
     def send_event(self, event: h11.Event) -> None:
         """Queues an event of the answer."""
@@ -303,49 +367,79 @@
             return
         self._pipelined_bytes = 0
         try:
-            while self._responder is None:
-                event = self._codec.next_event()
-                if event is h11.NEED_DATA or event is h11.PAUSED:
-                    break
-                if not self._handle_event(event):
-                    return
+            self._read_events()
         except h11.RemoteProtocolError as exc:
-            self._reject(exc.error_status_hint)
+            self._reject(exc.error_status_hint, str(exc))
+        if self._closed or self._closing:
             return
         if self._responder is None and self._codec.trailing_data[0]:
             if not self._first_byte_at:
                 self._start_reading()
-        if not self._closed:
-            self._watch()
+        self._watch()
+
+    def _read_events(self) -> None:
+        """Handles what the codec has received.
+
+        Raises:
+            h11.RemoteProtocolError: the caller doesn't speak HTTP/1.1.
+        """
+        if self._codec.their_state is h11.IDLE:
+            fault = request_framing.raw_head_fault(self._codec.trailing_data[0])
+            if fault:
+                self._reject(400, fault)
+                return
+        while self._responder is None:
+            event = self._codec.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if not self._handle_event(event):
+                return
 
     def _handle_event(self, event: h11.Event) -> bool:
         if isinstance(event, h11.Request):
-            self._head = event
-            if _head_bytes(event) > self._limits.header_bytes:
-                self._reject(431)
-                return False
-            if not self._first_byte_at:
-                self._first_byte_at = self._loop.now()
-            self._set_timer(self._limits.idle_timeout_s)
-            if self._codec.they_are_waiting_for_100_continue:
-                self._out += self._codec.send(
-                    h11.InformationalResponse(status_code=100, headers=[])
-                )
-                self._flush()
+            self._begin_request(event)
         elif isinstance(event, h11.Data):
             self._body += event.data
             if len(self._body) > self._limits.body_bytes:
-                self._reject(413)
-                return False
+                self._reject_body()
         elif isinstance(event, h11.EndOfMessage):
             self._serve()
         elif isinstance(event, h11.ConnectionClosed):
             self.close()
-            return False
-        return not self._closed
+        return not (self._closed or self._closing)
+
+    def _begin_request(self, head: h11.Request) -> None:
+        """Checks a request's head and waits for its body."""
+        limits = self._limits
+        if _head_bytes(head) > limits.header_bytes:
+            self._reject(431, f"the head is over {limits.header_bytes} bytes")
+            return
+        fault = request_framing.length_fault(head)
+        if fault:
+            self._reject(400, fault)
+            return
+        if request_framing.declared_length(head) > limits.body_bytes:
+            self._reject_body()
+            return
+        self._head = head
+        if not self._first_byte_at:
+            self._first_byte_at = self._loop.now()
+        body_timeout_s = limits.body_timeout_s
+        if body_timeout_s is None:
+            body_timeout_s = limits.idle_timeout_s
+        self._set_timer(body_timeout_s)
+        if self._codec.they_are_waiting_for_100_continue:
+            self._out += self._codec.send(
+                h11.InformationalResponse(status_code=100, headers=[])
+            )
+            self._flush()
+
+    def _reject_body(self) -> None:
+        self._reject(413, f"the body is over {self._limits.body_bytes} bytes")
 
     def _serve(self) -> None:
         self._timer.cancel()
+        self._has_served = True
         head = self._head
         self._responder = Responder(self)
         req = Request(
@@ -364,13 +458,18 @@
         if not responder.ended:
             self._on_disconnect = on_disconnect
 
-    def _reject(self, status: int) -> None:
+    def _reject(self, status: int, detail: str) -> None:
         """Answers a request that can't be read with an error, and closes."""
         if self._codec.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            headers = [("Content-Length", "0"), ("Connection", "close")]
-            self._out += self._codec.send(
-                h11.Response(status_code=status, headers=headers)
-            )
+            rejection = self._server.build_rejection(status, detail)
+            headers = [
+                *rejection.headers,
+                ("Content-Length", str(len(rejection.body))),
+                ("Connection", "close"),
+            ]
+            self._out += self._codec.send(_response_head(status, headers))
+            if rejection.body:
+                self._out += self._codec.send(h11.Data(data=rejection.body))
             self._out += self._codec.send(h11.EndOfMessage())
         self._closing = True
         self._flush()
@@ -416,11 +515,19 @@
 
     def _time_out(self) -> None:
         if self._first_byte_at and not self._closing and not self._out:
-            self._reject(408)
+            self._reject(408, "the request wasn't sent in time")
             return
         self.close()
 
 
+def _response_head(status: int, headers: Headers) -> h11.Response:
+    return h11.Response(
+        status_code=status,
+        headers=headers,
+        reason=_REASON_PHRASES.get(status, b""),
+    )
+
+
 def _head_bytes(head: h11.Request) -> int:
     """Returns the size of a request's head.
 
--- a/chervilarch/loop.py
+++ b/chervilarch/loop.py
@@ -1,5 +1,6 @@
 """Single-threaded event loop over `selectors`: sockets and timers."""
 
+import collections
 import heapq
 import itertools
 import os
@@ -38,10 +39,13 @@
         self._timers: list[tuple[float, int, Timer]] = []
         self._sequence = itertools.count()
         self._is_stopping = False
+        self._handed_over: collections.deque[Callable[[], None]] = (
+            collections.deque()
+        )
         self._wake_recv, self._wake_send = os.pipe()
         os.set_blocking(self._wake_recv, False)
         os.set_blocking(self._wake_send, False)
-        self.watch(self._wake_recv, selectors.EVENT_READ, self._drain_wake_pipe)
+        self.watch(self._wake_recv, selectors.EVENT_READ, self._on_wake)
 
     def now(self) -> float:
         """Returns the monotonic time in seconds."""
@@ -65,6 +69,11 @@
         """
         return self.call_at(float("-inf"), callback)
 
+    def call_from_thread(self, callback: Callable[[], None]) -> None:
+        """Runs a callback on the loop; safe in other threads."""
+        self._handed_over.append(callback)
+        self.wake()
+
     def watch(
         self, fileobj: Any, events: int, callback: Callable[[int], None]
     ) -> None:
@@ -127,8 +136,10 @@
             return max_wait_s
         return min(max_wait_s, max(0.0, self._timers[0][0] - self.now()))
 
-    def _drain_wake_pipe(self, events: int) -> None:
+    def _on_wake(self, events: int) -> None:
         try:
             os.read(self._wake_recv, 4096)
         except BlockingIOError:
             pass  # The pipe is empty already.
+        while self._handed_over:
+            self._handed_over.popleft()()
--- a/chervilarch/router.py
+++ b/chervilarch/router.py
@@ -5,25 +5,26 @@
 import socket
 import sys
 import threading
-from collections.abc import Sequence
-
-from cheroot import wsgi
+from collections.abc import Callable, Sequence
 
 from chervilarch import (
     controllers,
     drain,
     environment,
+    http_server,
     router_args,
     server,
     settings,
     state_log,
+    wsgi_server,
 )
+from chervilarch import loop as loops
 from chervilarch.exits import ExitStatus
 
 MAX_HEADER_BYTES = 32 * 1024
-LISTEN_BACKLOG = 1024
-_SOCKET_TIMEOUT_S = 10
-_SHUTDOWN_TIMEOUT_S = 5
+_HEADER_TIMEOUT_S = 10.0
+_IDLE_TIMEOUT_S = 10.0
+_SHUTDOWN_TIMEOUT_S = 5.0
 _RECORD_RESULTS_TIMEOUT_S = 5.0
 _POLL_INTERVAL_S = 0.05
 
@@ -36,11 +37,10 @@
         self._request_tracker = drain.RequestTracker()
         self._ctrl = controllers.build(cfg, env.clock)
         self._app = server.Application(self._ctrl, cfg, self._request_tracker)
-        self._server = _build_server(cfg, self._app)
-        self._stop_requested = threading.Event()
-        self._thread = threading.Thread(
-            target=self._server.serve, name="server", daemon=True
+        self._server = _build_server(
+            cfg, env, self._app, self._request_tracker.is_draining
         )
+        self._stop_requested = threading.Event()
 
     def start(self) -> None:
         """Starts the controllers and the HTTP server.
@@ -48,9 +48,8 @@
         Raises:
             OSError: an address can't be bound.
         """
-        self._server.prepare()
         controllers.start(self._ctrl)
-        self._thread.start()
+        self._server.start()
         state_log.log_change("router started", host=self._app.cfg.host)
 
     def run(self) -> None:
@@ -63,9 +62,7 @@
         threading.Event().wait(self._app.cfg.bounds.drain_notice_s)
         self._request_tracker.wait_idle()
         self._wait_for_results()
-        self._server.stop()
-        self._thread.join(_SHUTDOWN_TIMEOUT_S)
-        self._request_tracker.wait_idle()
+        self._server.stop(_SHUTDOWN_TIMEOUT_S)
         controllers.stop(self._ctrl)
         state_log.log_change("router stopped")
 
@@ -116,8 +113,8 @@
     state_log.set_up(env.stderr, cfg.log_json)
     # CPython's default, set explicitly.
     sys.setswitchinterval(0.005)
-    router = Router(cfg, env)
     try:
+        router = Router(cfg, env)
         router.start()
     except OSError as exc:
         return _print_faults(env, [_describe_bind_error(args, cfg, exc)])
@@ -139,30 +136,27 @@
 
 
 def _build_server(
-    cfg: settings.Settings, app: server.Application
-) -> wsgi.Server:
-    host, port = cfg.caller_address.rsplit(":", 1)
-    http_server = wsgi.Server(
-        (host, int(port)),
+    cfg: settings.Settings,
+    env: environment.Environment,
+    app: server.Application,
+    is_draining: Callable[[], bool],
+) -> wsgi_server.WsgiServer:
+    limits = http_server.Limits(
+        header_bytes=MAX_HEADER_BYTES,
+        body_bytes=cfg.bounds.max_body_bytes,
+        header_timeout_s=_HEADER_TIMEOUT_S,
+        idle_timeout_s=_IDLE_TIMEOUT_S,
+        body_timeout_s=cfg.bounds.body_timeout_s,
+    )
+    return wsgi_server.WsgiServer(
+        loops.Loop(env.clock),
+        cfg.caller_address,
         app,
-        numthreads=cfg.bounds.threads,
-        max=cfg.bounds.threads,
-        request_queue_size=LISTEN_BACKLOG,
-        timeout=_SOCKET_TIMEOUT_S,
-        shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
+        cfg.bounds.threads,
+        limits,
+        is_draining,
+        server.build_rejection,
     )
-    http_server.max_request_header_size = MAX_HEADER_BYTES
-    # 0 means no limit here; `caller_input.read_body` enforces the bound.
-    http_server.max_request_body_size = 0
-    http_server.error_log = _log_server_error
-    return http_server
-
-
-def _log_server_error(
-    msg: str = "", level: int = 20, traceback: bool = False
-) -> None:
-    if level >= 40 or traceback:
-        state_log.log_fault("server error", detail=msg, traceback=traceback)
 
 
 def _describe_bind_error(
--- a/chervilarch/server.py
+++ b/chervilarch/server.py
@@ -1,5 +1,6 @@
 """The WSGI application that callers, the load balancer and operators use."""
 
+import collections
 import traceback
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -15,6 +16,7 @@
     event_stream,
     explanations,
     filters,
+    http_server,
     keys,
     outcomes,
     request,
@@ -30,6 +32,15 @@
 # Threads reserved for health checks and refusals.
 RESERVED_THREADS = 16
 
+_READING_REMEDIES = collections.defaultdict(
+    lambda: "send a request that follows RFC 9112",
+    {
+        408: "send the whole request faster",
+        413: "send a smaller body",
+        431: "send fewer or shorter headers",
+    },
+)
+
 _URL_MAP = routing.Map(
     [
         routing.Rule("/healthz", endpoint="health", methods=["GET"]),
@@ -65,8 +76,6 @@
     ) -> Iterable[bytes]:
         """Serves one request; see PEP 3333."""
         with self.request_tracker.track():
-            if self.request_tracker.is_draining():
-                start_response = _with_connection_close(start_response)
             try:
                 return self._serve(environ, start_response)
             except exceptions.HTTPException as exc:
@@ -232,12 +241,10 @@
     def _parse(
         self, req: werkzeug.Request, name: str
     ) -> request.PipelineRequest | outcomes.Rejected:
-        body = caller_input.read_body(self._environ, self._cfg.bounds)
-        if isinstance(body, outcomes.Rejected):
-            return body
+        body = req.get_data()
         try:
             document = msgspec.json.decode(body)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             return caller_input.bad_request(
                 f"the body is not JSON: {exc}", "send a JSON object"
             )
@@ -322,14 +329,20 @@
             response = _json_response(document, document["status"], _PROBLEM)
         if isinstance(outcome, outcomes.NotRun):
             response.headers["Retry-After"] = f"{outcome.retry_after_s:.0f}"
-        if isinstance(outcome, outcomes.Rejected):
-            # The rest of a refused body is not read, so the connection can't be
-            # reused.
-            response.headers["Connection"] = "close"
         response.headers[_REQUEST_ID_HEADER] = request_id
         return response
 
 
+def build_rejection(status: int, detail: str) -> http_server.Rejection:
+    """Returns the answer to a request that can't be read."""
+    outcome = caller_input.bad_request(detail, _READING_REMEDIES[status])
+    document = outcomes.problem(outcome, "")
+    document["status"] = status
+    return http_server.Rejection(
+        [("Content-Type", _PROBLEM)], msgspec.json.encode(document)
+    )
+
+
 def _json_response(
     document: Any, status: int = 200, mimetype: str = _JSON
 ) -> werkzeug.Response:
@@ -345,19 +358,3 @@
     )
     document = outcomes.problem(outcome, "")
     return _json_response(document, document["status"], _PROBLEM)
-
-
-def _with_connection_close(start_response: Callable) -> Callable:
-    """Wraps `start_response` so that it sends `Connection: close`."""
-
-    def start_closing_response(
-        status: str, headers: list, *args: Any
-    ) -> Callable:
-        other_headers = [
-            item for item in headers if item[0].lower() != "connection"
-        ]
-        return start_response(
-            status, [*other_headers, ("Connection", "close")], *args
-        )
-
-    return start_closing_response
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -169,15 +169,56 @@
 
 
 def test_close_idle_keeps_connections_with_a_request(world):
-    loop, _, _, server = world
+    loop, clock, _, server = world
     busy, idle = begin(world), lh.connect(server.port)
     lh.run_until(loop, lambda: server.connection_count() == 2)
+    clock.advance(http_server.FIRST_REQUEST_WAIT_S)
     server.close_idle()
     lh.receive(loop, idle, lambda data: b"<EOF>" in data)
     assert server.connection_count() == 1
     busy.close()
 
 
+def test_close_idle_waits_for_the_first_request_of_a_new_connection(world):
+    loop, clock, handler, server = world
+    conn = lh.connect(server.port)
+    lh.run_until(loop, lambda: server.connection_count() == 1)
+    clock.advance(http_server.FIRST_REQUEST_WAIT_S / 2)
+    server.close_idle()
+    conn.sendall(get())
+    lh.run_until(loop, lambda: handler.begun)
+
+
+def test_close_idle_serves_a_request_that_waits_in_the_kernel(world):
+    loop, _, handler, server = world
+    conn = begin(world)
+    handler.begun[0][1].send(200, [], b"one")
+    lh.receive(loop, conn, lambda data: data.endswith(b"one"))
+    conn.sendall(get("/x/2"))
+    server.close_idle()
+    lh.run_until(loop, lambda: len(handler.begun) == 2)
+
+
+def test_a_stop_serves_connections_that_wait_to_be_accepted(world):
+    loop, _, handler, server = world
+    conn = lh.connect(server.port)
+    conn.sendall(get())
+    server.stop_accepting()
+    server.close_idle()
+    lh.run_until(loop, lambda: handler.begun)
+    handler.begun[0][1].send(200, [], b"served")
+    lh.receive(loop, conn, lambda data: data.endswith(b"served"))
+
+
+def test_a_body_over_the_limit_is_refused_by_its_declared_length(world):
+    loop, _, handler, server = world
+    conn = lh.connect(server.port)
+    conn.sendall(b"POST /x/ HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n")
+    received = lh.receive(loop, conn, lambda data: b"<EOF>" in data)
+    assert received.startswith(b"HTTP/1.1 413")
+    assert not handler.begun
+
+
 def test_bytes_for_a_slow_caller_are_buffered_until_it_disconnects(world):
     loop, _, handler, _ = world
     conn = begin(world)
--- /dev/null
+++ b/tests/test_wsgi_server.py
@@ -0,0 +1,175 @@
+"""Tests of the server that runs a WSGI application on threads."""
+
+import socket
+import threading
+
+import loop_helpers as lh
+import pytest
+
+from chervilarch import clocks, http_server, wsgi_server
+from chervilarch import loop as loops
+
+_GET = b"GET /%s HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+class World:
+    """A running server whose application a test supplies."""
+
+    def __init__(self):
+        self.app = None
+        self.is_draining = threading.Event()
+        self.server = wsgi_server.WsgiServer(
+            loops.Loop(clocks.SystemClock()),
+            "127.0.0.1:0",
+            lambda environ, start: self.app(environ, start),
+            4,
+            http_server.Limits(),
+            self.is_draining.is_set,
+            lambda status, detail: http_server.Rejection([], detail.encode()),
+        )
+        self.server.start()
+
+    def connect(self, path=b"x"):
+        conn = socket.create_connection(
+            ("127.0.0.1", self.server.port), lh.TIMEOUT_S
+        )
+        conn.sendall(_GET % path)
+        return conn
+
+
+def read_to_end(conn):
+    data = b""
+    while chunk := conn.recv(65536):
+        data += chunk
+    return data
+
+
+@pytest.fixture
+def world():
+    running = World()
+    yield running
+    running.server.stop(0.0)
+
+
+def test_the_environment_has_path_query_headers_and_body():
+    req = http_server.Request(
+        "POST",
+        "/a%20b?c=1",
+        [
+            ("content-type", "text/plain"),
+            ("x-a", "1"),
+            ("x-a", "2"),
+            ("x_a", "3"),
+            ("transfer-encoding", "chunked"),
+        ],
+        b"body",
+        0.0,
+        "10.0.0.9",
+    )
+    environ = wsgi_server.build_environ(req)
+    assert environ["PATH_INFO"] == "/a b"
+    assert environ["QUERY_STRING"] == "c=1"
+    assert environ["CONTENT_TYPE"] == "text/plain"
+    assert environ["HTTP_X_A"] == "1,2"
+    assert environ["CONTENT_LENGTH"] == "4"
+    assert environ["wsgi.input"].read() == b"body"
+    assert "HTTP_TRANSFER_ENCODING" not in environ
+
+
+def test_an_application_that_fails_midway_ends_without_a_complete_body(world):
+    def app(environ, start):
+        write = start("200 OK", [])
+        write(b"part")
+        raise ValueError("a fault")
+
+    world.app = app
+    with world.connect() as conn:
+        received = read_to_end(conn)
+    assert b"part" in received
+    # The last chunk is missing.
+    assert not received.endswith(b"0\r\n\r\n")
+
+
+def test_an_application_that_fails_at_once_gets_status_500(world):
+    def app(environ, start):
+        raise ValueError("a fault")
+
+    world.app = app
+    with world.connect() as conn:
+        assert conn.recv(65536).startswith(b"HTTP/1.1 500")
+
+
+def test_writing_fails_once_the_caller_has_disconnected(world):
+    may_write, failed = threading.Event(), threading.Event()
+
+    def app(environ, start):
+        write = start("200 OK", [])
+        write(b"begun")
+        may_write.wait(lh.TIMEOUT_S)
+        try:
+            while True:
+                write(b"more")
+        except OSError:
+            failed.set()
+            raise
+
+    world.app = app
+    with world.connect() as conn:
+        assert b"200" in conn.recv(65536)
+    may_write.set()
+    assert failed.wait(lh.TIMEOUT_S)
+
+
+def test_a_slow_caller_pauses_the_application(world):
+    chunk = b"a" * 65536
+    total = 64 * 1024 * 1024
+    written = []
+
+    def app(environ, start):
+        write = start("200 OK", [("Content-Length", str(total))])
+        for _ in range(total // len(chunk)):
+            write(chunk)
+            written.append(len(chunk))
+        return []
+
+    world.app = app
+    with world.connect() as conn:
+        assert b"200" in conn.recv(64)
+        received = 64
+        while received < total // 2:
+            received += len(conn.recv(65536))
+        # The kernel's buffers and the server's hold the rest.
+        assert sum(written) < total
+        while data := conn.recv(65536):
+            received += len(data)
+            if received > total:
+                break
+    assert sum(written) == total
+
+
+def test_a_stop_answers_requests_that_were_just_accepted():
+    world = World()
+    begun, may_end = threading.Semaphore(0), threading.Event()
+
+    def app(environ, start):
+        begun.release()
+        may_end.wait(lh.TIMEOUT_S)
+        start("200 OK", [("Content-Length", "6")])
+        return [b"served"]
+
+    world.app = app
+    # More than the threads that serve them, so that some wait.
+    conns = [world.connect() for _ in range(12)]
+    for _ in range(4):
+        assert begun.acquire(timeout=lh.TIMEOUT_S)
+    world.is_draining.set()
+    stopper = threading.Thread(target=world.server.stop, args=(lh.TIMEOUT_S,))
+    stopper.start()
+    may_end.set()
+    for conn in conns:
+        with conn:
+            received = read_to_end(conn)
+        assert received.endswith(b"served")
+        assert b"connection: close" in received.lower()
+    stopper.join(lh.TIMEOUT_S)
+    assert not stopper.is_alive()
