End the demo's processes when it gets SIGTERM

Cause: only Ctrl-C was turned into an exception; SIGTERM from make ended the demo at once and left its daemons and stand-ins running.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -7,6 +7,7 @@
 
 import argparse
 import json
+import signal
 import sys
 import time
 
@@ -33,6 +34,8 @@
     args = parser.parse_args()
     deployment = deployments.DEPLOYMENTS[args.deployment]
     started = time.monotonic()
+    # SIGTERM stops the started processes too, as Ctrl-C does.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         with fleet.Fleet(
             deployment.specs, deployment.data_centres, _ROUTERS
