Take no reply with a length beside a transfer coding for a success

Cause: libcurl refuses differing, listed, signed and spaced lengths, but takes a Content-Length beside Transfer-Encoding and keeps the connection. Change: both clients end such a transfer as broken; its connection closes. Weighed: a folded length; RFC 9112 lets a reader replace the fold by a space, as libcurl does, so its end is not in doubt.

--- a/chervilarch/http_client.py
+++ b/chervilarch/http_client.py
@@ -48,6 +48,7 @@
         self.curl: pycurl.Curl | None = None
         self.status = 0
         self.headers: list[tuple[str, str]] = []
+        self.is_ambiguous = False
         self._body = bytearray()
 
     def cancel(self) -> None:
@@ -70,17 +71,23 @@
             self.status, dict(self.headers), bytes(self._body), elapsed_s
         )
 
-    def on_header_line(self, line: bytes) -> None:
-        """Parses one header line; called by libcurl."""
+    def on_header_line(self, line: bytes) -> int | None:
+        """Parses one header line; called by libcurl, which stops at a 0."""
         text = line.decode("latin-1").strip()
         if text.startswith("HTTP/"):
             self.headers.clear()
             words = text.split(" ", 2)
             self.status = int(words[1]) if words[1].isdigit() else 0
-            return
+            return None
         name, sep, value = text.partition(":")
         if sep:
             self.headers.append((name.strip().lower(), value.strip()))
+        if text:
+            return None
+        self.is_ambiguous = exchanges.has_ambiguous_length(
+            name for name, _ in self.headers
+        )
+        return 0 if self.is_ambiguous else None
 
     def on_body_chunk(self, chunk: bytes) -> int:
         """Stores a chunk of the body; called by libcurl."""
@@ -244,6 +251,8 @@
     if code is None:
         return transfer.reply(curl.getinfo(pycurl.TOTAL_TIME))
     kind = _FAILURE_KINDS.get(code, exchanges.FailureKind.BROKEN)
+    if transfer.is_ambiguous:
+        kind = exchanges.FailureKind.BROKEN
     sent = curl.getinfo(pycurl.REQUEST_SIZE) > 0
     return exchanges.TransferFailure(kind, text, sent)
 
--- a/chervilarch/transfers.py
+++ b/chervilarch/transfers.py
@@ -44,19 +44,24 @@
         self.body = bytearray()
         self.headers: dict[str, str] = {}
         self.status = 0
+        self.is_ambiguous = False
         self.done = False
 
-    def on_header_line(self, line: bytes) -> None:
+    def on_header_line(self, line: bytes) -> int | None:
         text = line.decode("latin-1").strip()
         if text.startswith("HTTP/"):
             self.headers.clear()
             self.status = int(text.split(" ", 2)[1])
             if self.stream is not None:
                 self.stream.status = self.status
-            return
+            return None
         name, sep, value = text.partition(":")
         if sep:
             self.headers[name.strip().lower()] = value.strip()
+        if text:
+            return None
+        self.is_ambiguous = exchanges.has_ambiguous_length(self.headers)
+        return 0 if self.is_ambiguous else None
 
     def on_body_chunk(self, chunk: bytes) -> int:
         if self.stream is not None and self.status == 200:
@@ -263,9 +268,12 @@
                 )
                 self._complete(transfer, reply)
             for curl, code, text in failed:
+                transfer = self._running[curl]
                 kind = _FAILURE_KINDS.get(code, exchanges.FailureKind.BROKEN)
+                if transfer.is_ambiguous:
+                    kind = exchanges.FailureKind.BROKEN
                 failure = exchanges.TransferFailure(kind, text, _was_sent(curl))
-                self._complete(self._running[curl], failure)
+                self._complete(transfer, failure)
 
     def _complete(
         self, transfer: _Transfer, result: exchanges.TransferResult
