Read the store by one host of the fleet; send configurations to all others

Cause: one host a data centre read both topics, so calls to the store grew with data centres, and each new configuration was read by every host.

Change: the host of read rank 0 of the whole fleet reads, sends updates to its data centre and to the leader of each other one, which pass them on. Leaders come before other hosts in the read order; the last rank reads after 1.6 read periods (before: 1.4 of those of its own data centre). Records of configurations are sent compressed; datagrams over 8 KB are sent without records, so a configuration of very many routes is read by each host as before.

Tests: tests/test_store_sharing.py; those of reads for all data centres and of configurations fail on the code before. The test of retry delays used a flag that is gone; it now makes every update end-only, the same situation.

--- a/chervilarch/fleet.py
+++ b/chervilarch/fleet.py
@@ -173,7 +173,9 @@
     """Returns a member with the address of one of its sockets."""
     host, gossip_port = member.address.rsplit(":", 1)
     address = (host, int(gossip_port) + port)
-    return stage_coordination.Peer(member.name, address, member.milli_cores)
+    return stage_coordination.Peer(
+        member.name, address, member.milli_cores, member.data_centre
+    )
 
 
 def deployment_key(deployment: str) -> bytes:
--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -48,10 +48,9 @@
         self._loop = loop
         self.applied_at = float("-inf")
         self._listeners: list[Callable[[routing_table.RoutingTable], None]] = []
-        # Reads wait for a change, with no pause between them. Neighbours are
-        # told only that there is a new record, and read it themselves.
+        # Reads wait for a change, with no pause between them.
         self.topic_follower = topic_follower.TopicFollower(
-            loop, source, store.Topic.CONFIGURATION, wait_s, 0.0, False
+            loop, source, store.Topic.CONFIGURATION, wait_s, 0.0
         )
         self.topic_follower.on_snapshot = self._apply_snapshot
         self.topic_follower.on_change = self._apply_record
@@ -119,9 +118,9 @@
         self._last_content: dict[str, hosts.HostEntry | bytes] = {}
         self._changed = False
         self._listeners: list[Callable[[dict], None]] = []
-        # Reads don't wait for a change, and neighbours are sent the records.
+        # Reads don't wait for a change.
         self.topic_follower = topic_follower.TopicFollower(
-            loop, source, store.Topic.ENDPOINTS, 0.0, pause_s, True
+            loop, source, store.Topic.ENDPOINTS, 0.0, pause_s
         )
         self.topic_follower.on_snapshot = self._apply_snapshot
         self.topic_follower.on_change = self._apply_record
--- a/chervilarch/peer.capnp
+++ b/chervilarch/peer.capnp
@@ -130,6 +130,8 @@
   offset @0 :Int64;
   key @1 :Text;
   value @2 :Data;
+  # Whether the value is compressed by zlib.
+  isCompressed @3 :Bool;
 }
 
 # A topic update, `store.TopicUpdate`. The records are those from `first` to
@@ -147,6 +149,8 @@
 # One datagram of topic updates.
 struct StoreNews {
   topics @0 :List(TopicNews);
+  # Whether the receiver passes it on to the hosts of its data centre.
+  mustRelay @1 :Bool;
 }
 
 struct PromptParts {
--- a/chervilarch/stage_coordination.py
+++ b/chervilarch/stage_coordination.py
@@ -41,11 +41,12 @@
 
 
 class Peer(NamedTuple):
-    """A live host, the address of one of its sockets and its CPU capacity."""
+    """A live host and the address of one of its sockets."""
 
     name: str
     address: tuple[str, int]
     milli_cores: int = 0
+    data_centre: str = ""
 
 
 class Submission:
--- a/chervilarch/store_messages.py
+++ b/chervilarch/store_messages.py
@@ -1,15 +1,36 @@
 """Codec of the datagrams that carry topic updates between hosts."""
 
+import zlib
+from typing import NamedTuple
+
 import capnp
 
 from chervilarch import messages, store
 
 _MS_PER_S = 1000
+# Shorter values, such as records of endpoints, gain nothing from compression.
+_MIN_COMPRESSED_BYTES = 512
+# Bounds the memory of a value that was compressed.
+_MAX_VALUE_BYTES = 8 * 1024 * 1024
+
+
+class StoreNews(NamedTuple):
+    """What a datagram tells of the store.
+
+    Attributes:
+        updates: how far the sender has read each topic, with new records.
+        must_relay: whether the receiver passes it on in its data centre.
+    """
 
+    updates: list[store.TopicUpdate]
+    must_relay: bool = False
 
-def encode(key: bytes, updates: list[store.TopicUpdate], now: float) -> bytes:
+
+def encode(key: bytes, news: StoreNews, now: float) -> bytes:
     """Returns the sealed datagram that carries topic updates."""
+    updates = news.updates
     msg = messages.SCHEMA.StoreNews.new_message()
+    msg.mustRelay = news.must_relay
     slots = msg.init("topics", len(updates))
     for slot, update in zip(slots, updates, strict=True):
         slot.topic = update.topic.value
@@ -24,30 +45,50 @@
             record_slot.offset = record.offset
             record_slot.key = record.key
             record_slot.value = record.value
+            if len(record.value) >= _MIN_COMPRESSED_BYTES:
+                record_slot.value = zlib.compress(record.value)
+                record_slot.isCompressed = True
     return messages.seal(key, msg.to_bytes_packed())
 
 
 def decode(
     key: bytes, frame: bytes, now: float
-) -> list[store.TopicUpdate] | messages.BadFrame:
+) -> StoreNews | messages.BadFrame:
     """Returns the topic updates of a sealed datagram."""
     payload = messages.unseal(key, frame)
     if isinstance(payload, messages.BadFrame):
         return payload
     try:
         msg = messages.SCHEMA.StoreNews.from_bytes_packed(payload)
-        return [
+        updates = [
             store.TopicUpdate(
                 store.Topic(str(slot.topic)),
                 slot.first,
                 slot.end,
                 now - slot.ageMs / _MS_PER_S,
                 tuple(
-                    store.Record(record.offset, record.key, bytes(record.value))
+                    store.Record(record.offset, record.key, _read_value(record))
                     for record in slot.records
                 ),
             )
             for slot in msg.topics
         ]
-    except (capnp.KjException, ValueError) as exc:
+        return StoreNews(updates, msg.mustRelay)
+    except (capnp.KjException, ValueError, zlib.error) as exc:
         return messages.BadFrame(f"malformed news of the store: {exc}")
+
+
+def _read_value(record) -> bytes:
+    """Returns a record's value.
+
+    Raises:
+        ValueError: the value is too large or not whole.
+        zlib.error: it isn't compressed data.
+    """
+    if not record.isCompressed:
+        return bytes(record.value)
+    decompressor = zlib.decompressobj()
+    value = decompressor.decompress(bytes(record.value), _MAX_VALUE_BYTES)
+    if not decompressor.eof:
+        raise ValueError("a compressed value is too large or not whole")
+    return value
--- a/chervilarch/store_sharing.py
+++ b/chervilarch/store_sharing.py
@@ -1,10 +1,13 @@
-"""Shares what one host reads of the platform's store with its neighbours.
+"""Shares what one host reads of the platform's store with all others.
 
-Reads of the store are costly, and all hosts of a data centre read the same
-records. The host of read rank 0 reads and sends topic updates to the others.
-The others read only if no newer update arrives in time, and each rank waits
-longer than the one before. A lost reader or a lost update therefore delays the
-others by a tenth of the time between reads.
+Reads of the store are costly, and all hosts read the same records. The host of
+read rank 0 reads and sends topic updates to the hosts of its data centre and
+to the leader of each other one, which passes them on there. So the number of
+reads doesn't grow with hosts or data centres, and an update crosses to another
+data centre once. Hosts read themselves only if no newer update arrives in time,
+and each rank waits longer than the one before: first the leaders of the data
+centres, then the others. A lost reader or a lost update therefore delays the
+others by a few tenths of the time between reads.
 
 A host that starts while the store is unavailable fetches a snapshot from
 another host.
@@ -33,10 +36,15 @@
 from chervilarch.stage_coordination import Peer
 
 # Hosts that would rank higher share this rank.
-_MAX_READ_RANK = 4
+_MAX_READ_RANK = 6
+# Leaders of data centres share this rank beyond it.
+_MAX_LEADER_RANK = 3
 # Fits an unfragmented datagram together with the hash and the offsets. Records
 # of endpoints have about 200 bytes.
 _MAX_RECORDS_BYTES = 1000
+# A larger datagram, which a configuration of very many routes would need, isn't
+# sent: each of its fragments may be lost, and links of hosts are slow.
+_MAX_FRAME_BYTES = 8 * 1024
 # A live peer answers in milliseconds.
 _FETCH_TIMEOUT_S = 0.5
 _BINARY = "application/octet-stream"
@@ -88,7 +96,7 @@
             loop,
             own.address,
             lambda frame: store_messages.decode(key, frame, loop.now()),
-            self._apply_updates,
+            self._apply_news,
             "news of the store refused",
         )
         host, port = self._socket.address
@@ -108,37 +116,66 @@
         self._server.stop_accepting()
 
     def read_rank(self) -> int:
-        """Returns how many neighbours read before this host does."""
+        """Returns how many hosts read before this one does."""
         own = _read_sort_key(self._own.name)
+        leaders = self._other_leaders()
         ahead = sum(
             _read_sort_key(peer.name) > own for peer in self._neighbours()
         )
-        return min(_MAX_READ_RANK, ahead)
+        if ahead:
+            return min(
+                _MAX_READ_RANK, min(_MAX_LEADER_RANK, len(leaders)) + ahead
+            )
+        leaders_ahead = sum(_read_sort_key(peer.name) > own for peer in leaders)
+        return min(_MAX_LEADER_RANK, leaders_ahead)
+
+    def _other_leaders(self) -> list[Peer]:
+        """Returns the host of each other data centre that reads first."""
+        leaders: dict[str, Peer] = {}
+        for peer in self._peers():
+            first = leaders.setdefault(peer.data_centre, peer)
+            if _read_sort_key(peer.name) > _read_sort_key(first.name):
+                leaders[peer.data_centre] = peer
+        leaders.pop(self._own.data_centre, None)
+        return list(leaders.values())
 
     def _send_update(self, update: store.TopicUpdate) -> None:
         """Sends an update, and how far the other topics have been read."""
-        peers = self._neighbours()
-        if not peers:
-            return
         others = [
             follower.state()
             for topic, follower in self._topics.items()
             if topic is not update.topic and follower.has_read()
         ]
-        now = self._loop.now()
         for part in _split_update(update):
-            frame = store_messages.encode(self._key, [part, *others], now)
-            for peer in peers:
-                self._socket.send(peer.address, frame)
+            updates = [part, *others]
+            self._send(self._neighbours(), updates, must_relay=False)
+            self._send(self._other_leaders(), updates, must_relay=True)
+
+    def _send(
+        self,
+        peers: list[Peer],
+        updates: list[store.TopicUpdate],
+        must_relay: bool,
+    ) -> None:
+        """Sends updates to hosts; those with too large records without them."""
+        if not peers:
+            return
+        news = store_messages.StoreNews(updates, must_relay)
+        frame = store_messages.encode(self._key, news, self._loop.now())
+        if len(frame) > _MAX_FRAME_BYTES:
+            ends = [_end_only(update) for update in updates]
+            frame = store_messages.encode(
+                self._key, news._replace(updates=ends), self._loop.now()
+            )
+        for peer in peers:
+            self._socket.send(peer.address, frame)
 
     def _serve_snapshot(self, target: str) -> tuple[int, str, bytes]:
         """Serves a topic's newest values to a host that has none."""
         for topic, follower in self._topics.items():
             if target == f"/{topic.value}" and follower.has_read():
-                updates = [follower.snapshot()]
-                body = store_messages.encode(
-                    self._key, updates, self._loop.now()
-                )
+                news = store_messages.StoreNews([follower.snapshot()])
+                body = store_messages.encode(self._key, news, self._loop.now())
                 return 200, _BINARY, body
         return 404, _BINARY, b""
 
@@ -172,10 +209,10 @@
             reason = f"status {result.status}"
         else:
             now = self._loop.now()
-            updates = store_messages.decode(self._key, result.body, now)
-            if not isinstance(updates, messages.BadFrame):
-                return updates[0]
-            reason = updates.reason
+            news = store_messages.decode(self._key, result.body, now)
+            if not isinstance(news, messages.BadFrame):
+                return news.updates[0]
+            reason = news.reason
         state_log.log_fault(
             "no values from a peer",
             host=peer.name,
@@ -184,10 +221,12 @@
         )
         return None
 
-    def _apply_updates(
-        self, updates: list[store.TopicUpdate], source: tuple
+    def _apply_news(
+        self, news: store_messages.StoreNews, source: tuple
     ) -> None:
-        for update in updates:
+        if news.must_relay:
+            self._send(self._neighbours(), news.updates, must_relay=False)
+        for update in news.updates:
             follower = self._topics.get(update.topic)
             if follower is not None:
                 follower.apply_update(update, source[0])
@@ -209,7 +248,7 @@
             ends.append(record.offset)
             size = len(record.key) + len(record.value)
     if len(ends) >= _MAX_PARTS:
-        return [update._replace(first=update.end, records=())]
+        return [_end_only(update)]
     parts = []
     first = update.first
     for end in [*ends, update.end]:
@@ -219,6 +258,14 @@
     return parts
 
 
+def _end_only(update: store.TopicUpdate) -> store.TopicUpdate:
+    """Returns an update from which the receivers learn only that they lag."""
+    if not update.records:
+        return update
+    return update._replace(first=update.end, records=())
+
+
+@functools.lru_cache(maxsize=4096)
 def _read_sort_key(name: str) -> int:
     """Returns the sort key of the read order, highest first.
 
--- a/chervilarch/topic_follower.py
+++ b/chervilarch/topic_follower.py
@@ -41,7 +41,6 @@
         topic: store.Topic,
         wait_s: float,
         pause_s: float,
-        shares_changes: bool,
     ):
         """Creates the follower.
 
@@ -51,8 +50,6 @@
             topic: what to follow.
             wait_s: how long a read waits for a change.
             pause_s: time between reads.
-            shares_changes: whether other hosts are sent the records, or only
-                that there are some.
         """
         self._loop = loop
         self._store = source
@@ -61,7 +58,6 @@
         self._pause_s = pause_s
         # Time between the ends of two reads that find no change.
         self._read_period_s = wait_s + pause_s
-        self._shares_changes = shares_changes
         self._offset: int | None = None
         self._failed_since: float | None = None
         self._retry_delay_s = _MIN_RETRY_S
@@ -254,9 +250,6 @@
         # An update that arrived during the read went further.
         if first > end:
             return
-        # Leaves a gap before `end`, so that the other hosts read the store.
-        if records and not self._shares_changes:
-            first, shared = end, []
         self.on_update(
             store.TopicUpdate(
                 self._topic, first, end, self.read_at, tuple(shared)
--- a/tests/test_store_sharing.py
+++ b/tests/test_store_sharing.py
@@ -1,6 +1,7 @@
 """Topic updates that one host shares with its neighbours."""
 
 import random
+from concurrent import futures
 
 import loop_helpers as lh
 import pytest
@@ -14,6 +15,7 @@
     store,
     store_messages,
     store_sharing,
+    tasks,
 )
 
 KEY = b"k" * 16
@@ -32,23 +34,31 @@
 class Host:
     """A host that follows the endpoints over its own link to the store."""
 
-    def __init__(self, loop, name, source):
+    def __init__(self, loop, name, source, data_centre=""):
         self.source = source
         self.endpoints = followers.EndpointFollower(
             loop, source, decode_listing, PAUSE_S
         )
         self.neighbours = []
+        # Hosts of other data centres.
+        self.remote = []
         self.sharing = store_sharing.StoreSharing(
             loop,
-            stage_coordination.Peer(name, ("127.0.0.1", lh.free_ports(1))),
-            lambda: self.neighbours,
+            stage_coordination.Peer(
+                name,
+                ("127.0.0.1", lh.free_ports(1)),
+                data_centre=data_centre,
+            ),
             lambda: self.neighbours,
+            lambda: self.neighbours + self.remote,
             {ENDPOINTS: self.endpoints.topic_follower},
             KEY,
             http_client.Client(loop),
             random.Random(1),
         )
-        self.peer = stage_coordination.Peer(name, self.sharing._socket.address)
+        self.peer = stage_coordination.Peer(
+            name, self.sharing._socket.address, data_centre=data_centre
+        )
         self.notified = []
         self.endpoints.add_listener(self.notified.append)
 
@@ -222,12 +232,14 @@
     assert not ended
 
 
-def test_an_update_after_an_outage_ends_the_retry_delay_of_other_hosts(cluster):
+def test_an_update_after_an_outage_ends_the_retry_delay_of_other_hosts(
+    cluster, monkeypatch
+):
     loop, clock, shared, (first, second, third) = cluster
     lh.advance(loop, clock, 3 * PAUSE_S)
     # Updates then only tell that there are records; each host reads the store.
+    monkeypatch.setattr(store_sharing, "_MAX_FRAME_BYTES", 0)
     for host in (first, second, third):
-        host.endpoints.topic_follower._shares_changes = False
         host.source.error = store.StoreError("down")
     lh.advance(loop, clock, 10.0)
     shared.write(ENDPOINTS, "e1", b"leaving 2")
@@ -284,12 +296,18 @@
 def test_topic_updates_survive_a_round_trip():
     updates = [
         store.TopicUpdate(
-            ENDPOINTS, 3, 9, 99.5, (store.Record(4, "e1", b"x"),)
+            ENDPOINTS,
+            3,
+            9,
+            99.5,
+            (store.Record(4, "e1", b"x"), store.Record(5, "e2", b"y" * 9000)),
         ),
         store.TopicUpdate(store.Topic.CONFIGURATION, 7, 7, 99.0),
     ]
-    frame = store_messages.encode(KEY, updates, 100.0)
-    decoded = store_messages.decode(KEY, frame, 100.0)
+    news = store_messages.StoreNews(updates, must_relay=True)
+    frame = store_messages.encode(KEY, news, 100.0)
+    decoded, must_relay = store_messages.decode(KEY, frame, 100.0)
+    assert must_relay
     assert [update._replace(read_at=0) for update in decoded] == [
         update._replace(read_at=0) for update in updates
     ]
@@ -303,3 +321,194 @@
     assert isinstance(
         store_messages.decode(KEY, broken, 100.0), messages.BadFrame
     )
+
+
+def test_a_value_that_grows_beyond_bounds_is_refused(monkeypatch):
+    record = store.Record(4, "e1", b"x" * 5000)
+    update = store.TopicUpdate(ENDPOINTS, 3, 9, 99.5, (record,))
+    frame = store_messages.encode(
+        KEY, store_messages.StoreNews([update]), 100.0
+    )
+    assert len(frame) < 500
+    monkeypatch.setattr(store_messages, "_MAX_VALUE_BYTES", 4000)
+    assert isinstance(
+        store_messages.decode(KEY, frame, 100.0), messages.BadFrame
+    )
+
+
+@pytest.fixture
+def fleet():
+    """Three data centres of three hosts; the hosts in their read order."""
+    loop, clock = lh.new_loop()
+    shared = lh.FakeStore()
+    for n in range(3):
+        shared.write(ENDPOINTS, f"e{n}", b"live 1")
+    members = [
+        Host(loop, f"n{n}", Link(shared), f"dc{n % 3}") for n in range(9)
+    ]
+    for host in members:
+        for other in members:
+            if other is not host:
+                is_near = other.peer.data_centre == host.peer.data_centre
+                (host.neighbours if is_near else host.remote).append(other.peer)
+    for host in members:
+        host.endpoints.topic_follower.start()
+    lh.run_pending(loop)
+    by_rank = sorted(members, key=lambda host: host.sharing.read_rank())
+    yield loop, clock, shared, by_rank
+    for host in members:
+        host.sharing.close()
+    loop.close()
+
+
+def in_data_centre_of(host, members):
+    name = host.peer.data_centre
+    return [member for member in members if member.peer.data_centre == name]
+
+
+def test_leaders_of_data_centres_read_before_other_hosts(fleet):
+    *_, members = fleet
+    ranks = [host.sharing.read_rank() for host in members]
+    assert ranks == [0, 1, 2, 3, 3, 3, 4, 4, 4]
+    leaders = {host.peer.data_centre for host in members[:3]}
+    assert len(leaders) == 3
+
+
+def test_one_host_reads_for_all_data_centres(fleet):
+    loop, clock, shared, members = fleet
+    lh.advance(loop, clock, 3 * PAUSE_S)
+    before = [host.reads() for host in members]
+    for number in range(2, 12):
+        shared.write(ENDPOINTS, "e1", b"leaving %d" % number)
+        lh.advance(loop, clock, PAUSE_S)
+    reads = [
+        host.reads() - count
+        for host, count in zip(members, before, strict=True)
+    ]
+    assert reads[0] in (9, 10) and not any(reads[1:])
+    assert all(host.listed() == ["e0", "e2"] for host in members)
+
+
+def isolate(host, members):
+    """Cuts a host off from the store and from all other hosts."""
+    host.source.error = store.StoreError("cut off")
+    host.endpoints.topic_follower.on_update = lambda update: None
+    host.sharing._send = lambda *args, **kwargs: None
+    for member in members:
+        for peers in (member.neighbours, member.remote):
+            if host.peer in peers:
+                peers[peers.index(host.peer)] = host.peer._replace(
+                    address=("127.0.0.1", 9)
+                )
+
+
+@pytest.mark.parametrize("rank", [0, 1])
+def test_a_change_arrives_in_time_when_a_leader_fails(fleet, rank):
+    loop, clock, shared, members = fleet
+    lh.advance(loop, clock, 3 * PAUSE_S)
+    failed = members[rank]
+    # It still counts as alive, as right after a crash or while it is paused.
+    isolate(failed, members)
+    shared.write(ENDPOINTS, "e1", b"")
+    lh.advance(loop, clock, (1 + 0.1 * store_sharing._MAX_READ_RANK) * PAUSE_S)
+    others = [host for host in members if host is not failed]
+    assert all(host.listed() == ["e0", "e2"] for host in others)
+
+
+def test_a_data_centre_without_its_leader_reads_through_one_host(fleet):
+    loop, clock, shared, members = fleet
+    lh.advance(loop, clock, 3 * PAUSE_S)
+    leader = members[2]
+    isolate(leader, members)
+    near = [h for h in in_data_centre_of(leader, members) if h is not leader]
+    before = [host.reads() for host in near]
+    lh.advance(loop, clock, 10 * PAUSE_S)
+    reads = sorted(
+        host.reads() - count for host, count in zip(near, before, strict=True)
+    )
+    assert reads[0] <= 1 and 5 <= reads[1] <= 12
+
+
+class ConfigHost:
+    """A host that follows the configuration; it knows the other one."""
+
+    def __init__(self, loop, name, source):
+        self.source = source
+        self.configuration = followers.ConfigFollower(
+            loop,
+            source,
+            "config",
+            lambda value: lh.table(version=int(value.split()[0])),
+            PAUSE_S,
+        )
+        self.peers = []
+        self.sharing = store_sharing.StoreSharing(
+            loop,
+            stage_coordination.Peer(name, ("127.0.0.1", lh.free_ports(1))),
+            lambda: self.peers,
+            lambda: self.peers,
+            {
+                store.Topic.CONFIGURATION: self.configuration.topic_follower,
+            },
+            KEY,
+            http_client.Client(loop),
+            random.Random(1),
+        )
+        self.peer = stage_coordination.Peer(name, self.sharing._socket.address)
+
+
+class WaitingLink(Link):
+    """A link whose reads wait for a record, as the store's long polls do."""
+
+    def __init__(self, loop, shared):
+        super().__init__(shared)
+        self._loop = loop
+        self._waiting = []
+
+    def read_changes(self, topic, offset, wait_s):
+        if len(self.log[topic]) > offset:
+            return super().read_changes(topic, offset, wait_s)
+        self.calls.append("changes")
+        fut = futures.Future()
+        until = self._loop.now() + wait_s
+
+        def check():
+            records = self.log[topic][offset:]
+            if records or self._loop.now() >= until:
+                end = len(self.log[topic])
+                tasks.resolve(fut, store.RecordPage(records, end, 0))
+            else:
+                self._loop.call_later(0.01, check)
+
+        check()
+        return fut
+
+
+@pytest.mark.parametrize(
+    ("padding", "must_read"),
+    [
+        pytest.param(b"route " * 2000, False, id="compressible"),
+        pytest.param(random.Random(1).randbytes(20_000), True, id="too large"),
+    ],
+)
+def test_a_configuration_is_shared_unless_it_is_too_large(padding, must_read):
+    loop, clock = lh.new_loop()
+    shared = lh.FakeStore()
+    topic = store.Topic.CONFIGURATION
+    shared.write(topic, "config", b"1 ")
+    members = [
+        ConfigHost(loop, f"n{n}", WaitingLink(loop, shared)) for n in range(2)
+    ]
+    for host, other in (members, reversed(members)):
+        host.peers.append(other.peer)
+        host.configuration.topic_follower.start()
+    lh.advance(loop, clock, 3 * PAUSE_S)
+    second = max(members, key=lambda host: host.sharing.read_rank())
+    before = second.source.calls.count("changes")
+    shared.write(topic, "config", b"2 " + padding)
+    lh.advance(loop, clock, 0.2 * PAUSE_S)
+    assert all(host.configuration.table.version == 2 for host in members)
+    assert (second.source.calls.count("changes") > before) == must_read
+    for host in members:
+        host.sharing.close()
+    loop.close()
