Keep an error's answer out of a stream that has begun; believe own refusals only

Cause: when a stream broke off and the next endpoint answered the resumption with a signed error, that answer counted as a success: the caller's stream ended as complete before its last event. A body of status 200 that isn't an event stream would have been passed on within it. A refusal ("not run") was believed although it named another request.

Change: after the first event only an event stream with status 200 continues or completes the answer; everything else is a failed attempt, and the caller's stream is broken off. A reply that names another request is never a refusal.

--- a/chervilarch/final_call.py
+++ b/chervilarch/final_call.py
@@ -60,6 +60,11 @@
             attempts.transfer_failure_cause(result),
             f"{result.kind.value}: {result.detail}",
         )
+    # A refusal that names another request proves nothing of this one.
+    if head.request_id not in ("", request_id):
+        return attempts.Failure(
+            attempts.FailureCause.NOT_OWN, "the reply names another request"
+        )
     if head.is_misdirected:
         return attempts.Failure(
             attempts.FailureCause.LEAVING, "another endpoint's"
@@ -68,9 +73,9 @@
         return attempts.Failure(
             attempts.FailureCause.DECLINED, f"status {head.status}, not run"
         )
-    if head.request_id != request_id:
+    if not head.request_id:
         return attempts.Failure(
-            attempts.FailureCause.NOT_OWN, "the reply names another request"
+            attempts.FailureCause.NOT_OWN, "the reply names no request"
         )
     if not head.is_stamped:
         return attempts.Failure(
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -71,6 +71,17 @@
         return had_partial
 
 
+_NOT_A_STREAM = attempts.Failure(
+    attempts.FailureCause.FAILED,
+    "the reply to the resumption of a stream isn't a stream",
+)
+
+
+def _is_event_stream(head: routed.ReplyHead) -> bool:
+    content_type = dict(head.headers).get("content-type", "").lower()
+    return head.status == 200 and content_type.startswith("text/event-stream")
+
+
 class _Chunk:
     """A chunk of a reply's body, as a mailbox item."""
 
@@ -238,6 +249,8 @@
             )
             if isinstance(attempt_result, attempts.Failure):
                 return attempt_result
+            if self._has_sent_event and not _is_event_stream(head):
+                return _NOT_A_STREAM
         complete = self._splitter.feed(chunk)
         if self._splitter.is_overlong():
             return attempts.Failure(
@@ -293,12 +306,17 @@
         self, head: routed.ReplyHead, result: exchanges.TransferResult
     ) -> "final_call.Success | attempts.Failure":
         attempt_result = final_call.classify(head, result, self._ctx.req.id)
-        if head.status == 409 and head.did_not_run:
-            return attempts.Failure(
-                attempts.FailureCause.INPUT_GONE, "a stage's result is gone"
-            )
         if isinstance(attempt_result, attempts.Failure):
+            is_declined = attempt_result.cause is attempts.FailureCause.DECLINED
+            if head.status == 409 and is_declined:
+                return attempts.Failure(
+                    attempts.FailureCause.INPUT_GONE, "a stage's result is gone"
+                )
             return attempt_result
+        # The caller has the head and a part of a stream, so an error's answer
+        # neither belongs into it nor completes it.
+        if self._has_sent_event and not _is_event_stream(head):
+            return _NOT_A_STREAM
         if head.status == 200 and self._splitter.discard_partial():
             return attempts.Failure(
                 attempts.FailureCause.LOST, "the stream ended within an event"
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -314,3 +314,51 @@
         'route="r1"} 1.0' in text
     )
     assert "chervilarch_request_seconds_bucket" in text
+
+
+# Answers of the next endpoint after a stream that broke off midway.
+_ANSWERS_TO_A_RESUMPTION = {
+    "a server error": answer(500, b"sorry"),
+    "a client error": answer(404, b"no such thing"),
+    "an error without a signature": answer(500, b"sorry", stamp=""),
+    "an answer that isn't a stream": answer(200, b"sorry"),
+    "an answer that looks like events": answer(
+        200, b"id: 3\n\nsorry\n\n", extra="Content-Type: text/plain\r\n"
+    ),
+    "another request's stream": stream(events(3, 4)).replace(b"id1", b"id9"),
+    "a refusal": answer(503, b"", stamp="", extra="Not-Executed: 1\r\n"),
+    "a redirect": answer(302, b"", extra="Location: /y\r\n"),
+}
+
+
+@pytest.mark.parametrize("name", _ANSWERS_TO_A_RESUMPTION)
+def test_an_error_after_a_broken_stream_stays_out_of_it(world, name):
+    def serve(conn):
+        if b"Last-Event-Id: 2" in lh.read_request(conn):
+            conn.sendall(_ANSWERS_TO_A_RESUMPTION[name])
+        else:
+            conn.sendall(stream(events(1, 2) + b"id: 3\ndat", ends=False))
+
+    world.endpoint("e1", serve)
+    world.endpoint("e2", serve)
+    world.start(stream_route_document())
+    received = world.fetch(KEY)
+    body = received.partition(b"\r\n\r\n")[2]
+    # The last chunk is missing, so the stream can't look complete.
+    assert not received.endswith(b"0\r\n\r\n")
+    assert b"HTTP/1.1" not in body and b"sorry" not in body
+    assert b"no such thing" not in body and b"id: 3" not in body
+    assert events(1, 2) in body
+
+
+@pytest.mark.parametrize("kind", ["safe", "non_idempotent"])
+def test_a_refusal_of_another_request_proves_nothing(world, kind):
+    requests = []
+    refusal = answer(
+        503, b"", request_id="other", stamp="", extra="Not-Executed: 1\r\n"
+    )
+    world.endpoint("e1", lh.answer_with(refusal, requests))
+    world.start(route_document(kind=kind))
+    received = world.fetch(KEY)
+    assert status(received) == 502
+    assert len(requests) == 1
