Count the stall of a router's stream from its last token

Cause: each byte renewed the time allowed, so a stalled stream that sent a byte now and then ran until the deadline (report of another operator). Result: tests/test_stream_stalls.py, 2 of 3 cases failed before, none now; a slow stream that goes on isn't cut, before and after.

--- a/chervilarch/stream_stage.py
+++ b/chervilarch/stream_stage.py
@@ -88,23 +88,30 @@
     sequence: tokens.TokenSequence,
     attempt_id: str,
 ) -> attempts.Success | attempts.Failure:
-    wait_s = max(MIN_FIRST_TOKEN_S, FIRST_TOKEN_SHARE * run.remaining_s())
+    clock = run.ctrl.clock
+    # Bytes that complete no token don't count: a stalled stream may drip.
+    allowed_s = max(MIN_FIRST_TOKEN_S, FIRST_TOKEN_SHARE * run.remaining_s())
+    last_token_at = clock.monotonic()
     while True:
         remaining_s = run.remaining_s()
         if remaining_s <= 0:
             return attempts.Failure(
                 attempts.FailureCause.LATE, "deadline passed"
             )
-        chunk = stream.read(min(wait_s, remaining_s))
+        wait_s = last_token_at + allowed_s - clock.monotonic()
+        chunk = None
+        if wait_s > 0:
+            chunk = stream.read(min(wait_s, remaining_s))
         if chunk is None:
             return attempts.Failure(
                 attempts.FailureCause.LOST, "the stream is silent"
             )
         if chunk == b"":
             return _classify_end(stream, attempt_id)
-        wait_s = MAX_SILENCE_S
         start = len(sequence.texts)
         fault = sequence.feed(chunk)
+        if len(sequence.texts) > start:
+            last_token_at, allowed_s = clock.monotonic(), MAX_SILENCE_S
         _emit(run.req, sequence, start)
         if fault is not None:
             return attempts.Failure(_FAULT_CAUSES[fault], fault.value)
--- /dev/null
+++ b/tests/test_stream_stalls.py
@@ -0,0 +1,89 @@
+"""A stream's stall counts from its last token, not from its last byte."""
+
+import json
+import types
+
+import pytest
+
+from chervilarch import attempts, clocks, stream_stage, tokens
+
+_DEADLINE_S = 60.0
+
+
+class DrippingStream:
+    """Sends items at set times; a read waits on the manual clock."""
+
+    result = None
+
+    def __init__(self, clock, items):
+        self._clock = clock
+        self._items = list(items)
+
+    def read(self, timeout_s):
+        gap_s, data = self._items[0]
+        if gap_s > timeout_s:
+            self._clock.advance(timeout_s)
+            self._items[0] = (gap_s - timeout_s, data)
+            return None
+        self._clock.advance(gap_s)
+        self._items.pop(0)
+        return data
+
+
+def event(name, **data):
+    body = json.dumps({"attempt_id": "a", **data}).encode()
+    return b"event: %s\ndata: %s\n\n" % (name.encode(), body)
+
+
+def token(index):
+    return event("token", index=index, text="t")
+
+
+@pytest.fixture
+def read():
+    clock = clocks.ManualClock()
+    started_at = clock.monotonic()
+    run = types.SimpleNamespace(
+        remaining_s=lambda: started_at + _DEADLINE_S - clock.monotonic(),
+        ctrl=types.SimpleNamespace(clock=clock),
+        req=types.SimpleNamespace(emit=None),
+    )
+    sequence = tokens.TokenSequence()
+    sequence.begin_attempt("a")
+
+    def run_read(items):
+        stream = DrippingStream(clock, items)
+        result = stream_stage._read(run, stream, sequence, "a")
+        return result, clock.monotonic() - started_at
+
+    return run_read
+
+
+def drip(count):
+    gap_s = stream_stage.MAX_SILENCE_S / 4
+    return [(gap_s, b":\n")] * count
+
+
+def test_a_stream_that_only_drips_bytes_counts_as_silent(read):
+    result, elapsed_s = read([(0.1, token(0)), *drip(1000)])
+    assert isinstance(result, attempts.Failure)
+    assert result.cause is attempts.FailureCause.LOST
+    assert elapsed_s <= 0.1 + stream_stage.MAX_SILENCE_S + 0.01
+
+
+def test_bytes_before_the_first_token_do_not_extend_its_wait(read):
+    result, elapsed_s = read(drip(1000))
+    assert result.cause is attempts.FailureCause.LOST
+    first_s = max(
+        stream_stage.MIN_FIRST_TOKEN_S,
+        stream_stage.FIRST_TOKEN_SHARE * _DEADLINE_S,
+    )
+    assert elapsed_s <= first_s + 0.01
+
+
+def test_a_slow_stream_that_goes_on_is_not_cut(read):
+    gap_s = 0.9 * stream_stage.MAX_SILENCE_S
+    count = int(0.9 * _DEADLINE_S / gap_s)
+    items = [(gap_s, token(index)) for index in range(count)]
+    result, _ = read([*items, (gap_s, event("end", tokens=count))])
+    assert isinstance(result, attempts.Success)
