Don't use a permit that ran out while the process was paused

Cause: a permit had no end; a host that was paused between its request and the send used it together with those of other hosts (report of another operator). Change: a permit counts for 0.75 s after its time, reckoned from when it was asked for; later the request asks again.

--- a/chervilarch/endpoint_lease.py
+++ b/chervilarch/endpoint_lease.py
@@ -14,6 +14,9 @@
 # Share of the time left that may be spent waiting for a permit. Up to the
 # objective it may be more.
 _WAIT_SHARE = 0.2
+# A permit that is used later than this after its time may come on top of those
+# of other hosts. Replies take up to a third of it, with repeated requests.
+_PERMIT_VALID_S = 0.75
 
 
 def lease(
@@ -67,13 +70,16 @@
         if is_last and may_wait:
             max_wait_s = longest_wait_s(ctx, chosen.slot.expected_s)
         is_leased = False
+        asked_at = ctx.now()
         try:
             permit = yield ctx.ctrl.permits.acquire(run, max_wait_s)
             if permit.is_granted:
                 if permit.wait_s > 0.0:
                     yield tasks.sleep(ctx.ctrl.loop, permit.wait_s)
-                # The endpoint may have begun to leave meanwhile.
-                is_leased = own.is_usable(chosen)
+                # The endpoint may have begun to leave meanwhile, or the process
+                # was paused.
+                late_s = ctx.now() - asked_at - permit.wait_s
+                is_leased = own.is_usable(chosen) and late_s < _PERMIT_VALID_S
                 if is_leased:
                     return chosen
                 continue
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -11,7 +11,14 @@
     stream_route_document,
 )
 
-from chervilarch import advisories, endpoint_limits, endpoint_state, permits
+from chervilarch import (
+    advisories,
+    clocks,
+    endpoint_limits,
+    endpoint_state,
+    permits,
+    tasks,
+)
 from chervilarch.stage_coordination import Peer
 
 _LIMIT_PER_S = 2.0
@@ -276,3 +283,41 @@
     world.endpoint("e1", lh.answer_with(reply), state="draining", sequence=2)
     assert read_status(world, waiting) == 503
     assert len(requests) == sent
+
+
+class PausableClock:
+    """The system's clock, which a test moves on as a pause does."""
+
+    def __init__(self):
+        self._clock = clocks.SystemClock()
+        self.paused_s = 0.0
+
+    def wall(self):
+        return self._clock.wall() + self.paused_s
+
+    def monotonic(self):
+        return self._clock.monotonic() + self.paused_s
+
+
+@pytest.mark.parametrize("wait_s", [0.0, 0.05])
+def test_a_permit_that_ran_out_in_a_pause_is_not_used(world, limited, wait_s):
+    clock = PausableClock()
+    world.loop.clock = clock
+    world.start(route_document(timeout_ms=20_000, target_latency_ms=15_000))
+    world.fetch(KEY)
+    sent = len(limited)
+    asked = []
+
+    def acquire(run, max_wait_s):
+        asked.append(run)
+        if len(asked) == 1:
+            # The process is paused for longer than other hosts' permits wait.
+            clock.paused_s += 3.0
+            return tasks.done(permits.Permit(True, wait_s))
+        return tasks.done(permits.Permit(False, 60.0))
+
+    world.ctrl.permits.acquire = acquire
+    received = world.fetch(KEY, ("Deadline-Ms", "10000"))
+    assert len(asked) >= 2
+    assert len(limited) == sent
+    assert status(received) == 503
