End only its connection when a router's response breaks the protocol

Cause: an error of the codec on the loop's thread ended the whole server (found by reading). Result: tests/test_wsgi_server.py, the new case failed before (the next connection got no answer), passes now.

--- a/chervilarch/wsgi_server.py
+++ b/chervilarch/wsgi_server.py
@@ -13,6 +13,8 @@
 from concurrent import futures
 from typing import Any
 
+import h11
+
 from chervilarch import http_server, state_log
 from chervilarch import loop as loops
 
@@ -167,21 +169,36 @@
             self._handed_over_bytes += len(data)
             if self._handed_over_bytes > http_server.WRITE_HIGH_BYTES:
                 self._may_write.clear()
-        self._loop.call_from_thread(lambda: self._send(data))
+        self._hand_over(lambda: self._send(data))
 
     def finish(self) -> None:
         """Ends the response as complete."""
-        self._loop.call_from_thread(self._finish)
+        self._hand_over(self._finish)
 
     def abort(self) -> None:
         """Ends the response so that it can't look complete."""
-        self._loop.call_from_thread(self._abort)
+        self._hand_over(self._abort)
 
     def on_disconnect(self) -> None:
         """Makes the application's next write fail; called on the loop."""
         self._is_disconnected = True
         self._may_write.set()
 
+    def _hand_over(self, action: Callable[[], None]) -> None:
+        """Runs an action on the loop, unless the response was broken off."""
+
+        def run() -> None:
+            if self._responder.ended:
+                return
+            try:
+                action()
+            except h11.LocalProtocolError as exc:
+                state_log.log_fault("response not valid", detail=str(exc))
+                self._is_disconnected = True
+                self._responder.abort()
+
+        self._loop.call_from_thread(run)
+
     def _send(self, data: bytes) -> None:
         self._send_head()
         if data:
--- a/tests/test_wsgi_server.py
+++ b/tests/test_wsgi_server.py
@@ -173,3 +173,18 @@
         assert b"connection: close" in received.lower()
     stopper.join(lh.TIMEOUT_S)
     assert not stopper.is_alive()
+
+
+def test_a_response_that_breaks_the_protocol_ends_only_its_connection(world):
+    def app(environ, start):
+        is_faulty = environ["PATH_INFO"] == "/faulty"
+        start("200 OK", [("Content-Length", "2" if is_faulty else "6")])
+        return [b"served"]
+
+    world.app = app
+    with world.connect(b"faulty") as conn:
+        assert b"served" not in read_to_end(conn)
+    with world.connect() as conn:
+        received = b""
+        while not received.endswith(b"served"):
+            received += conn.recv(65536)
