Don't take a slow caller or a pause of the router for an engine's silence

Change: silence counts from when the tokens were passed on; received bytes are read before a stream counts as silent.

--- a/chervilarch/stream_stage.py
+++ b/chervilarch/stream_stage.py
@@ -89,7 +89,8 @@
     attempt_id: str,
 ) -> attempts.Success | attempts.Failure:
     clock = run.ctrl.clock
-    # Bytes that complete no token don't count: a stalled stream may drip.
+    # Bytes that complete no token don't end a silence: a stalled stream may
+    # drip. Neither does a caller that reads slowly begin one.
     allowed_s = max(MIN_FIRST_TOKEN_S, FIRST_TOKEN_SHARE * run.remaining_s())
     last_token_at = clock.monotonic()
     while True:
@@ -98,27 +99,27 @@
             return attempts.Failure(
                 attempts.FailureCause.LATE, "deadline passed"
             )
-        wait_s = last_token_at + allowed_s - clock.monotonic()
-        chunk = None
-        if wait_s > 0:
-            chunk = stream.read(min(wait_s, remaining_s))
+        # What was received during a pause of this process is still read.
+        wait_s = max(0.0, last_token_at + allowed_s - clock.monotonic())
+        chunk = stream.read(min(wait_s, remaining_s))
         if chunk is None:
-            return attempts.Failure(
-                attempts.FailureCause.LOST, "the stream is silent"
-            )
+            return _SILENT
         if chunk == b"":
             return _classify_end(stream, attempt_id)
         start = len(sequence.texts)
         fault = sequence.feed(chunk)
-        if len(sequence.texts) > start:
-            last_token_at, allowed_s = clock.monotonic(), MAX_SILENCE_S
         _emit(run.req, sequence, start)
         if fault is not None:
             return attempts.Failure(_FAULT_CAUSES[fault], fault.value)
         if sequence.ended:
             return attempts.Success("".join(sequence.texts))
+        if len(sequence.texts) > start:
+            last_token_at, allowed_s = clock.monotonic(), MAX_SILENCE_S
+        elif wait_s == 0.0:
+            return _SILENT
 
 
+_SILENT = attempts.Failure(attempts.FailureCause.LOST, "the stream is silent")
 _FAULT_CAUSES = {
     tokens.StreamFault.NOT_OWN: attempts.FailureCause.NOT_OWN,
     tokens.StreamFault.GAP: attempts.FailureCause.FAILED,
