Read reply heads by one class; derive neighbours from the live hosts

Both clients of libcurl parsed heads and mapped failures by copies of the same code, to which the check of lengths was added twice: reply_head has it once. StoreSharing got neighbours beside the list of all hosts that they follow from, and looked for leaders once a part of an update. A stream's reply is classified in one place. A router's response keeps no check that its connection makes itself.

--- a/chervilarch/exchanges.py
+++ b/chervilarch/exchanges.py
@@ -3,7 +3,7 @@
 import collections
 import enum
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import NamedTuple
 
 STREAM_BUFFER_BYTES = 256 * 1024
@@ -68,19 +68,6 @@
 
 TransferResult = Reply | TransferFailure
 
-_LENGTH_HEADERS = {"content-length", "transfer-encoding"}
-
-
-def has_ambiguous_length(names: Iterable[str]) -> bool:
-    """Returns whether a reply's headers name two ways to find its end.
-
-    libcurl refuses the other heads with a doubtful end by itself.
-
-    Args:
-        names: names of the headers, in lower case.
-    """
-    return _LENGTH_HEADERS.issubset(names)
-
 
 class ByteStream:
     """Buffer between a transfer and the reader of its streamed reply.
--- a/chervilarch/final_call.py
+++ b/chervilarch/final_call.py
@@ -331,7 +331,9 @@
     def _resolve(
         self, fut: Future, lease: placement.Lease, transfer, result
     ) -> None:
-        head = self._ctx.ctrl.wire.parse_head(transfer.status, transfer.headers)
+        head = self._ctx.ctrl.wire.parse_head(
+            transfer.head.status, transfer.head.headers
+        )
         record_head(self._ctx, lease, head)
         tasks.resolve(fut, classify(head, result, self._ctx.req.id))
 
--- a/chervilarch/fleet.py
+++ b/chervilarch/fleet.py
@@ -86,14 +86,6 @@
         """Returns the hosts believed alive, with the address of a socket."""
         return [peer(member, port) for member in self._alive_members()]
 
-    def neighbours(self, port: PeerPort) -> list[stage_coordination.Peer]:
-        """Returns those of `peers` that are in this data centre."""
-        return [
-            peer(member, port)
-            for member in self._alive_members()
-            if member.data_centre == self._own.data_centre
-        ]
-
     def _alive_members(self) -> list[membership.Member]:
         return [
             member
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -287,7 +287,6 @@
     sharing = store_sharing.StoreSharing(
         loop,
         fleet.peer(own, fleet.PeerPort.STORE),
-        functools.partial(gateways.neighbours, fleet.PeerPort.STORE),
         functools.partial(gateways.peers, fleet.PeerPort.STORE),
         {
             store.Topic.CONFIGURATION: configuration.topic_follower,
--- a/chervilarch/http_client.py
+++ b/chervilarch/http_client.py
@@ -12,7 +12,7 @@
 
 import pycurl
 
-from chervilarch import exchanges, tasks
+from chervilarch import exchanges, reply_head, tasks
 from chervilarch import loop as loops
 
 CONNECT_TIMEOUT_S = 0.5
@@ -25,12 +25,6 @@
 _MS_PER_S = 1000
 _MAX_SPARE_HANDLES = 64
 
-_FAILURE_KINDS = {
-    pycurl.E_COULDNT_CONNECT: exchanges.FailureKind.REFUSED,
-    pycurl.E_OPERATION_TIMEDOUT: exchanges.FailureKind.TIMED_OUT,
-    pycurl.E_WRITE_ERROR: exchanges.FailureKind.TOO_LARGE,
-}
-
 
 class Transfer:
     """One running exchange."""
@@ -46,9 +40,7 @@
         self.on_done = on_done
         self.on_data: Callable[[bytes], None] | None = None
         self.curl: pycurl.Curl | None = None
-        self.status = 0
-        self.headers: list[tuple[str, str]] = []
-        self.is_ambiguous = False
+        self.head = reply_head.ReplyHead()
         self._body = bytearray()
 
     def cancel(self) -> None:
@@ -68,30 +60,15 @@
     def reply(self, elapsed_s: float) -> exchanges.Reply:
         """Returns the reply as far as it has been received."""
         return exchanges.Reply(
-            self.status, dict(self.headers), bytes(self._body), elapsed_s
-        )
-
-    def on_header_line(self, line: bytes) -> int | None:
-        """Parses one header line; called by libcurl, which stops at a 0."""
-        text = line.decode("latin-1").strip()
-        if text.startswith("HTTP/"):
-            self.headers.clear()
-            words = text.split(" ", 2)
-            self.status = int(words[1]) if words[1].isdigit() else 0
-            return None
-        name, sep, value = text.partition(":")
-        if sep:
-            self.headers.append((name.strip().lower(), value.strip()))
-        if text:
-            return None
-        self.is_ambiguous = exchanges.has_ambiguous_length(
-            name for name, _ in self.headers
+            self.head.status,
+            dict(self.head.headers),
+            bytes(self._body),
+            elapsed_s,
         )
-        return 0 if self.is_ambiguous else None
 
     def on_body_chunk(self, chunk: bytes) -> int:
         """Stores a chunk of the body; called by libcurl."""
-        if self.on_data is not None and self.status == 200:
+        if self.on_data is not None and self.head.status == 200:
             self._client.queue_chunk(self, chunk)
             return len(chunk)
         if len(self._body) + len(chunk) > MAX_REPLY_BYTES:
@@ -250,11 +227,7 @@
 ) -> exchanges.TransferResult:
     if code is None:
         return transfer.reply(curl.getinfo(pycurl.TOTAL_TIME))
-    kind = _FAILURE_KINDS.get(code, exchanges.FailureKind.BROKEN)
-    if transfer.is_ambiguous:
-        kind = exchanges.FailureKind.BROKEN
-    sent = curl.getinfo(pycurl.REQUEST_SIZE) > 0
-    return exchanges.TransferFailure(kind, text, sent)
+    return reply_head.failure(curl, code, text, transfer.head)
 
 
 def _configure(curl: pycurl.Curl, transfer: Transfer) -> None:
@@ -278,5 +251,5 @@
     curl.setopt(pycurl.MAXAGE_CONN, _CONNECTION_MAX_IDLE_S)
     curl.setopt(pycurl.FRESH_CONNECT, int(exchange.fresh))
     curl.setopt(pycurl.FORBID_REUSE, int(exchange.fresh))
-    curl.setopt(pycurl.HEADERFUNCTION, transfer.on_header_line)
+    curl.setopt(pycurl.HEADERFUNCTION, transfer.head.on_line)
     curl.setopt(pycurl.WRITEFUNCTION, transfer.on_body_chunk)
--- a/chervilarch/store_sharing.py
+++ b/chervilarch/store_sharing.py
@@ -60,7 +60,6 @@
         self,
         loop: loops.Loop,
         own: Peer,
-        neighbours: Callable[[], list[Peer]],
         peers: Callable[[], list[Peer]],
         topics: dict[store.Topic, topic_follower.TopicFollower],
         key: bytes,
@@ -72,10 +71,8 @@
         Args:
             loop: the event loop.
             own: this host and the address of its sockets for updates.
-            neighbours: returns the hosts of this data centre that are believed
-                alive.
             peers: returns the live hosts of all data centres, with the
-                addresses of their sockets for updates, as `neighbours` does.
+                addresses of their sockets for updates.
             topics: the followers that share what they read.
             key: seals datagrams and snapshots.
             client: fetches snapshots from peers.
@@ -86,7 +83,6 @@
         """
         self._loop = loop
         self._own = own
-        self._neighbours = neighbours
         self._peers = peers
         self._client = client
         self._rng = rng
@@ -118,10 +114,8 @@
     def read_rank(self) -> int:
         """Returns how many hosts read before this one does."""
         own = _read_sort_key(self._own.name)
-        leaders = self._other_leaders()
-        ahead = sum(
-            _read_sort_key(peer.name) > own for peer in self._neighbours()
-        )
+        neighbours, leaders = self._receivers()
+        ahead = sum(_read_sort_key(peer.name) > own for peer in neighbours)
         if ahead:
             return min(
                 _MAX_READ_RANK, min(_MAX_LEADER_RANK, len(leaders)) + ahead
@@ -129,15 +123,18 @@
         leaders_ahead = sum(_read_sort_key(peer.name) > own for peer in leaders)
         return min(_MAX_LEADER_RANK, leaders_ahead)
 
-    def _other_leaders(self) -> list[Peer]:
-        """Returns the host of each other data centre that reads first."""
+    def _receivers(self) -> tuple[list[Peer], list[Peer]]:
+        """Returns the neighbours, and the leaders of other data centres."""
+        neighbours: list[Peer] = []
         leaders: dict[str, Peer] = {}
         for peer in self._peers():
+            if peer.data_centre == self._own.data_centre:
+                neighbours.append(peer)
+                continue
             first = leaders.setdefault(peer.data_centre, peer)
             if _read_sort_key(peer.name) > _read_sort_key(first.name):
                 leaders[peer.data_centre] = peer
-        leaders.pop(self._own.data_centre, None)
-        return list(leaders.values())
+        return neighbours, list(leaders.values())
 
     def _send_update(self, update: store.TopicUpdate) -> None:
         """Sends an update, and how far the other topics have been read."""
@@ -146,10 +143,11 @@
             for topic, follower in self._topics.items()
             if topic is not update.topic and follower.has_read()
         ]
+        neighbours, leaders = self._receivers()
         for part in _split_update(update):
             updates = [part, *others]
-            self._send(self._neighbours(), updates, must_relay=False)
-            self._send(self._other_leaders(), updates, must_relay=True)
+            self._send(neighbours, updates, must_relay=False)
+            self._send(leaders, updates, must_relay=True)
 
     def _send(
         self,
@@ -181,7 +179,8 @@
 
     def _fetch_from_peer(self, topic: store.Topic) -> Future:
         """Fetches a snapshot, from a neighbour if any; may result in None."""
-        peers = self._neighbours() or self._peers()
+        neighbours, _ = self._receivers()
+        peers = neighbours or self._peers()
         if not peers:
             return tasks.done(None)
         peer = self._rng.choice(peers)
@@ -225,7 +224,8 @@
         self, news: store_messages.StoreNews, source: tuple
     ) -> None:
         if news.must_relay:
-            self._send(self._neighbours(), news.updates, must_relay=False)
+            neighbours, _ = self._receivers()
+            self._send(neighbours, news.updates, must_relay=False)
         for update in news.updates:
             follower = self._topics.get(update.topic)
             if follower is not None:
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -71,12 +71,6 @@
         return had_partial
 
 
-_NOT_A_STREAM = attempts.Failure(
-    attempts.FailureCause.FAILED,
-    "the reply to the resumption of a stream isn't a stream",
-)
-
-
 def _is_event_stream(head: routed.ReplyHead) -> bool:
     content_type = dict(head.headers).get("content-type", "").lower()
     return head.status == 200 and content_type.startswith("text/event-stream")
@@ -209,7 +203,7 @@
             item = mailbox.pop()
             if head is None:
                 head = ctx.ctrl.wire.parse_head(
-                    transfer.status, transfer.headers
+                    transfer.head.status, transfer.head.headers
                 )
                 final_call.record_head(ctx, lease, head)
             if not isinstance(item, _Chunk):
@@ -244,13 +238,9 @@
             is_first: whether no event is complete yet.
         """
         if is_first:
-            attempt_result = final_call.classify(
-                head, transfer.reply(0.0), self._ctx.req.id
-            )
+            attempt_result = self._classify(head, transfer.reply(0.0))
             if isinstance(attempt_result, attempts.Failure):
                 return attempt_result
-            if self._has_sent_event and not _is_event_stream(head):
-                return _NOT_A_STREAM
         complete = self._splitter.feed(chunk)
         if self._splitter.is_overlong():
             return attempts.Failure(
@@ -302,10 +292,30 @@
             ctx.record_latency()
             ctx.responder.send_head(head.status, head.headers)
 
-    def _classify_end(
+    def _classify(
         self, head: routed.ReplyHead, result: exchanges.TransferResult
     ) -> "final_call.Success | attempts.Failure":
+        """Returns how an attempt ended, or that it may be relayed.
+
+        Once the caller has a part of a stream, an error's answer neither
+        belongs into it nor completes it.
+        """
         attempt_result = final_call.classify(head, result, self._ctx.req.id)
+        if (
+            isinstance(attempt_result, final_call.Success)
+            and self._has_sent_event
+            and not _is_event_stream(head)
+        ):
+            return attempts.Failure(
+                attempts.FailureCause.FAILED,
+                "the reply to the resumption of a stream isn't a stream",
+            )
+        return attempt_result
+
+    def _classify_end(
+        self, head: routed.ReplyHead, result: exchanges.TransferResult
+    ) -> "final_call.Success | attempts.Failure":
+        attempt_result = self._classify(head, result)
         if isinstance(attempt_result, attempts.Failure):
             is_declined = attempt_result.cause is attempts.FailureCause.DECLINED
             if head.status == 409 and is_declined:
@@ -313,10 +323,6 @@
                     attempts.FailureCause.INPUT_GONE, "a stage's result is gone"
                 )
             return attempt_result
-        # The caller has the head and a part of a stream, so an error's answer
-        # neither belongs into it nor completes it.
-        if self._has_sent_event and not _is_event_stream(head):
-            return _NOT_A_STREAM
         if head.status == 200 and self._splitter.discard_partial():
             return attempts.Failure(
                 attempts.FailureCause.LOST, "the stream ended within an event"
--- a/chervilarch/transfers.py
+++ b/chervilarch/transfers.py
@@ -15,7 +15,7 @@
 
 import pycurl
 
-from chervilarch import exchanges
+from chervilarch import exchanges, reply_head
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_REPLY_BYTES = 8 * 1024 * 1024
@@ -26,13 +26,6 @@
 _MS_PER_S = 1000
 
 
-_FAILURE_KINDS = {
-    pycurl.E_COULDNT_CONNECT: exchanges.FailureKind.REFUSED,
-    pycurl.E_OPERATION_TIMEDOUT: exchanges.FailureKind.TIMED_OUT,
-    pycurl.E_WRITE_ERROR: exchanges.FailureKind.TOO_LARGE,
-}
-
-
 class _Transfer:
     """State of one transfer; used by the transfer thread only."""
 
@@ -42,29 +35,17 @@
         self.stream: exchanges.ByteStream | None = None
         self.curl: pycurl.Curl | None = None
         self.body = bytearray()
-        self.headers: dict[str, str] = {}
-        self.status = 0
-        self.is_ambiguous = False
+        self.head = reply_head.ReplyHead()
         self.done = False
 
     def on_header_line(self, line: bytes) -> int | None:
-        text = line.decode("latin-1").strip()
-        if text.startswith("HTTP/"):
-            self.headers.clear()
-            self.status = int(text.split(" ", 2)[1])
-            if self.stream is not None:
-                self.stream.status = self.status
-            return None
-        name, sep, value = text.partition(":")
-        if sep:
-            self.headers[name.strip().lower()] = value.strip()
-        if text:
-            return None
-        self.is_ambiguous = exchanges.has_ambiguous_length(self.headers)
-        return 0 if self.is_ambiguous else None
+        result = self.head.on_line(line)
+        if self.stream is not None:
+            self.stream.status = self.head.status
+        return result
 
     def on_body_chunk(self, chunk: bytes) -> int:
-        if self.stream is not None and self.status == 200:
+        if self.stream is not None and self.head.status == 200:
             accepted = self.stream.offer(chunk)
             return len(chunk) if accepted else pycurl.WRITEFUNC_PAUSE
         if len(self.body) + len(chunk) > MAX_REPLY_BYTES:
@@ -247,7 +228,7 @@
         if transfer.curl is None:
             self._cancel_unstarted(transfer)
             return
-        sent = _was_sent(transfer.curl)
+        sent = reply_head.was_sent(transfer.curl)
         failure = exchanges.TransferFailure(
             exchanges.FailureKind.CANCELLED, "cancelled", sent
         )
@@ -261,19 +242,18 @@
             for curl in done:
                 transfer = self._running[curl]
                 reply = exchanges.Reply(
-                    transfer.status,
-                    transfer.headers,
+                    transfer.head.status,
+                    dict(transfer.head.headers),
                     bytes(transfer.body),
                     curl.getinfo(pycurl.TOTAL_TIME),
                 )
                 self._complete(transfer, reply)
             for curl, code, text in failed:
                 transfer = self._running[curl]
-                kind = _FAILURE_KINDS.get(code, exchanges.FailureKind.BROKEN)
-                if transfer.is_ambiguous:
-                    kind = exchanges.FailureKind.BROKEN
-                failure = exchanges.TransferFailure(kind, text, _was_sent(curl))
-                self._complete(transfer, failure)
+                self._complete(
+                    transfer,
+                    reply_head.failure(curl, code, text, transfer.head),
+                )
 
     def _complete(
         self, transfer: _Transfer, result: exchanges.TransferResult
@@ -311,11 +291,6 @@
         self.cancel = cancel
 
 
-def _was_sent(curl: pycurl.Curl) -> bool:
-    """Returns whether any byte of the request may have left this host."""
-    return curl.getinfo(pycurl.REQUEST_SIZE) > 0
-
-
 def _configure(curl: pycurl.Curl, transfer: _Transfer) -> None:
     exchange = transfer.exchange
     curl.setopt(pycurl.URL, exchange.url)
--- a/chervilarch/wsgi_server.py
+++ b/chervilarch/wsgi_server.py
@@ -194,7 +194,7 @@
                 action()
             except h11.LocalProtocolError as exc:
                 state_log.log_fault("response not valid", detail=str(exc))
-                self._is_disconnected = True
+                self.on_disconnect()
                 self._responder.abort()
 
         self._loop.call_from_thread(run)
@@ -222,13 +222,10 @@
             self._responder.send_head(self._status, self._headers)
 
     def _finish(self) -> None:
-        if not self._is_disconnected:
-            self._send_head()
-            self._responder.finish()
+        self._send_head()
+        self._responder.finish()
 
     def _abort(self) -> None:
-        if self._is_disconnected:
-            return
         if self._responder.head_sent:
             self._responder.abort()
         else:
--- a/tests/test_store_sharing.py
+++ b/tests/test_store_sharing.py
@@ -34,7 +34,7 @@
 class Host:
     """A host that follows the endpoints over its own link to the store."""
 
-    def __init__(self, loop, name, source, data_centre=""):
+    def __init__(self, loop, name, source, data_centre="dc0"):
         self.source = source
         self.endpoints = followers.EndpointFollower(
             loop, source, decode_listing, PAUSE_S
@@ -49,7 +49,6 @@
                 ("127.0.0.1", lh.free_ports(1)),
                 data_centre=data_centre,
             ),
-            lambda: self.neighbours,
             lambda: self.neighbours + self.remote,
             {ENDPOINTS: self.endpoints.topic_follower},
             KEY,
@@ -78,15 +77,21 @@
         self.first = shared.first
 
 
-@pytest.fixture
-def cluster():
+def run_hosts(count, data_centres):
+    """Starts hosts that know each other; yields them in their read order."""
     loop, clock = lh.new_loop()
     shared = lh.FakeStore()
     for n in range(3):
         shared.write(ENDPOINTS, f"e{n}", b"live 1")
-    members = [Host(loop, f"n{n}", Link(shared)) for n in range(3)]
+    members = [
+        Host(loop, f"n{n}", Link(shared), f"dc{n % data_centres}")
+        for n in range(count)
+    ]
     for host in members:
-        host.neighbours = [peer.peer for peer in members if peer is not host]
+        for other in members:
+            if other is not host:
+                is_near = other.peer.data_centre == host.peer.data_centre
+                (host.neighbours if is_near else host.remote).append(other.peer)
     by_rank = sorted(members, key=lambda host: host.sharing.read_rank())
     for host in members:
         host.endpoints.topic_follower.start()
@@ -97,6 +102,12 @@
     loop.close()
 
 
+@pytest.fixture
+def cluster():
+    """One data centre of three hosts; the hosts in their read order."""
+    yield from run_hosts(3, data_centres=1)
+
+
 def test_one_host_reads_and_all_get_the_changes(cluster):
     loop, clock, shared, (first, second, third) = cluster
     lh.advance(loop, clock, 3 * PAUSE_S)
@@ -339,26 +350,7 @@
 @pytest.fixture
 def fleet():
     """Three data centres of three hosts; the hosts in their read order."""
-    loop, clock = lh.new_loop()
-    shared = lh.FakeStore()
-    for n in range(3):
-        shared.write(ENDPOINTS, f"e{n}", b"live 1")
-    members = [
-        Host(loop, f"n{n}", Link(shared), f"dc{n % 3}") for n in range(9)
-    ]
-    for host in members:
-        for other in members:
-            if other is not host:
-                is_near = other.peer.data_centre == host.peer.data_centre
-                (host.neighbours if is_near else host.remote).append(other.peer)
-    for host in members:
-        host.endpoints.topic_follower.start()
-    lh.run_pending(loop)
-    by_rank = sorted(members, key=lambda host: host.sharing.read_rank())
-    yield loop, clock, shared, by_rank
-    for host in members:
-        host.sharing.close()
-    loop.close()
+    yield from run_hosts(9, data_centres=3)
 
 
 def in_data_centre_of(host, members):
@@ -446,7 +438,6 @@
             loop,
             stage_coordination.Peer(name, ("127.0.0.1", lh.free_ports(1))),
             lambda: self.peers,
-            lambda: self.peers,
             {
                 store.Topic.CONFIGURATION: self.configuration.topic_follower,
             },
