Log where an answer is broken off or isn't read

A connection that the server's timer closes with bytes unsent left no line, and the line of a request that was broken off within its answer looked like that of one that was refused. So the hypotheses on answers that end without need couldn't be told apart.

No behaviour changes.

--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -13,7 +13,7 @@
 import h11
 
 from chervilarch import loop as loops
-from chervilarch import request_framing
+from chervilarch import request_framing, state_log
 
 _RECV_BYTES = 64 * 1024
 _BACKLOG = 1024
@@ -517,6 +517,10 @@
         if self._first_byte_at and not self._closing and not self._out:
             self._reject(408, "the request wasn't sent in time")
             return
+        if self._out:
+            state_log.log_decision(
+                "answer not read", is_problem=True, unsent_bytes=len(self._out)
+            )
         self.close()
 
 
--- a/chervilarch/serving.py
+++ b/chervilarch/serving.py
@@ -104,7 +104,7 @@
     def on_disconnect(self) -> None:
         """Stops the work for a caller that has disconnected."""
         if not self._is_ended:
-            self._end("caller left")
+            self._end("caller left", has_begun=self._responder.head_sent)
             self._task.cancel()
 
     def _time_out(self) -> None:
@@ -158,13 +158,19 @@
                 "the gateway met a fault of its own",
                 "report the request's id",
             )
+        has_begun = self._responder.head_sent
         self._answer(outcome)
         name = outcomes.outcome_name(outcome)
         if isinstance(outcome, outcomes.Answer):
             status = outcome.output.head.status
-            self._end(f"answer {status}", status=status)
+            self._end(f"answer {status}", has_begun, status=status)
         else:
-            self._end(name, reason=outcome.reason.value, detail=outcome.detail)
+            self._end(
+                name,
+                has_begun,
+                reason=outcome.reason.value,
+                detail=outcome.detail,
+            )
 
     def _answer(self, outcome: outcomes.Outcome) -> None:
         if isinstance(outcome, outcomes.Answer):
@@ -183,7 +189,14 @@
                 *self._ctrl.wire.build_refusal(outcome, self._req.id)
             )
 
-    def _end(self, name: str, **fields) -> None:
+    def _end(self, name: str, has_begun: bool, **fields) -> None:
+        """Records the end.
+
+        Args:
+            name: how the request ended.
+            has_begun: whether the answer's head was sent before that.
+            **fields: further fields of the log line.
+        """
         self._is_ended = True
         self._on_end()
         self._state.in_flight -= 1
@@ -199,6 +212,7 @@
             request_id=req.id,
             route=route,
             outcome=name,
+            has_begun=has_begun,
             sends=req.attempts_sent,
             elapsed_ms=self._ctx.elapsed_ms(),
             **fields,
