Keep a silent engine until another attempt can be sent

Callers got a stream that broke off, or a failure, from an engine that was sound and fell silent for about a second.

Cause: a stream that can resume counted as stalled after a pause, its connection was closed, and only then was it found out whether a retry was left, the stages could run again and another engine was there. If one of these failed, the answer ended, though the engine would have gone on. Class of fault: work is given up before what replaces it is certain.

Evidence: eight of the nine cases of tests/test_silent_engines.py failed before (the engine's connection was closed while it could go on):

Now everything that the next attempt needs is got while the silent one is still read: crash check, retry, stages, engine and permit. The silent one is cancelled when the next is sent; if it goes on before, it is kept and the retry is returned to the budget. If there is no replacement, another try follows.

All tests of the gateway, its stages, endless replies, crashing prompts and limits pass.

--- a/chervilarch/budgets.py
+++ b/chervilarch/budgets.py
@@ -88,6 +88,10 @@
         budget.tokens -= 1.0
         return True
 
+    def refund(self, pool: str) -> None:
+        """Returns an extra attempt that was spent and not sent."""
+        self._budget(pool).tokens += 1.0
+
     def _budget(self, pool: str) -> "_PoolBudget":
         if pool not in self._pools:
             self._pools[pool] = _PoolBudget(self._fixed / self._hosts)
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -29,6 +29,9 @@
 # times the route's gap objective, but at least the minimum.
 _GAP_RATIO = 2.0
 _MIN_GAP_S = 0.8
+# A silent attempt that couldn't be replaced is tried to be replaced again after
+# this time.
+_REPLACE_AGAIN_S = 0.25
 _EVENT_END = b"\n\n"
 
 
@@ -71,6 +74,9 @@
         return had_partial
 
 
+_STALLED = attempts.Failure(attempts.FailureCause.LATE, "no event in time")
+
+
 def _is_event_stream(head: routed.ReplyHead) -> bool:
     content_type = dict(head.headers).get("content-type", "").lower()
     return head.status == 200 and content_type.startswith("text/event-stream")
@@ -96,36 +102,95 @@
         self._splitter = EventSplitter()
         self._splitter.last_id = ctx.req.resume_after
         self._has_sent_event = False
+        # Prepares the next attempt.
+        self._replacement: tasks.Task | None = None
 
     def run(self) -> tasks.Coroutine[outcomes.Outcome]:
         """Returns an `Answer` once the stream is complete, or a failure."""
+        try:
+            return (yield from self._run())
+        finally:
+            self._drop_replacement()
+
+    def _run(self) -> tasks.Coroutine[outcomes.Outcome]:
         ctx = self._ctx
         ctx.ctrl.retry_budgets.earn(self._pool)
         last: attempts.Failure | None = None
-        while True:
-            lease = yield from endpoint_lease.lease(
-                ctx, self._requirements(), self._tried
-            )
-            if isinstance(lease, outcomes.NotRun) and not ctx.req.possible_runs:
-                return lease
-            if not isinstance(lease, placement.Lease):
-                break
+        lease = yield from self._lease()
+        while isinstance(lease, placement.Lease):
             attempt_result = yield from self._attempt(lease)
             if isinstance(attempt_result, final_call.Success):
                 return outcomes.Answer(attempt_result)
             last = attempt_result
             self._splitter.discard_partial()
-            may_crash = yield from final_call.may_crash_endpoint(
-                ctx, lease, attempt_result
+            if self._replacement is None:
+                self._replacement = tasks.Task(self._prepare(lease, last))
+            elif last is not _STALLED:
+                may_crash = yield from final_call.may_crash_endpoint(
+                    ctx, lease, last
+                )
+                if may_crash:
+                    break
+            lease = yield self._replacement.future
+            self._replacement = None
+        if isinstance(lease, outcomes.NotRun):
+            return lease
+        return final_call.failure_outcome(ctx, last)
+
+    def _lease(
+        self,
+    ) -> tasks.Coroutine[placement.Lease | outcomes.NotRun | None]:
+        return (
+            yield from endpoint_lease.lease(
+                self._ctx, self._requirements(), self._tried
             )
-            if may_crash:
-                break
-            if not final_call.try_spend_retry(ctx, self._pool):
-                break
-            failed = yield from self._rerun_stages(attempt_result)
+        )
+
+    def _prepare(
+        self, lease: placement.Lease, failure: attempts.Failure
+    ) -> tasks.Coroutine[placement.Lease | outcomes.NotRun | None]:
+        """Gets all that another attempt needs.
+
+        Args:
+            lease: lease of the attempt before.
+            failure: how that attempt failed, or why it is to be replaced.
+
+        Returns:
+            The lease of the next attempt, a refusal if there can't be one and
+            no attempt has run or the stages failed, or else None.
+        """
+        ctx = self._ctx
+        may_crash = yield from final_call.may_crash_endpoint(
+            ctx, lease, failure
+        )
+        if may_crash or not final_call.try_spend_retry(ctx, self._pool):
+            return None
+        leased: placement.Lease | outcomes.NotRun | None = None
+        try:
+            failed = yield from self._rerun_stages(failure)
             if failed is not None:
                 return failed
-        return final_call.failure_outcome(ctx, last)
+            leased = yield from self._lease()
+        finally:
+            if not isinstance(leased, placement.Lease):
+                ctx.ctrl.retry_budgets.refund(self._pool)
+        is_not_run = not ctx.req.possible_runs and failure.certainly_not_run()
+        if isinstance(leased, placement.Lease) or is_not_run:
+            return leased
+        return None
+
+    def _drop_replacement(self) -> None:
+        """Stops or undoes the preparation of another attempt."""
+        replacement, self._replacement = self._replacement, None
+        if replacement is None:
+            return
+        if not replacement.future.done():
+            replacement.cancel()
+        elif isinstance(replacement.future.result(), placement.Lease):
+            self._ctx.ctrl.placement.abandon(replacement.future.result())
+            self._ctx.ctrl.retry_budgets.refund(self._pool)
+        # Results of stages that ran again for it.
+        self._inputs.free()
 
     def _requirements(self) -> placement.Requirements:
         prompt = self._ctx.req.prompt
@@ -188,18 +253,17 @@
     def _relay(
         self, lease: placement.Lease, transfer, mailbox: tasks.Mailbox
     ) -> tasks.Coroutine["final_call.Success | attempts.Failure"]:
-        """Relays events until the stream ends."""
+        """Relays events until the stream ends or another attempt is ready."""
         ctx = self._ctx
         head: routed.ReplyHead | None = None
         is_first = True
         last_event_at = lease.slot.started_at
         while True:
-            until = self._stalled_at(lease, is_first, last_event_at)
-            got = yield from tasks.wait(ctx.ctrl.loop, mailbox.ready(), until)
-            if isinstance(got, tasks.TimedOut):
-                return attempts.Failure(
-                    attempts.FailureCause.LATE, "no event in time"
-                )
+            has_item = yield from self._await_item(
+                lease, mailbox, self._stalled_at(lease, is_first, last_event_at)
+            )
+            if not has_item:
+                return _STALLED
             item = mailbox.pop()
             if head is None:
                 head = ctx.ctrl.wire.parse_head(
@@ -214,6 +278,7 @@
             if not complete:
                 continue
             last_event_at = ctx.now()
+            self._drop_replacement()
             if is_first:
                 is_first = False
                 self._on_first_event(lease, head)
@@ -222,6 +287,49 @@
                 transfer.pause()
                 ctx.responder.on_writable(transfer.resume)
 
+    def _await_item(
+        self, lease: placement.Lease, mailbox: tasks.Mailbox, stalled_at: float
+    ) -> tasks.Coroutine[bool]:
+        """Waits for an item, and prepares another attempt after a stall.
+
+        The endpoint may go on, so its attempt is kept until the other one can
+        be sent.
+
+        Returns:
+            Whether there is an item. If not, another attempt can be sent or the
+            deadline has passed.
+        """
+        ctx = self._ctx
+        while not len(mailbox):
+            if self._replacement is None:
+                got = yield from tasks.wait(
+                    ctx.ctrl.loop, mailbox.ready(), stalled_at
+                )
+                if not isinstance(got, tasks.TimedOut):
+                    return True
+                if not self._can_resume() or ctx.remaining_s() <= 0.0:
+                    return False
+                state_log.log_decision(
+                    "endpoint silent",
+                    request_id=ctx.req.id,
+                    endpoint=lease.listing.entry.name,
+                    has_begun=lease.slot.has_answered,
+                    elapsed_ms=ctx.elapsed_ms(),
+                )
+                self._replacement = tasks.Task(self._prepare(lease, _STALLED))
+            yield tasks.first_of(mailbox.ready(), self._replacement.future)
+            if len(mailbox):
+                return True
+            prepared = self._replacement.future.result()
+            if isinstance(prepared, placement.Lease):
+                return False
+            self._replacement = None
+            wait_s = _REPLACE_AGAIN_S
+            if isinstance(prepared, outcomes.NotRun):
+                wait_s = max(wait_s, prepared.retry_after_s)
+            stalled_at = min(ctx.now() + wait_s, ctx.req.deadline_at)
+        return True
+
     def _split(
         self,
         head: routed.ReplyHead,
--- /dev/null
+++ b/tests/test_silent_engines.py
@@ -0,0 +1,223 @@
+"""A stream isn't ended while its silent engine may still go on."""
+
+import json
+import threading
+
+import loop_helpers as lh
+import pytest
+from gateway_world import (
+    KEY,
+    answer,
+    events,
+    stream,
+    stream_route_document,
+)
+
+from chervilarch import stream_call
+
+PIECES = {
+    "slots": 1,
+    "queue": 2,
+    "batch": 4,
+    "call_ms": 50.0,
+    "item_ms": 5.0,
+    "headroom_mb": 1.0,
+    "handle_s": 4.0,
+}
+_HEAD = stream(b"").partition(b"Transfer-Encoding")[0] + b"\r\n"
+
+
+class SilentEngine:
+    """Falls silent within its stream until it is told to go on.
+
+    Attributes:
+        is_open: whether the connection was open when it went on.
+    """
+
+    def __init__(self, before):
+        self._before = before
+        self._go_on = threading.Event()
+        self.is_open = None
+
+    def go_on(self):
+        self._go_on.set()
+
+    def serve(self, conn):
+        lh.read_request(conn)
+        if self._before:
+            conn.sendall(_HEAD + self._before)
+        assert self._go_on.wait(lh.TIMEOUT_S)
+        conn.setblocking(False)
+        try:
+            self.is_open = bool(conn.recv(1))
+        except BlockingIOError:
+            self.is_open = True
+        conn.setblocking(True)
+        start = b"" if self._before else _HEAD
+        conn.sendall(start + events(3, 4))
+
+
+@pytest.fixture(autouse=True)
+def _short_stalls(monkeypatch):
+    monkeypatch.setattr(stream_call, "_MIN_GAP_S", 0.02)
+    monkeypatch.setattr(stream_call, "_FIRST_EVENT_EXTRA_S", 0.0)
+
+
+@pytest.fixture(params=["first event", "next event"])
+def silent(request, world):
+    """An engine that is silent before its first event, or after some."""
+    engine = SilentEngine(
+        b"" if request.param == "first event" else events(1, 2)
+    )
+    world.endpoint("e1", engine.serve)
+    return engine
+
+
+def start(world, services=({"name": "s1"},), **changes):
+    route = stream_route_document(target_latency_ms=40, **changes)
+    world.start({**route, "gap_aim_ms": 10}, services=services)
+
+
+def no_other_engine(world, refused):
+    pick = world.ctrl.placement.pick
+
+    def observed(requirements, tried):
+        lease = pick(requirements, tried)
+        if lease is None:
+            refused()
+        return lease
+
+    world.ctrl.placement.pick = observed
+
+
+def no_retry_left(world, refused):
+    world.endpoint("e2", lh.answer_with(b""))
+    world.ctrl.placement.pick = first_of(world.ctrl.placement.pick)
+
+    def spend(pool, now):
+        refused()
+        return False
+
+    world.ctrl.retry_budgets.spend = spend
+
+
+def prompt_is_suspect(world, refused):
+    world.endpoint("e2", lh.answer_with(b""))
+    world.ctrl.placement.pick = first_of(world.ctrl.placement.pick)
+
+    def is_suspect(prompt):
+        refused()
+        return True
+
+    world.ctrl.prompt_guard.is_suspect = is_suspect
+
+
+def first_of(pick):
+    """Returns a `pick` that chooses engines in the order of their names."""
+
+    def pick_first(requirements, tried):
+        names = {"e1", "e2"}
+        return pick(
+            requirements, tried | (names - {min(names - tried, default="")})
+        )
+
+    return pick_first
+
+
+@pytest.mark.parametrize(
+    "obstacle", [no_other_engine, no_retry_left, prompt_is_suspect]
+)
+def test_a_silent_engine_is_kept_while_nothing_can_replace_it(
+    world, silent, obstacle
+):
+    obstacle(world, silent.go_on)
+    start(world)
+    received = world.fetch(KEY)
+    assert silent.is_open
+    assert events(3, 4) in received and received.endswith(b"0\r\n\r\n")
+
+
+class HeldStage:
+    """A worker whose second call is answered only once it is released."""
+
+    def __init__(self):
+        self.calls = 0
+        self.freed_handles = []
+        self.second_call = threading.Event()
+        self.release = threading.Event()
+
+    def serve(self, conn):
+        request = lh.read_request(conn)
+        if b"\r\n\r\n" not in request:
+            return  # The call was cancelled.
+        document = json.loads(request.partition(b"\r\n\r\n")[2])
+        if b"stage-free" in request.partition(b"\r\n")[0]:
+            self.freed_handles += document["handles"]
+            conn.sendall(answer(200, b"{}"))
+            return
+        self.calls += 1
+        number = self.calls
+        if number == 2:
+            self.second_call.set()
+            assert self.release.wait(lh.TIMEOUT_S)
+        made = json.dumps({"items": [{"handle": f"h{number}"}]}).encode()
+        conn.sendall(answer(200, made))
+
+
+@pytest.fixture
+def held_stage(world):
+    """A stage before the stream; its engines are e1, silent, and e2."""
+    stage = HeldStage()
+    engine = SilentEngine(events(1, 2))
+    requests = []
+    world.endpoint("e1", engine.serve)
+    resumed = stream(events(3, 4)).replace(b"s1", b"s2")
+    world.endpoint("e2", lh.answer_with(resumed, requests))
+    world.endpoint("m1", stage.serve, pool="p1")
+    world.ctrl.placement.pick = first_of(world.ctrl.placement.pick)
+    start(
+        world,
+        services=({"name": "s1"}, {"name": "p1", "pieces": PIECES}),
+        stages=[{"service": "p1", "after": [], "bytes": 100}],
+    )
+    conn = world.send(
+        KEY, ("Connection", "close"), ("Pieces", "1"), ("Piece-Key", "pk")
+    )
+    lh.run_until(world.loop, stage.second_call.is_set)
+    yield stage, engine, requests, conn
+    stage.release.set()
+    engine.go_on()
+
+
+def test_an_engine_that_goes_on_while_its_replacement_is_prepared_is_kept(
+    world, held_stage
+):
+    stage, engine, requests, conn = held_stage
+    engine.go_on()
+    received = lh.receive(world.loop, conn, lambda data: b"<EOF>" in data)
+    assert engine.is_open and not requests
+    assert received.endswith(events(3, 4) + b"\r\n0\r\n\r\n<EOF>")
+    stage.release.set()
+    lh.run_until(world.loop, lambda: "h2" in stage.freed_handles)
+
+
+def test_a_silent_engine_is_left_once_its_replacement_is_sent(
+    world, held_stage
+):
+    stage, engine, requests, conn = held_stage
+    stage.release.set()
+    received = lh.receive(world.loop, conn, lambda data: b"<EOF>" in data)
+    assert len(requests) == 1 and b"Last-Event-Id: 2" in requests[0]
+    assert received.endswith(events(3, 4) + b"\r\n0\r\n\r\n<EOF>")
+    engine.go_on()
+    lh.run_until(world.loop, lambda: engine.is_open is not None)
+    assert not engine.is_open
+
+
+def test_a_replacement_that_is_not_needed_costs_no_retry(world, held_stage):
+    _, engine, _, conn = held_stage
+    budget = world.ctrl.retry_budgets._budget("s1")
+    spent = budget.tokens
+    engine.go_on()
+    lh.receive(world.loop, conn, lambda data: b"<EOF>" in data)
+    assert budget.tokens >= spent + 1.0
