Don't take a slow caller for a silent engine in the gateway

A caller that took a stream slowly had it moved to another engine, or broken off if there was none, though its engine was sound.

Cause: while more than 256 KB wait for the caller the engine isn't read, and the time since its last event went on counting as its silence. Class of fault: a timer judges a peer while this host doesn't listen to it.

The stall now counts from when the engine is read again. A caller that never reads is bounded by the request's deadline.

--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -4,6 +4,8 @@
 endpoint after the last one.
 """
 
+from concurrent.futures import Future
+
 from chervilarch import (
     attempts,
     endpoint_lease,
@@ -285,7 +287,16 @@
             ctx.responder.send_body(complete)
             if ctx.responder.buffered() > WRITE_HIGH_BYTES:
                 transfer.pause()
-                ctx.responder.on_writable(transfer.resume)
+                yield self._writable()
+                transfer.resume()
+                # The endpoint wasn't read meanwhile.
+                last_event_at = ctx.now()
+
+    def _writable(self) -> Future:
+        """Returns a future that resolves once the caller has read all."""
+        writable: Future = Future()
+        self._ctx.responder.on_writable(lambda: tasks.resolve(writable, None))
+        return writable
 
     def _await_item(
         self, lease: placement.Lease, mailbox: tasks.Mailbox, stalled_at: float
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -2,6 +2,7 @@
 
 import json
 import threading
+from unittest import mock
 
 import loop_helpers as lh
 import pytest
@@ -13,7 +14,7 @@
     stream_route_document,
 )
 
-from chervilarch import stream_call
+from chervilarch import http_client, stream_call
 
 PIECES = {
     "slots": 1,
@@ -221,3 +222,30 @@
     engine.go_on()
     lh.receive(world.loop, conn, lambda data: b"<EOF>" in data)
     assert budget.tokens >= spent + 1.0
+
+
+def test_a_slow_caller_is_not_taken_for_a_silent_engine(world):
+    count = 2000
+    big = b"".join(
+        b"id: %d\ndata: %s\n\n" % (number, b"x" * 4000)
+        for number in range(1, count + 1)
+    )
+    requests = []
+    world.endpoint("e1", lh.answer_with(stream(big)))
+    world.endpoint("e2", lh.answer_with(stream(b""), requests))
+    world.ctrl.placement.pick = first_of(world.ctrl.placement.pick)
+    start(world)
+    paused = []
+    pause = http_client.Transfer.pause
+
+    def observed(transfer):
+        pause(transfer)
+        # Longer than a stall.
+        world.loop.call_later(0.2, lambda: paused.append(transfer))
+
+    with mock.patch.object(http_client.Transfer, "pause", observed):
+        conn = world.send(KEY, ("Connection", "close"))
+        lh.run_until(world.loop, lambda: paused or requests)
+    received = lh.receive(world.loop, conn, lambda data: b"<EOF>" in data)
+    assert not requests
+    assert received.count(b"\nid: ") == count
