Count the idle limit from the end of an answer, not of its making

A caller that read slowly, or over a slow link, lost the rest of a complete answer once the configuration's idle limit had passed; a change that made the limit short cut answers of all such callers.

Cause: the idle timer of a connection started when the answer was handed over, though bytes of it were unsent, and closed the connection whatever was unsent. A request that announced "Connection: close" had no limit at all at that point.

Evidence: four new cases of tests/test_http_server.py failed before:

test_an_answer_that_is_read_slowly_is_not_cut_by_the_idle_limit: the condition never held test_the_idle_limit_counts_from_the_end_of_the_answer: assert 0 == 1 test_a_caller_that_never_reads_its_answer_is_disconnected: no limit

Now the idle limit starts once the last byte was handed to the kernel. Until then a caller has 15 s for each step in which it takes any byte. A late next request no longer cuts the answer before it either: its 408 follows that answer.

--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -29,6 +29,9 @@
 # On a new connection the first request may be on its way for this long; until
 # then a stop doesn't close it as idle.
 FIRST_REQUEST_WAIT_S = 0.5
+# A caller that takes no byte of a finished answer for this long is
+# disconnected.
+UNREAD_TIMEOUT_S = 15.0
 
 _REASON_PHRASES = {
     status.value: status.phrase.encode() for status in http.HTTPStatus
@@ -289,6 +292,7 @@
         self._first_byte_at = 0.0
         if self._codec.our_state is h11.MUST_CLOSE:
             self._closing = True
+            self._set_timer(UNREAD_TIMEOUT_S)
             self._flush()
             return
         if self._codec.our_state is not h11.DONE or (
@@ -298,7 +302,7 @@
             return
         self._codec.start_next_cycle()
         self._limits = self._server.handler.limits()
-        self._set_timer(self._limits.idle_timeout_s)
+        self._set_answered_timer()
         # The next request may already be in the codec.
         self._loop.call_soon(self._parse)
 
@@ -472,9 +476,11 @@
                 self._out += self._codec.send(h11.Data(data=rejection.body))
             self._out += self._codec.send(h11.EndOfMessage())
         self._closing = True
+        self._set_timer(UNREAD_TIMEOUT_S)
         self._flush()
 
     def _flush(self) -> None:
+        unsent_before = len(self._out)
         while self._out:
             try:
                 sent = self._sock.send(self._out)
@@ -486,13 +492,14 @@
             del self._out[:sent]
         if self._closed:
             return
-        if self._out:
-            self._watch()
-            return
-        if self._closing:
+        if self._closing and not self._out:
             self._finish_close()
             return
         self._watch()
+        if len(self._out) < unsent_before and self._is_answered():
+            self._set_answered_timer()
+        if self._out:
+            return
         callback, self.on_flushed = self.on_flushed, None
         if callback is not None:
             callback()
@@ -509,12 +516,26 @@
         self._set_timer(1.0)
         self._loop.watch(self._sock, selectors.EVENT_READ, self._on_ready)
 
+    def _is_answered(self) -> bool:
+        """Returns whether there is no request, or only the end of its answer.
+
+        The next request hasn't begun.
+        """
+        return self._responder is None and (
+            self._closing or not self._first_byte_at
+        )
+
+    def _set_answered_timer(self) -> None:
+        self._set_timer(
+            UNREAD_TIMEOUT_S if self._out else self._limits.idle_timeout_s
+        )
+
     def _set_timer(self, delay_s: float) -> None:
         self._timer.cancel()
         self._timer = self._loop.call_later(delay_s, self._time_out)
 
     def _time_out(self) -> None:
-        if self._first_byte_at and not self._closing and not self._out:
+        if self._first_byte_at and not self._closing:
             self._reject(408, "the request wasn't sent in time")
             return
         if self._out:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -233,3 +233,50 @@
     conn.close()
     lh.run_until(loop, lambda: handler.disconnected)
     assert reply.buffered() == 0
+
+
+def begin_large_answer(world):
+    """Sends an answer that its caller hasn't read to the end."""
+    loop, _, handler, _ = world
+    conn = begin(world)
+    body = b"a" * (8 * 1024 * 1024)
+    handler.begun[0][1].send(200, [], body)
+    lh.run_pending(loop)
+    assert handler.begun[0][1].buffered()
+    return conn, body
+
+
+def test_an_answer_that_is_read_slowly_is_not_cut_by_the_idle_limit(world):
+    loop, clock, handler, server = world
+    handler.current_limits = handler.current_limits._replace(idle_timeout_s=1.0)
+    conn, body = begin_large_answer(world)
+    clock.advance(1.5)
+    lh.run_pending(loop)
+    received = lh.receive(loop, conn, lambda data: len(data) >= len(body))
+    assert received.endswith(body)
+    assert server.connection_count() == 1
+
+
+def test_the_idle_limit_counts_from_the_end_of_the_answer(world):
+    loop, clock, handler, server = world
+    conn, body = begin_large_answer(world)
+    clock.advance(10.0)
+    lh.receive(loop, conn, lambda data: data.endswith(body))
+    clock.advance(10.0)
+    lh.run_pending(loop)
+    assert server.connection_count() == 1
+    clock.advance(5.1)
+    assert lh.receive(loop, conn, lambda data: b"<EOF>" in data) == b"<EOF>"
+
+
+@pytest.mark.parametrize("extra", ["", "Connection: close\r\n"])
+def test_a_caller_that_never_reads_its_answer_is_disconnected(world, extra):
+    loop, clock, handler, server = world
+    conn = begin(world, get(extra=extra))
+    handler.begun[0][1].send(200, [], b"a" * (8 * 1024 * 1024))
+    lh.run_pending(loop)
+    assert server.connection_count() == 1
+    clock.advance(http_server.UNREAD_TIMEOUT_S + 0.1)
+    lh.run_pending(loop)
+    assert server.connection_count() == 0
+    conn.close()
