Run a timer only after what had arrived by its time was read

A caller's request could be closed away unread, and a reply that had come in time could count as missing, when the loop was busy for a while, as with decoding a large configuration.

Cause: after the callbacks of sockets the loop ran all timers due by the clock at that moment, also those that came due during a callback, before it looked at the sockets again. Any timer that waits for bytes (idle and head limits, stalls, permits, silence of other hosts) could judge by old news. Class of fault: a timer judges a peer while this host doesn't listen to it.

Evidence: two tests failed before:

test_a_timer_runs_after_what_had_arrived_by_its_time: assert ['timer', 'data'] == ['data'] test_a_request_that_arrives_during_a_long_callback_is_served: the condition never held

Now the timers of an iteration are those due when the sockets were looked at; all others wait for the next look. So every timer is covered, without a check in each of them.

--- a/chervilarch/loop.py
+++ b/chervilarch/loop.py
@@ -108,16 +108,21 @@
             self.run_once(_MAX_WAIT_S)
 
     def run_once(self, max_wait_s: float) -> None:
-        """Runs one iteration: waits for events and runs what is due."""
-        for key, events in self._selector.select(self._timeout_s(max_wait_s)):
+        """Runs one iteration: waits for events and runs what is due.
+
+        Timers that come due during a socket's callback wait for the next
+        iteration: what they wait for may have arrived meanwhile.
+        """
+        ready = self._selector.select(self._timeout_s(max_wait_s))
+        looked_at = self.now()
+        for key, events in ready:
             key.data(events)
-        self.run_timers()
+        self.run_timers(looked_at)
 
-    def run_timers(self) -> None:
-        """Runs due timers; those set meanwhile wait for the next iteration."""
-        now = self.now()
+    def run_timers(self, due_by: float) -> None:
+        """Runs timers due by a time; those set meanwhile wait for the next."""
         due = []
-        while self._timers and self._timers[0][0] <= now:
+        while self._timers and self._timers[0][0] <= due_by:
             due.append(heapq.heappop(self._timers)[2])
         for timer in due:
             if timer.callback is not None:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,5 +1,8 @@
 """Tests of the HTTP server for callers' connections."""
 
+import selectors
+import socket
+
 import loop_helpers as lh
 import pytest
 
@@ -280,3 +283,23 @@
     lh.run_pending(loop)
     assert server.connection_count() == 0
     conn.close()
+
+
+def test_a_request_that_arrives_during_a_long_callback_is_served(world):
+    loop, clock, handler, server = world
+    conn = begin(world)
+    handler.begun[0][1].send(200, [], b"one")
+    lh.receive(loop, conn, lambda data: data.endswith(b"one"))
+    busy, busy_peer = socket.socketpair()
+
+    def take_long(events):
+        busy.recv(1)
+        clock.advance(handler.current_limits.idle_timeout_s)
+        conn.sendall(get("/x/2"))
+
+    loop.watch(busy, selectors.EVENT_READ, take_long)
+    busy_peer.send(b"a")
+    lh.run_until(loop, lambda: len(handler.begun) == 2)
+    loop.unwatch(busy)
+    busy.close()
+    busy_peer.close()
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -1,5 +1,7 @@
 """Tests of the event loop and of tasks over futures."""
 
+import selectors
+import socket
 from concurrent.futures import Future
 
 import loop_helpers as lh
@@ -31,6 +33,33 @@
     assert ran == ["early", "late"]
 
 
+def test_a_timer_runs_after_what_had_arrived_by_its_time(loop_and_clock):
+    loop, clock = loop_and_clock
+    first, first_peer = socket.socketpair()
+    second, second_peer = socket.socketpair()
+    ran = []
+    timer = loop.call_later(1.0, lambda: ran.append("timer"))
+
+    def take_long(events):
+        first.recv(1)
+        second_peer.send(b"a")
+        clock.advance(2.0)
+
+    def receive(events):
+        second.recv(1)
+        ran.append("data")
+        timer.cancel()
+
+    loop.watch(first, selectors.EVENT_READ, take_long)
+    loop.watch(second, selectors.EVENT_READ, receive)
+    first_peer.send(b"a")
+    lh.run_until(loop, lambda: ran)
+    lh.run_pending(loop)
+    assert ran == ["data"]
+    for sock in (first, first_peer, second, second_peer):
+        sock.close()
+
+
 def test_task_waits_for_futures_and_returns(loop_and_clock):
     fut: Future = Future()
 
