Look at an idle connection once more before closing it

A caller that used its connection again just as the idle limit passed had the request reset unread.

Cause: the timer closed the connection by its clock alone. After a pause of the process between a look at the sockets and one at the clock, the request may be in the kernel. The stop of a host has read first for long; the idle limit didn't. Class of fault: a timer judges a peer while this host doesn't listen to it.

Evidence: test_a_request_in_the_kernel_outlives_the_idle_limit failed before ("the condition never held").

Now the timer reads first and closes only if nothing came.

--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -535,6 +535,12 @@
         self._timer = self._loop.call_later(delay_s, self._time_out)
 
     def _time_out(self) -> None:
+        if self.is_idle() and not self._closing:
+            # A request may wait in the kernel; closing would reset it.
+            timer = self._timer
+            self._receive()
+            if self._timer is not timer:
+                return
         if self._first_byte_at and not self._closing:
             self._reject(408, "the request wasn't sent in time")
             return
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -303,3 +303,15 @@
     loop.unwatch(busy)
     busy.close()
     busy_peer.close()
+
+
+def test_a_request_in_the_kernel_outlives_the_idle_limit(world):
+    loop, clock, handler, server = world
+    conn = begin(world)
+    handler.begun[0][1].send(200, [], b"one")
+    lh.receive(loop, conn, lambda data: data.endswith(b"one"))
+    conn.sendall(get("/x/2"))
+    clock.advance(handler.current_limits.idle_timeout_s)
+    # As after a pause between a look at the sockets and one at the clock.
+    loop.run_timers(loop.now())
+    lh.run_until(loop, lambda: len(handler.begun) == 2)
