Allow pausing a transfer whose end has already arrived

A caller that was more than 256 KB behind got its stream broken off although the engine had sent it completely.

Cause: libcurl refuses to pause a transfer that it has ended, until `on_done` is called. The exception ended the request's task, so the answer that had begun was closed. Class of fault: an exception between arrival and answer becomes a closed connection.

Nothing is left to read then, so the call has no effect. Other errors of libcurl are still raised.

--- a/chervilarch/http_client.py
+++ b/chervilarch/http_client.py
@@ -49,13 +49,21 @@
 
     def pause(self) -> None:
         """Stops reading the reply until `resume`."""
-        if self.curl is not None:
-            self.curl.pause(pycurl.PAUSE_RECV)
+        self._set_pause(pycurl.PAUSE_RECV)
 
     def resume(self) -> None:
         """Resumes reading the reply."""
-        if self.curl is not None:
-            self.curl.pause(pycurl.PAUSE_CONT)
+        self._set_pause(pycurl.PAUSE_CONT)
+
+    def _set_pause(self, state: int) -> None:
+        if self.curl is None:
+            return
+        try:
+            self.curl.pause(state)
+        except pycurl.error as exc:
+            # The end of the reply has arrived, but `on_done` wasn't called yet.
+            if exc.args[0] != pycurl.E_BAD_FUNCTION_ARGUMENT:
+                raise
 
     def reply(self, elapsed_s: float) -> exchanges.Reply:
         """Returns the reply as far as it has been received."""
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -104,3 +104,24 @@
     seen = []
     call(world, replying(OK, seen), target="/a/../b%2f?c=%20&d")
     assert seen[0].startswith(b"POST /a/../b%2f?c=%20&d HTTP/1.1\r\n")
+
+
+@pytest.mark.parametrize("resumes", [False, True])
+def test_a_transfer_whose_end_has_arrived_may_be_paused(world, resumes):
+    loop, client = world
+    server = replying(OK)
+    chunks, results = [], []
+
+    def on_data(chunk):
+        chunks.append(chunk)
+        transfer.pause()
+        if resumes:
+            transfer.resume()
+
+    exchange = exchanges.Exchange(
+        "POST", f"http://{server.address}/x", b"body", fresh=True
+    )
+    transfer = client.start(exchange, results.append, on_data)
+    lh.run_until(loop, lambda: results)
+    assert chunks == [b"ok"] and results[0].status == 200
+    server.close()
