--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -59,17 +59,26 @@
 
 
 @pytest.fixture(autouse=True)
-def _short_stalls(monkeypatch):
-    monkeypatch.setattr(stream_call, "_MIN_GAP_S", 0.02)
-    monkeypatch.setattr(stream_call, "_FIRST_EVENT_EXTRA_S", 0.0)
+def stalls(monkeypatch):
+    """Sets the times of stalls; both are long unless a test shortens them."""
+
+    def set_times(first_event_s=2 * lh.TIMEOUT_S, gap_s=2 * lh.TIMEOUT_S):
+        monkeypatch.setattr(stream_call, "_FIRST_EVENT_EXTRA_S", first_event_s)
+        monkeypatch.setattr(stream_call, "_MIN_GAP_S", gap_s)
+
+    set_times()
+    return set_times
 
 
 @pytest.fixture(params=["first event", "next event"])
-def silent(request, world):
+def silent(request, world, stalls):
     """An engine that is silent before its first event, or after some."""
-    engine = SilentEngine(
-        b"" if request.param == "first event" else events(1, 2)
-    )
+    if request.param == "first event":
+        engine = SilentEngine(b"")
+        stalls(first_event_s=0.0)
+    else:
+        engine = SilentEngine(events(1, 2))
+        stalls(gap_s=0.02)
     world.endpoint("e1", engine.serve)
     return engine
 
@@ -166,8 +175,9 @@
 
 
 @pytest.fixture
-def held_stage(world):
+def held_stage(world, stalls):
     """A stage before the stream; its engines are e1, silent, and e2."""
+    stalls(gap_s=0.02)
     stage = HeldStage()
     engine = SilentEngine(events(1, 2))
     requests = []
@@ -224,7 +234,7 @@
     assert budget.tokens >= spent + 1.0
 
 
-def test_a_slow_caller_is_not_taken_for_a_silent_engine(world):
+def test_a_slow_caller_is_not_taken_for_a_silent_engine(world, stalls):
     count = 2000
     big = b"".join(
         b"id: %d\ndata: %s\n\n" % (number, b"x" * 4000)
@@ -236,16 +246,23 @@
     world.ctrl.placement.pick = first_of(world.ctrl.placement.pick)
     start(world)
     paused = []
-    pause = http_client.Transfer.pause
+    pause, resume = http_client.Transfer.pause, http_client.Transfer.resume
 
-    def observed(transfer):
+    def pause_and_stall(transfer):
         pause(transfer)
-        # Longer than a stall.
+        stalls(gap_s=0.02)
         world.loop.call_later(0.2, lambda: paused.append(transfer))
 
-    with mock.patch.object(http_client.Transfer, "pause", observed):
+    def resume_and_wait(transfer):
+        stalls()
+        resume(transfer)
+
+    with (
+        mock.patch.object(http_client.Transfer, "pause", pause_and_stall),
+        mock.patch.object(http_client.Transfer, "resume", resume_and_wait),
+    ):
         conn = world.send(KEY, ("Connection", "close"))
         lh.run_until(world.loop, lambda: paused or requests)
-    received = lh.receive(world.loop, conn, lambda data: b"<EOF>" in data)
+        received = lh.receive(world.loop, conn, lambda data: b"<EOF>" in data)
     assert not requests
     assert received.count(b"\nid: ") == count
