Keep serving other requests when a callback raises

One request, reply or message that made a callback raise ended the process, and all accepted requests with it, or took the replies of other requests with it; a request whose answer couldn't be sent stayed open until its deadline.

Cause: an exception in a callback of a socket or a timer left the loop. libcurl's ended transfers are handed over in turn, so one that raised lost those after it. `concurrent.futures` swallows what a request's end raises. Class of fault: an exception in the work for one peer ends the work for others.

Evidence: four new tests failed before ("ValueError: broken" out of the loop; "the condition never held"):

test_a_callback_that_raises_does_not_end_the_loop test_a_callback_that_raises_does_not_lose_other_replies test_a_request_that_cannot_be_begun_is_closed_and_others_served test_an_answer_that_cannot_be_sent_ends_its_request_at_once

Now the loop and the client log the exception with its traceback and go on; the connection of a request that can't be begun or answered is closed at once.

--- a/chervilarch/http_client.py
+++ b/chervilarch/http_client.py
@@ -212,7 +212,7 @@
         queued_chunks, self._queued_chunks = self._queued_chunks, []
         for transfer, chunk in queued_chunks:
             if transfer.curl is not None:
-                transfer.on_data(chunk)
+                self._loop.run_callback(transfer.on_data, chunk)
         ended = []
         queued = 1
         while queued:
@@ -227,7 +227,7 @@
             if transfer is not None and transfer.curl is not None:
                 result = _result(transfer, transfer.curl, code, text)
                 self.release(transfer)
-                transfer.on_done(result)
+                self._loop.run_callback(transfer.on_done, result)
 
 
 def _result(
--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -458,7 +458,12 @@
             self._peer,
         )
         responder = self._responder
-        on_disconnect = self._server.handler.begin(req, responder)
+        try:
+            on_disconnect = self._server.handler.begin(req, responder)
+        except Exception as exc:  # noqa: BLE001
+            state_log.log_exception("request not begun", exc)
+            self.close()
+            return
         if not responder.ended:
             self._on_disconnect = on_disconnect
 
--- a/chervilarch/loop.py
+++ b/chervilarch/loop.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from chervilarch import clocks
+from chervilarch import clocks, state_log
 
 # Longest wait of one iteration. Timers, sockets and `wake` end a wait earlier.
 # A callback that a signal handler adds without `wake` would be delayed by it;
@@ -116,7 +116,7 @@
         ready = self._selector.select(self._timeout_s(max_wait_s))
         looked_at = self.now()
         for key, events in ready:
-            key.data(events)
+            self.run_callback(key.data, events)
         self.run_timers(looked_at)
 
     def run_timers(self, due_by: float) -> None:
@@ -126,7 +126,14 @@
             due.append(heapq.heappop(self._timers)[2])
         for timer in due:
             if timer.callback is not None:
-                timer.callback()
+                self.run_callback(timer.callback)
+
+    def run_callback(self, callback: Callable[..., None], *args: Any) -> None:
+        """Runs a callback; if it raises, the work of others goes on."""
+        try:
+            callback(*args)
+        except Exception as exc:  # noqa: BLE001
+            state_log.log_exception("callback failed", exc)
 
     def close(self) -> None:
         """Frees the selector and the wake-up pipe."""
@@ -147,4 +154,4 @@
         except BlockingIOError:
             pass  # The pipe is empty already.
         while self._handed_over:
-            self._handed_over.popleft()()
+            self.run_callback(self._handed_over.popleft())
--- a/chervilarch/serving.py
+++ b/chervilarch/serving.py
@@ -159,7 +159,11 @@
                 "report the request's id",
             )
         has_begun = self._responder.head_sent
-        self._answer(outcome)
+        try:
+            self._answer(outcome)
+        except Exception as exc:  # noqa: BLE001
+            state_log.log_exception("answer not sent", exc)
+            self._responder.abort()
         name = outcomes.outcome_name(outcome)
         if isinstance(outcome, outcomes.Answer):
             status = outcome.output.head.status
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -125,3 +125,21 @@
     lh.run_until(loop, lambda: results)
     assert chunks == [b"ok"] and results[0].status == 200
     server.close()
+
+
+def test_a_callback_that_raises_does_not_lose_other_replies(world):
+    loop, client = world
+    server = lh.RawServer(lambda conn: conn.recv(1) and conn.recv(1000))
+    exchange = exchanges.Exchange(
+        "POST", f"http://{server.address}/", timeout_s=0.05, fresh=True
+    )
+    ended = []
+
+    def fail(result):
+        ended.append(result)
+        raise ValueError("broken")
+
+    for _ in range(3):
+        client.start(exchange, fail)
+    lh.run_until(loop, lambda: len(ended) == 3)
+    server.close()
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -315,3 +315,17 @@
     # As after a pause between a look at the sockets and one at the clock.
     loop.run_timers(loop.now())
     lh.run_until(loop, lambda: len(handler.begun) == 2)
+
+
+def test_a_request_that_cannot_be_begun_is_closed_and_others_served(world):
+    loop, _, handler, server = world
+
+    def fail(req, reply):
+        raise ValueError("broken")
+
+    begin_request, handler.begin = handler.begin, fail
+    conn = lh.connect(server.port)
+    conn.sendall(get())
+    assert lh.receive(loop, conn, lambda data: b"<EOF>" in data) == b"<EOF>"
+    handler.begin = begin_request
+    begin(world)
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -60,6 +60,27 @@
         sock.close()
 
 
+def test_a_callback_that_raises_does_not_end_the_loop(loop_and_clock):
+    loop, _ = loop_and_clock
+    sock, peer = socket.socketpair()
+    ran = []
+
+    def fail(*args):
+        sock.recv(1)
+        raise ValueError("broken")
+
+    loop.watch(sock, selectors.EVENT_READ, fail)
+    peer.send(b"aaa")
+    loop.call_from_thread(fail)
+    loop.call_soon(fail)
+    loop.call_soon(lambda: ran.append("timer"))
+    loop.call_from_thread(lambda: ran.append("thread"))
+    lh.run_until(loop, lambda: len(ran) == 2)
+    loop.unwatch(sock)
+    sock.close()
+    peer.close()
+
+
 def test_task_waits_for_futures_and_returns(loop_and_clock):
     fut: Future = Future()
 
--- a/tests/test_odd_headers.py
+++ b/tests/test_odd_headers.py
@@ -62,3 +62,13 @@
     world.endpoint("e1", lh.answer_with(answer(code, b"")))
     world.start(route_document(max_attempts=1))
     assert status(world.fetch(KEY)) in (204, 304, 502, 504, code)
+
+
+def test_an_answer_that_cannot_be_sent_ends_its_request_at_once(world):
+    def fail(*args):
+        raise ValueError("can't be sent")
+
+    world.ctrl.wire.build_refusal = fail
+    world.start(route_document())
+    assert world.fetch(KEY, path="/nowhere") == b""
+    assert not world.serving_state.in_flight
