Keep following the store when a listener raises

Hosts could stop following the configuration or the endpoints for good, and go on with what they had, until the requests for engines that had left found none.

Cause: listeners ran within the follower's task, so an exception of one kept later ones from the change and ended the task. Class of fault: an exception in the work for one ends the work for others.

Evidence: two tests failed before, "assert [] == [1, 2]":

test_a_listener_that_raises_does_not_stop_the_list test_a_listener_that_raises_does_not_stop_the_configuration

No listener is known to raise; this is a fault that was looked for, not one that callers saw.

--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -83,7 +83,7 @@
         self.table = table
         self.applied_at = self._loop.now()
         for listener in self._listeners:
-            listener(table)
+            self._loop.run_callback(listener, table)
         return True
 
 
@@ -213,4 +213,4 @@
         for name, listing in self._endpoints.listed().items():
             by_pool.setdefault(listing.entry.pool, {})[name] = listing
         for listener in self._listeners:
-            listener(by_pool)
+            self._loop.run_callback(listener, by_pool)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -120,6 +120,39 @@
     assert list(notified[-1]["p"]) == ["e2"]
 
 
+def fail(value):
+    raise ValueError("broken")
+
+
+def test_a_listener_that_raises_does_not_stop_the_list(env):
+    loop, clock, source = env
+    follower = followers.EndpointFollower(loop, source, decode_listing, 0.8)
+    notified = []
+    follower.add_listener(fail)
+    follower.add_listener(notified.append)
+    follower.topic_follower.start()
+    for name in ("e1", "e2"):
+        source.write(store.Topic.ENDPOINTS, name, b"r")
+        lh.advance(loop, clock, 0.9)
+    assert list(notified[-1]["p"]) == ["e1", "e2"]
+
+
+def test_a_listener_that_raises_does_not_stop_the_configuration(env):
+    loop, clock, source = env
+    follower = followers.ConfigFollower(
+        loop, source, "k", lambda value: lh.table(version=int(value)), 1.0
+    )
+    notified = []
+    follower.add_listener(fail)
+    follower.add_listener(notified.append)
+    follower.topic_follower._pause_s = 0.1
+    follower.topic_follower.start()
+    for value in (b"1", b"2"):
+        source.write(store.Topic.CONFIGURATION, "k", value)
+        lh.advance(loop, clock, 1.0)
+    assert [table.version for table in notified] == [1, 2]
+
+
 def test_a_snapshot_is_read_when_the_history_was_dropped(env):
     loop, clock, source = env
     source.write(store.Topic.ENDPOINTS, "e1", b"r")
