Apply a raised idle limit to connections that are already idle

After a change that made the idle limit longer, a caller that used its connection within the new limit found it closed, and its request unread.

Cause: the timer of an idle connection keeps the limit in force when its last answer ended. Class of fault: a decision uses the configuration of an earlier moment.

Evidence: test_a_raised_idle_limit_holds_for_open_connections failed before ("the condition never held").

When the timer is due, the limit in force then decides. A limit that was made shorter holds from the next answer on, as before.

--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -224,6 +224,7 @@
         self._sock = sock
         self._peer = peer
         self._opened_at = self._loop.now()
+        self._idle_since = self._opened_at
         self._has_served = False
         self._limits = server.handler.limits()
         self._codec = h11.Connection(
@@ -531,6 +532,7 @@
         )
 
     def _set_answered_timer(self) -> None:
+        self._idle_since = self._loop.now()
         self._set_timer(
             UNREAD_TIMEOUT_S if self._out else self._limits.idle_timeout_s
         )
@@ -546,6 +548,12 @@
             self._receive()
             if self._timer is not timer:
                 return
+            # A configuration may have raised the limit meanwhile.
+            self._limits = self._server.handler.limits()
+            idle_s = self._loop.now() - self._idle_since
+            if idle_s < self._limits.idle_timeout_s:
+                self._set_timer(self._limits.idle_timeout_s - idle_s)
+                return
         if self._first_byte_at and not self._closing:
             self._reject(408, "the request wasn't sent in time")
             return
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -329,3 +329,21 @@
     assert lh.receive(loop, conn, lambda data: b"<EOF>" in data) == b"<EOF>"
     handler.begin = begin_request
     begin(world)
+
+
+def test_a_raised_idle_limit_holds_for_open_connections(world):
+    loop, clock, handler, server = world
+    limits = handler.current_limits
+    handler.current_limits = limits._replace(idle_timeout_s=1.0)
+    conn = begin(world)
+    handler.begun[0][1].send(200, [], b"one")
+    lh.receive(loop, conn, lambda data: data.endswith(b"one"))
+    handler.current_limits = limits
+    clock.advance(limits.idle_timeout_s - 0.1)
+    lh.run_pending(loop)
+    conn.sendall(get("/x/2"))
+    lh.run_until(loop, lambda: len(handler.begun) == 2)
+    handler.begun[1][1].send(200, [], b"two")
+    lh.receive(loop, conn, lambda data: data.endswith(b"two"))
+    clock.advance(limits.idle_timeout_s + 0.1)
+    assert lh.receive(loop, conn, lambda data: b"<EOF>" in data) == b"<EOF>"
