Serve pipelined requests before a drain closes their connection

A caller that had sent its next request on a connection already got no answer to it when its host was stopped.

Cause: while a host drains each answer announces the close of its connection, also where the next request had been read; it was dropped. Class of fault: what was accepted isn't looked for before a close.

Evidence: test_pipelined_requests_are_served_before_a_drain_closes failed before ("the condition never held").

Now the answer to the last request that was read announces the close.

--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -268,7 +268,9 @@
         """Queues the status line and headers."""
         if self._closed:
             return
-        if self._server.handler.is_closing():
+        # A request that was read already is served before the close.
+        has_next = bool(self._codec.trailing_data[0])
+        if self._server.handler.is_closing() and not has_next:
             headers = [*headers, ("Connection", "close")]
         self.send_event(_response_head(status, headers))
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -347,3 +347,15 @@
     lh.receive(loop, conn, lambda data: data.endswith(b"two"))
     clock.advance(limits.idle_timeout_s + 0.1)
     assert lh.receive(loop, conn, lambda data: b"<EOF>" in data) == b"<EOF>"
+
+
+def test_pipelined_requests_are_served_before_a_drain_closes(world):
+    loop, _, handler, _ = world
+    conn = begin(world, get("/x/1") + get("/x/2"))
+    handler.closing = True
+    handler.begun[0][1].send(200, [], b"one")
+    lh.run_until(loop, lambda: len(handler.begun) == 2)
+    handler.begun[1][1].send(200, [], b"two")
+    received = lh.receive(loop, conn, lambda data: b"<EOF>" in data)
+    assert received.index(b"one") < received.index(b"two")
+    assert received.lower().count(b"connection: close") == 1
