Keep a silent engine while the next one refuses connections

A stream of a sound engine that was silent for a second broke off when the next engine in the list had just crashed.

Cause: the list of endpoints lags behind by up to a second, so a leased engine may be gone. The silent one was cancelled before that was known. Class of fault: work is given up before what replaces it is certain.

Evidence: the case other_engine_is_down of test_a_silent_engine_is_kept_while_nothing_can_replace_it failed before, before the first event and after ("assert False", "assert None").

Before a silent engine is left, the next one must accept a connection; one that doesn't is avoided like any unreachable one, and another is tried. That is one more connection for each stream that stalls; after an attempt that has failed nothing is checked, as nothing is lost by trying.

--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -12,8 +12,10 @@
     event_stream,
     exchanges,
     final_call,
+    http_client,
     outcomes,
     placement,
+    reachability,
     routed,
     stage_inputs,
     state_log,
@@ -118,7 +120,7 @@
         ctx = self._ctx
         ctx.ctrl.retry_budgets.earn(self._pool)
         last: attempts.Failure | None = None
-        lease = yield from self._lease()
+        lease = yield from self._lease(self._tried)
         while isinstance(lease, placement.Lease):
             attempt_result = yield from self._attempt(lease)
             if isinstance(attempt_result, final_call.Success):
@@ -140,14 +142,39 @@
         return final_call.failure_outcome(ctx, last)
 
     def _lease(
-        self,
+        self, tried: set[str]
     ) -> tasks.Coroutine[placement.Lease | outcomes.NotRun | None]:
         return (
             yield from endpoint_lease.lease(
-                self._ctx, self._requirements(), self._tried
+                self._ctx, self._requirements(), tried
             )
         )
 
+    def _lease_reachable(
+        self,
+    ) -> tasks.Coroutine[placement.Lease | outcomes.NotRun | None]:
+        """Leases an endpoint that accepts a connection now."""
+        own = self._ctx.ctrl.placement
+        tried = set(self._tried)
+        while True:
+            lease = yield from self._lease(tried)
+            if not isinstance(lease, placement.Lease):
+                return lease
+            entry = lease.listing.entry
+            try:
+                reached = yield reachability.check(
+                    self._ctx.ctrl.loop,
+                    entry.address,
+                    http_client.CONNECT_TIMEOUT_S,
+                )
+            except tasks.Cancelled:
+                own.abandon(lease)
+                raise
+            if reached is reachability.Reachability.ACCEPTS:
+                return lease
+            own.finish_unreachable(lease)
+            tried.add(entry.name)
+
     def _prepare(
         self, lease: placement.Lease, failure: attempts.Failure
     ) -> tasks.Coroutine[placement.Lease | outcomes.NotRun | None]:
@@ -172,7 +199,10 @@
             failed = yield from self._rerun_stages(failure)
             if failed is not None:
                 return failed
-            leased = yield from self._lease()
+            if failure is _STALLED:
+                leased = yield from self._lease_reachable()
+            else:
+                leased = yield from self._lease(self._tried)
         finally:
             if not isinstance(leased, placement.Lease):
                 ctx.ctrl.retry_budgets.refund(self._pool)
