Don't let dripping bytes hasten the next try to replace an engine

Evidence: test_dripping_bytes_do_not_hasten_the_next_try_to_replace failed before: 51 tries for 50 pieces of a comment, 1 expected.

The time of the next try is now kept beside the attempt, not beside the wait.

--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -108,6 +108,8 @@
         self._has_sent_event = False
         # Prepares the next attempt.
         self._replacement: tasks.Task | None = None
+        # Not prepared before this monotonic time.
+        self._prepare_after = float("-inf")
 
     def run(self) -> tasks.Coroutine[outcomes.Outcome]:
         """Returns an `Answer` once the stream is complete, or a failure."""
@@ -343,8 +345,11 @@
         ctx = self._ctx
         while not len(mailbox):
             if self._replacement is None:
+                until = max(stalled_at, self._prepare_after)
                 got = yield from tasks.wait(
-                    ctx.ctrl.loop, mailbox.ready(), stalled_at
+                    ctx.ctrl.loop,
+                    mailbox.ready(),
+                    min(until, ctx.req.deadline_at),
                 )
                 if not isinstance(got, tasks.TimedOut):
                     return True
@@ -368,7 +373,7 @@
             wait_s = _REPLACE_AGAIN_S
             if isinstance(prepared, outcomes.NotRun):
                 wait_s = max(wait_s, prepared.retry_after_s)
-            stalled_at = min(ctx.now() + wait_s, ctx.req.deadline_at)
+            self._prepare_after = ctx.now() + wait_s
         return True
 
     def _split(
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -2,6 +2,7 @@
 
 import json
 import threading
+import time
 from unittest import mock
 
 import loop_helpers as lh
@@ -276,3 +277,31 @@
         received = lh.receive(world.loop, conn, lambda data: b"<EOF>" in data)
     assert not requests
     assert received.count(b"\nid: ") == count
+
+
+def test_dripping_bytes_do_not_hasten_the_next_try_to_replace(
+    world, stalls, monkeypatch
+):
+    monkeypatch.setattr(stream_call, "_REPLACE_AGAIN_S", 2 * lh.TIMEOUT_S)
+    stalls(gap_s=0.02)
+    has_refused = threading.Event()
+    refusals = []
+
+    def refuse():
+        refusals.append(True)
+        has_refused.set()
+
+    def serve(conn):
+        lh.read_request(conn)
+        conn.sendall(_HEAD + events(1, 2))
+        assert has_refused.wait(lh.TIMEOUT_S)
+        for _ in range(50):
+            conn.sendall(b":\n")
+            time.sleep(0.002)  # So that bytes arrive one by one.
+        conn.sendall(b"\n" + events(3, 4))
+
+    world.endpoint("e1", serve)
+    no_retry_left(world, refuse)
+    start(world)
+    received = world.fetch(KEY)
+    assert events(3, 4) in received and len(refusals) == 1
