Trust a silent engine less while it is kept

A stall makes the engine a suspect again, on routes that were answered before, as for calls that get no answer in time; its next quick answer clears it.

--- a/chervilarch/placement.py
+++ b/chervilarch/placement.py
@@ -234,6 +234,12 @@
                 lease.slot, now - lease.slot.started_at, now
             )
 
+    def record_silence(self, lease: Lease) -> None:
+        """Trusts an endpoint less whose call goes on in silence."""
+        endpoint = self._endpoint(lease)
+        if endpoint is not None:
+            endpoint.suspect(self._clock.monotonic())
+
     def finish_late(self, lease: Lease) -> None:
         """Releases the slot of a call that got no answer in time."""
         endpoint = self._release(lease)
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -362,6 +362,8 @@
                     has_begun=lease.slot.has_answered,
                     elapsed_ms=ctx.elapsed_ms(),
                 )
+                if ctx.req.route.name in ctx.ctrl.answered_routes:
+                    ctx.ctrl.placement.record_silence(lease)
                 self._replacement = tasks.Task(self._prepare(lease, _STALLED))
             yield tasks.first_of(mailbox.ready(), self._replacement.future)
             if len(mailbox):
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -156,6 +156,21 @@
     assert events(3, 4) in received and received.endswith(b"0\r\n\r\n")
 
 
+def test_a_silent_engine_that_is_kept_is_trusted_less(world, silent):
+    world.ctrl.answered_routes.add("r1")
+    trusted = []
+
+    def refused():
+        engine = world.ctrl.placement._pools["s1"]["e1"]
+        trusted.append(engine.suspect_until <= world.loop.now())
+        silent.go_on()
+
+    no_other_engine(world, refused)
+    start(world)
+    world.fetch(KEY)
+    assert not trusted[0]
+
+
 class HeldStage:
     """A worker whose second call is answered only once it is released."""
 
