Observe the era of the store's answers

Each restore of the store from an older copy raises the header Store-Era of all its answers. Nothing read it, so logs couldn't tell a 410 after a restore from one after dropped history, and no code could tell a record from another one that was given the same offset later.

EraWatch keeps the highest era and calls listeners when it rises; the client observes every answer, errors and writes too, and pages carry the era of their answer. An answer without a readable era is no observation. Nothing is decided by it yet. The fake store of the tests can be restored, and answers 410 for an offset beyond its end, as the platform says.

tests/test_platform.py: the new tests fail on the code before (StoreClient has no eras).

--- a/chervilarch/platform/store.py
+++ b/chervilarch/platform/store.py
@@ -3,12 +3,14 @@
 import base64
 import binascii
 import struct
+from collections.abc import Callable
 from concurrent.futures import Future
+from typing import Any
 from urllib import parse
 
 import msgspec
 
-from chervilarch import exchanges, http_client, store
+from chervilarch import exchanges, http_client, state_log, store
 
 _OK = 200
 _GONE = 410
@@ -24,6 +26,10 @@
 }
 # Key of the operators' record; other keys of that topic aren't for us.
 CONFIGURATION_KEY = "config"
+_ERA_HEADER = "store-era"
+# Eras are passed on as signed numbers of 64 bits.
+_MAX_ERA = 2**63 - 1
+_MAX_ERA_DIGITS = len(str(_MAX_ERA))
 # End offset and first kept offset, in front of the records of a reply.
 _HEADER = struct.Struct(">QQ")
 # Length in bytes, in front of each record.
@@ -46,6 +52,8 @@
     """Implements `store.Store` over HTTP."""
 
     def __init__(self, client: http_client.Client, address: str):
+        self.eras = store.EraWatch()
+        self._has_logged_era = False
         self._client = client
         self._base = f"http://{address}/chervilarch/"
 
@@ -57,7 +65,7 @@
         if after:
             query["after"] = after
         exchange = self._exchange("GET", "log-newest", query, timeout_s)
-        return _map_result(self._client.call(exchange), _decode_newest)
+        return self._call(exchange, _decode_newest)
 
     def read_changes(
         self, topic: store.Topic, offset: int, wait_s: float
@@ -68,9 +76,8 @@
             query["wait_ms"] = int(wait_s * _MS_PER_S)
         timeout_s = wait_s + _REPLY_MARGIN_S
         exchange = self._exchange("GET", "log-read", query, timeout_s)
-        return _map_result(
-            self._client.call(exchange),
-            lambda result: _decode_changes(result, offset),
+        return self._call(
+            exchange, lambda result, era: _decode_changes(result, offset, era)
         )
 
     def put(
@@ -83,7 +90,7 @@
         query = {"topic": _TOPICS[topic], "part": 0}
         exchange = self._exchange("POST", "log-append", query, timeout_s)
         exchange = exchange._replace(body=body, fresh=True)
-        return _map_result(self._client.call(exchange), _reply_error)
+        return self._call(exchange, lambda result, _: _reply_error(result))
 
     def _exchange(
         self, method: str, call: str, query: dict, timeout_s: float
@@ -91,13 +98,45 @@
         url = f"{self._base}{call}?{parse.urlencode(query)}"
         return exchanges.Exchange(method, url, timeout_s=timeout_s)
 
-
-def _map_result(fut: Future, convert) -> Future:
-    result: Future = Future()
-    fut.add_done_callback(
-        lambda done: result.set_result(convert(done.result()))
-    )
-    return result
+    def _call(
+        self,
+        exchange: exchanges.Exchange,
+        convert: Callable[[exchanges.TransferResult, int], Any],
+    ) -> Future:
+        """Sends a request; converts the result and the era of the answer."""
+        fut: Future = Future()
+
+        def finish(done: Future) -> None:
+            result = done.result()
+            era = self._observe_era(result)
+            fut.set_result(convert(result, era))
+
+        self._client.call(exchange).add_done_callback(finish)
+        return fut
+
+    def _observe_era(self, result: exchanges.TransferResult) -> int:
+        """Observes the era of an answer and returns it, 0 if it has none."""
+        if isinstance(result, exchanges.TransferFailure):
+            return 0
+        text = result.headers.get(_ERA_HEADER)
+        if text is None:
+            return 0
+        era = _parse_era(text)
+        if era is None:
+            if not self._has_logged_era:
+                self._has_logged_era = True
+                state_log.log_fault("store era unreadable", value=text[:80])
+            return 0
+        self.eras.observe(era)
+        return era
+
+
+def _parse_era(text: str) -> int | None:
+    if not (text.isascii() and text.isdigit()):
+        return None
+    if len(text) > _MAX_ERA_DIGITS or int(text) > _MAX_ERA:
+        return None
+    return int(text)
 
 
 def _reply_error(result: exchanges.TransferResult) -> store.StoreError | None:
@@ -111,7 +150,7 @@
 
 
 def _decode_newest(
-    result: exchanges.TransferResult,
+    result: exchanges.TransferResult, era: int
 ) -> store.NewestPage | store.StoreError:
     error = _reply_error(result)
     if error is not None:
@@ -124,11 +163,11 @@
         ]
     except (msgspec.MsgspecError, binascii.Error) as exc:
         return store.StoreError(f"unreadable page: {exc}")
-    return store.NewestPage(records, page.has_more, page.end)
+    return store.NewestPage(records, page.has_more, page.end, era)
 
 
 def _decode_changes(
-    result: exchanges.TransferResult, offset: int
+    result: exchanges.TransferResult, offset: int, era: int
 ) -> store.RecordPage | store.StoreError:
     error = _reply_error(result)
     if error is not None:
@@ -150,7 +189,7 @@
             )
         )
         position += length
-    return store.RecordPage(records, end, first)
+    return store.RecordPage(records, end, first, era)
 
 
 def _decode_record(offset: int, record: bytes) -> store.Record:
--- a/chervilarch/store.py
+++ b/chervilarch/store.py
@@ -1,9 +1,12 @@
 """Interface to the platform's store, and the values it exchanges."""
 
 import enum
+from collections.abc import Callable
 from concurrent.futures import Future
 from typing import NamedTuple, Protocol
 
+from chervilarch import state_log
+
 
 class Topic(enum.Enum):
     """Topics of the store.
@@ -32,11 +35,13 @@
         records: one record a key.
         has_more: whether another page follows the last key.
         end: offset of the next record to be written.
+        era: the store's era when it answered, 0 if unknown.
     """
 
     records: list[Record]
     has_more: bool
     end: int
+    era: int = 0
 
 
 class RecordPage(NamedTuple):
@@ -46,11 +51,13 @@
         records: in the order of their offsets.
         end: offset of the next record to be written.
         first: first offset that is still kept; not used.
+        era: the store's era when it answered, 0 if unknown.
     """
 
     records: list[Record]
     end: int
     first: int
+    era: int = 0
 
 
 class TopicUpdate(NamedTuple):
@@ -86,8 +93,45 @@
     is_dropped: bool = False
 
 
+class EraWatch:
+    """Notices when the store was restored from an older copy.
+
+    Each restore raises the store's era by one. Records that were written after
+    the copy was made are gone then, and their offsets are given out again.
+
+    Attributes:
+        era: the highest era seen, None before the first.
+    """
+
+    def __init__(self) -> None:
+        self.era: int | None = None
+        self._listeners: list[Callable[[int], None]] = []
+
+    def add_listener(self, listener: Callable[[int], None]) -> None:
+        """Calls `listener` with the new era at each rise."""
+        self._listeners.append(listener)
+
+    def observe(self, era: int) -> None:
+        """Takes note of the era of an answer; listeners hear of a rise."""
+        was = self.era
+        if was is not None and era <= was:
+            return
+        self.era = era
+        if was is None:
+            return
+        state_log.log_change("store restored", era=era, was=was)
+        for listener in self._listeners:
+            listener(era)
+
+
 class Store(Protocol):
-    """Client of the platform's store; its futures never raise."""
+    """Client of the platform's store; its futures never raise.
+
+    Attributes:
+        eras: is told of the era of every answer before the answer is returned.
+    """
+
+    eras: EraWatch
 
     def read_newest(
         self, topic: Topic, after: str, timeout_s: float
--- a/tests/loop_helpers.py
+++ b/tests/loop_helpers.py
@@ -117,6 +117,8 @@
         first: first offset that a topic still keeps; 0 by default.
         error: returned by all operations while it is set.
         calls: kinds of the reads so far.
+        era: the era of all answers.
+        eras: has seen the era of all answers that weren't `error`.
     """
 
     def __init__(self) -> None:
@@ -124,6 +126,14 @@
         self.first: dict[store.Topic, int] = {}
         self.error: store.StoreError | None = None
         self.calls: list[str] = []
+        self.era = 0
+        self.eras = store.EraWatch()
+
+    def restore(self, copy_end: int, era: int) -> None:
+        """Loses the records from `copy_end` on, of all topics."""
+        for log in self.log.values():
+            del log[copy_end:]
+        self.era = era
 
     def write(self, topic: store.Topic, key: str, value: bytes) -> None:
         """Appends a record, as the operators and endpoints do."""
@@ -135,25 +145,28 @@
         self.calls.append("newest")
         if self.error:
             return tasks.done(self.error)
+        self.eras.observe(self.era)
         log = self.log.get(topic, [])
         newest = {change.key: change for change in log}
         kept = [change for change in newest.values() if change.value]
-        return tasks.done(store.NewestPage(kept, False, len(log)))
+        return tasks.done(store.NewestPage(kept, False, len(log), self.era))
 
     def read_changes(self, topic, offset, wait_s):
         """Returns the records from an offset on, without waiting."""
         self.calls.append("changes")
         if self.error:
             return tasks.done(self.error)
-        if offset < self.first.get(topic, 0):
-            return tasks.done(store.StoreError("dropped", is_dropped=True))
+        self.eras.observe(self.era)
         log = self.log.get(topic, [])
-        return tasks.done(store.RecordPage(log[offset:], len(log), 0))
+        if not self.first.get(topic, 0) <= offset <= len(log):
+            return tasks.done(store.StoreError("dropped", is_dropped=True))
+        return tasks.done(store.RecordPage(log[offset:], len(log), 0, self.era))
 
     def put(self, topic, key, value, timeout_s):
         """Appends a record that this system writes."""
         if self.error:
             return tasks.done(self.error)
+        self.eras.observe(self.era)
         self.write(topic, key, value)
         return tasks.done(None)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -362,6 +362,47 @@
     assert page == store.NewestPage([store.Record(4, "config", b"a")], False, 6)
 
 
+def answer_in_era(era, status=200, body=b"{}"):
+    return exchanges.Reply(status, {"store-era": era}, body, 0.0)
+
+
+@pytest.mark.parametrize("status", [200, 410, 429, 503])
+def test_a_restore_of_the_store_is_noticed_in_every_answer(status):
+    fake = FakeClient(answer_in_era("7"))
+    client = platform_store.StoreClient(fake, "a:1")
+    rises = []
+    client.eras.add_listener(rises.append)
+    client.put(store.Topic.ROUTERS, "n1", b"v", 1.0)
+    assert client.eras.era == 7 and not rises
+    fake.result = answer_in_era("8", status)
+    client.put(store.Topic.ROUTERS, "n1", b"v", 1.0)
+    client.read_changes(store.Topic.ENDPOINTS, 0, 0.0)
+    fake.result = answer_in_era("7", status)
+    client.read_newest(store.Topic.ENDPOINTS, "", 1.0)
+    assert client.eras.era == 8 and rises == [8]
+
+
+def test_pages_carry_the_era_of_their_answer():
+    newest = answer_in_era("3", body=b'{"items":[],"has_more":false,"end":6}')
+    client = platform_store.StoreClient(FakeClient(newest), "a:1")
+    page = client.read_newest(store.Topic.ENDPOINTS, "", 1.0).result()
+    assert page.era == 3
+    changes = answer_in_era("4", body=struct.pack(">QQ", 9, 2))
+    client = platform_store.StoreClient(FakeClient(changes), "a:1")
+    page = client.read_changes(store.Topic.ENDPOINTS, 9, 0.0).result()
+    assert page.era == 4
+
+
+@pytest.mark.parametrize(
+    "text", ["", "-1", "1.5", "²", "x", str(2**63), "9" * 5000]
+)
+def test_an_unreadable_era_is_no_observation(text):
+    newest = answer_in_era(text, body=b'{"items":[],"has_more":false,"end":6}')
+    client = platform_store.StoreClient(FakeClient(newest), "a:1")
+    page = client.read_newest(store.Topic.ENDPOINTS, "", 1.0).result()
+    assert page.era == 0 and client.eras.era is None
+
+
 def test_put_uses_a_fresh_connection():
     client = FakeClient(reply(200, b"{}"))
     put = platform_store.StoreClient(client, "a:1").put
@@ -376,7 +417,7 @@
         r"Response-Stamp|response-stamp|Piece-Key|piece-key|Prompt-Prefix|"
         r"Token-Usage|Server-Load|Kv-|Pin-Ms|/chervilarch/|log-append|"
         r"log-read|log-newest|keyed\.|path_prefix\"|target_latency_ms|"
-        r"stage-run|stage-free|traffic_split|api_keys"
+        r"stage-run|stage-free|traffic_split|api_keys|Store-Era|store-era"
     )
     root = pathlib.Path(documents.__file__).parents[1]
     # The router's protocol has a header of this name as well.
