--- a/tests/loop_helpers.py
+++ b/tests/loop_helpers.py
@@ -117,23 +117,31 @@
         first: first offset that a topic still keeps; 0 by default.
         error: returned by all operations while it is set.
         calls: kinds of the reads so far.
-        era: the era of all answers.
         eras: has seen the era of all answers that weren't `error`.
     """
 
-    def __init__(self) -> None:
-        self.log: dict[store.Topic, list[store.Record]] = {}
-        self.first: dict[store.Topic, int] = {}
+    def __init__(self, shared: "FakeStore | None" = None) -> None:
+        """Creates a store, or one host's link to a store that hosts share."""
+        self._shared = shared or self
+        self.log: dict[store.Topic, list[store.Record]] = (
+            shared.log if shared else {}
+        )
+        self.first: dict[store.Topic, int] = shared.first if shared else {}
         self.error: store.StoreError | None = None
         self.calls: list[str] = []
-        self.era = 0
+        self._era = 0
         self.eras = store.EraWatch()
 
+    @property
+    def era(self) -> int:
+        """The era of all answers."""
+        return self._shared._era
+
     def restore(self, copy_end: int, era: int) -> None:
         """Loses the records from `copy_end` on, of all topics."""
         for log in self.log.values():
             del log[copy_end:]
-        self.era = era
+        self._shared._era = era
 
     def write(self, topic: store.Topic, key: str, value: bytes) -> None:
         """Appends a record, as the operators and endpoints do."""
--- a/tests/test_store_sharing.py
+++ b/tests/test_store_sharing.py
@@ -1,121 +1,28 @@
 """Topic updates that one host shares with its neighbours."""
 
 import random
-from concurrent import futures
 
 import loop_helpers as lh
 import pytest
+import store_hosts as sh
 
-from chervilarch import (
-    followers,
-    hosts,
-    http_client,
-    messages,
-    stage_coordination,
-    store,
-    store_messages,
-    store_sharing,
-    tasks,
-)
-
-KEY = b"k" * 16
-PAUSE_S = 1.0
-ENDPOINTS = store.Topic.ENDPOINTS
-
-
-def decode_listing(name, value):
-    if value == b"bad":
-        return store.StoreError("bad")
-    word, _, sequence = value.partition(b" ")
-    state = hosts.LEAVING if word == b"leaving" else "live"
-    return lh.listing(name, state=state, sequence=int(sequence))
-
-
-class Host:
-    """A host that follows the endpoints over its own link to the store."""
-
-    def __init__(self, loop, name, source, data_centre="dc0"):
-        self.source = source
-        self.endpoints = followers.EndpointFollower(
-            loop, source, decode_listing, PAUSE_S
-        )
-        self.neighbours = []
-        # Hosts of other data centres.
-        self.remote = []
-        self.sharing = store_sharing.StoreSharing(
-            loop,
-            stage_coordination.Peer(
-                name,
-                ("127.0.0.1", lh.free_ports(1)),
-                data_centre=data_centre,
-            ),
-            lambda: self.neighbours + self.remote,
-            {ENDPOINTS: self.endpoints.topic_follower},
-            KEY,
-            http_client.Client(loop),
-            random.Random(1),
-        )
-        self.peer = stage_coordination.Peer(
-            name, self.sharing._socket.address, data_centre=data_centre
-        )
-        self.notified = []
-        self.endpoints.add_listener(self.notified.append)
-
-    def listed(self):
-        return sorted(self.notified[-1].get("p", {})) if self.notified else []
-
-    def reads(self):
-        return self.source.calls.count("changes")
-
-
-class Link(lh.FakeStore):
-    """One host's link to a store that all hosts share."""
-
-    def __init__(self, shared):
-        super().__init__()
-        self.log = shared.log
-        self.first = shared.first
-
-
-def run_hosts(count, data_centres):
-    """Starts hosts that know each other; yields them in their read order."""
-    loop, clock = lh.new_loop()
-    shared = lh.FakeStore()
-    for n in range(3):
-        shared.write(ENDPOINTS, f"e{n}", b"live 1")
-    members = [
-        Host(loop, f"n{n}", Link(shared), f"dc{n % data_centres}")
-        for n in range(count)
-    ]
-    for host in members:
-        for other in members:
-            if other is not host:
-                is_near = other.peer.data_centre == host.peer.data_centre
-                (host.neighbours if is_near else host.remote).append(other.peer)
-    by_rank = sorted(members, key=lambda host: host.sharing.read_rank())
-    for host in members:
-        host.endpoints.topic_follower.start()
-    lh.run_pending(loop)
-    yield loop, clock, shared, by_rank
-    for host in members:
-        host.sharing.close()
-    loop.close()
+from chervilarch import messages, store, store_messages, store_sharing
 
 
 @pytest.fixture
 def cluster():
     """One data centre of three hosts; the hosts in their read order."""
-    yield from run_hosts(3, data_centres=1)
+    yield from sh.run_hosts(3, data_centres=1)
 
 
 def test_one_host_reads_and_all_get_the_changes(cluster):
     loop, clock, shared, (first, second, third) = cluster
-    lh.advance(loop, clock, 3 * PAUSE_S)
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
     before = [host.reads() for host in (first, second, third)]
     for number in range(2, 12):
-        shared.write(ENDPOINTS, "e0", b"live %d" % number)
-        shared.write(ENDPOINTS, "e1", b"leaving %d" % number)
-        lh.advance(loop, clock, PAUSE_S)
+        shared.write(sh.ENDPOINTS, "e0", b"live %d" % number)
+        shared.write(sh.ENDPOINTS, "e1", b"leaving %d" % number)
+        lh.advance(loop, clock, sh.PAUSE_S)
     reads = [
         host.reads() - count
         for host, count in zip((first, second, third), before, strict=True)
@@ -126,41 +33,41 @@
 
 def test_a_change_arrives_in_time_when_the_reader_fails(cluster):
     loop, clock, shared, (first, second, third) = cluster
-    lh.advance(loop, clock, 3 * PAUSE_S)
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
     first.endpoints.topic_follower.on_update = lambda update: None
     first.source.error = store.StoreError("cut off")
-    shared.write(ENDPOINTS, "e1", b"")
-    lh.advance(loop, clock, 1.15 * PAUSE_S)
+    shared.write(sh.ENDPOINTS, "e1", b"")
+    lh.advance(loop, clock, 1.15 * sh.PAUSE_S)
     assert second.listed() == third.listed() == ["e0", "e2"]
     assert third.reads() <= 1
 
 
 def test_a_lost_update_is_detected_by_the_offset_gap(cluster):
     loop, clock, shared, (first, second, third) = cluster
-    lh.advance(loop, clock, 3 * PAUSE_S)
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
     first.neighbours.remove(third.peer)
-    shared.write(ENDPOINTS, "e1", b"leaving 2")
-    lh.advance(loop, clock, 0.9 * PAUSE_S)
+    shared.write(sh.ENDPOINTS, "e1", b"leaving 2")
+    lh.advance(loop, clock, 0.9 * sh.PAUSE_S)
     first.neighbours.append(third.peer)
-    shared.write(ENDPOINTS, "e2", b"leaving 2")
-    lh.advance(loop, clock, 1.3 * PAUSE_S)
+    shared.write(sh.ENDPOINTS, "e2", b"leaving 2")
+    lh.advance(loop, clock, 1.3 * sh.PAUSE_S)
     assert third.listed() == ["e0"]
 
 
 def test_a_host_without_the_store_gets_updates_from_neighbours(cluster):
     loop, clock, shared, (first, second, third) = cluster
-    lh.advance(loop, clock, 3 * PAUSE_S)
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
     third.source.error = store.StoreError("cut off")
     first.source.calls.clear()
-    shared.write(ENDPOINTS, "e1", b"")
-    lh.advance(loop, clock, 1.1 * PAUSE_S)
+    shared.write(sh.ENDPOINTS, "e1", b"")
+    lh.advance(loop, clock, 1.1 * sh.PAUSE_S)
     assert third.listed() == ["e0", "e2"]
 
 
 def test_an_older_update_is_ignored(cluster):
     loop, clock, shared, (first, second, third) = cluster
-    shared.write(ENDPOINTS, "e1", b"leaving 5")
-    lh.advance(loop, clock, 2 * PAUSE_S)
+    shared.write(sh.ENDPOINTS, "e1", b"leaving 5")
+    lh.advance(loop, clock, 2 * sh.PAUSE_S)
     follower = second.endpoints.topic_follower
     state = follower.state()
     old = store.Record(0, "e1", b"live 6")
@@ -173,7 +80,7 @@
 
 def test_records_of_overlapping_updates_are_applied_once(cluster):
     loop, clock, shared, (first, second, third) = cluster
-    lh.advance(loop, clock, PAUSE_S)
+    lh.advance(loop, clock, sh.PAUSE_S)
     follower = second.endpoints.topic_follower
     state = follower.state()
     stale = store.Record(state.end - 1, "e2", b"")
@@ -192,18 +99,18 @@
     cluster, count, reads
 ):
     loop, clock, shared, (first, second, third) = cluster
-    lh.advance(loop, clock, 3 * PAUSE_S)
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
     before = third.reads()
     for n in range(count):
-        shared.write(ENDPOINTS, f"{n}-{'x' * 200}", b"live 1")
-    lh.advance(loop, clock, 1.05 * PAUSE_S)
+        shared.write(sh.ENDPOINTS, f"{n}-{'x' * 200}", b"live 1")
+    lh.advance(loop, clock, 1.05 * sh.PAUSE_S)
     assert len(second.listed()) == len(third.listed()) == 3 + count
     assert third.reads() - before == reads
 
 
 def test_hosts_of_higher_rank_retry_less_often_in_an_outage(cluster):
     loop, clock, shared, members = cluster
-    lh.advance(loop, clock, 3 * PAUSE_S)
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
     for host in members:
         host.source.error = store.StoreError("down")
     before = [host.reads() for host in members]
@@ -217,11 +124,11 @@
 
 def test_entries_that_expire_in_an_outage_have_time_to_return(cluster):
     loop, clock, shared, members = cluster
-    lh.advance(loop, clock, 3 * PAUSE_S)
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
     for host in members:
         host.source.error = store.StoreError("down")
     lh.advance(loop, clock, 5.0)
-    shared.write(ENDPOINTS, "e1", b"")
+    shared.write(sh.ENDPOINTS, "e1", b"")
     for host in members:
         host.source.error = None
     lh.advance(loop, clock, 1.5)
@@ -237,9 +144,9 @@
         loop.now()
     )
     third.source.error = store.StoreError("cut off")
-    lh.advance(loop, clock, 8 * PAUSE_S)
+    lh.advance(loop, clock, 8 * sh.PAUSE_S)
     third.source.error = None
-    lh.advance(loop, clock, 2 * PAUSE_S)
+    lh.advance(loop, clock, 2 * sh.PAUSE_S)
     assert not ended
 
 
@@ -247,13 +154,13 @@
     cluster, monkeypatch
 ):
     loop, clock, shared, (first, second, third) = cluster
-    lh.advance(loop, clock, 3 * PAUSE_S)
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
     # Updates then only tell that there are records; each host reads the store.
     monkeypatch.setattr(store_sharing, "_MAX_FRAME_BYTES", 0)
     for host in (first, second, third):
         host.source.error = store.StoreError("down")
     lh.advance(loop, clock, 10.0)
-    shared.write(ENDPOINTS, "e1", b"leaving 2")
+    shared.write(sh.ENDPOINTS, "e1", b"leaving 2")
     before = third.reads()
     lh.run_until(loop, lambda: _advance(loop, clock) and third.reads() > before)
     # The third host has just failed a read and would retry 2 s later.
@@ -270,27 +177,29 @@
 
 def test_a_host_that_starts_in_an_outage_fetches_from_a_peer(cluster):
     loop, clock, shared, (first, second, third) = cluster
-    shared.write(ENDPOINTS, "e1", b"leaving 2")
-    lh.advance(loop, clock, 2 * PAUSE_S)
-    late = Host(loop, "n9", Link(shared))
+    shared.write(sh.ENDPOINTS, "e1", b"leaving 2")
+    lh.advance(loop, clock, 2 * sh.PAUSE_S)
+    late = sh.Host(loop, "n9", lh.FakeStore(shared))
     late.source.error = store.StoreError("down")
     late.endpoints.topic_follower.start()
-    lh.advance(loop, clock, PAUSE_S)
+    lh.advance(loop, clock, sh.PAUSE_S)
     assert not late.endpoints.topic_follower.has_read()
     late.neighbours = [third.peer]
-    clock.advance(PAUSE_S)
+    clock.advance(sh.PAUSE_S)
     lh.run_until(loop, lambda: late.listed() == ["e0", "e2"])
     assert late.endpoints.topic_follower.state().end == 4
-    shared.write(ENDPOINTS, "e0", b"")
+    shared.write(sh.ENDPOINTS, "e0", b"")
     late.source.error = None
-    lh.advance(loop, clock, 2 * PAUSE_S)
+    lh.advance(loop, clock, 2 * sh.PAUSE_S)
     assert late.listed() == ["e2"]
     late.sharing.close()
 
 
 def test_a_peer_without_a_snapshot_is_ignored(cluster):
     loop, clock, shared, (first, second, third) = cluster
-    late, other = (Host(loop, name, Link(shared)) for name in ("n8", "n9"))
+    late, other = (
+        sh.Host(loop, name, lh.FakeStore(shared)) for name in ("n8", "n9")
+    )
     late.source.error = store.StoreError("down")
     late.neighbours = [other.peer]
     late.endpoints.topic_follower.start()
@@ -298,7 +207,7 @@
     lh.run_until(loop, lambda: other.sharing._server.connection_count() == 0)
     assert not late.endpoints.topic_follower.has_read()
     late.source.error = None
-    lh.advance(loop, clock, PAUSE_S)
+    lh.advance(loop, clock, sh.PAUSE_S)
     assert late.listed() == ["e0", "e1", "e2"]
     late.sharing.close()
     other.sharing.close()
@@ -307,7 +216,7 @@
 def test_topic_updates_survive_a_round_trip():
     updates = [
         store.TopicUpdate(
-            ENDPOINTS,
+            sh.ENDPOINTS,
             3,
             9,
             99.5,
@@ -316,8 +225,8 @@
         store.TopicUpdate(store.Topic.CONFIGURATION, 7, 7, 99.0),
     ]
     news = store_messages.StoreNews(updates, must_relay=True)
-    frame = store_messages.encode(KEY, news, 100.0)
-    decoded, must_relay = store_messages.decode(KEY, frame, 100.0)
+    frame = store_messages.encode(sh.KEY, news, 100.0)
+    decoded, must_relay = store_messages.decode(sh.KEY, frame, 100.0)
     assert must_relay
     assert [update._replace(read_at=0) for update in decoded] == [
         update._replace(read_at=0) for update in updates
@@ -328,29 +237,29 @@
     assert isinstance(
         store_messages.decode(b"z" * 16, frame, 100.0), messages.BadFrame
     )
-    broken = messages.seal(KEY, b"\xff\xff")
+    broken = messages.seal(sh.KEY, b"\xff\xff")
     assert isinstance(
-        store_messages.decode(KEY, broken, 100.0), messages.BadFrame
+        store_messages.decode(sh.KEY, broken, 100.0), messages.BadFrame
     )
 
 
 def test_a_value_that_grows_beyond_bounds_is_refused(monkeypatch):
     record = store.Record(4, "e1", b"x" * 5000)
-    update = store.TopicUpdate(ENDPOINTS, 3, 9, 99.5, (record,))
+    update = store.TopicUpdate(sh.ENDPOINTS, 3, 9, 99.5, (record,))
     frame = store_messages.encode(
-        KEY, store_messages.StoreNews([update]), 100.0
+        sh.KEY, store_messages.StoreNews([update]), 100.0
     )
     assert len(frame) < 500
     monkeypatch.setattr(store_messages, "_MAX_VALUE_BYTES", 4000)
     assert isinstance(
-        store_messages.decode(KEY, frame, 100.0), messages.BadFrame
+        store_messages.decode(sh.KEY, frame, 100.0), messages.BadFrame
     )
 
 
 @pytest.fixture
 def fleet():
     """Three data centres of three hosts; the hosts in their read order."""
-    yield from run_hosts(9, data_centres=3)
+    yield from sh.run_hosts(9, data_centres=3)
 
 
 def in_data_centre_of(host, members):
@@ -368,11 +277,11 @@
 
 def test_one_host_reads_for_all_data_centres(fleet):
     loop, clock, shared, members = fleet
-    lh.advance(loop, clock, 3 * PAUSE_S)
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
     before = [host.reads() for host in members]
     for number in range(2, 12):
-        shared.write(ENDPOINTS, "e1", b"leaving %d" % number)
-        lh.advance(loop, clock, PAUSE_S)
+        shared.write(sh.ENDPOINTS, "e1", b"leaving %d" % number)
+        lh.advance(loop, clock, sh.PAUSE_S)
     reads = [
         host.reads() - count
         for host, count in zip(members, before, strict=True)
@@ -397,84 +306,32 @@
 @pytest.mark.parametrize("rank", [0, 1])
 def test_a_change_arrives_in_time_when_a_leader_fails(fleet, rank):
     loop, clock, shared, members = fleet
-    lh.advance(loop, clock, 3 * PAUSE_S)
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
     failed = members[rank]
     # It still counts as alive, as right after a crash or while it is paused.
     isolate(failed, members)
-    shared.write(ENDPOINTS, "e1", b"")
-    lh.advance(loop, clock, (1 + 0.1 * store_sharing._MAX_READ_RANK) * PAUSE_S)
+    shared.write(sh.ENDPOINTS, "e1", b"")
+    lh.advance(
+        loop, clock, (1 + 0.1 * store_sharing._MAX_READ_RANK) * sh.PAUSE_S
+    )
     others = [host for host in members if host is not failed]
     assert all(host.listed() == ["e0", "e2"] for host in others)
 
 
 def test_a_data_centre_without_its_leader_reads_through_one_host(fleet):
     loop, clock, shared, members = fleet
-    lh.advance(loop, clock, 3 * PAUSE_S)
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
     leader = members[2]
     isolate(leader, members)
     near = [h for h in in_data_centre_of(leader, members) if h is not leader]
     before = [host.reads() for host in near]
-    lh.advance(loop, clock, 10 * PAUSE_S)
+    lh.advance(loop, clock, 10 * sh.PAUSE_S)
     reads = sorted(
         host.reads() - count for host, count in zip(near, before, strict=True)
     )
     assert reads[0] <= 1 and 5 <= reads[1] <= 12
 
 
-class ConfigHost:
-    """A host that follows the configuration; it knows the other one."""
-
-    def __init__(self, loop, name, source):
-        self.source = source
-        self.configuration = followers.ConfigFollower(
-            loop,
-            source,
-            "config",
-            lambda value: lh.table(version=int(value.split()[0])),
-            PAUSE_S,
-        )
-        self.peers = []
-        self.sharing = store_sharing.StoreSharing(
-            loop,
-            stage_coordination.Peer(name, ("127.0.0.1", lh.free_ports(1))),
-            lambda: self.peers,
-            {
-                store.Topic.CONFIGURATION: self.configuration.topic_follower,
-            },
-            KEY,
-            http_client.Client(loop),
-            random.Random(1),
-        )
-        self.peer = stage_coordination.Peer(name, self.sharing._socket.address)
-
-
-class WaitingLink(Link):
-    """A link whose reads wait for a record, as the store's long polls do."""
-
-    def __init__(self, loop, shared):
-        super().__init__(shared)
-        self._loop = loop
-        self._waiting = []
-
-    def read_changes(self, topic, offset, wait_s):
-        if len(self.log[topic]) > offset:
-            return super().read_changes(topic, offset, wait_s)
-        self.calls.append("changes")
-        fut = futures.Future()
-        until = self._loop.now() + wait_s
-
-        def check():
-            records = self.log[topic][offset:]
-            if records or self._loop.now() >= until:
-                end = len(self.log[topic])
-                tasks.resolve(fut, store.RecordPage(records, end, 0))
-            else:
-                self._loop.call_later(0.01, check)
-
-        check()
-        return fut
-
-
 @pytest.mark.parametrize(
     ("padding", "must_read"),
     [
@@ -488,16 +345,17 @@
     topic = store.Topic.CONFIGURATION
     shared.write(topic, "config", b"1 ")
     members = [
-        ConfigHost(loop, f"n{n}", WaitingLink(loop, shared)) for n in range(2)
+        sh.ConfigHost(loop, f"n{n}", sh.WaitingLink(loop, shared))
+        for n in range(2)
     ]
     for host, other in (members, reversed(members)):
         host.peers.append(other.peer)
         host.configuration.topic_follower.start()
-    lh.advance(loop, clock, 3 * PAUSE_S)
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
     second = max(members, key=lambda host: host.sharing.read_rank())
     before = second.source.calls.count("changes")
     shared.write(topic, "config", b"2 " + padding)
-    lh.advance(loop, clock, 0.2 * PAUSE_S)
+    lh.advance(loop, clock, 0.2 * sh.PAUSE_S)
     assert all(host.configuration.table.version == 2 for host in members)
     assert (second.source.calls.count("changes") > before) == must_read
     for host in members:
