Order what hosts know of a topic by era and offset

Callers could have got requests served by an endpoint that had left, or by a configuration before the newest one, after the store came back from an older copy: a follower kept an offset alone.

A position is now an era and an offset, in followers and in messages between hosts (new fields, 0 from older builds, which is never newer). Hosts read within 0.3 s of each other, and those that found out by themselves tell the others. An era that only another host names makes this host read, but the store's answer decides, so that a wrong one doesn't hold for good.

tests/test_restored_store.py, before: records_before_an_offset_that_was_passed_again: ['e0', 'e1'] == ['e0'] a_snapshot_has_no_pages_of_before_and_after: ['e0', ..., 'e3'] == ['e1', ...] a_snapshot_that_arrives_late: ['e0', 'e1'] == ['e0', 'e2'] a_read_that_stays_silent: version 1 == 2 hosts_that_do_not_read_hear_of_a_restore: they read by themselves, [2, 2] The tests of updates and of old builds need the new fields and fail for want of them. Now all hold. a_host_beside_one_that_knows_no_eras held before; it guards rolling upgrades.

--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -1,6 +1,6 @@
 """Followers of the configuration and the endpoints in the platform's store."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from chervilarch import (
     endpoint_list,
@@ -61,14 +61,14 @@
         """Calls `listener` with each new version."""
         self._listeners.append(listener)
 
-    def _apply_snapshot(self, values: dict[str, bytes]) -> None:
-        for key, value in values.items():
-            self._apply_record(key, value)
+    def _apply_snapshot(self, records: Iterable[store.Record]) -> None:
+        for record in records:
+            self._apply_record(record)
 
-    def _apply_record(self, key: str, value: bytes) -> bool:
-        if key != self._key or not value:
+    def _apply_record(self, record: store.Record) -> bool:
+        if record.key != self._key or not record.value:
             return False
-        table = self._decode(value)
+        table = self._decode(record.value)
         if not isinstance(table, routing_table.RoutingTable):
             state_log.log_fault("configuration unreadable", reason=table.reason)
             return False
@@ -153,16 +153,18 @@
             self._record_removal(name, "lapsed while the store was away")
         self._notify_listeners()
 
-    def _apply_snapshot(self, values: dict[str, bytes]) -> None:
+    def _apply_snapshot(self, records: Iterable[store.Record]) -> None:
         """Applies all records; other entries are removed without an event."""
-        for name, value in values.items():
-            self._apply_record(name, value)
-        now = self._loop.now()
-        if self._endpoints.remove_missing(set(values), now):
+        present = set()
+        for record in records:
+            present.add(record.key)
+            self._apply_record(record)
+        if self._endpoints.remove_missing(present, self._loop.now()):
             self._changed = True
 
-    def _apply_record(self, name: str, value: bytes) -> bool:
+    def _apply_record(self, record: store.Record) -> bool:
         """Applies a record; returns whether its content is new."""
+        name, value = record.key, record.value
         now = self._loop.now()
         if not value:
             self._last_content.pop(name, None)
--- a/chervilarch/peer.capnp
+++ b/chervilarch/peer.capnp
@@ -132,18 +132,22 @@
   value @2 :Data;
   # Whether the value is compressed by zlib.
   isCompressed @3 :Bool;
+  # Era of the offset.
+  era @4 :Int64;
 }
 
 # A topic update, `store.TopicUpdate`. The records are those from `first` to
 # before `end` that changed something. If both are equal, there are none, and a
 # receiver with a lower offset reads the missing ones from the store; only a
-# snapshot has records then: the newest values, with offset `end`.
+# snapshot has records then: the newest values. Offsets of different eras can't
+# be compared; builds without the field `era` send 0, which is never newer.
 struct TopicNews {
   topic @0 :StoreTopic;
   first @1 :Int64;
   end @2 :Int64;
   ageMs @3 :UInt32;
   records @4 :List(StoreRecord);
+  era @5 :Int64;
 }
 
 # One datagram of topic updates.
--- a/chervilarch/platform/store.py
+++ b/chervilarch/platform/store.py
@@ -158,7 +158,9 @@
     try:
         page = msgspec.json.decode(result.body, type=_Newest)
         records = [
-            store.Record(item.offset, item.key, base64.b64decode(item.value))
+            store.Record(
+                item.offset, item.key, base64.b64decode(item.value), era
+            )
             for item in page.items
         ]
     except (msgspec.MsgspecError, binascii.Error) as exc:
@@ -185,14 +187,14 @@
             return store.StoreError("the reply ends within a record")
         records.append(
             _decode_record(
-                offset + len(records), body[position : position + length]
+                offset + len(records), body[position : position + length], era
             )
         )
         position += length
     return store.RecordPage(records, end, first, era)
 
 
-def _decode_record(offset: int, record: bytes) -> store.Record:
+def _decode_record(offset: int, record: bytes, era: int) -> store.Record:
     size = record[0] if record else 0
     key = record[1 : 1 + size].decode("utf-8", "replace")
-    return store.Record(offset, key, record[1 + size :])
+    return store.Record(offset, key, record[1 + size :], era)
--- a/chervilarch/store.py
+++ b/chervilarch/store.py
@@ -20,12 +20,35 @@
     BLOCKS = "blocks"
 
 
+class Position(NamedTuple):
+    """A place in a topic, ordered by when it was reached.
+
+    A restore of the store gives out offsets again in a higher era.
+    """
+
+    era: int
+    offset: int
+
+
 class Record(NamedTuple):
-    """One record of a topic; an empty value removes the key."""
+    """One record of a topic; an empty value removes the key.
+
+    Attributes:
+        offset: its place in the topic.
+        key: what it is about.
+        value: its content.
+        era: the store's era when it was read, 0 if unknown.
+    """
 
     offset: int
     key: str
     value: bytes
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """The place of the record among those of all eras."""
+        return Position(self.era, self.offset)
 
 
 class NewestPage(NamedTuple):
@@ -71,7 +94,9 @@
         records: those from `first` to before `end`, without those that changed
             nothing. If `first` equals `end`, there are none, and a receiver
             with a lower offset reads the missing ones from the store. Only a
-            snapshot has records then: the newest values, with offset `end`.
+            snapshot has records then: the newest values.
+        era: the store's era of `first` and `end`; 0 before any restore, or if
+            an older build sent the update.
     """
 
     topic: Topic
@@ -79,6 +104,12 @@
     end: int
     read_at: float
     records: tuple[Record, ...] = ()
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """How far the host has read."""
+        return Position(self.era, self.end)
 
 
 class StoreError(NamedTuple):
--- a/chervilarch/store_messages.py
+++ b/chervilarch/store_messages.py
@@ -36,6 +36,7 @@
         slot.topic = update.topic.value
         slot.first = update.first
         slot.end = update.end
+        slot.era = update.era
         # Rounded up: an update must not look newer than it is.
         slot.ageMs = int((now - update.read_at) * _MS_PER_S) + 1
         record_slots = slot.init("records", len(update.records))
@@ -43,6 +44,7 @@
             record_slots, update.records, strict=True
         ):
             record_slot.offset = record.offset
+            record_slot.era = record.era
             record_slot.key = record.key
             record_slot.value = record.value
             if len(record.value) >= _MIN_COMPRESSED_BYTES:
@@ -67,9 +69,15 @@
                 slot.end,
                 now - slot.ageMs / _MS_PER_S,
                 tuple(
-                    store.Record(record.offset, record.key, _read_value(record))
+                    store.Record(
+                        record.offset,
+                        record.key,
+                        _read_value(record),
+                        record.era,
+                    )
                     for record in slot.records
                 ),
+                slot.era,
             )
             for slot in msg.topics
         ]
--- a/chervilarch/store_sharing.py
+++ b/chervilarch/store_sharing.py
@@ -9,6 +9,11 @@
 centres, then the others. A lost reader or a lost update therefore delays the
 others by a few tenths of the time between reads.
 
+A restore of the store from an older copy gives out offsets again, in a higher
+era. A host that hears of one reads a snapshot; the first ones tell the others.
+Hosts of builds that don't know eras send 0. Their updates are ignored once the
+store has named an era, so newer hosts then read for themselves.
+
 A host that starts while the store is unavailable fetches a snapshot from
 another host.
 """
@@ -45,6 +50,9 @@
 # A larger datagram, which a configuration of very many routes would need, isn't
 # sent: each of its fragments may be lost, and links of hosts are slow.
 _MAX_FRAME_BYTES = 8 * 1024
+# All hosts hear of a restore at about the same time; they read their snapshots
+# within this time.
+_MAX_RESTORE_DELAY_S = 0.3
 # A live peer answers in milliseconds.
 _FETCH_TIMEOUT_S = 0.5
 _BINARY = "application/octet-stream"
@@ -76,7 +84,7 @@
             topics: the followers that share what they read.
             key: seals datagrams and snapshots.
             client: fetches snapshots from peers.
-            rng: chooses the peer to fetch from.
+            rng: chooses the peer to fetch from, and delays.
 
         Raises:
             OSError: the address can't be bound.
@@ -101,6 +109,9 @@
         )
         for topic, follower in topics.items():
             follower.read_rank = self.read_rank
+            follower.restore_delay = functools.partial(
+                rng.uniform, 0.0, _MAX_RESTORE_DELAY_S
+            )
             follower.on_update = self._send_update
             follower.fetch_from_peer = functools.partial(
                 self._fetch_from_peer, topic
--- a/chervilarch/topic_follower.py
+++ b/chervilarch/topic_follower.py
@@ -24,6 +24,8 @@
 # The store was unavailable to all hosts if no host's read became known for this
 # much longer than the read period.
 _OUTAGE_MARGIN_S = 0.3
+_NOWHERE = store.Position(-1, 0)
+_OUTDATED = store.StoreError("the answer is older than a restore of the store")
 
 
 class TopicFollower:
@@ -58,53 +60,57 @@
         self._pause_s = pause_s
         # Time between the ends of two reads that find no change.
         self._read_period_s = wait_s + pause_s
-        self._offset: int | None = None
+        self._position: store.Position | None = None
         self._failed_since: float | None = None
         self._retry_delay_s = _MIN_RETRY_S
         self._newest_timeout_s = _FIRST_NEWEST_TIMEOUT_S
-        # Whether the store is known to hold records that aren't applied here: a
-        # reply ended before the end of the log, or an update of another host
-        # was missed. This host then reads at once.
-        self._newer_records_exist = False
+        # The furthest position that is known to exist. If it is beyond the own
+        # one, a reply ended before the end of the log, an update of another
+        # host was missed, or the store was restored. This host then reads at
+        # once.
+        self._known = _NOWHERE
+        # The highest era that another host told of.
+        self._told_era = 0
+        # When to read the snapshot that a restore requires.
+        self._snapshot_at = float("-inf")
         # Whether a neighbour has read since this host's last read began. This
         # host's next read then waits for its rank.
         self._peer_has_read = False
-        self._newest: dict[str, bytes] = {}
+        self._newest: dict[str, store.Record] = {}
         self._update_received: Future = Future()
         self.read_at = float("-inf")
-        self.on_snapshot: Callable[[dict[str, bytes]], None] = _ignore
+        self.on_snapshot: Callable[[Iterable[store.Record]], None] = _ignore
         # Returns whether the record must be sent to other hosts.
-        self.on_change: Callable[[str, bytes], bool] = _ignore
+        self.on_change: Callable[[store.Record], bool] = _ignore
         self.on_read: Callable[[], None] = _ignore
         self.on_outage_end: Callable[[], None] = _ignore
         # Set by StoreSharing.
-        self.read_rank: Callable[[], int] = _rank_zero
+        self.read_rank: Callable[[], int] = _zero
+        self.restore_delay: Callable[[], float] = _zero
         self.on_update: Callable[[store.TopicUpdate], None] = _ignore
         self.fetch_from_peer: Callable[[], Future] = _fetch_nothing
 
     def start(self) -> None:
         """Begins to follow."""
+        self._store.eras.add_listener(
+            lambda era: self._note_position(store.Position(era, 0))
+        )
         tasks.Task(self._run())
 
     def has_read(self) -> bool:
         """Returns whether a snapshot was read or fetched from a peer."""
-        return self._offset is not None
+        return self._position is not None
 
     def state(self) -> store.TopicUpdate:
         """Returns how far this host has read, without the records."""
+        era, offset = self._position
         return store.TopicUpdate(
-            self._topic, self._offset, self._offset, self.read_at
+            self._topic, offset, offset, self.read_at, era=era
         )
 
     def snapshot(self) -> store.TopicUpdate:
         """Returns how far this host has read, and the newest values."""
-        state = self.state()
-        return state._replace(
-            records=tuple(
-                store.Record(state.end, key, value)
-                for key, value in self._newest.items()
-            )
-        )
+        return self.state()._replace(records=tuple(self._newest.values()))
 
     def apply_update(self, update: store.TopicUpdate, source_ip: str) -> None:
         """Applies what another host has read.
@@ -113,37 +119,57 @@
             update: what the other host sent.
             source_ip: its IP address, for the log.
         """
-        if self._offset is None or update.end < self._offset:
+        if self._position is None or update.position < self._position:
+            return
+        if update.era > self._position.era:
+            self._told_era = max(self._told_era, update.era)
+            self._note_position(update.position)
             return
         # An update counts as a new read of the neighbour if its read time is
         # less than half a read period before this host's. An older one only
         # repeats what this host has read itself.
         if update.read_at > self.read_at - self._read_period_s / 2:
             self._peer_has_read = True
-        if update.first > self._offset:
-            self._newer_records_exist = True
-            tasks.resolve(self._update_received, None)
+        if update.first > self._position.offset:
+            self._note_position(update.position)
             return
-        if update.end == self._offset and update.read_at <= self.read_at:
+        if update.position == self._position and update.read_at <= self.read_at:
             return
         self._record_success(update.read_at, source_ip)
         self._apply_changes(update.records, update.end)
         tasks.resolve(self._update_received, None)
 
+    def _note_position(self, position: store.Position) -> None:
+        """Takes note of a position that the store has reached."""
+        if position <= self._known:
+            return
+        if position.era > self._known.era:
+            self._snapshot_at = self._loop.now() + self.restore_delay()
+        self._known = position
+        tasks.resolve(self._update_received, None)
+
+    def _is_restored(self) -> bool:
+        """Returns whether the own position is of before a restore."""
+        return self._known.era > self._position.era
+
     def _run(self) -> tasks.Coroutine[None]:
         while True:
             has_snapshot = yield from self._read_snapshot()
             if not has_snapshot and not self.has_read():
                 has_snapshot = yield from self._fetch_snapshot()
+            delay_s = self._retry_delay_s
             while has_snapshot:
                 yield from self._wait_until_due()
                 has_snapshot = yield from self._read_changes()
-            yield tasks.sleep(self._loop, self._retry_delay_s)
+                delay_s = self._retry_delay_s
+                if self._is_restored():
+                    delay_s = max(0.0, self._snapshot_at - self._loop.now())
+            yield tasks.sleep(self._loop, delay_s)
 
     def _wait_until_due(self) -> tasks.Coroutine[None]:
         """Waits until this host must read."""
         while (
-            not self._newer_records_exist and self._due_at() > self._loop.now()
+            self._known <= self._position and self._due_at() > self._loop.now()
         ):
             yield from self._wait_for_update(self._due_at())
 
@@ -165,32 +191,64 @@
         """Reads all pages of newest values.
 
         The pages aren't read at one time: records are read from the end offset
-        of the first page on, so that none between pages is missed.
+        of the first page on, so that none between pages is missed. A restore
+        between pages makes this start over.
         """
-        values: dict[str, bytes] = {}
-        end, after = None, ""
+        known = self._known
+        values: dict[str, store.Record] = {}
+        position, after = None, ""
         started_at = self._loop.now()
         while True:
             page = yield self._store.read_newest(
                 self._topic, after, self._newest_timeout_s
             )
+            if self._is_outdated(page):
+                page = _OUTDATED
             if isinstance(page, store.StoreError):
                 self._newest_timeout_s = min(
                     _MAX_NEWEST_TIMEOUT_S, 2 * self._newest_timeout_s
                 )
                 self._record_failure(page)
                 return False
+            if position is not None and page.era != position.era:
+                values.clear()
+                position, after = None, ""
+                started_at = self._loop.now()
+                continue
             for record in page.records:
-                values[record.key] = record.value
-            end = page.end if end is None else end
+                values[record.key] = record
+            position = position or store.Position(page.era, page.end)
             if not page.has_more or not page.records:
                 break
             after = page.records[-1].key
         self._newest_timeout_s = _FIRST_NEWEST_TIMEOUT_S
         self._record_success(started_at, "")
-        self._apply_snapshot(values, end)
+        self._apply_snapshot(values, position)
+        self._confirm_position(known, position)
         return True
 
+    def _is_outdated(
+        self, page: store.NewestPage | store.RecordPage | store.StoreError
+    ) -> bool:
+        """Returns whether a page was read before a restore that is known."""
+        if isinstance(page, store.StoreError):
+            return False
+        own_era = self._position.era if self._position else 0
+        return page.era < max(own_era, self._store.eras.era or 0)
+
+    def _confirm_position(
+        self, known: store.Position, position: store.Position
+    ) -> None:
+        """Replaces what others told before a read by what the store says.
+
+        Args:
+            known: the furthest known position when the read began.
+            position: the end of the topic in the store's answer.
+        """
+        if self._known == known:
+            self._known = position
+        self._known = max(self._known, position)
+
     def _fetch_snapshot(self) -> tasks.Coroutine[bool]:
         """Fetches newest values from a peer while the store is unavailable."""
         update: store.TopicUpdate | None = yield self.fetch_from_peer()
@@ -203,23 +261,44 @@
             values=len(update.records),
             age_s=round(self._loop.now() - update.read_at, 3),
         )
-        values = {record.key: record.value for record in update.records}
-        self._apply_snapshot(values, update.end)
+        values = {record.key: record for record in update.records}
+        self._apply_snapshot(values, update.position)
         return True
 
-    def _apply_snapshot(self, values: dict[str, bytes], end: int) -> None:
+    def _apply_snapshot(
+        self, values: dict[str, store.Record], position: store.Position
+    ) -> None:
+        is_restored = self.has_read() and position.era > self._position.era
         self._newest = values
-        self._offset = end
-        self.on_snapshot(values)
+        self._position = position
+        self.on_snapshot(values.values())
         self.on_read()
+        if is_restored and self._told_era < position.era:
+            self.on_update(self.state())
 
     def _read_changes(self) -> tasks.Coroutine[bool]:
         """Reads new records once; returns False if a snapshot is needed."""
-        self._newer_records_exist = False
+        if self._is_restored():
+            return False
+        known = self._known
         self._peer_has_read = False
         started_at = self._loop.now()
-        first = self._offset
-        page = yield self._store.read_changes(self._topic, first, self._wait_s)
+        era, first = self._position
+        read = self._store.read_changes(self._topic, first, self._wait_s)
+        while not read.done() and not self._is_restored():
+            self._update_received = Future()
+            yield tasks.first_of(read, self._update_received)
+        if not read.done():
+            return False
+        page = read.result()
+        if not isinstance(page, store.StoreError):
+            self._note_position(store.Position(page.era, 0))
+        if self._is_restored():
+            # One host finds it out by itself and needn't wait.
+            self._snapshot_at = self._loop.now()
+            return False
+        if self._is_outdated(page):
+            page = _OUTDATED
         if isinstance(page, store.StoreError):
             if page.is_dropped:
                 state_log.log_change(
@@ -233,26 +312,24 @@
             yield from self._wait_for_update(self._loop.now() + delay_s)
             return True
         end = first + len(page.records)
-        self._newer_records_exist = end < page.end
+        self._confirm_position(known, store.Position(era, page.end))
         if not page.records:
             # The store waited for a change until the wait time was over.
             started_at = min(started_at + self._wait_s, self._loop.now())
-        self._record_success(
-            self.read_at if self._newer_records_exist else started_at, ""
-        )
+        self._record_success(self.read_at if end < page.end else started_at, "")
         self._apply_and_share(page.records, end)
         return True
 
     def _apply_and_share(self, records: list[store.Record], end: int) -> None:
         """Applies the records that were read and sends them to other hosts."""
-        first = self._offset
+        era, first = self._position
         shared = self._apply_changes(records, end)
         # An update that arrived during the read went further.
         if first > end:
             return
         self.on_update(
             store.TopicUpdate(
-                self._topic, first, end, self.read_at, tuple(shared)
+                self._topic, first, end, self.read_at, tuple(shared), era
             )
         )
 
@@ -262,14 +339,15 @@
         """Applies the new records; returns those to send to other hosts."""
         shared = []
         for record in records:
-            if record.offset < self._offset:
+            if record.offset < self._position.offset:
                 continue
-            self._newest[record.key] = record.value
+            self._newest[record.key] = record
             if not record.value:
                 del self._newest[record.key]
-            if self.on_change(record.key, record.value):
+            if self.on_change(record):
                 shared.append(record)
-        self._offset = max(self._offset, end)
+        era, offset = self._position
+        self._position = store.Position(era, max(offset, end))
         self.on_read()
         return shared
 
@@ -312,7 +390,7 @@
     pass
 
 
-def _rank_zero() -> int:
+def _zero() -> int:
     return 0
 
 
--- a/tests/loop_helpers.py
+++ b/tests/loop_helpers.py
@@ -148,6 +148,9 @@
         log = self.log.setdefault(topic, [])
         log.append(store.Record(len(log), key, value))
 
+    def _in_era(self, records):
+        return [record._replace(era=self.era) for record in records]
+
     def read_newest(self, topic, after, timeout_s):
         """Returns all newest values in one page."""
         self.calls.append("newest")
@@ -156,7 +159,7 @@
         self.eras.observe(self.era)
         log = self.log.get(topic, [])
         newest = {change.key: change for change in log}
-        kept = [change for change in newest.values() if change.value]
+        kept = self._in_era(c for c in newest.values() if c.value)
         return tasks.done(store.NewestPage(kept, False, len(log), self.era))
 
     def read_changes(self, topic, offset, wait_s):
@@ -168,7 +171,8 @@
         log = self.log.get(topic, [])
         if not self.first.get(topic, 0) <= offset <= len(log):
             return tasks.done(store.StoreError("dropped", is_dropped=True))
-        return tasks.done(store.RecordPage(log[offset:], len(log), 0, self.era))
+        records = self._in_era(log[offset:])
+        return tasks.done(store.RecordPage(records, len(log), 0, self.era))
 
     def put(self, topic, key, value, timeout_s):
         """Appends a record that this system writes."""
--- /dev/null
+++ b/tests/test_restored_store.py
@@ -0,0 +1,282 @@
+"""The store comes back from an older copy: offsets are given out again."""
+
+from concurrent import futures
+
+import capnp
+import loop_helpers as lh
+import pytest
+import store_hosts as sh
+
+from chervilarch import messages, store, store_messages, tasks
+
+CONFIG = store.Topic.CONFIGURATION
+
+
+@pytest.fixture
+def cluster():
+    """One data centre of three hosts; the hosts in their read order."""
+    yield from sh.run_hosts(3, data_centres=1)
+
+
+@pytest.fixture
+def env():
+    loop, clock = lh.new_loop()
+    yield loop, clock, lh.FakeStore()
+    loop.close()
+
+
+class PagedLink(lh.FakeStore):
+    """A link whose pages of newest values have one record each.
+
+    Attributes:
+        after_page: called after each page was made.
+    """
+
+    def __init__(self, shared):
+        super().__init__(shared)
+        self.after_page = lambda: None
+
+    def read_newest(self, topic, after, timeout_s):
+        page = super().read_newest(topic, "", timeout_s).result()
+        records = [r for r in page.records if r.key > after]
+        records.sort(key=lambda record: record.key)
+        page = page._replace(records=records[:1], has_more=len(records) > 1)
+        self.after_page()
+        return tasks.done(page)
+
+
+class HeldLink(lh.FakeStore):
+    """A link whose answers arrive when `release` is called.
+
+    The store's state when it got the call decides on the answer.
+
+    Attributes:
+        held_kinds: kinds of the calls whose answers are held.
+    """
+
+    def __init__(self, shared, *held_kinds):
+        super().__init__(shared)
+        self.held_kinds = set(held_kinds)
+        self._held = []
+
+    def read_newest(self, topic, after, timeout_s):
+        answer = super().read_newest(topic, after, timeout_s)
+        return self._hold("newest", answer)
+
+    def read_changes(self, topic, offset, wait_s):
+        answer = super().read_changes(topic, offset, wait_s)
+        return self._hold("changes", answer)
+
+    def _hold(self, kind, answer):
+        if kind not in self.held_kinds:
+            return answer
+        fut = futures.Future()
+        self._held.append((fut, answer.result()))
+        return fut
+
+    def release(self):
+        """Answers the calls that were held."""
+        held, self._held = self._held, []
+        for fut, answer in held:
+            fut.set_result(answer)
+
+
+def follow_endpoints(loop, link):
+    host = sh.Host(loop, "n0", link)
+    host.endpoints.topic_follower.start()
+    lh.run_pending(loop)
+    return host
+
+
+def test_records_before_an_offset_that_was_passed_again_are_read(env):
+    loop, clock, shared = env
+    for name in ("e0", "e1"):
+        shared.write(sh.ENDPOINTS, name, b"live 1")
+    for number in range(2, 6):
+        shared.write(sh.ENDPOINTS, "e0", b"live %d" % number)
+    host = follow_endpoints(loop, lh.FakeStore(shared))
+    assert host.endpoints.topic_follower.state().end == 6
+    shared.restore(2, era=1)
+    shared.write(sh.ENDPOINTS, "e1", b"leaving 2")
+    for number in range(2, 8):
+        shared.write(sh.ENDPOINTS, "e0", b"live %d" % number)
+    lh.advance(loop, clock, 2 * sh.PAUSE_S)
+    assert host.listed() == ["e0"]
+    host.sharing.close()
+
+
+def test_hosts_that_do_not_read_hear_of_a_restore_from_the_reader(cluster):
+    loop, clock, shared, (first, second, third) = cluster
+    for number in range(2, 12):
+        shared.write(sh.ENDPOINTS, "e0", b"live %d" % number)
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
+    shared.restore(3, era=1)
+    shared.write(sh.ENDPOINTS, "e1", b"leaving 2")
+    reads = [host.reads() for host in (second, third)]
+    lh.run_until(
+        loop,
+        lambda: lh.advance(loop, clock, 0.01) or first.listed() == ["e0", "e2"],
+    )
+    lh.advance(loop, clock, 0.4)
+    assert second.listed() == third.listed() == ["e0", "e2"]
+    assert [host.reads() for host in (second, third)] == reads
+    shared.write(sh.ENDPOINTS, "e2", b"leaving 2")
+    lh.advance(loop, clock, 1.05 * sh.PAUSE_S)
+    assert second.listed() == third.listed() == ["e0"]
+
+
+def test_a_snapshot_has_no_pages_of_before_and_after_a_restore(env):
+    loop, clock, shared = env
+    for name in ("e0", "e1", "e2"):
+        shared.write(sh.ENDPOINTS, name, b"live 1")
+    shared.write(sh.ENDPOINTS, "e0", b"live 2")
+    link = PagedLink(shared)
+
+    def restore():
+        link.after_page = lambda: None
+        shared.restore(0, era=1)
+        for name in ("e1", "e2", "e3"):
+            shared.write(sh.ENDPOINTS, name, b"live 2")
+
+    link.after_page = restore
+    host = follow_endpoints(loop, link)
+    assert host.listed() == ["e1", "e2", "e3"]
+    state = host.endpoints.topic_follower.state()
+    assert (state.era, state.end) == (1, 3)
+    host.sharing.close()
+
+
+def test_a_snapshot_of_before_a_restore_that_arrives_late_is_not_used(env):
+    loop, clock, shared = env
+    shared.write(sh.ENDPOINTS, "e0", b"live 1")
+    shared.write(sh.ENDPOINTS, "e1", b"live 1")
+    link = HeldLink(shared, "newest")
+    host = follow_endpoints(loop, link)
+    shared.restore(1, era=1)
+    shared.write(sh.ENDPOINTS, "e2", b"live 1")
+    link.eras.observe(1)
+    link.held_kinds.clear()
+    link.release()
+    lh.advance(loop, clock, 0.5)
+    assert host.listed() == ["e0", "e2"]
+    assert host.endpoints.topic_follower.state().position == (1, 2)
+    host.sharing.close()
+
+
+def test_a_read_that_stays_silent_does_not_hide_a_restore(env):
+    loop, clock, shared = env
+    shared.write(CONFIG, "config", b"1 ")
+    link = HeldLink(shared, "changes")
+    host = sh.ConfigHost(loop, "n0", link)
+    host.configuration.topic_follower.start()
+    lh.advance(loop, clock, sh.PAUSE_S)
+    shared.restore(0, era=1)
+    shared.write(CONFIG, "config", b"2 ")
+    # The answer to another call of this host.
+    link.put(store.Topic.ROUTERS, "n0", b"v", 1.0)
+    lh.advance(loop, clock, 0.5)
+    assert host.configuration.table.version == 2
+    # A frozen host gets the old answer after the snapshot.
+    link.release()
+    lh.advance(loop, clock, 0.5)
+    assert host.configuration.topic_follower.state().position == (1, 1)
+    host.sharing.close()
+
+
+def test_an_update_of_before_a_restore_is_not_applied(env):
+    loop, clock, shared = env
+    shared.write(sh.ENDPOINTS, "e0", b"live 1")
+    host = follow_endpoints(loop, lh.FakeStore(shared))
+    follower = host.endpoints.topic_follower
+    shared.restore(1, era=1)
+    lh.advance(loop, clock, 1.5 * sh.PAUSE_S)
+    old = follower.state()._replace(
+        first=0, end=9, era=0, records=(store.Record(5, "e0", b"leaving 3"),)
+    )
+    follower.apply_update(old, "n9")
+    assert follower.state().position == (1, 1) and host.listed() == ["e0"]
+    host.sharing.close()
+
+
+def test_an_update_of_after_a_restore_is_not_applied_but_read(env):
+    loop, clock, shared = env
+    for name in ("e0", "e1"):
+        shared.write(sh.ENDPOINTS, name, b"live 1")
+    link = lh.FakeStore(shared)
+    host = follow_endpoints(loop, link)
+    follower = host.endpoints.topic_follower
+    shared.restore(1, era=1)
+    shared.write(sh.ENDPOINTS, "e2", b"live 1")
+    news = follower.state()._replace(
+        first=2, end=3, era=1, records=(store.Record(2, "e0", b"", 1),)
+    )
+    follower.apply_update(news, "n9")
+    assert "e0" in host.listed()
+    lh.advance(loop, clock, 0.4)
+    assert follower.state().position == (1, 2)
+    assert {"e0", "e2"} <= set(host.listed())
+    host.sharing.close()
+
+
+def test_an_era_that_the_store_does_not_confirm_is_read_for_once(env):
+    loop, clock, shared = env
+    shared.write(sh.ENDPOINTS, "e0", b"live 1")
+    link = lh.FakeStore(shared)
+    host = follow_endpoints(loop, link)
+    follower = host.endpoints.topic_follower
+    follower.apply_update(follower.state()._replace(era=2**62), "n9")
+    lh.advance(loop, clock, 5 * sh.PAUSE_S)
+    assert link.calls.count("newest") == 2
+    shared.write(sh.ENDPOINTS, "e0", b"leaving 2")
+    lh.advance(loop, clock, 1.5 * sh.PAUSE_S)
+    assert host.listed() == []
+    host.sharing.close()
+
+
+# The schema of builds that know no eras.
+_OLD_SCHEMA = """
+@0xc3a5f0d1b7e24987;
+enum StoreTopic { configuration @0; endpoints @1; }
+struct StoreRecord {
+  offset @0 :Int64; key @1 :Text; value @2 :Data; isCompressed @3 :Bool;
+}
+struct TopicNews {
+  topic @0 :StoreTopic; first @1 :Int64; end @2 :Int64; ageMs @3 :UInt32;
+  records @4 :List(StoreRecord);
+}
+struct StoreNews { topics @0 :List(TopicNews); mustRelay @1 :Bool; }
+"""
+
+
+def test_builds_with_and_without_eras_read_each_others_updates(tmp_path):
+    path = tmp_path / "old.capnp"
+    path.write_text(_OLD_SCHEMA)
+    old = capnp.load(str(path)).StoreNews
+    record = store.Record(4, "e1", b"x", 6)
+    update = store.TopicUpdate(sh.ENDPOINTS, 3, 9, 99.5, (record,), 7)
+    frame = store_messages.encode(
+        sh.KEY, store_messages.StoreNews([update]), 100.0
+    )
+    (decoded,) = store_messages.decode(sh.KEY, frame, 100.0).updates
+    assert decoded._replace(read_at=99.5) == update
+    read = old.from_bytes_packed(messages.unseal(sh.KEY, frame)).topics[0]
+    assert (read.first, read.end, read.records[0].offset) == (3, 9, 4)
+    sent = old.new_message(
+        topics=[{"topic": "endpoints", "first": 3, "end": 9}]
+    )
+    frame = messages.seal(sh.KEY, sent.to_bytes_packed())
+    (decoded,) = store_messages.decode(sh.KEY, frame, 100.0).updates
+    assert decoded.position == (0, 9)
+
+
+def test_a_host_beside_one_that_knows_no_eras_reads_for_itself(cluster):
+    loop, clock, shared, (first, second, third) = cluster
+    shared.restore(3, era=1)
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
+    send = first.endpoints.topic_follower.on_update
+    first.endpoints.topic_follower.on_update = lambda update: send(
+        update._replace(era=0)
+    )
+    shared.write(sh.ENDPOINTS, "e1", b"leaving 2")
+    lh.advance(loop, clock, 1.3 * sh.PAUSE_S)
+    assert second.listed() == third.listed() == ["e0", "e2"]
