Give entries that a restore lost their time to return

The grace time began only after an outage that a host noticed for long enough.

It starts again for entries that have one when the store is away or restored once more.

Found by the test of three hosts: a renewal that changes nothing but the sequence isn't sent to other hosts, so the entry ended on all but the reader. The reader forgets at a restore what it has sent.

--- a/chervilarch/endpoint_list.py
+++ b/chervilarch/endpoint_list.py
@@ -4,9 +4,9 @@
 
 from chervilarch import endpoint_state, hosts
 
-# Endpoints whose entry expired in an outage of the store renew it within about
-# this time after the outage, unless they have ended. The platform specifies the
-# figure.
+# Endpoints whose entry expired in an outage of the store, or was lost in its
+# restore from an older copy, renew it within about this time, unless they have
+# ended. The platform specifies the figure.
 EXPIRY_GRACE_S = 2.0
 
 
@@ -63,8 +63,12 @@
         return self._listed.get(name)
 
     def start_grace(self, now: float) -> None:
-        """Starts the grace time of entries that expired in the outage."""
+        """Starts the grace time of entries that an outage or restore removed.
+
+        Entries that still have one get as much time again.
+        """
         self._grace_until = now + EXPIRY_GRACE_S
+        self._grace_ends = dict.fromkeys(self._grace_ends, self._grace_until)
 
     def apply(self, name: str, listing: Listing) -> bool:
         """Applies a record; returns whether it changed the list."""
--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -125,7 +125,8 @@
         self.topic_follower.on_snapshot = self._apply_snapshot
         self.topic_follower.on_change = self._apply_record
         self.topic_follower.on_read = self._notify_listeners
-        self.topic_follower.on_outage_end = self._handle_outage_end
+        self.topic_follower.on_outage_end = self._start_grace
+        self.topic_follower.on_restore = self._handle_restore
 
     def add_listener(
         self,
@@ -144,7 +145,13 @@
             # Later, as the caller may be a listener in mid-change.
             self._loop.call_soon(self._notify_listeners)
 
-    def _handle_outage_end(self) -> None:
+    def _handle_restore(self) -> None:
+        self._start_grace()
+        # The other hosts need the renewals of entries that the copy lacks, also
+        # if nothing but their sequence has changed.
+        self._last_content.clear()
+
+    def _start_grace(self) -> None:
         self._endpoints.start_grace(self._loop.now())
         self._loop.call_later(endpoint_list.EXPIRY_GRACE_S + 0.01, self._expire)
 
--- a/chervilarch/topic_follower.py
+++ b/chervilarch/topic_follower.py
@@ -84,6 +84,8 @@
         self.on_change: Callable[[store.Record], bool] = _ignore
         self.on_read: Callable[[], None] = _ignore
         self.on_outage_end: Callable[[], None] = _ignore
+        # Called before the first snapshot of a restored store.
+        self.on_restore: Callable[[], None] = _ignore
         # Set by StoreSharing.
         self.read_rank: Callable[[], int] = _zero
         self.restore_delay: Callable[[], float] = _zero
@@ -271,6 +273,8 @@
         is_restored = self.has_read() and position.era > self._position.era
         self._newest = values
         self._position = position
+        if is_restored:
+            self.on_restore()
         self.on_snapshot(values.values())
         self.on_read()
         if is_restored and self._told_era < position.era:
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -233,6 +233,34 @@
     host.sharing.close()
 
 
+def test_entries_that_a_restore_lost_have_time_to_return(cluster):
+    loop, clock, shared, members = cluster
+    shared.write(sh.ENDPOINTS, "e3", b"live 1")
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
+    shared.restore(2, era=1)
+    lh.advance(loop, clock, 1.5)
+    shared.write(sh.ENDPOINTS, "e2", b"live 2")
+    for host in members:
+        assert host.listed() == ["e0", "e1", "e2", "e3"]
+    lh.advance(loop, clock, 3.0)
+    assert all(host.listed() == ["e0", "e1", "e2"] for host in members)
+
+
+def test_a_second_restore_within_the_grace_time_starts_it_again(env):
+    loop, clock, shared = env
+    shared.write(sh.ENDPOINTS, "e0", b"live 1")
+    shared.write(sh.ENDPOINTS, "e1", b"live 1")
+    host = follow_endpoints(loop, lh.FakeStore(shared))
+    shared.restore(1, era=1)
+    lh.advance(loop, clock, 2.5)
+    shared.restore(1, era=2)
+    lh.advance(loop, clock, 1.5)
+    assert host.listed() == ["e0", "e1"]
+    lh.advance(loop, clock, 2.0)
+    assert host.listed() == ["e0"]
+    host.sharing.close()
+
+
 # The schema of builds that know no eras.
 _OLD_SCHEMA = """
 @0xc3a5f0d1b7e24987;
