Keep endpoints that left from coming back out of an older copy

Callers' requests could have gone to an endpoint that had left: its removal lies in the seconds that the restore lost, so the copy lists it as live, and a host that had applied the removal listed it again, since an equal sequence counted as new.

A removed run now comes back only with a higher sequence or a new incarnation. Removals are remembered for 300 s and for 4096 endpoints at most; before, what was seen of endpoints was kept for ever. mark_ended takes the time for that, so its test passes it too. A run that does come back is sent to other hosts also if only its sequence differs from the copy's record.

tests/test_restored_store.py and test_discovery.py, before: an_endpoint_that_left_does_not_come_back: all(listed == ['e0']) is False a_removed_run_does_not_come_back: {'e1': ... sequence=5} == {} an_entry_that_lapsed_does_not_come_back: {'e1': ... sequence=5} == {} That a leaving state stays (a lower sequence of the same run) held before.

--- a/chervilarch/endpoint_list.py
+++ b/chervilarch/endpoint_list.py
@@ -8,6 +8,10 @@
 # restore from an older copy, renew it within about this time, unless they have
 # ended. The platform specifies the figure.
 EXPIRY_GRACE_S = 2.0
+# How long and for how many endpoints at most a removal is remembered. The copy
+# that a store is restored from is some seconds old.
+REMOVAL_MEMORY_S = 300.0
+MAX_REMOVALS = 4096
 
 
 class Listing(NamedTuple):
@@ -44,8 +48,11 @@
 
     def __init__(self) -> None:
         self._listed: dict[str, Listing] = {}
-        # Kept after an entry is removed, so that no old record restores it.
+        # Kept for a while after an entry is removed, so that no old record
+        # restores it.
         self._seen: dict[str, _Seen] = {}
+        # When entries were removed, by id; the last one at the end.
+        self._removed: dict[str, float] = {}
         self._grace_ends: dict[str, float] = {}
         self._ended_runs: dict[str, int] = {}
         self._grace_until = float("-inf")
@@ -76,7 +83,10 @@
         is_leaving = entry.state == hosts.LEAVING
         seen = self._seen.get(name)
         if seen is not None:
-            if (entry.incarnation, listing.sequence) < seen[:2]:
+            order = (entry.incarnation, listing.sequence)
+            if order < seen[:2] or (
+                order == seen[:2] and name in self._removed
+            ):
                 return False
             if entry.incarnation == seen.incarnation:
                 is_leaving = is_leaving or seen.is_leaving
@@ -92,6 +102,7 @@
             return False
         old = self._listed.get(name)
         self._listed[name] = listing
+        self._removed.pop(name, None)
         return old is None or old.entry != listing.entry
 
     def remove(self, name: str, now: float) -> bool:
@@ -103,21 +114,41 @@
         if now < self._grace_until and not is_leaving:
             self._grace_ends[name] = self._grace_until
             return False
-        del self._listed[name]
+        self._unlist(name, now)
         return True
 
+    def _unlist(self, name: str, now: float) -> None:
+        """Removes an entry and remembers its run."""
+        del self._listed[name]
+        self._removed[name] = now
+        self.forget_old_removals(now)
+
+    def forget_old_removals(self, now: float) -> None:
+        """Forgets removals that are old or too many."""
+        while self._removed:
+            name, removed_at = next(iter(self._removed.items()))
+            if (
+                now - removed_at < REMOVAL_MEMORY_S
+                and len(self._removed) <= MAX_REMOVALS
+            ):
+                return
+            del self._removed[name]
+            self._seen.pop(name, None)
+            self._ended_runs.pop(name, None)
+
     def remove_missing(self, present: set[str], now: float) -> bool:
         """Applies a complete snapshot: other entries were removed."""
         missing = [name for name in self._listed if name not in present]
         return any([self.remove(name, now) for name in missing])
 
-    def mark_ended(self, name: str, incarnation: int) -> bool:
+    def mark_ended(self, name: str, incarnation: int, now: float) -> bool:
         """Removes a run of an endpoint that is known to have ended."""
         listing = self._listed.get(name)
         if listing is None or listing.entry.incarnation != incarnation:
             return False
         self._ended_runs[name] = incarnation
-        del self._listed[name]
+        self._grace_ends.pop(name, None)
+        self._unlist(name, now)
         return True
 
     def expire(self, now: float) -> list[str]:
@@ -127,5 +158,5 @@
         ]
         for name in expired:
             del self._grace_ends[name]
-            self._listed.pop(name, None)
+            self._unlist(name, now)
         return expired
--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -137,7 +137,7 @@
 
     def mark_ended(self, name: str, incarnation: int) -> None:
         """Removes a run of an endpoint that is known to have ended."""
-        if self._endpoints.mark_ended(name, incarnation):
+        if self._endpoints.mark_ended(name, incarnation, self._loop.now()):
             state_log.log_change(
                 "endpoint gone", endpoint=name, reason="address in other use"
             )
@@ -170,7 +170,7 @@
             self._changed = True
 
     def _apply_record(self, record: store.Record) -> bool:
-        """Applies a record; returns whether its content is new."""
+        """Applies a record; returns whether other hosts must get it."""
         name, value = record.key, record.value
         now = self._loop.now()
         if not value:
@@ -197,6 +197,7 @@
         self._unreadable.discard(name)
         if self._endpoints.apply(name, listing):
             self._changed = True
+            is_new = True
             entry = self._endpoints.find(name).entry
             state_log.log_change(
                 "endpoint leaving"
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -66,10 +66,46 @@
     assert set(entries.listed()) == {"back"}
 
 
+def test_a_removed_run_does_not_come_back_from_an_older_copy():
+    entries = endpoint_list.EndpointList()
+    entries.apply("e1", lh.listing(sequence=5))
+    entries.remove("e1", 10.0)
+    for sequence in (4, 5):
+        entries.apply("e1", lh.listing(sequence=sequence))
+        assert entries.listed() == {}
+    entries.apply("e1", lh.listing(sequence=6))
+    assert list(entries.listed()) == ["e1"]
+    entries.remove("e1", 11.0)
+    entries.apply("e1", lh.listing(incarnation=2, sequence=1))
+    assert list(entries.listed()) == ["e1"]
+
+
+def test_an_entry_that_lapsed_does_not_come_back_from_an_older_copy():
+    entries = endpoint_list.EndpointList()
+    entries.apply("e1", lh.listing(sequence=5))
+    entries.start_grace(10.0)
+    entries.remove("e1", 10.0)
+    assert entries.expire(12.0) == ["e1"]
+    entries.apply("e1", lh.listing(sequence=5))
+    assert entries.listed() == {}
+
+
+def test_removals_are_remembered_for_a_bounded_time_and_number():
+    entries = endpoint_list.EndpointList()
+    for number in range(endpoint_list.MAX_REMOVALS + 10):
+        entries.apply(f"e{number}", lh.listing(f"e{number}"))
+        entries.remove(f"e{number}", 10.0)
+    assert len(entries._seen) == endpoint_list.MAX_REMOVALS
+    entries.apply("e0", lh.listing("e0"))
+    assert list(entries.listed()) == ["e0"]
+    entries.forget_old_removals(10.0 + endpoint_list.REMOVAL_MEMORY_S)
+    assert list(entries._seen) == ["e0"]
+
+
 def test_a_run_known_to_have_ended_is_not_listed_again():
     entries = endpoint_list.EndpointList()
     entries.apply("e1", lh.listing())
-    assert entries.mark_ended("e1", 1)
+    assert entries.mark_ended("e1", 1, 10.0)
     entries.apply("e1", lh.listing(sequence=2))
     assert entries.listed() == {}
     entries.apply("e1", lh.listing(incarnation=2, sequence=1))
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -261,6 +261,20 @@
     host.sharing.close()
 
 
+def test_an_endpoint_that_left_does_not_come_back_from_the_copy(cluster):
+    loop, clock, shared, members = cluster
+    shared.write(sh.ENDPOINTS, "e1", b"")
+    shared.write(sh.ENDPOINTS, "e2", b"leaving 2")
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
+    shared.restore(3, era=1)
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
+    assert all(host.listed() == ["e0"] for host in members)
+    shared.write(sh.ENDPOINTS, "e1", b"live 2")
+    shared.write(sh.ENDPOINTS, "e2", b"live 3")
+    lh.advance(loop, clock, 2 * sh.PAUSE_S)
+    assert all(host.listed() == ["e0", "e1"] for host in members)
+
+
 # The schema of builds that know no eras.
 _OLD_SCHEMA = """
 @0xc3a5f0d1b7e24987;
