Make hosts agree on a configuration whose version was written again

Callers could have got different answers from different hosts: a confirmed version that a restore lost may come again with other content. Hosts that had the first kept it, as only higher versions counted; hosts that started later had the second.

The platform promises that the operators' records are written again, which leaves open whether they are the same. So the order is now version, era, offset: of two contents of one version the one at the higher position wins on every host, and the same content changes nothing. A lower version is ignored as before, also from a copy.

tests/test_restored_store.py, before: hosts_agree_on_a_version: [b'3 lost', b'3 new'] == [b'3 new', b'3 new'] a_copy_with_an_older_configuration held before and guards the lower version.

--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -44,6 +44,8 @@
         """
         self.table: routing_table.RoutingTable | None = None
         self._key = key
+        # The record of the configuration in force.
+        self._record: store.Record | None = None
         self._decode = decode
         self._loop = loop
         self.applied_at = float("-inf")
@@ -72,7 +74,11 @@
         if not isinstance(table, routing_table.RoutingTable):
             state_log.log_fault("configuration unreadable", reason=table.reason)
             return False
-        if self.table is not None and table.version <= self.table.version:
+        if not self._is_newer(table, record):
+            return False
+        has_changed = self._record is None or self._record.value != record.value
+        self._record = record
+        if not has_changed:
             return False
         state_log.log_change(
             "configuration in force",
@@ -86,6 +92,22 @@
             self._loop.run_callback(listener, table)
         return True
 
+    def _is_newer(
+        self, table: routing_table.RoutingTable, record: store.Record
+    ) -> bool:
+        """Returns whether a record replaces the one in force.
+
+        A version that a restore lost may be given to another configuration. All
+        hosts then end with the one at the higher position, whichever they read
+        first.
+        """
+        if self.table is None or table.version > self.table.version:
+            return True
+        return (
+            table.version == self.table.version
+            and record.position > self._record.position
+        )
+
 
 class EndpointFollower:
     """Holds the list of endpoints and notifies listeners of changes.
--- a/tests/store_hosts.py
+++ b/tests/store_hosts.py
@@ -90,6 +90,12 @@
     loop.close()
 
 
+def decode_table(value):
+    table = lh.table(version=int(value.split()[0]))
+    table.content = value
+    return table
+
+
 class ConfigHost:
     """A host that follows the configuration; it knows the other one."""
 
@@ -99,7 +105,7 @@
             loop,
             source,
             "config",
-            lambda value: lh.table(version=int(value.split()[0])),
+            decode_table,
             PAUSE_S,
         )
         self.peers = []
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -275,6 +275,47 @@
     assert all(host.listed() == ["e0", "e1"] for host in members)
 
 
+def test_hosts_agree_on_a_version_that_was_written_again(env):
+    loop, clock, shared = env
+    shared.write(CONFIG, "config", b"1 a")
+    shared.write(CONFIG, "config", b"3 lost")
+    members = [
+        sh.ConfigHost(loop, name, sh.WaitingLink(loop, shared))
+        for name in ("n0", "n1")
+    ]
+    early, late = members
+    early.configuration.topic_follower.start()
+    lh.advance(loop, clock, sh.PAUSE_S)
+    shared.restore(1, era=1)
+    shared.write(CONFIG, "config", b"3 new")
+    late.configuration.topic_follower.start()
+    lh.advance(loop, clock, 2 * sh.PAUSE_S)
+    tables = [host.configuration.table for host in members]
+    assert [table.version for table in tables] == [3, 3]
+    assert [table.content for table in tables] == [b"3 new", b"3 new"]
+    # The same record once more, at another place, changes nothing.
+    shared.restore(1, era=2)
+    shared.write(CONFIG, "config", b"3 new")
+    lh.advance(loop, clock, 2 * sh.PAUSE_S)
+    assert [host.configuration.table for host in members] == tables
+    for host in members:
+        host.sharing.close()
+
+
+def test_a_copy_with_an_older_configuration_does_not_put_it_in_force(env):
+    loop, clock, shared = env
+    shared.write(CONFIG, "config", b"1 a")
+    shared.write(CONFIG, "config", b"3 b")
+    host = sh.ConfigHost(loop, "n0", sh.WaitingLink(loop, shared))
+    host.configuration.topic_follower.start()
+    lh.advance(loop, clock, sh.PAUSE_S)
+    shared.restore(1, era=1)
+    shared.write(CONFIG, "config", b"2 c")
+    lh.advance(loop, clock, 2 * sh.PAUSE_S)
+    assert host.configuration.table.version == 3
+    host.sharing.close()
+
+
 # The schema of builds that know no eras.
 _OLD_SCHEMA = """
 @0xc3a5f0d1b7e24987;
