Serve other hosts what is held true, not the store's copy

Callers could have got requests sent to endpoints that had left, or served by a configuration before the one in force, by a host that started while the store was away: a host served the newest raw values of the store, which after a restore are the copy's, though it knew better itself.

These are a list of their own in the message, so an older build doesn't take them for live. The follower keeps no values any more.

tests/test_restored_store.py, before: a_host_is_served_what_its_peer_holds_true: ['e0', 'e1', 'e2'] == ['e0'] a_host_is_served_the_configuration_in_force: version 1 == 3 a_removal_at_a_peer_does_not_end_a_later_run needs the new list.

--- a/chervilarch/endpoint_list.py
+++ b/chervilarch/endpoint_list.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from chervilarch import endpoint_state, hosts
+from chervilarch import endpoint_state, hosts, store
 
 # Endpoints whose entry expired in an outage of the store, or was lost in its
 # restore from an older copy, renew it within about this time, unless they have
@@ -105,6 +105,34 @@
         self._removed.pop(name, None)
         return old is None or old.entry != listing.entry
 
+    def removed_runs(self) -> list[store.RemovedRun]:
+        """Returns the runs that are remembered as removed."""
+        return [
+            store.RemovedRun(name, *self._seen[name][:2])
+            for name in self._removed
+        ]
+
+    def apply_removed(self, run: store.RemovedRun, now: float) -> bool:
+        """Removes a run that another host knows to have been removed.
+
+        Returns:
+            Whether it was listed. Records of a higher sequence or a later run
+            that are known here make the removal void.
+        """
+        seen = self._seen.get(run.name)
+        if seen is not None and run[1:] < seen[:2]:
+            return False
+        is_leaving = (
+            seen is not None
+            and seen.is_leaving
+            and seen.incarnation == run.incarnation
+        )
+        self._seen[run.name] = _Seen(*run[1:], is_leaving)
+        self._grace_ends.pop(run.name, None)
+        was_listed = self._listed.pop(run.name, None) is not None
+        self._remember_removal(run.name, now)
+        return was_listed
+
     def remove(self, name: str, now: float) -> bool:
         """Applies a removal; returns whether the entry was removed at once."""
         listing = self._listed.get(name)
@@ -120,6 +148,10 @@
     def _unlist(self, name: str, now: float) -> None:
         """Removes an entry and remembers its run."""
         del self._listed[name]
+        self._remember_removal(name, now)
+
+    def _remember_removal(self, name: str, now: float) -> None:
+        self._removed.pop(name, None)
         self._removed[name] = now
         self.forget_old_removals(now)
 
--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -12,6 +12,9 @@
 )
 from chervilarch import loop as loops
 
+# Messages between hosts have no room for higher numbers.
+_MAX_SENT = 2**63 - 1
+
 
 class ConfigFollower:
     """Holds the newest configuration and notifies listeners of it.
@@ -56,6 +59,7 @@
         )
         self.topic_follower.on_snapshot = self._apply_snapshot
         self.topic_follower.on_change = self._apply_record
+        self.topic_follower.beliefs = self._beliefs
 
     def add_listener(
         self, listener: Callable[[routing_table.RoutingTable], None]
@@ -63,6 +67,10 @@
         """Calls `listener` with each new version."""
         self._listeners.append(listener)
 
+    def _beliefs(self) -> store.Beliefs:
+        """Returns the record in force, which the store may have lost."""
+        return store.Beliefs((self._record,) if self._record else ())
+
     def _apply_snapshot(self, records: Iterable[store.Record]) -> None:
         for record in records:
             self._apply_record(record)
@@ -135,6 +143,9 @@
         self._loop = loop
         self._decode = decode
         self._endpoints = endpoint_list.EndpointList()
+        # The newest valid record of each listed run; of one that leaves, the
+        # newest that says so.
+        self._records: dict[str, store.Record] = {}
         self._unreadable: set[str] = set()
         # Content of each endpoint's last record, without its sequence.
         self._last_content: dict[str, hosts.HostEntry | bytes] = {}
@@ -146,7 +157,9 @@
         )
         self.topic_follower.on_snapshot = self._apply_snapshot
         self.topic_follower.on_change = self._apply_record
+        self.topic_follower.on_removed = self._apply_removed
         self.topic_follower.on_read = self._notify_listeners
+        self.topic_follower.beliefs = self._beliefs
         self.topic_follower.on_outage_end = self._start_grace
         self.topic_follower.on_restore = self._handle_restore
 
@@ -182,6 +195,27 @@
             self._record_removal(name, "lapsed while the store was away")
         self._notify_listeners()
 
+    def _beliefs(self) -> store.Beliefs:
+        """Returns what the endpoints said last, and which runs were removed."""
+        return store.Beliefs(
+            tuple(
+                record
+                for name, record in self._records.items()
+                if self._endpoints.find(name)
+            ),
+            tuple(
+                run
+                for run in self._endpoints.removed_runs()
+                if max(run.incarnation, run.sequence) <= _MAX_SENT
+            ),
+        )
+
+    def _apply_removed(self, removed: Iterable[store.RemovedRun]) -> None:
+        """Applies what another host knows to have been removed."""
+        for run in removed:
+            if self._endpoints.apply_removed(run, self._loop.now()):
+                self._record_removal(run.name, "removed at another host")
+
     def _apply_snapshot(self, records: Iterable[store.Record]) -> None:
         """Applies all records; other entries are removed without an event."""
         present = set()
@@ -231,6 +265,9 @@
                 data_centre=entry.data_centre,
                 sequence=listing.sequence,
             )
+        believed = self._endpoints.find(name)
+        if believed is not None and listing == believed:
+            self._records[name] = record
         return is_new
 
     def _record_removal(self, name: str, reason: str) -> None:
@@ -241,6 +278,8 @@
         if not self._changed:
             return
         self._changed = False
+        for name in [n for n in self._records if not self._endpoints.find(n)]:
+            del self._records[name]
         by_pool: dict[str, dict[str, endpoint_list.Listing]] = {}
         for name, listing in self._endpoints.listed().items():
             by_pool.setdefault(listing.entry.pool, {})[name] = listing
--- a/chervilarch/peer.capnp
+++ b/chervilarch/peer.capnp
@@ -136,10 +136,16 @@
   era @4 :Int64;
 }
 
+struct RemovedRun {
+  name @0 :Text;
+  incarnation @1 :Int64;
+  sequence @2 :Int64;
+}
+
 # A topic update, `store.TopicUpdate`. The records are those from `first` to
 # before `end` that changed something. If both are equal, there are none, and a
 # receiver with a lower offset reads the missing ones from the store; only a
-# snapshot has records then: the newest values. Offsets of different eras can't
+# snapshot has records then: what the sender holds true. Offsets of different eras can't
 # be compared; builds without the field `era` send 0, which is never newer.
 struct TopicNews {
   topic @0 :StoreTopic;
@@ -148,6 +154,9 @@
   ageMs @3 :UInt32;
   records @4 :List(StoreRecord);
   era @5 :Int64;
+  # Only in a snapshot. Apart from the records, as older builds would take a run
+  # among them for a live one.
+  removed @6 :List(RemovedRun);
 }
 
 # One datagram of topic updates.
--- a/chervilarch/store.py
+++ b/chervilarch/store.py
@@ -83,6 +83,34 @@
     era: int = 0
 
 
+class RemovedRun(NamedTuple):
+    """A run of an endpoint that was listed and is no more.
+
+    Attributes:
+        name: id of the endpoint.
+        incarnation: start of the run in Unix ms.
+        sequence: that of the newest record that was applied.
+    """
+
+    name: str
+    incarnation: int
+    sequence: int
+
+
+class Beliefs(NamedTuple):
+    """What a host holds true of a topic.
+
+    After a restore of the store that may be more than the store's copy says.
+
+    Attributes:
+        records: the newest valid records.
+        removed: runs of endpoints that no record may bring back.
+    """
+
+    records: tuple[Record, ...] = ()
+    removed: tuple[RemovedRun, ...] = ()
+
+
 class TopicUpdate(NamedTuple):
     """What one host read of a topic, sent to the other hosts.
 
@@ -94,9 +122,10 @@
         records: those from `first` to before `end`, without those that changed
             nothing. If `first` equals `end`, there are none, and a receiver
             with a lower offset reads the missing ones from the store. Only a
-            snapshot has records then: the newest values.
+            snapshot has records then: what the host holds true.
         era: the store's era of `first` and `end`; 0 before any restore, or if
             an older build sent the update.
+        removed: in a snapshot, as in `Beliefs`.
     """
 
     topic: Topic
@@ -105,6 +134,7 @@
     read_at: float
     records: tuple[Record, ...] = ()
     era: int = 0
+    removed: tuple[RemovedRun, ...] = ()
 
     @property
     def position(self) -> Position:
--- a/chervilarch/store_messages.py
+++ b/chervilarch/store_messages.py
@@ -37,6 +37,9 @@
         slot.first = update.first
         slot.end = update.end
         slot.era = update.era
+        run_slots = slot.init("removed", len(update.removed))
+        for run_slot, run in zip(run_slots, update.removed, strict=True):
+            run_slot.name, run_slot.incarnation, run_slot.sequence = run
         # Rounded up: an update must not look newer than it is.
         slot.ageMs = int((now - update.read_at) * _MS_PER_S) + 1
         record_slots = slot.init("records", len(update.records))
@@ -78,6 +81,10 @@
                     for record in slot.records
                 ),
                 slot.era,
+                tuple(
+                    store.RemovedRun(run.name, run.incarnation, run.sequence)
+                    for run in slot.removed
+                ),
             )
             for slot in msg.topics
         ]
--- a/chervilarch/topic_follower.py
+++ b/chervilarch/topic_follower.py
@@ -76,13 +76,15 @@
         # Whether a neighbour has read since this host's last read began. This
         # host's next read then waits for its rank.
         self._peer_has_read = False
-        self._newest: dict[str, store.Record] = {}
         self._update_received: Future = Future()
         self.read_at = float("-inf")
         self.on_snapshot: Callable[[Iterable[store.Record]], None] = _ignore
         # Returns whether the record must be sent to other hosts.
         self.on_change: Callable[[store.Record], bool] = _ignore
+        self.on_removed: Callable[[Iterable[store.RemovedRun]], None] = _ignore
         self.on_read: Callable[[], None] = _ignore
+        # Returns what this host holds true of the topic.
+        self.beliefs: Callable[[], store.Beliefs] = store.Beliefs
         self.on_outage_end: Callable[[], None] = _ignore
         # Called before the first snapshot of a restored store.
         self.on_restore: Callable[[], None] = _ignore
@@ -111,8 +113,8 @@
         )
 
     def snapshot(self) -> store.TopicUpdate:
-        """Returns how far this host has read, and the newest values."""
-        return self.state()._replace(records=tuple(self._newest.values()))
+        """Returns how far this host has read, and what it holds true."""
+        return self.state()._replace(**self.beliefs()._asdict())
 
     def apply_update(self, update: store.TopicUpdate, source_ip: str) -> None:
         """Applies what another host has read.
@@ -225,7 +227,7 @@
             after = page.records[-1].key
         self._newest_timeout_s = _FIRST_NEWEST_TIMEOUT_S
         self._record_success(started_at, "")
-        self._apply_snapshot(values, position)
+        self._apply_snapshot(values.values(), position)
         self._confirm_position(known, position)
         return True
 
@@ -263,19 +265,21 @@
             values=len(update.records),
             age_s=round(self._loop.now() - update.read_at, 3),
         )
-        values = {record.key: record for record in update.records}
-        self._apply_snapshot(values, update.position)
+        self._apply_snapshot(update.records, update.position, update.removed)
         return True
 
     def _apply_snapshot(
-        self, values: dict[str, store.Record], position: store.Position
+        self,
+        records: Iterable[store.Record],
+        position: store.Position,
+        removed: Iterable[store.RemovedRun] = (),
     ) -> None:
         is_restored = self.has_read() and position.era > self._position.era
-        self._newest = values
         self._position = position
         if is_restored:
             self.on_restore()
-        self.on_snapshot(values.values())
+        self.on_snapshot(records)
+        self.on_removed(removed)
         self.on_read()
         if is_restored and self._told_era < position.era:
             self.on_update(self.state())
@@ -345,9 +349,6 @@
         for record in records:
             if record.offset < self._position.offset:
                 continue
-            self._newest[record.key] = record
-            if not record.value:
-                del self._newest[record.key]
             if self.on_change(record):
                 shared.append(record)
         era, offset = self._position
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -316,6 +316,70 @@
     host.sharing.close()
 
 
+def start_without_store(loop, clock, shared, peer):
+    late = sh.Host(loop, "n9", lh.FakeStore(shared))
+    late.source.error = store.StoreError("down")
+    late.neighbours = [peer]
+    late.endpoints.topic_follower.start()
+    lh.run_until(loop, late.endpoints.topic_follower.has_read)
+    return late
+
+
+def test_a_host_is_served_what_its_peer_holds_true_not_the_copy(cluster):
+    loop, clock, shared, (first, second, third) = cluster
+    shared.write(sh.ENDPOINTS, "e1", b"")
+    shared.write(sh.ENDPOINTS, "e2", b"leaving 2")
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
+    shared.restore(3, era=1)
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
+    late = start_without_store(loop, clock, shared, third.peer)
+    assert late.listed() == ["e0"]
+    late.source.error = None
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
+    assert late.listed() == ["e0"]
+    shared.write(sh.ENDPOINTS, "e1", b"live 2")
+    shared.write(sh.ENDPOINTS, "e2", b"live 3")
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
+    assert late.listed() == ["e0", "e1"]
+    late.sharing.close()
+
+
+def test_a_removal_at_a_peer_does_not_end_a_later_run(env):
+    loop, clock, shared = env
+    shared.write(sh.ENDPOINTS, "e0", b"live 3")
+    host = follow_endpoints(loop, lh.FakeStore(shared))
+    apply = host.endpoints.topic_follower.on_removed
+    apply([store.RemovedRun("e0", 1, 2), store.RemovedRun("e0", 0, 9)])
+    lh.advance(loop, clock, sh.PAUSE_S)
+    assert host.listed() == ["e0"]
+    apply([store.RemovedRun("e0", 1, 3)])
+    shared.write(sh.ENDPOINTS, "e1", b"live 1")
+    lh.advance(loop, clock, 2 * sh.PAUSE_S)
+    assert host.listed() == ["e1"]
+    host.sharing.close()
+
+
+def test_a_host_is_served_the_configuration_in_force_not_the_copy(env):
+    loop, clock, shared = env
+    shared.write(CONFIG, "config", b"1 a")
+    shared.write(CONFIG, "config", b"3 b")
+    running, late = (
+        sh.ConfigHost(loop, name, sh.WaitingLink(loop, shared))
+        for name in ("n0", "n1")
+    )
+    running.configuration.topic_follower.start()
+    lh.advance(loop, clock, sh.PAUSE_S)
+    shared.restore(1, era=1)
+    lh.advance(loop, clock, 2 * sh.PAUSE_S)
+    late.source.error = store.StoreError("down")
+    late.peers = [running.peer]
+    late.configuration.topic_follower.start()
+    lh.run_until(loop, late.configuration.topic_follower.has_read)
+    assert late.configuration.table.version == 3
+    for host in (running, late):
+        host.sharing.close()
+
+
 # The schema of builds that know no eras.
 _OLD_SCHEMA = """
 @0xc3a5f0d1b7e24987;
@@ -336,7 +400,8 @@
     path.write_text(_OLD_SCHEMA)
     old = capnp.load(str(path)).StoreNews
     record = store.Record(4, "e1", b"x", 6)
-    update = store.TopicUpdate(sh.ENDPOINTS, 3, 9, 99.5, (record,), 7)
+    run = store.RemovedRun("e2", 2, 5)
+    update = store.TopicUpdate(sh.ENDPOINTS, 3, 9, 99.5, (record,), 7, (run,))
     frame = store_messages.encode(
         sh.KEY, store_messages.StoreNews([update]), 100.0
     )
@@ -344,6 +409,7 @@
     assert decoded._replace(read_at=99.5) == update
     read = old.from_bytes_packed(messages.unseal(sh.KEY, frame)).topics[0]
     assert (read.first, read.end, read.records[0].offset) == (3, 9, 4)
+    assert [record.key for record in read.records] == ["e1"]
     sent = old.new_message(
         topics=[{"topic": "endpoints", "first": 3, "end": 9}]
     )
