Let a host without the store fetch what it missed from a peer

Callers could have got requests sent to an endpoint that had left, by a host that is cut off from the store but not from the others: when it missed an update, the next one left a gap, and only the store could fill it. After a restore it could apply no update at all.

--- a/chervilarch/topic_follower.py
+++ b/chervilarch/topic_follower.py
@@ -152,6 +152,10 @@
         self._known = position
         tasks.resolve(self._update_received, None)
 
+    def _is_behind(self) -> bool:
+        """Returns whether there are records that this host hasn't read."""
+        return not self.has_read() or self._known > self._position
+
     def _is_restored(self) -> bool:
         """Returns whether the own position is of before a restore."""
         return self._known.era > self._position.era
@@ -159,7 +163,7 @@
     def _run(self) -> tasks.Coroutine[None]:
         while True:
             has_snapshot = yield from self._read_snapshot()
-            if not has_snapshot and not self.has_read():
+            if not has_snapshot and self._is_behind():
                 has_snapshot = yield from self._fetch_snapshot()
             delay_s = self._retry_delay_s
             while has_snapshot:
@@ -172,9 +176,7 @@
 
     def _wait_until_due(self) -> tasks.Coroutine[None]:
         """Waits until this host must read."""
-        while (
-            self._known <= self._position and self._due_at() > self._loop.now()
-        ):
+        while not self._is_behind() and self._due_at() > self._loop.now():
             yield from self._wait_for_update(self._due_at())
 
     def _wait_for_update(self, until: float) -> tasks.Coroutine[None]:
@@ -254,11 +256,13 @@
         self._known = max(self._known, position)
 
     def _fetch_snapshot(self) -> tasks.Coroutine[bool]:
-        """Fetches newest values from a peer while the store is unavailable."""
+        """Fetches newer values from a peer while the store is unavailable."""
         update: store.TopicUpdate | None = yield self.fetch_from_peer()
         if update is None:
             return False
-        self.read_at = update.read_at
+        if self.has_read() and update.position <= self._position:
+            return False
+        self.read_at = max(self.read_at, update.read_at)
         state_log.log_change(
             "newest values from a peer",
             topic=self._topic.value,
@@ -292,21 +296,9 @@
         self._peer_has_read = False
         started_at = self._loop.now()
         era, first = self._position
-        read = self._store.read_changes(self._topic, first, self._wait_s)
-        while not read.done() and not self._is_restored():
-            self._update_received = Future()
-            yield tasks.first_of(read, self._update_received)
-        if not read.done():
-            return False
-        page = read.result()
-        if not isinstance(page, store.StoreError):
-            self._note_position(store.Position(page.era, 0))
-        if self._is_restored():
-            # One host finds it out by itself and needn't wait.
-            self._snapshot_at = self._loop.now()
+        page = yield from self._request_changes(first)
+        if page is None:
             return False
-        if self._is_outdated(page):
-            page = _OUTDATED
         if isinstance(page, store.StoreError):
             if page.is_dropped:
                 state_log.log_change(
@@ -314,6 +306,8 @@
                 )
                 return False
             self._record_failure(page)
+            if self._is_behind():
+                yield from self._fetch_snapshot()
             delay_s = min(
                 self._retry_delay_s * 2 ** self.read_rank(), _MAX_RANKED_RETRY_S
             )
@@ -328,6 +322,25 @@
         self._apply_and_share(page.records, end)
         return True
 
+    def _request_changes(
+        self, first: int
+    ) -> tasks.Coroutine[store.RecordPage | store.StoreError | None]:
+        """Returns the store's answer, or None once a restore is known."""
+        read = self._store.read_changes(self._topic, first, self._wait_s)
+        while not read.done() and not self._is_restored():
+            self._update_received = Future()
+            yield tasks.first_of(read, self._update_received)
+        if not read.done():
+            return None
+        page = read.result()
+        if not isinstance(page, store.StoreError):
+            self._note_position(store.Position(page.era, 0))
+        if self._is_restored():
+            # The first host to find out needn't wait for others.
+            self._snapshot_at = self._loop.now()
+            return None
+        return _OUTDATED if self._is_outdated(page) else page
+
     def _apply_and_share(self, records: list[store.Record], end: int) -> None:
         """Applies the records that were read and sends them to other hosts."""
         era, first = self._position
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -380,6 +380,40 @@
         host.sharing.close()
 
 
+def advance_until(loop, clock, condition):
+    lh.run_until(loop, lambda: lh.advance(loop, clock, 0.01) or condition())
+
+
+def test_a_host_without_the_store_fetches_an_update_that_it_missed(cluster):
+    loop, clock, shared, (first, second, third) = cluster
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
+    third.source.error = store.StoreError("cut off")
+    for host in (first, second):
+        host.neighbours.remove(third.peer)
+    shared.write(sh.ENDPOINTS, "e1", b"leaving 2")
+    lh.advance(loop, clock, 2 * sh.PAUSE_S)
+    for host in (first, second):
+        host.neighbours.append(third.peer)
+    shared.write(sh.ENDPOINTS, "e0", b"live 2")
+    advance_until(loop, clock, lambda: third.listed() == ["e0", "e2"])
+
+
+def test_a_host_without_the_store_learns_of_a_restore(cluster):
+    loop, clock, shared, (first, second, third) = cluster
+    for number in range(2, 6):
+        shared.write(sh.ENDPOINTS, "e0", b"live %d" % number)
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
+    third.source.error = store.StoreError("cut off")
+    shared.restore(3, era=1)
+    shared.write(sh.ENDPOINTS, "e1", b"leaving 2")
+    advance_until(loop, clock, lambda: third.listed() == ["e0", "e2"])
+    state = third.endpoints.topic_follower.state()
+    assert state.position == (1, 4)
+    # It applies the updates of the new era from there on.
+    shared.write(sh.ENDPOINTS, "e2", b"leaving 2")
+    advance_until(loop, clock, lambda: third.listed() == ["e0"])
+
+
 # The schema of builds that know no eras.
 _OLD_SCHEMA = """
 @0xc3a5f0d1b7e24987;
