Ask a live host what it knows before serving after a start

Callers could have got requests sent to an endpoint that had left, served with a key that had been withdrawn, or by an older configuration, by a host that started after a restore: all it knew was the store's copy. Running hosts know better.

A host that starts now also asks one live host, a neighbour if there is one, and merges both: the highest version, the highest (incarnation, sequence); leaving and removed stay. It is ready after that, or after 0.5 s without an answer of a host that isn't starting itself (1 s if a live one stays silent), so that hosts that are all killed serve from the store as before. A host found later is asked then; a restore meanwhile makes it ask again. Entries that only the other host lists aren't added: they renew within the grace time.

Only one fetch from a peer runs at a time.

--- a/chervilarch/endpoint_list.py
+++ b/chervilarch/endpoint_list.py
@@ -108,8 +108,7 @@
     def removed_runs(self) -> list[store.RemovedRun]:
         """Returns the runs that are remembered as removed."""
         return [
-            store.RemovedRun(name, *self._seen[name][:2])
-            for name in self._removed
+            store.RemovedRun(name, *self._seen[name]) for name in self._removed
         ]
 
     def apply_removed(self, run: store.RemovedRun, now: float) -> bool:
@@ -120,14 +119,14 @@
             that are known here make the removal void.
         """
         seen = self._seen.get(run.name)
-        if seen is not None and run[1:] < seen[:2]:
+        if seen is not None and run[1:3] < seen[:2]:
             return False
-        is_leaving = (
+        is_leaving = run.is_leaving or (
             seen is not None
             and seen.is_leaving
             and seen.incarnation == run.incarnation
         )
-        self._seen[run.name] = _Seen(*run[1:], is_leaving)
+        self._seen[run.name] = _Seen(run.incarnation, run.sequence, is_leaving)
         self._grace_ends.pop(run.name, None)
         was_listed = self._listed.pop(run.name, None) is not None
         self._remember_removal(run.name, now)
--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -60,6 +60,9 @@
         self.topic_follower.on_snapshot = self._apply_snapshot
         self.topic_follower.on_change = self._apply_record
         self.topic_follower.beliefs = self._beliefs
+        self.topic_follower.on_beliefs = lambda beliefs: self._apply_snapshot(
+            beliefs.records
+        )
 
     def add_listener(
         self, listener: Callable[[routing_table.RoutingTable], None]
@@ -160,6 +163,7 @@
         self.topic_follower.on_removed = self._apply_removed
         self.topic_follower.on_read = self._notify_listeners
         self.topic_follower.beliefs = self._beliefs
+        self.topic_follower.on_beliefs = self._apply_beliefs
         self.topic_follower.on_outage_end = self._start_grace
         self.topic_follower.on_restore = self._handle_restore
 
@@ -210,6 +214,27 @@
             ),
         )
 
+    def _apply_beliefs(self, beliefs: store.Beliefs) -> None:
+        """Applies what another host knows of entries, and adds none."""
+        for record in beliefs.records:
+            if self._endpoints.find(record.key):
+                self._apply_record(record)
+                continue
+            listing = self._decode(record.key, record.value)
+            if (
+                isinstance(listing, endpoint_list.Listing)
+                and listing.entry.state == hosts.LEAVING
+            ):
+                run = store.RemovedRun(
+                    record.key,
+                    listing.entry.incarnation,
+                    listing.sequence,
+                    is_leaving=True,
+                )
+                self._endpoints.apply_removed(run, self._loop.now())
+        self._apply_removed(beliefs.removed)
+        self._notify_listeners()
+
     def _apply_removed(self, removed: Iterable[store.RemovedRun]) -> None:
         """Applies what another host knows to have been removed."""
         for run in removed:
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -146,6 +146,11 @@
             return "no configuration yet"
         if self._ctrl.endpoints.topic_follower.read_at == float("-inf"):
             return "the list of endpoints was not read yet"
+        if not (
+            self._ctrl.configuration.topic_follower.may_serve
+            and self._ctrl.endpoints.topic_follower.may_serve
+        ):
+            return "no other host was asked yet for what it knows"
         return ""
 
     def _poll(self) -> None:
--- a/chervilarch/peer.capnp
+++ b/chervilarch/peer.capnp
@@ -140,6 +140,7 @@
   name @0 :Text;
   incarnation @1 :Int64;
   sequence @2 :Int64;
+  isLeaving @3 :Bool;
 }
 
 # A topic update, `store.TopicUpdate`. The records are those from `first` to
@@ -157,6 +158,8 @@
   # Only in a snapshot. Apart from the records, as older builds would take a run
   # among them for a live one.
   removed @6 :List(RemovedRun);
+  # Whether the sender of a snapshot may not have heard yet what others know.
+  isStarting @7 :Bool;
 }
 
 # One datagram of topic updates.
--- a/chervilarch/store.py
+++ b/chervilarch/store.py
@@ -90,11 +90,13 @@
         name: id of the endpoint.
         incarnation: start of the run in Unix ms.
         sequence: that of the newest record that was applied.
+        is_leaving: whether no later record of the run counts either.
     """
 
     name: str
     incarnation: int
     sequence: int
+    is_leaving: bool = False
 
 
 class Beliefs(NamedTuple):
@@ -104,7 +106,7 @@
 
     Attributes:
         records: the newest valid records.
-        removed: runs of endpoints that no record may bring back.
+        removed: runs of endpoints that no known record may bring back.
     """
 
     records: tuple[Record, ...] = ()
@@ -126,6 +128,8 @@
         era: the store's era of `first` and `end`; 0 before any restore, or if
             an older build sent the update.
         removed: in a snapshot, as in `Beliefs`.
+        is_starting: in a snapshot, whether the host may not have heard yet what
+            others know.
     """
 
     topic: Topic
@@ -135,6 +139,7 @@
     records: tuple[Record, ...] = ()
     era: int = 0
     removed: tuple[RemovedRun, ...] = ()
+    is_starting: bool = False
 
     @property
     def position(self) -> Position:
--- a/chervilarch/store_messages.py
+++ b/chervilarch/store_messages.py
@@ -37,9 +37,13 @@
         slot.first = update.first
         slot.end = update.end
         slot.era = update.era
+        slot.isStarting = update.is_starting
         run_slots = slot.init("removed", len(update.removed))
         for run_slot, run in zip(run_slots, update.removed, strict=True):
-            run_slot.name, run_slot.incarnation, run_slot.sequence = run
+            run_slot.name = run.name
+            run_slot.incarnation = run.incarnation
+            run_slot.sequence = run.sequence
+            run_slot.isLeaving = run.is_leaving
         # Rounded up: an update must not look newer than it is.
         slot.ageMs = int((now - update.read_at) * _MS_PER_S) + 1
         record_slots = slot.init("records", len(update.records))
@@ -82,9 +86,12 @@
                 ),
                 slot.era,
                 tuple(
-                    store.RemovedRun(run.name, run.incarnation, run.sequence)
+                    store.RemovedRun(
+                        run.name, run.incarnation, run.sequence, run.isLeaving
+                    )
                     for run in slot.removed
                 ),
+                slot.isStarting,
             )
             for slot in msg.topics
         ]
--- a/chervilarch/store_sharing.py
+++ b/chervilarch/store_sharing.py
@@ -14,8 +14,8 @@
 Hosts of builds that don't know eras send 0. Their updates are ignored once the
 store has named an era, so newer hosts then read for themselves.
 
-A host that starts while the store is unavailable fetches a snapshot from
-another host.
+A host that starts also asks another one for what it holds true, as the store
+may have lost that in a restore, or may be unavailable.
 """
 
 import functools
@@ -113,6 +113,7 @@
                 rng.uniform, 0.0, _MAX_RESTORE_DELAY_S
             )
             follower.on_update = self._send_update
+            follower.has_peers = lambda: bool(self._peers())
             follower.fetch_from_peer = functools.partial(
                 self._fetch_from_peer, topic
             )
@@ -180,7 +181,7 @@
             self._socket.send(peer.address, frame)
 
     def _serve_snapshot(self, target: str) -> tuple[int, str, bytes]:
-        """Serves a topic's newest values to a host that has none."""
+        """Serves what this host holds true of a topic to another one."""
         for topic, follower in self._topics.items():
             if target == f"/{topic.value}" and follower.has_read():
                 news = store_messages.StoreNews([follower.snapshot()])
--- a/chervilarch/topic_follower.py
+++ b/chervilarch/topic_follower.py
@@ -24,6 +24,12 @@
 # The store was unavailable to all hosts if no host's read became known for this
 # much longer than the read period.
 _OUTAGE_MARGIN_S = 0.3
+# A host that starts asks the live hosts until one answers that isn't starting
+# too. It serves without such an answer after the first of these times, or after
+# the second one if a live host doesn't answer at all.
+_MAX_JOIN_WAIT_S = 0.5
+_MAX_SILENT_PEER_WAIT_S = 1.0
+_JOIN_PERIOD_S = 0.1
 _NOWHERE = store.Position(-1, 0)
 _OUTDATED = store.StoreError("the answer is older than a restore of the store")
 
@@ -34,6 +40,8 @@
     Attributes:
         read_at: monotonic time at which the store held nothing newer than
             what was passed to the callbacks.
+        may_serve: whether a live host was asked for what it holds true, or none
+            was found in time.
     """
 
     def __init__(
@@ -77,7 +85,9 @@
         # host's next read then waits for its rank.
         self._peer_has_read = False
         self._update_received: Future = Future()
+        self._fetching: Future = tasks.done(None)
         self.read_at = float("-inf")
+        self.may_serve = False
         self.on_snapshot: Callable[[Iterable[store.Record]], None] = _ignore
         # Returns whether the record must be sent to other hosts.
         self.on_change: Callable[[store.Record], bool] = _ignore
@@ -85,6 +95,8 @@
         self.on_read: Callable[[], None] = _ignore
         # Returns what this host holds true of the topic.
         self.beliefs: Callable[[], store.Beliefs] = store.Beliefs
+        # Takes what another host holds true that hasn't read further.
+        self.on_beliefs: Callable[[store.Beliefs], None] = _ignore
         self.on_outage_end: Callable[[], None] = _ignore
         # Called before the first snapshot of a restored store.
         self.on_restore: Callable[[], None] = _ignore
@@ -92,6 +104,7 @@
         self.read_rank: Callable[[], int] = _zero
         self.restore_delay: Callable[[], float] = _zero
         self.on_update: Callable[[store.TopicUpdate], None] = _ignore
+        self.has_peers: Callable[[], bool] = bool
         self.fetch_from_peer: Callable[[], Future] = _fetch_nothing
 
     def start(self) -> None:
@@ -100,6 +113,7 @@
             lambda era: self._note_position(store.Position(era, 0))
         )
         tasks.Task(self._run())
+        tasks.Task(self._join())
 
     def has_read(self) -> bool:
         """Returns whether a snapshot was read or fetched from a peer."""
@@ -114,7 +128,9 @@
 
     def snapshot(self) -> store.TopicUpdate:
         """Returns how far this host has read, and what it holds true."""
-        return self.state()._replace(**self.beliefs()._asdict())
+        return self.state()._replace(
+            **self.beliefs()._asdict(), is_starting=not self.may_serve
+        )
 
     def apply_update(self, update: store.TopicUpdate, source_ip: str) -> None:
         """Applies what another host has read.
@@ -174,6 +190,30 @@
                     delay_s = max(0.0, self._snapshot_at - self._loop.now())
             yield tasks.sleep(self._loop, delay_s)
 
+    def _join(self) -> tasks.Coroutine[None]:
+        """Asks a live host for what it holds true, until one has answered.
+
+        The store may have been restored from a copy that lacks the newest
+        configuration, or that lists endpoints which have left.
+        """
+        started_at = self._loop.now()
+        while True:
+            wait_s = _MAX_JOIN_WAIT_S
+            known_era = self._known.era
+            if self.has_peers():
+                update = yield self._fetch()
+                if update is None:
+                    wait_s = _MAX_SILENT_PEER_WAIT_S
+                else:
+                    self._merge(update)
+                    is_restored = -1 < known_era < self._known.era
+                    if not update.is_starting and not is_restored:
+                        self.may_serve = True
+                        return
+            if self._loop.now() - started_at >= wait_s:
+                self.may_serve = True
+            yield tasks.sleep(self._loop, _JOIN_PERIOD_S)
+
     def _wait_until_due(self) -> tasks.Coroutine[None]:
         """Waits until this host must read."""
         while not self._is_behind() and self._due_at() > self._loop.now():
@@ -229,7 +269,8 @@
             after = page.records[-1].key
         self._newest_timeout_s = _FIRST_NEWEST_TIMEOUT_S
         self._record_success(started_at, "")
-        self._apply_snapshot(values.values(), position)
+        if not self.has_read() or position >= self._position:
+            self._apply_snapshot(values.values(), position)
         self._confirm_position(known, position)
         return True
 
@@ -257,10 +298,19 @@
 
     def _fetch_snapshot(self) -> tasks.Coroutine[bool]:
         """Fetches newer values from a peer while the store is unavailable."""
-        update: store.TopicUpdate | None = yield self.fetch_from_peer()
-        if update is None:
-            return False
+        update = yield self._fetch()
+        return update is not None and self._merge(update)
+
+    def _fetch(self) -> "Future[store.TopicUpdate | None]":
+        """Fetches a snapshot from a peer, one at a time."""
+        if self._fetching.done():
+            self._fetching = self.fetch_from_peer()
+        return self._fetching
+
+    def _merge(self, update: store.TopicUpdate) -> bool:
+        """Merges a peer's snapshot; returns whether it went further."""
         if self.has_read() and update.position <= self._position:
+            self.on_beliefs(store.Beliefs(update.records, update.removed))
             return False
         self.read_at = max(self.read_at, update.read_at)
         state_log.log_change(
@@ -296,7 +346,7 @@
         self._peer_has_read = False
         started_at = self._loop.now()
         era, first = self._position
-        page = yield from self._request_changes(first)
+        page = yield from self._request_changes(era, first)
         if page is None:
             return False
         if isinstance(page, store.StoreError):
@@ -323,14 +373,14 @@
         return True
 
     def _request_changes(
-        self, first: int
+        self, era: int, first: int
     ) -> tasks.Coroutine[store.RecordPage | store.StoreError | None]:
         """Returns the store's answer, or None once a restore is known."""
         read = self._store.read_changes(self._topic, first, self._wait_s)
         while not read.done() and not self._is_restored():
             self._update_received = Future()
             yield tasks.first_of(read, self._update_received)
-        if not read.done():
+        if not read.done() or self._position.era != era:
             return None
         page = read.result()
         if not isinstance(page, store.StoreError):
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -1,13 +1,15 @@
 """The store comes back from an older copy: offsets are given out again."""
 
+import types
 from concurrent import futures
 
 import capnp
+import gateway_world
 import loop_helpers as lh
 import pytest
 import store_hosts as sh
 
-from chervilarch import messages, store, store_messages, tasks
+from chervilarch import gateway, messages, store, store_messages, tasks
 
 CONFIG = store.Topic.CONFIGURATION
 
@@ -414,6 +416,120 @@
     advance_until(loop, clock, lambda: third.listed() == ["e0"])
 
 
+def start_beside(loop, shared, peers, name="n9"):
+    late = sh.Host(loop, name, lh.FakeStore(shared))
+    late.neighbours = list(peers)
+    late.endpoints.topic_follower.start()
+    return late
+
+
+def test_a_host_that_starts_after_a_restore_uses_no_endpoint_that_left(cluster):
+    loop, clock, shared, (first, second, third) = cluster
+    shared.write(sh.ENDPOINTS, "e1", b"")
+    shared.write(sh.ENDPOINTS, "e2", b"leaving 2")
+    shared.write(sh.ENDPOINTS, "e3", b"live 1")
+    shared.write(sh.ENDPOINTS, "e3", b"leaving 2")
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
+    shared.restore(3, era=1)
+    lh.advance(loop, clock, 1.5 * sh.PAUSE_S)
+    late = start_beside(loop, shared, [third.peer])
+    advance_until(loop, clock, lambda: late.endpoints.topic_follower.may_serve)
+    assert late.listed() == ["e0"]
+    shared.write(sh.ENDPOINTS, "e3", b"live 3")
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
+    assert late.listed() == ["e0"]
+    late.sharing.close()
+
+
+def test_a_host_that_starts_after_a_restore_takes_no_withdrawn_key(env):
+    loop, clock, shared = env
+    shared.write(CONFIG, "config", b"1 key")
+    shared.write(CONFIG, "config", b"3 none")
+    running, late = (
+        sh.ConfigHost(loop, name, sh.WaitingLink(loop, shared))
+        for name in ("n0", "n1")
+    )
+    running.configuration.topic_follower.start()
+    lh.advance(loop, clock, sh.PAUSE_S)
+    shared.restore(1, era=1)
+    late.peers = [running.peer]
+    late.configuration.topic_follower.start()
+    advance_until(
+        loop, clock, lambda: late.configuration.topic_follower.may_serve
+    )
+    assert late.configuration.table.version == 3
+    for host in (running, late):
+        host.sharing.close()
+
+
+def test_a_host_that_starts_alone_serves_from_the_store(env):
+    loop, clock, shared = env
+    shared.write(sh.ENDPOINTS, "e0", b"live 1")
+    late = start_beside(loop, shared, [])
+    lh.advance(loop, clock, 0.3)
+    assert not late.endpoints.topic_follower.may_serve
+    lh.advance(loop, clock, 0.4)
+    assert late.endpoints.topic_follower.may_serve
+    assert late.listed() == ["e0"]
+    late.sharing.close()
+
+
+def test_a_host_that_is_found_later_is_asked_then(cluster):
+    loop, clock, shared, (first, second, third) = cluster
+    shared.write(sh.ENDPOINTS, "e1", b"")
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
+    shared.restore(3, era=1)
+    late = start_beside(loop, shared, [])
+    lh.advance(loop, clock, 2 * sh.PAUSE_S)
+    assert late.endpoints.topic_follower.may_serve
+    late.neighbours.append(third.peer)
+    advance_until(loop, clock, lambda: late.listed() == ["e0", "e2"])
+    late.sharing.close()
+
+
+def test_hosts_that_start_together_wait_for_one_that_knows_more(env):
+    loop, clock, shared = env
+    shared.write(sh.ENDPOINTS, "e0", b"live 1")
+    started = [start_beside(loop, shared, [], name) for name in ("n8", "n9")]
+    for host, other in (started, reversed(started)):
+        host.neighbours.append(other.peer)
+    lh.advance(loop, clock, 0.3)
+    followers = [host.endpoints.topic_follower for host in started]
+    assert not any(follower.may_serve for follower in followers)
+    advance_until(loop, clock, lambda: all(f.may_serve for f in followers))
+    for host in started:
+        host.sharing.close()
+
+
+def test_a_restore_while_a_host_starts_makes_it_ask_again(env):
+    loop, clock, shared = env
+    shared.write(sh.ENDPOINTS, "e0", b"live 1")
+    asked = []
+
+    def fetch():
+        asked.append(futures.Future())
+        return asked[-1]
+
+    link = lh.FakeStore(shared)
+    host = sh.Host(loop, "n0", link)
+    follower = host.endpoints.topic_follower
+    follower.has_peers = lambda: True
+    follower.fetch_from_peer = fetch
+    follower.start()
+    lh.advance(loop, clock, 0.2)
+    before = follower.snapshot()._replace(is_starting=False)
+    shared.restore(1, era=1)
+    link.eras.observe(1)
+    asked[0].set_result(before)
+    lh.advance(loop, clock, 0.2)
+    assert not follower.may_serve and len(asked) == 2
+    removed = (store.RemovedRun("e0", 1, 1),)
+    asked[1].set_result(before._replace(era=1, removed=removed))
+    lh.advance(loop, clock, 0.2)
+    assert follower.may_serve and host.listed() == []
+    host.sharing.close()
+
+
 # The schema of builds that know no eras.
 _OLD_SCHEMA = """
 @0xc3a5f0d1b7e24987;
@@ -463,3 +579,22 @@
     shared.write(sh.ENDPOINTS, "e1", b"leaving 2")
     lh.advance(loop, clock, 1.3 * sh.PAUSE_S)
     assert second.listed() == third.listed() == ["e0", "e2"]
+
+
+def test_a_gateway_is_not_ready_before_it_has_asked_a_live_host():
+    world = gateway_world.World()
+    running = types.SimpleNamespace(
+        _ctrl=world.ctrl, _serving_state=world.serving_state
+    )
+    followers = [
+        world.ctrl.configuration.topic_follower,
+        world.ctrl.endpoints.topic_follower,
+    ]
+    world.ctrl.configuration.table = lh.table()
+    world.ctrl.endpoints.topic_follower.read_at = 0.0
+    reason = gateway.Gateway.not_ready_reason
+    for follower in followers:
+        assert "no other host was asked" in reason(running)
+        follower.may_serve = True
+    assert reason(running) == ""
+    world.close()
