Don't extend the grace time of an entry that a record removed

Callers could have got requests sent to an endpoint more than two seconds after its removal was read: since the grace time begins again at a second restore, an entry whose removal was read within the first one was kept longer, and a record of the copy with the same sequence ended its grace time altogether.

A grace time now says whether a record removed the entry or whether it is only missing. Only a missing one gets more time, and only a higher sequence or a new incarnation brings a removed one back.

tests/test_discovery.py, before: a_removal_in_the_grace_time_is_not_undone: [] == ['e1'] at the first end

--- a/chervilarch/endpoint_list.py
+++ b/chervilarch/endpoint_list.py
@@ -43,6 +43,18 @@
     is_leaving: bool
 
 
+class _Grace(NamedTuple):
+    """An entry that is no longer in the store but may return.
+
+    Attributes:
+        until: monotonic time of the end.
+        is_removed: whether a record removed it; else it is only missing.
+    """
+
+    until: float
+    is_removed: bool
+
+
 class EndpointList:
     """The endpoints that may get work, by id."""
 
@@ -53,7 +65,7 @@
         self._seen: dict[str, _Seen] = {}
         # When entries were removed, by id; the last one at the end.
         self._removed: dict[str, float] = {}
-        self._grace_ends: dict[str, float] = {}
+        self._graces: dict[str, _Grace] = {}
         self._ended_runs: dict[str, int] = {}
         self._grace_until = float("-inf")
 
@@ -72,10 +84,12 @@
     def start_grace(self, now: float) -> None:
         """Starts the grace time of entries that an outage or restore removed.
 
-        Entries that still have one get as much time again.
+        Missing entries that still have one get as much time again.
         """
         self._grace_until = now + EXPIRY_GRACE_S
-        self._grace_ends = dict.fromkeys(self._grace_ends, self._grace_until)
+        for name, grace in self._graces.items():
+            if not grace.is_removed:
+                self._graces[name] = _Grace(self._grace_until, False)
 
     def apply(self, name: str, listing: Listing) -> bool:
         """Applies a record; returns whether it changed the list."""
@@ -84,9 +98,9 @@
         seen = self._seen.get(name)
         if seen is not None:
             order = (entry.incarnation, listing.sequence)
-            if order < seen[:2] or (
-                order == seen[:2] and name in self._removed
-            ):
+            if order < seen[:2]:
+                return False
+            if order == seen[:2] and self._was_removed(name):
                 return False
             if entry.incarnation == seen.incarnation:
                 is_leaving = is_leaving or seen.is_leaving
@@ -97,7 +111,7 @@
         self._seen[name] = _Seen(
             entry.incarnation, listing.sequence, is_leaving
         )
-        self._grace_ends.pop(name, None)
+        self._graces.pop(name, None)
         if self._ended_runs.get(name) == entry.incarnation:
             return False
         old = self._listed.get(name)
@@ -105,6 +119,10 @@
         self._removed.pop(name, None)
         return old is None or old.entry != listing.entry
 
+    def _was_removed(self, name: str) -> bool:
+        grace = self._graces.get(name)
+        return name in self._removed or (grace is not None and grace.is_removed)
+
     def removed_runs(self) -> list[store.RemovedRun]:
         """Returns the runs that are remembered as removed."""
         return [
@@ -127,19 +145,27 @@
             and seen.incarnation == run.incarnation
         )
         self._seen[run.name] = _Seen(run.incarnation, run.sequence, is_leaving)
-        self._grace_ends.pop(run.name, None)
+        self._graces.pop(run.name, None)
         was_listed = self._listed.pop(run.name, None) is not None
         self._remember_removal(run.name, now)
         return was_listed
 
     def remove(self, name: str, now: float) -> bool:
         """Applies a removal; returns whether the entry was removed at once."""
+        return self._remove(name, now, is_missing=False)
+
+    def _remove(self, name: str, now: float, is_missing: bool) -> bool:
         listing = self._listed.get(name)
-        if listing is None or name in self._grace_ends:
+        if listing is None:
+            return False
+        grace = self._graces.get(name)
+        if grace is not None:
+            is_removed = grace.is_removed or not is_missing
+            self._graces[name] = grace._replace(is_removed=is_removed)
             return False
         is_leaving = listing.entry.state == hosts.LEAVING
         if now < self._grace_until and not is_leaving:
-            self._grace_ends[name] = self._grace_until
+            self._graces[name] = _Grace(self._grace_until, not is_missing)
             return False
         self._unlist(name, now)
         return True
@@ -170,7 +196,7 @@
     def remove_missing(self, present: set[str], now: float) -> bool:
         """Applies a complete snapshot: other entries were removed."""
         missing = [name for name in self._listed if name not in present]
-        return any([self.remove(name, now) for name in missing])
+        return any([self._remove(name, now, True) for name in missing])
 
     def mark_ended(self, name: str, incarnation: int, now: float) -> bool:
         """Removes a run of an endpoint that is known to have ended."""
@@ -178,16 +204,16 @@
         if listing is None or listing.entry.incarnation != incarnation:
             return False
         self._ended_runs[name] = incarnation
-        self._grace_ends.pop(name, None)
+        self._graces.pop(name, None)
         self._unlist(name, now)
         return True
 
     def expire(self, now: float) -> list[str]:
         """Removes entries whose grace time has ended; returns their ids."""
         expired = [
-            name for name, until in self._grace_ends.items() if until <= now
+            name for name, grace in self._graces.items() if grace.until <= now
         ]
         for name in expired:
-            del self._grace_ends[name]
+            del self._graces[name]
             self._unlist(name, now)
         return expired
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -90,6 +90,18 @@
     assert entries.listed() == {}
 
 
+def test_a_removal_in_the_grace_time_is_not_undone_by_another_restore():
+    entries = endpoint_list.EndpointList()
+    entries.apply("e1", lh.listing(sequence=5))
+    entries.start_grace(10.0)
+    entries.remove_missing(set(), 10.0)
+    entries.remove("e1", 10.5)
+    entries.start_grace(11.0)
+    entries.apply("e1", lh.listing(sequence=5))
+    assert list(entries.listed()) == ["e1"]
+    assert entries.expire(12.0) == ["e1"]
+
+
 def test_removals_are_remembered_for_a_bounded_time_and_number():
     entries = endpoint_list.EndpointList()
     for number in range(endpoint_list.MAX_REMOVALS + 10):
