Keep lost entries while the store is away again after a restore

Callers would have got 503 or late answers: endpoints whose entries a restore lost were taken for gone 2 s later even when the store had gone away again, so that they couldn't renew them.

At the end of its grace time a missing entry now stays while the host's last read failed or no host's read became known for longer than usual. An entry whose removal was read still ends in time.

--- a/chervilarch/endpoint_list.py
+++ b/chervilarch/endpoint_list.py
@@ -208,10 +208,19 @@
         self._unlist(name, now)
         return True
 
-    def expire(self, now: float) -> list[str]:
-        """Removes entries whose grace time has ended; returns their ids."""
+    def has_missing(self) -> bool:
+        """Returns whether a missing entry has a grace time."""
+        return any(not grace.is_removed for grace in self._graces.values())
+
+    def expire(self, now: float, is_store_away: bool = False) -> list[str]:
+        """Removes entries whose grace time has ended; returns their ids.
+
+        Missing ones stay while the store is away, as they can't return.
+        """
         expired = [
-            name for name, grace in self._graces.items() if grace.until <= now
+            name
+            for name, grace in self._graces.items()
+            if grace.until <= now and (grace.is_removed or not is_store_away)
         ]
         for name in expired:
             del self._graces[name]
--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -12,6 +12,8 @@
 )
 from chervilarch import loop as loops
 
+# How soon the end of a grace time is tried again while the store is away.
+_EXPIRY_RETRY_S = 0.1
 # Messages between hosts have no room for higher numbers.
 _MAX_SENT = 2**63 - 1
 
@@ -195,8 +197,11 @@
         self._loop.call_later(endpoint_list.EXPIRY_GRACE_S + 0.01, self._expire)
 
     def _expire(self) -> None:
-        for name in self._endpoints.expire(self._loop.now()):
+        is_away = self.topic_follower.is_outdated()
+        for name in self._endpoints.expire(self._loop.now(), is_away):
             self._record_removal(name, "lapsed while the store was away")
+        if is_away and self._endpoints.has_missing():
+            self._loop.call_later(_EXPIRY_RETRY_S, self._expire)
         self._notify_listeners()
 
     def _beliefs(self) -> store.Beliefs:
--- a/chervilarch/topic_follower.py
+++ b/chervilarch/topic_follower.py
@@ -119,6 +119,17 @@
         """Returns whether a snapshot was read or fetched from a peer."""
         return self._position is not None
 
+    def is_outdated(self) -> bool:
+        """Returns whether the last read failed or is too long ago.
+
+        The reads of other hosts that became known count as well.
+        """
+        unread_s = self._loop.now() - self.read_at
+        return (
+            self._failed_since is not None
+            or unread_s >= self._read_period_s + _OUTAGE_MARGIN_S
+        )
+
     def state(self) -> store.TopicUpdate:
         """Returns how far this host has read, without the records."""
         era, offset = self._position
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -263,6 +263,23 @@
     host.sharing.close()
 
 
+def test_lost_entries_have_time_to_return_after_the_next_outage_too(cluster):
+    loop, clock, shared, members = cluster
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
+    shared.restore(2, era=1)
+    lh.advance(loop, clock, 1.5)
+    for host in members:
+        host.source.error = store.StoreError("down")
+    lh.advance(loop, clock, 4.0)
+    assert all(host.listed() == ["e0", "e1", "e2"] for host in members)
+    for host in members:
+        host.source.error = None
+    lh.advance(loop, clock, 1.5)
+    assert all(host.listed() == ["e0", "e1", "e2"] for host in members)
+    lh.advance(loop, clock, 3.0)
+    assert all(host.listed() == ["e0", "e1"] for host in members)
+
+
 def test_an_endpoint_that_left_does_not_come_back_from_the_copy(cluster):
     loop, clock, shared, members = cluster
     shared.write(sh.ENDPOINTS, "e1", b"")
