--- a/chervilarch/peer.capnp
+++ b/chervilarch/peer.capnp
@@ -158,8 +158,6 @@
   # Only in a snapshot. Apart from the records, as older builds would take a run
   # among them for a live one.
   removed @6 :List(RemovedRun);
-  # Whether the sender of a snapshot may not have heard yet what others know.
-  isStarting @7 :Bool;
 }
 
 # One datagram of topic updates.
--- a/chervilarch/store.py
+++ b/chervilarch/store.py
@@ -128,8 +128,6 @@
         era: the store's era of `first` and `end`; 0 before any restore, or if
             an older build sent the update.
         removed: in a snapshot, as in `Beliefs`.
-        is_starting: in a snapshot, whether the host may not have heard yet what
-            others know.
     """
 
     topic: Topic
@@ -139,7 +137,6 @@
     records: tuple[Record, ...] = ()
     era: int = 0
     removed: tuple[RemovedRun, ...] = ()
-    is_starting: bool = False
 
     @property
     def position(self) -> Position:
@@ -147,6 +144,10 @@
         return Position(self.era, self.end)
 
 
+class PeerStarting(NamedTuple):
+    """A host that has just started itself; ask it later, or another one."""
+
+
 class StoreError(NamedTuple):
     """The store gave no usable reply.
 
--- a/chervilarch/store_messages.py
+++ b/chervilarch/store_messages.py
@@ -37,7 +37,6 @@
         slot.first = update.first
         slot.end = update.end
         slot.era = update.era
-        slot.isStarting = update.is_starting
         run_slots = slot.init("removed", len(update.removed))
         for run_slot, run in zip(run_slots, update.removed, strict=True):
             run_slot.name = run.name
@@ -91,7 +90,6 @@
                     )
                     for run in slot.removed
                 ),
-                slot.isStarting,
             )
             for slot in msg.topics
         ]
--- a/chervilarch/store_sharing.py
+++ b/chervilarch/store_sharing.py
@@ -56,6 +56,9 @@
 # A live peer answers in milliseconds.
 _FETCH_TIMEOUT_S = 0.5
 _BINARY = "application/octet-stream"
+# Status of a host that can't say yet what others hold true. It sends no
+# snapshot, as many hosts that start at once ask each other several times.
+_STARTING = 503
 # Enough for the records of about 160 endpoints that start at once, of 200 bytes
 # each.
 _MAX_PARTS = 32
@@ -184,13 +187,15 @@
         """Serves what this host holds true of a topic to another one."""
         for topic, follower in self._topics.items():
             if target == f"/{topic.value}" and follower.has_read():
+                if not follower.may_serve:
+                    return _STARTING, _BINARY, b""
                 news = store_messages.StoreNews([follower.snapshot()])
                 body = store_messages.encode(self._key, news, self._loop.now())
                 return 200, _BINARY, body
         return 404, _BINARY, b""
 
     def _fetch_from_peer(self, topic: store.Topic) -> Future:
-        """Fetches a snapshot, from a neighbour if any; may result in None."""
+        """Fetches a peer's snapshot, a neighbour's if any; None if it fails."""
         neighbours, _ = self._receivers()
         peers = neighbours or self._peers()
         if not peers:
@@ -213,9 +218,11 @@
 
     def _parse_snapshot(
         self, peer: Peer, topic: store.Topic, result: exchanges.TransferResult
-    ) -> store.TopicUpdate | None:
+    ) -> store.TopicUpdate | store.PeerStarting | None:
         if isinstance(result, exchanges.TransferFailure):
             reason = f"{result.kind.value}: {result.detail}"
+        elif result.status == _STARTING:
+            return store.PeerStarting()
         elif result.status != 200:
             reason = f"status {result.status}"
         else:
--- a/chervilarch/topic_follower.py
+++ b/chervilarch/topic_follower.py
@@ -139,9 +139,7 @@
 
     def snapshot(self) -> store.TopicUpdate:
         """Returns how far this host has read, and what it holds true."""
-        return self.state()._replace(
-            **self.beliefs()._asdict(), is_starting=not self.may_serve
-        )
+        return self.state()._replace(**self.beliefs()._asdict())
 
     def apply_update(self, update: store.TopicUpdate, source_ip: str) -> None:
         """Applies what another host has read.
@@ -215,10 +213,9 @@
                 update = yield self._fetch()
                 if update is None:
                     wait_s = _MAX_SILENT_PEER_WAIT_S
-                else:
+                elif isinstance(update, store.TopicUpdate):
                     self._merge(update)
-                    is_restored = -1 < known_era < self._known.era
-                    if not update.is_starting and not is_restored:
+                    if not -1 < known_era < self._known.era:
                         self.may_serve = True
                         return
             if self._loop.now() - started_at >= wait_s:
@@ -310,9 +307,11 @@
     def _fetch_snapshot(self) -> tasks.Coroutine[bool]:
         """Fetches newer values from a peer while the store is unavailable."""
         update = yield self._fetch()
-        return update is not None and self._merge(update)
+        return isinstance(update, store.TopicUpdate) and self._merge(update)
 
-    def _fetch(self) -> "Future[store.TopicUpdate | None]":
+    def _fetch(
+        self,
+    ) -> "Future[store.TopicUpdate | store.PeerStarting | None]":
         """Fetches a snapshot from a peer, one at a time."""
         if self._fetching.done():
             self._fetching = self.fetch_from_peer()
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -510,10 +510,17 @@
     started = [start_beside(loop, shared, [], name) for name in ("n8", "n9")]
     for host, other in (started, reversed(started)):
         host.neighbours.append(other.peer)
+    fetched = []
+    for host in started:
+        fetch = host.endpoints.topic_follower.fetch_from_peer
+        host.endpoints.topic_follower.fetch_from_peer = lambda fetch=fetch: (
+            fetched.append(fetch()) or fetched[-1]
+        )
     lh.advance(loop, clock, 0.3)
     followers = [host.endpoints.topic_follower for host in started]
     assert not any(follower.may_serve for follower in followers)
     advance_until(loop, clock, lambda: all(f.may_serve for f in followers))
+    assert fetched[0].result() == store.PeerStarting()
     for host in started:
         host.sharing.close()
 
@@ -534,7 +541,7 @@
     follower.fetch_from_peer = fetch
     follower.start()
     lh.advance(loop, clock, 0.2)
-    before = follower.snapshot()._replace(is_starting=False)
+    before = follower.snapshot()
     shared.restore(1, era=1)
     link.eras.observe(1)
     asked[0].set_result(before)
