--- a/chervilarch/topic_follower.py
+++ b/chervilarch/topic_follower.py
@@ -248,7 +248,7 @@
         of the first page on, so that none between pages is missed. A restore
         between pages makes this start over.
         """
-        known = self._known
+        known, own = self._known, self._position
         values: dict[str, store.Record] = {}
         position, after = None, ""
         started_at = self._loop.now()
@@ -277,7 +277,8 @@
             after = page.records[-1].key
         self._newest_timeout_s = _FIRST_NEWEST_TIMEOUT_S
         self._record_success(started_at, "")
-        if not self.has_read() or position >= self._position:
+        # A peer's snapshot that was merged meanwhile may go further.
+        if self._position == own or position >= self._position:
             self._apply_snapshot(values.values(), position)
         self._confirm_position(known, position)
         return True
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -220,6 +220,19 @@
     host.sharing.close()
 
 
+def test_a_restored_store_that_names_no_era_is_followed_on(env):
+    loop, clock, shared = env
+    for number in range(1, 6):
+        shared.write(sh.ENDPOINTS, "e0", b"live %d" % number)
+    host = follow_endpoints(loop, lh.FakeStore(shared))
+    shared.restore(1, era=0)
+    shared.write(sh.ENDPOINTS, "e1", b"live 1")
+    lh.advance(loop, clock, 2 * sh.PAUSE_S)
+    assert host.listed() == ["e0", "e1"]
+    assert host.endpoints.topic_follower.state().position == (0, 2)
+    host.sharing.close()
+
+
 def test_an_era_that_the_store_does_not_confirm_is_read_for_once(env):
     loop, clock, shared = env
     shared.write(sh.ENDPOINTS, "e0", b"live 1")
