Ask on for a live host's knowledge once a second only

Once it serves it asks once a second.

tests/test_restored_store.py, before: a_peer_that_does_not_answer: 111 <= 22

--- a/chervilarch/topic_follower.py
+++ b/chervilarch/topic_follower.py
@@ -30,6 +30,8 @@
 _MAX_JOIN_WAIT_S = 0.5
 _MAX_SILENT_PEER_WAIT_S = 1.0
 _JOIN_PERIOD_S = 0.1
+# A host that serves without such an answer asks on at this pace.
+_LATE_JOIN_PERIOD_S = 1.0
 _NOWHERE = store.Position(-1, 0)
 _OUTDATED = store.StoreError("the answer is older than a restore of the store")
 
@@ -220,7 +222,10 @@
                         return
             if self._loop.now() - started_at >= wait_s:
                 self.may_serve = True
-            yield tasks.sleep(self._loop, _JOIN_PERIOD_S)
+            yield tasks.sleep(
+                self._loop,
+                _LATE_JOIN_PERIOD_S if self.may_serve else _JOIN_PERIOD_S,
+            )
 
     def _wait_until_due(self) -> tasks.Coroutine[None]:
         """Waits until this host must read."""
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -538,6 +538,21 @@
         host.sharing.close()
 
 
+def test_a_peer_that_does_not_answer_is_not_asked_without_pause(env):
+    loop, clock, shared = env
+    host = sh.Host(loop, "n0", lh.FakeStore(shared))
+    follower = host.endpoints.topic_follower
+    asked = []
+    follower.has_peers = lambda: True
+    follower.fetch_from_peer = lambda: asked.append(1) or tasks.done(None)
+    follower.start()
+    lh.advance(loop, clock, 0.9)
+    assert not follower.may_serve
+    lh.advance(loop, clock, 10.1)
+    assert follower.may_serve and len(asked) <= 22
+    host.sharing.close()
+
+
 def test_a_restore_while_a_host_starts_makes_it_ask_again(env):
     loop, clock, shared = env
     shared.write(sh.ENDPOINTS, "e0", b"live 1")
