Don't take datagrams that waited through a pause for news

Callers would see (shown at components): a host that was paused for seconds served by a list of endpoints and a configuration that were out of date, and didn't read the store anew. Cause: datagrams tell times by age. One that waited in the socket of a stopped process was dated by its receipt, so a read of the store seconds ago counted as one of now. After a pause of over 0.5 s it calls listeners first; the peer sockets drop what waited. Senders repeat what matters; all of the protocols bear losses. Not tried: kernel time stamps on datagrams; they need the same correction for the pause, and a new system call a datagram.

--- a/chervilarch/loop.py
+++ b/chervilarch/loop.py
@@ -14,6 +14,10 @@
 # A callback that a signal handler adds without `wake` would be delayed by it;
 # the gateway has no such handler: it blocks its signals and polls them.
 _MAX_WAIT_S = 1.0
+# The process counts as paused if the loop was held up for longer than this. It
+# leaves room within the bounds on how old what a host believes may be, which
+# are reads of the store of a second or so.
+PAUSE_S = 0.5
 
 
 class Timer:
@@ -31,10 +35,20 @@
 
 
 class Loop:
-    """Runs callbacks of sockets and timers, one at a time."""
+    """Runs callbacks of sockets and timers, one at a time.
+
+    Attributes:
+        clock: the source of time.
+        resumed_at: monotonic time at which the process last went on after a
+            pause. A stopped process, a suspended machine and a callback that
+            took too long are the same to the rest of the program.
+    """
 
     def __init__(self, clock: clocks.Clock):
         self.clock = clock
+        self.resumed_at = float("-inf")
+        self._seen_at: float | None = None
+        self._resume_listeners: list[Callable[[float], None]] = []
         self._selector = selectors.DefaultSelector()
         self._timers: list[tuple[float, int, Timer]] = []
         self._sequence = itertools.count()
@@ -51,6 +65,14 @@
         """Returns the monotonic time in seconds."""
         return self.clock.monotonic()
 
+    def add_resume_listener(self, listener: Callable[[float], None]) -> None:
+        """Calls `listener` after each pause, before anything else runs.
+
+        Args:
+            listener: gets the length of the pause in seconds.
+        """
+        self._resume_listeners.append(listener)
+
     def call_at(self, due_at: float, callback: Callable[[], None]) -> Timer:
         """Runs a callback at a monotonic time in seconds."""
         timer = Timer(due_at, callback)
@@ -113,10 +135,13 @@
         Timers that come due during a socket's callback wait for the next
         iteration: what they wait for may have arrived meanwhile.
         """
-        ready = self._selector.select(self._timeout_s(max_wait_s))
+        timeout_s = self._timeout_s(max_wait_s)
+        ready = self._selector.select(timeout_s)
         looked_at = self.now()
+        self._detect_pause(timeout_s)
         for key, events in ready:
             self.run_callback(key.data, events)
+            self._detect_pause(0.0)
         self.run_timers(looked_at)
 
     def run_timers(self, due_by: float) -> None:
@@ -127,6 +152,7 @@
         for timer in due:
             if timer.callback is not None:
                 self.run_callback(timer.callback)
+                self._detect_pause(0.0)
 
     def run_callback(self, callback: Callable[..., None], *args: Any) -> None:
         """Runs a callback; if it raises, the work of others goes on."""
@@ -141,6 +167,22 @@
         os.close(self._wake_recv)
         os.close(self._wake_send)
 
+    def _detect_pause(self, wait_s: float) -> None:
+        """Notifies listeners if the process was paused since the last call.
+
+        Args:
+            wait_s: how long it may have waited since then.
+        """
+        now = self.now()
+        seen_at, self._seen_at = self._seen_at, now
+        if seen_at is None or now - seen_at <= wait_s + PAUSE_S:
+            return
+        self.resumed_at = now
+        paused_s = now - seen_at
+        state_log.log_change("process was paused", paused_s=round(paused_s, 3))
+        for listener in self._resume_listeners:
+            self.run_callback(listener, paused_s)
+
     def _timeout_s(self, max_wait_s: float) -> float:
         while self._timers and self._timers[0][2].callback is None:
             heapq.heappop(self._timers)
--- a/chervilarch/peer_socket.py
+++ b/chervilarch/peer_socket.py
@@ -1,6 +1,10 @@
 """A non-blocking UDP socket for sealed datagrams between hosts.
 
 The gateway uses it for stages and topic updates; gossip has its own socket.
+
+Datagrams tell times by their age, so one that waited while the process was
+paused would seem recent. Such datagrams are dropped: all users of the socket
+bear losses.
 """
 
 import selectors
@@ -47,6 +51,7 @@
         self._socket.bind(address)
         self.address = self._socket.getsockname()
         loop.watch(self._socket, selectors.EVENT_READ, self._receive)
+        loop.add_resume_listener(self._drop_waiting)
 
     def send(self, address: tuple, frame: bytes) -> None:
         """Sends a datagram; one that can't be sent is logged and dropped."""
@@ -65,12 +70,20 @@
         self._loop.unwatch(self._socket)
         self._socket.close()
 
+    def _drop_waiting(self, paused_s: float) -> None:
+        while self._receive_frame() is not None:
+            pass
+
+    def _receive_frame(self) -> tuple[bytes, tuple] | None:
+        """Returns the next datagram and its sender, None if none waits."""
+        try:
+            return self._socket.recvfrom(_MAX_UDP_PAYLOAD_BYTES)
+        except OSError:
+            return None
+
     def _receive(self, events: int) -> None:
-        while True:
-            try:
-                frame, source = self._socket.recvfrom(_MAX_UDP_PAYLOAD_BYTES)
-            except OSError:
-                return  # Nothing is left to read.
+        while (received := self._receive_frame()) is not None:
+            frame, source = received
             message = self._decode(frame)
             if isinstance(message, messages.BadFrame):
                 state_log.log_fault(
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -29,9 +29,9 @@
 class World:
     """A gateway on loopback with a fake store and fake endpoints."""
 
-    def __init__(self):
+    def __init__(self, source=None):
         self.loop = loops.Loop(clocks.SystemClock())
-        self.store = lh.FakeStore()
+        self.store = source or lh.FakeStore()
         self.servers = []
         port = lh.free_ports(5)
         cfg = gateway_settings.GatewaySettings(
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -7,6 +7,7 @@
 import loop_helpers as lh
 import pytest
 
+from chervilarch import loop as loops
 from chervilarch import tasks
 
 
@@ -166,3 +167,39 @@
     lh.run_pending(loop)
     mailbox.put("item")
     assert got == [tasks.TIMED_OUT, "item"]
+
+
+def test_a_pause_is_noticed_before_what_waited_meanwhile_is_handled(
+    loop_and_clock,
+):
+    loop, clock = loop_and_clock
+    lh.run_pending(loop)
+    order = []
+    loop.add_resume_listener(lambda paused_s: order.append(paused_s))
+    loop.call_later(1.0, lambda: order.append("timer"))
+    loop.call_from_thread(lambda: order.append("socket"))
+    clock.advance(3.0)
+    lh.run_pending(loop)
+    assert order == [3.0, "socket", "timer"]
+    assert loop.resumed_at == loop.now()
+
+
+def test_a_pause_between_two_callbacks_is_noticed(loop_and_clock):
+    loop, clock = loop_and_clock
+    lh.run_pending(loop)
+    order = []
+    loop.add_resume_listener(lambda paused_s: order.append("resumed"))
+    loop.call_soon(lambda: clock.advance(2.0))
+    loop.call_soon(lambda: order.append("next"))
+    lh.run_pending(loop)
+    assert order == ["resumed", "next"]
+
+
+def test_short_delays_are_no_pause(loop_and_clock):
+    loop, clock = loop_and_clock
+    resumed = []
+    loop.add_resume_listener(resumed.append)
+    for _ in range(50):
+        clock.advance(loops.PAUSE_S)
+        lh.run_pending(loop)
+    assert not resumed
