Confirm configuration and endpoints after a pause before serving

Callers saw: after its process had been stopped, or its machine suspended, a host ran requests for routes that had been dropped and with keys that had been withdrawn meanwhile, and at an endpoint that had begun to leave. Cause: requests that waited in the sockets were handled before the first read of the store that began after the pause. Evidence, before: test_a_request_after_a_pause_is_not_served_by_what_has_changed, 3 cases: "assert not [b'POST /x/1 HTTP/1.1 ...']"; with a real process and SIGSTOP: "assert b' 404 ' in b'HTTP/1.1 200 OK'". Change: `Resumption` holds requests back after a pause until both topics were read or heard anew, for a second at most (the store may be away; then as before). Their deadlines and callers that leave end them meanwhile. A read that waits for a change is given up and repeated without a wait, as its connection may be dead and its answer comes up to half the bound later. Why this works: an answer to a read that began after the pause holds all that was confirmed in it.

--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -25,6 +25,7 @@
     piece_runner,
     placement,
     prompt_guard,
+    resumption,
     serving,
     settings,
     stage_coordination,
@@ -33,6 +34,7 @@
     store,
     store_sharing,
     telemetry,
+    topic_follower,
 )
 from chervilarch import loop as loops
 from chervilarch.exits import ExitStatus
@@ -233,9 +235,11 @@
         cfg.bounds.retry_fixed,
         cfg.bounds.retry_window_s,
     )
+    resuming = resumption.Resumption(loop)
+    topic_source = resumption.ResumableStore(loop, store_client)
     configuration = followers.ConfigFollower(
         loop,
-        store_client,
+        topic_source,
         platform_store.CONFIGURATION_KEY,
         documents.decode_configuration,
         cfg.bounds.config_s / _CONFIG_READS_PER_BOUND,
@@ -243,10 +247,12 @@
     retry_budgets.set_hosts(_MIN_HOSTS)
     endpoints = followers.EndpointFollower(
         loop,
-        store_client,
+        topic_source,
         documents.decode_endpoint,
         cfg.bounds.drain_s / _LIST_READS_PER_BOUND,
     )
+    for follower in (configuration.topic_follower, endpoints.topic_follower):
+        resuming.add_check(functools.partial(_has_read_since, follower))
     own_placement = placement.Placement(cfg.data_centre, loop.clock, rng)
     # Load of the final calls of all stage graphs that run here, also of remote
     # runs, which run for other hosts. `own_placement` has only the calls that
@@ -342,9 +348,16 @@
         prompt_guard=guard,
         limits=limits,
         permits=request_permits,
+        resumption=resuming,
     )
 
 
+def _has_read_since(
+    follower: topic_follower.TopicFollower, resumed_at: float
+) -> bool:
+    return follower.read_at >= resumed_at
+
+
 def main(argv: Sequence[str] | None = None) -> int:
     """Runs the program; returns its exit status."""
     args = gateway_args.build_parser().parse_args(argv)
--- a/chervilarch/routed_context.py
+++ b/chervilarch/routed_context.py
@@ -14,6 +14,7 @@
     permits,
     placement,
     prompt_guard,
+    resumption,
     routed,
     routing_table,
     stage_coordination,
@@ -48,6 +49,7 @@
     prompt_guard: prompt_guard.PromptGuard
     limits: endpoint_limits.EndpointLimits
     permits: permits.Permits
+    resumption: resumption.Resumption
 
 
 class RoutedContext:
--- a/chervilarch/serving.py
+++ b/chervilarch/serving.py
@@ -15,6 +15,7 @@
 
 # A request without an answer yet is answered this long before its deadline.
 _ANSWER_MARGIN_S = 0.005
+_MS_PER_S = 1000
 
 
 class ServingState:
@@ -82,7 +83,8 @@
         self._state = state
         self._responder = responder
         self._req = req
-        self._ctx = RoutedContext(ctrl, req, responder)
+        # Set once the configuration may be used.
+        self._ctx: RoutedContext | None = None
         self._task: tasks.Task | None = None
         self._deadline_timer = None
         self._on_end: Callable[[], None] = _do_nothing
@@ -92,19 +94,37 @@
         """Runs the filters; `on_end` is called once the request has ended."""
         self._on_end = on_end
         self._state.in_flight += 1
+        confirmed = self._ctrl.resumption.confirmed()
+        if not confirmed.done() and self._req.allowed_s is not None:
+            self._set_deadline(self._req.arrived_at + self._req.allowed_s)
+        confirmed.add_done_callback(lambda _: self._run_filters())
+
+    def _run_filters(self) -> None:
+        if self._is_ended:
+            return
+        self._ctx = RoutedContext(self._ctrl, self._req, self._responder)
         self._task = tasks.Task(routed_filters.run_chain(self._ctx))
         self._task.future.add_done_callback(
             lambda fut: self._finish(fut.result())
         )
         if not self._is_ended:
-            self._deadline_timer = self._ctrl.loop.call_at(
-                self._req.deadline_at - _ANSWER_MARGIN_S, self._time_out
-            )
+            self._set_deadline(self._req.deadline_at)
+
+    def _set_deadline(self, deadline_at: float) -> None:
+        if self._deadline_timer is not None:
+            self._deadline_timer.cancel()
+        self._deadline_timer = self._ctrl.loop.call_at(
+            deadline_at - _ANSWER_MARGIN_S, self._time_out
+        )
 
     def on_disconnect(self) -> None:
         """Stops the work for a caller that has disconnected."""
         if not self._is_ended:
             self._end("caller left", has_begun=self._responder.head_sent)
+            self._cancel_task()
+
+    def _cancel_task(self) -> None:
+        if self._task is not None:
             self._task.cancel()
 
     def _time_out(self) -> None:
@@ -147,7 +167,7 @@
         else:
             outcome = outcomes.TooLate(reason, detail_if_sent, remedy)
         self._finish(outcome)
-        self._task.cancel()
+        self._cancel_task()
 
     def _finish(self, outcome: outcomes.Outcome | None) -> None:
         if self._is_ended:
@@ -218,7 +238,9 @@
             outcome=name,
             has_begun=has_begun,
             sends=req.attempts_sent,
-            elapsed_ms=self._ctx.elapsed_ms(),
+            elapsed_ms=round(
+                (self._ctrl.loop.now() - req.arrived_at) * _MS_PER_S
+            ),
             **fields,
         )
 
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -102,13 +102,20 @@
         self.ctrl.configuration.topic_follower.start()
         self.ctrl.endpoints.topic_follower.start()
 
-    def send(self, *headers, method="POST", path="/x/1", body=b"in"):
+    def send(
+        self,
+        *headers,
+        method="POST",
+        path="/x/1",
+        body=b"in",
+        deadline_ms=5000,
+    ):
         conn = lh.connect(self.server.port)
         lines = [
             f"{method} {path} HTTP/1.1",
             "Host: a.example",
             "Request-Id: id1",
-            "Deadline-Ms: 5000",
+            f"Deadline-Ms: {deadline_ms}",
             f"Content-Length: {len(body)}",
             *(f"{name}: {value}" for name, value in headers),
         ]
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -10,12 +10,14 @@
 import subprocess
 import sys
 import threading
+import time
 
 import loop_helpers as lh
 import pytest
 from gateway_world import CALLER_LIMITS, answer, route_document
 
 from chervilarch.exits import ExitStatus
+from chervilarch.loop import PAUSE_S
 
 
 class StoreServer:
@@ -24,6 +26,9 @@
     def __init__(self):
         self.topics = collections.defaultdict(list)
         self.lock = threading.Lock()
+        # Reads are answered while this is set.
+        self.may_read = threading.Event()
+        self.may_read.set()
         self.server = lh.RawServer(self.serve)
 
     def write(self, topic, key, value):
@@ -40,6 +45,8 @@
 
     def reply(self, path, fields, body):
         topic = fields["topic"]
+        if not path.endswith("log-append"):
+            self.may_read.wait(lh.TIMEOUT_S)
         with self.lock:
             log = list(self.topics[topic])
         if path.endswith("log-newest"):
@@ -240,3 +247,50 @@
         process.send_signal(signal.SIGHUP)
         settings.write("{}")
     assert process.wait(lh.TIMEOUT_S) == ExitStatus.BAD_SETTINGS
+
+
+def test_a_stopped_process_does_not_serve_by_the_configuration_of_before(
+    gateway,
+):
+    process, store, ports = gateway
+    seen = []
+    endpoint = lh.RawServer(lh.answer_with(answer(), seen))
+    entry = {
+        "service": "s1",
+        "address": endpoint.address,
+        "zone": "dc1",
+        "slots": 8,
+        "state": "ready",
+        "sequence": 1,
+        "born": 1,
+    }
+    store.write("keyed.servers", "e1", json.dumps(entry).encode())
+    wait_for(process, "endpoint listed", endpoint="e1")
+    wait_until_ready(ports[1])
+    assert b" 200 " in get(ports[0]).split(b"\r\n")[0]
+    seen.clear()
+    store.may_read.clear()
+    process.send_signal(signal.SIGSTOP)
+    os.waitid(os.P_PID, process.pid, os.WSTOPPED | os.WNOWAIT)
+    config = {
+        "version": 2,
+        "routes": [route_document(path_prefix="/other/")],
+        "services": [{"name": "s1"}],
+        "limits": CALLER_LIMITS,
+    }
+    store.write("keyed.op", "config", json.dumps(config).encode())
+    answers = []
+    caller = threading.Thread(target=lambda: answers.append(get(ports[0])))
+    caller.start()
+    # Longer than the time from which the process counts as paused.
+    time.sleep(2 * PAUSE_S)
+    process.send_signal(signal.SIGCONT)
+    wait_for(process, "process was paused")
+    # The request that waited is read before these.
+    for _ in range(5):
+        get(ports[1], "/chervilarch/readiness")
+    store.may_read.set()
+    caller.join(lh.TIMEOUT_S)
+    assert b" 404 " in answers[0].split(b"\r\n")[0]
+    assert not seen
+    endpoint.close()
--- a/tests/test_paused_process.py
+++ b/tests/test_paused_process.py
@@ -4,13 +4,39 @@
 sockets, and the store's answers come only when the test lets them.
 """
 
+import json
+
 import loop_helpers as lh
 import pytest
+from gateway_world import (
+    CALLER_LIMITS,
+    KEY,
+    World,
+    answer,
+    read_status,
+    route_document,
+    status,
+)
 from store_hosts import Host as SharingHost
 
 from chervilarch import clocks, store, tasks
 from chervilarch import loop as loops
 
+_PAUSE_S = 3.0
+_CONFIGURATION = store.Topic.CONFIGURATION
+
+
+class PausableClock(clocks.SystemClock):
+    """The system's clock, which a test moves on as a pause does."""
+
+    paused_s = 0.0
+
+    def wall(self):
+        return super().wall() + self.paused_s
+
+    def monotonic(self):
+        return super().monotonic() + self.paused_s
+
 
 class HeldStore(lh.FakeStore):
     """A store whose answers wait until `release` while it is held."""
@@ -42,6 +68,108 @@
         return fut
 
 
+@pytest.fixture
+def world():
+    made = World(HeldStore())
+    made.loop.clock = PausableClock()
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def sent():
+    return []
+
+
+@pytest.fixture
+def serving(world, sent):
+    """A gateway that serves, with one endpoint."""
+    world.endpoint("e1", lh.answer_with(answer(), sent))
+    world.start(route_document(kind="non_idempotent"))
+    assert status(world.fetch(KEY)) == 200
+    sent.clear()
+    return world
+
+
+def pause(world, seconds=_PAUSE_S):
+    """Pauses the process; the store's answers wait from then on."""
+    world.store.is_held = True
+    world.loop.clock.paused_s += seconds
+
+
+def configure(world, *routes, version=2, keys=("k1",)):
+    config = {
+        "version": version,
+        "routes": list(routes),
+        "services": [{"name": "s1"}],
+        "limits": CALLER_LIMITS,
+        "tenants": [{"name": "t1", "api_keys": list(keys)}],
+    }
+    world.store.write(_CONFIGURATION, "config", json.dumps(config).encode())
+
+
+def drop_route(world, sent):
+    configure(world, route_document(path_prefix="/other/"))
+
+
+def withdraw_key(world, sent):
+    configure(world, route_document(), keys=("k2",))
+
+
+def endpoint_leaves(world, sent):
+    world.endpoint(
+        "e1", lh.answer_with(answer(), sent), state="draining", sequence=2
+    )
+
+
+CHANGES = pytest.mark.parametrize(
+    ("change", "expected"),
+    [(drop_route, 404), (withdraw_key, 401), (endpoint_leaves, 503)],
+)
+
+
+def run_a_while(world, rounds=30):
+    for _ in range(rounds):
+        world.loop.run_once(0.01)
+
+
+@CHANGES
+def test_a_request_after_a_pause_is_not_served_by_what_has_changed(
+    serving, sent, change, expected
+):
+    pause(serving)
+    change(serving, sent)
+    waiting = serving.send(KEY)
+    run_a_while(serving)
+    assert not sent
+    serving.store.release()
+    assert read_status(serving, waiting) == expected
+    assert not sent
+
+
+def test_a_request_after_a_pause_is_served_while_the_store_is_away(serving):
+    pause(serving)
+    assert status(serving.fetch(KEY)) == 200
+
+
+def test_a_request_that_waits_after_a_pause_ends_at_its_deadline(serving, sent):
+    pause(serving)
+    received = serving.fetch(KEY, deadline_ms=300)
+    assert status(received) == 503
+    assert not sent
+
+
+def test_a_caller_that_leaves_while_a_request_waits_ends_it(serving, sent):
+    pause(serving)
+    waiting = serving.send(KEY)
+    lh.run_until(serving.loop, lambda: serving.serving_state.in_flight)
+    waiting.close()
+    lh.run_until(serving.loop, lambda: not serving.serving_state.in_flight)
+    serving.store.release()
+    run_a_while(serving, 5)
+    assert not sent
+
+
 class Fleet:
     """Hosts with a loop each, so that the test can stop one of them."""
 
