Send no repeat or stage call by a list of before a pause

Callers saw: a request that was in flight when its host was paused was repeated at an endpoint that had left meanwhile; so did the calls of its later stages. Cause: only the start of a request was held back after a pause; endpoints for its repeats and stages were chosen from the list of before. Change: leases of endpoints and the dispatch of stage calls wait for the same confirmation. Deadlines are still checked meanwhile.

--- a/chervilarch/endpoint_lease.py
+++ b/chervilarch/endpoint_lease.py
@@ -37,6 +37,8 @@
         The lease, a refusal if the prompt was blocked since its admission or no
         endpoint has a permit in time, or None if there is no endpoint.
     """
+    # The list of endpoints may be older than a pause of the process.
+    yield ctx.ctrl.resumption.confirmed()
     leased = yield from _lease_with_permit(ctx, requirements, tried, may_wait)
     req = ctx.req
     # Looked up last: a wait for a permit may take seconds.
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -276,6 +276,7 @@
         endpoints.mark_ended,
         limits,
     )
+    runner.confirmed = resuming.confirmed
     key = fleet.deployment_key(cfg.deployment)
     own = membership.Member(
         cfg.host,
--- a/chervilarch/piece_runner.py
+++ b/chervilarch/piece_runner.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from concurrent.futures import Future
 
 from chervilarch import (
     budgets,
@@ -15,6 +16,7 @@
     routed,
     routing_table,
     state_log,
+    tasks,
     telemetry,
 )
 from chervilarch import loop as loops
@@ -57,6 +59,9 @@
         self._timers: dict[str, loops.Timer] = {}
         # Called after each dispatch, when queues may have become shorter.
         self.on_dispatched: Callable[[], None] | None = None
+        # Resolves once the listed endpoints may be used.
+        self.confirmed: Callable[[], Future] = _confirm_at_once
+        self._held_pools: set[str] = set()
 
     def set_pools(self, pools: dict[str, routing_table.Pool]) -> None:
         """Applies the pools of a configuration."""
@@ -231,6 +236,10 @@
             )
             pending.end(pieces.JobFailure(pieces.PAST_DEADLINE))
             self.free(completed)
+        confirmed = self.confirmed()
+        if not confirmed.done():
+            self._hold(pool, confirmed)
+            return
         while True:
             batch = queue.next_batch(now)
             if batch is None:
@@ -242,6 +251,18 @@
         if self.on_dispatched is not None:
             self.on_dispatched()
 
+    def _hold(self, pool: str, confirmed: Future) -> None:
+        """Dispatches once the endpoints are confirmed."""
+        if pool in self._held_pools:
+            return
+        self._held_pools.add(pool)
+
+        def release(done: Future) -> None:
+            self._held_pools.remove(pool)
+            self.dispatch(pool)
+
+        confirmed.add_done_callback(release)
+
     def _break_deadlock(
         self, pool: str, queue: piece_queue.PieceQueue, now: float
     ) -> None:
@@ -274,6 +295,10 @@
         )
 
 
+def _confirm_at_once() -> Future:
+    return tasks.done(None)
+
+
 def _log_free(address: str, result: exchanges.TransferResult) -> None:
     """Logs a failure to free results; their worker lets them expire."""
     if isinstance(result, exchanges.TransferFailure):
--- a/tests/test_paused_process.py
+++ b/tests/test_paused_process.py
@@ -5,6 +5,8 @@
 """
 
 import json
+import socket
+import threading
 
 import loop_helpers as lh
 import pytest
@@ -18,6 +20,7 @@
     status,
 )
 from store_hosts import Host as SharingHost
+from test_gateway_stages import PIECES, StageServer
 
 from chervilarch import clocks, store, tasks
 from chervilarch import loop as loops
@@ -170,6 +173,75 @@
     assert not sent
 
 
+def test_a_repeat_after_a_pause_avoids_an_endpoint_that_left(world, sent):
+    first = []
+
+    def serve_first(conn):
+        lh.read_request(conn)
+        first.append(conn)
+        lh.read_request(conn)  # Keeps the connection open.
+
+    world.endpoint("e1", serve_first)
+    world.start(route_document(kind="non_idempotent"))
+    waiting = world.send(KEY)
+    lh.run_until(world.loop, lambda: first)
+    world.endpoint("e2", lh.answer_with(answer(), sent))
+    listed = world.ctrl.endpoints._endpoints.listed
+    lh.run_until(world.loop, lambda: "e2" in listed())
+    pause(world, 1.0)
+    world.endpoint(
+        "e2", lh.answer_with(answer(), sent), state="draining", sequence=2
+    )
+    first[0].sendall(answer(503, b"", stamp="", extra="Not-Executed: 1\r\n"))
+    run_a_while(world)
+    assert not sent
+    world.store.release()
+    assert read_status(world, waiting) == 503
+    assert not sent
+
+
+class WaitingStageServer(StageServer):
+    """A stage worker that answers once it may."""
+
+    def __init__(self):
+        super().__init__()
+        self.has_request = threading.Event()
+        self.may_answer = threading.Event()
+
+    def serve(self, conn):
+        conn.recv(1, socket.MSG_PEEK)
+        self.has_request.set()
+        self.may_answer.wait(lh.TIMEOUT_S)
+        super().serve(conn)
+
+
+def test_a_stage_after_a_pause_avoids_a_worker_that_left(world):
+    first, second = WaitingStageServer(), StageServer()
+    world.endpoint("e1", lh.answer_with(answer()))
+    world.endpoint("m1", first.serve, pool="p1")
+    world.endpoint("m2", second.serve, pool="p2")
+    stages = [
+        {"service": "p1", "after": [], "bytes": 100},
+        {"service": "p2", "after": [0], "bytes": 100},
+    ]
+    services = [
+        {"name": "s1"},
+        {"name": "p1", "pieces": PIECES},
+        {"name": "p2", "pieces": PIECES},
+    ]
+    world.start(route_document(stages=stages), services=services)
+    waiting = world.send(KEY, ("Pieces", "1,1"), ("Piece-Key", "pk"))
+    lh.run_until(world.loop, first.has_request.is_set)
+    pause(world, 1.0)
+    world.endpoint("m2", second.serve, pool="p2", state="draining", sequence=2)
+    first.may_answer.set()
+    run_a_while(world)
+    assert not second.calls
+    world.store.release()
+    assert read_status(world, waiting) == 503
+    assert not second.calls
+
+
 class Fleet:
     """Hosts with a loop each, so that the test can stop one of them."""
 
