Let a coordinator that was paused step back for its successor

Callers would see (shown at components): requests whose stages another host had taken over failed at the engine, which had to report their inputs lost, and workers got calls of two coordinators. Cause: after a pause the coordinator went on as if nobody had replaced it. Graphs of other hosts that it hadn't heard of for 2 s were discarded and their results freed, though their submitters had handed these to the next coordinator (its datagrams that say so are lost in a suspension); its own graphs, also new ones, ran beside those of the successor. Evidence, before: test_a_paused_coordinator_leaves_results_to_the_one_that_took_over "assert ['r1'] == []" (cancelled), test_a_coordinator_that_was_paused_runs_nothing_new_beside_another "assert [<chervilarch...>] == []", test_a_coordinator_that_was_paused_hands_its_own_graphs_over "assert [] == ['r1']". Change: at the end of a pause, runs of hosts that it hadn't heard for as long as these wait before they move are handed over, not freed. After a pause of that length it avoids itself for as long as the others avoid it, and moves its own graphs, if another host is alive.

--- a/chervilarch/stage_coordination.py
+++ b/chervilarch/stage_coordination.py
@@ -122,6 +122,7 @@
             "stage message refused",
         )
         loop.call_later(_SWEEP_S, self._sweep)
+        loop.add_resume_listener(self._on_resume)
 
     def close(self) -> None:
         """Stops the graphs of other hosts and closes the socket."""
@@ -170,7 +171,10 @@
             for peer in self._live_peers()
             if self._avoided_until.get(peer.name, now) <= now
         ]
-        best = max([self._own, *peers], key=election_priority)
+        is_own_avoided = self._avoided_until.get(self._own.name, now) > now
+        if not is_own_avoided or not peers:
+            peers.append(self._own)
+        best = max(peers, key=election_priority)
         return None if best is self._own else best
 
     def _assign(self, submission: Submission) -> None:
@@ -390,6 +394,24 @@
         if isinstance(outcome, stage_graph.GraphResult):
             self._scheduler.free(outcome.results)
 
+    def _on_resume(self, paused_s: float) -> None:
+        """Leaves to other hosts what they took over in a pause of this one.
+
+        Their results stay: the hosts that took over go on from them.
+        """
+        now = self._loop.now()
+        for key, remote in list(self._remote_runs.items()):
+            if now - remote.last_heard_at > _SILENCE_S:
+                del self._remote_runs[key]
+                self._scheduler.hand_over(remote.run)
+        if paused_s > _SILENCE_S:
+            # Other hosts avoid this one too.
+            self._avoided_until[self._own.name] = now + _AVOID_S
+        self._follow_coordinator()
+        if self._choose_coordinator() is not None:
+            for submission in list(self._local_submissions.values()):
+                self._reassign(submission)
+
     def _sweep(self) -> None:
         oldest = self._loop.now() - _ABANDONED_S
         for key, remote in list(self._remote_runs.items()):
--- a/tests/test_paused_process.py
+++ b/tests/test_paused_process.py
@@ -21,8 +21,11 @@
 )
 from store_hosts import Host as SharingHost
 from test_gateway_stages import PIECES, StageServer
+from test_stage_coordination import MADE, RESULT
+from test_stage_coordination import Host as StageHost
+from test_stage_coordination import graph as stage_graph_of
 
-from chervilarch import clocks, store, tasks
+from chervilarch import clocks, stage_coordination, store, tasks
 from chervilarch import loop as loops
 
 _PAUSE_S = 3.0
@@ -277,6 +280,89 @@
         loop.close()
 
 
+def lose_datagrams(peer_socket):
+    """Loses what waits, as a host does that was suspended or has no room."""
+    with pytest.raises(BlockingIOError):
+        while True:
+            peer_socket._socket.recvfrom(65536)
+
+
+@pytest.fixture
+def coordinators(fleet):
+    """Three hosts, the coordinator first."""
+    names = ("n1", "n2", "n3")
+    made = []
+    for name in names:
+        loop = fleet.new_loop()
+        made.append(StageHost(loop, name))
+        made[-1].loop = loop
+    made.sort(
+        key=lambda host: stage_coordination.election_priority(host.peer),
+        reverse=True,
+    )
+    for host in made:
+        host.peers = [other.peer for other in made if other is not host]
+    yield made
+    for host in made:
+        host.coordinator.close()
+
+
+def test_a_paused_coordinator_leaves_results_to_the_one_that_took_over(
+    fleet, coordinators
+):
+    best, second, _ = coordinators
+    second.coordinator.submit(stage_graph_of("r1", fleet.clock.now))
+    fleet.advance(0.1)
+    assert [run.graph.request_id for run in best.scheduler.runs] == ["r1"]
+    fleet.advance(2.5, stopped=best.loop)
+    lose_datagrams(best.coordinator._socket)
+    assert [run.graph.request_id for run in second.scheduler.runs] == ["r1"]
+    fleet.run()
+    assert best.scheduler.cancelled == []
+    assert best.scheduler.handed_over == ["r1"]
+
+
+def test_a_coordinator_that_was_paused_runs_nothing_new_beside_another(
+    fleet, coordinators
+):
+    best, second, _ = coordinators
+    fleet.advance(0.1)
+    fleet.advance(2.5, stopped=best.loop)
+    fleet.run()
+    best.coordinator.submit(stage_graph_of("r1", fleet.clock.now))
+    fleet.advance(0.1)
+    assert best.scheduler.runs == []
+    assert [run.graph.request_id for run in second.scheduler.runs] == ["r1"]
+    second.scheduler.runs[0].future.set_result(MADE)
+    fleet.advance(2.0)
+    best.coordinator.submit(stage_graph_of("r2", fleet.clock.now))
+    assert [run.graph.request_id for run in best.scheduler.runs] == ["r2"]
+
+
+def test_a_coordinator_that_was_paused_hands_its_own_graphs_over(
+    fleet, coordinators
+):
+    best, second, _ = coordinators
+    best.coordinator.submit(stage_graph_of("r1", fleet.clock.now))
+    completed = ((0, (RESULT,)),)
+    best.scheduler.runs[0].record_completed(completed)
+    fleet.advance(0.1)
+    fleet.advance(1.5, stopped=best.loop)
+    fleet.run()
+    assert best.scheduler.handed_over == ["r1"]
+    assert [run.graph.completed for run in second.scheduler.runs] == [completed]
+
+
+def test_a_coordinator_that_was_paused_alone_goes_on(fleet, coordinators):
+    best, *_ = coordinators
+    best.peers = []
+    fleet.advance(0.1)
+    fleet.advance(2.5, stopped=best.loop)
+    fleet.run()
+    best.coordinator.submit(stage_graph_of("r1", fleet.clock.now))
+    assert [run.graph.request_id for run in best.scheduler.runs] == ["r1"]
+
+
 def test_news_that_waited_through_a_pause_does_not_count_as_recent(fleet):
     source = lh.FakeStore()
     source.write(store.Topic.ENDPOINTS, "e1", b"live 1")
