Don't take a coordinator for silent because of a pause of one's own

Callers would see (shown at components): a host that had been suspended moved the stages of its requests to another coordinator, so work was done twice and calls found workers full. Cause: the timers that were due after the pause counted it as silence of the coordinator, which had had no chance to be heard. Evidence, before: test_a_paused_host_does_not_take_its_coordinator_for_silent, both cases: "assert None == Peer(name='n1', ...)". Change: at the end of a pause the silence of coordinators counts anew. Result: both hold.

--- a/chervilarch/stage_coordination.py
+++ b/chervilarch/stage_coordination.py
@@ -400,6 +400,10 @@
         Their results stay: the hosts that took over go on from them.
         """
         now = self._loop.now()
+        for submission in self._remote_submissions.values():
+            # The coordinator couldn't be heard.
+            submission.last_heard_at = now
+            submission.sends = 0
         for key, remote in list(self._remote_runs.items()):
             if now - remote.last_heard_at > _SILENCE_S:
                 del self._remote_runs[key]
--- a/tests/test_paused_process.py
+++ b/tests/test_paused_process.py
@@ -363,6 +363,24 @@
     assert [run.graph.request_id for run in best.scheduler.runs] == ["r1"]
 
 
+@pytest.mark.parametrize("is_accepted", [True, False])
+def test_a_paused_host_does_not_take_its_coordinator_for_silent(
+    fleet, coordinators, is_accepted
+):
+    best, second, third = coordinators
+    if not is_accepted:
+        best.coordinator._socket._on_message = lambda message, source: None
+    second.coordinator.submit(stage_graph_of("r1", fleet.clock.now))
+    fleet.advance(0.17)
+    # Both are suspended, as the machines of one host that is moved are.
+    fleet.clock.advance(1.5)
+    lose_datagrams(second.coordinator._socket)
+    lh.run_pending(second.loop)
+    assert second.coordinator._choose_coordinator() == best.peer
+    fleet.run()
+    assert not second.scheduler.runs and not third.scheduler.runs
+
+
 def test_news_that_waited_through_a_pause_does_not_count_as_recent(fleet):
     source = lh.FakeStore()
     source.write(store.Topic.ENDPOINTS, "e1", b"live 1")
