Ask for the blocks of prompts that were made in a pause

Callers saw: a host that had been paused sent a prompt to an engine although all other hosts refused it. Cause: news of blocks goes to all hosts when they are made, and is exchanged for 10 s; a host asked for all only at its start. Change: it asks three hosts again at the end of a pause, and their answer is one of the conditions on which requests wait. A host that knows no live one doesn't wait for it.

--- a/chervilarch/advisories.py
+++ b/chervilarch/advisories.py
@@ -72,6 +72,10 @@
             "advisory refused",
         )
 
+    def has_answer(self) -> bool:
+        """Returns whether other hosts, if any, have told what they know."""
+        return self._has_answer or not self._peers()
+
     def add_source(self, source: Source) -> None:
         """Adds a holder of items."""
         self._sources.append(source)
@@ -79,6 +83,7 @@
     def start(self) -> None:
         """Begins to exchange items with other hosts."""
         self._exchange()
+        self._loop.add_resume_listener(self._on_resume)
 
     def close(self) -> None:
         """Stops listening."""
@@ -95,14 +100,23 @@
 
     def _exchange(self) -> None:
         peers = self._peers()
-        if peers and not self._has_answer:
-            asked = self._rng.sample(peers, min(_ASKED_PEERS, len(peers)))
-            self._send_message(asked, AdvisoryMessage(wants_all=True))
+        if not self._has_answer:
+            self._ask()
         items = self._all_items(_EXCHANGED_AGE_S)
         if peers and items:
             self._send([self._rng.choice(peers)], items)
         self._loop.call_later(_EXCHANGE_PERIOD_S, self._exchange)
 
+    def _on_resume(self, paused_s: float) -> None:
+        """Asks for all, as news of the time of a pause is lost."""
+        self._has_answer = False
+        self._ask()
+
+    def _ask(self) -> None:
+        peers = self._peers()
+        asked = self._rng.sample(peers, min(_ASKED_PEERS, len(peers)))
+        self._send_message(asked, AdvisoryMessage(wants_all=True))
+
     def _all_items(self, max_age_s: float) -> list[Advisory]:
         now = self._loop.now()
         return [
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -315,6 +315,7 @@
         key,
         rng,
     )
+    resuming.add_check(lambda resumed_at: exchange.has_answer())
     exchange.add_source(limits)
     limits.publish = exchange.publish
     request_permits = permits.Permits(
--- a/tests/test_paused_process.py
+++ b/tests/test_paused_process.py
@@ -20,15 +20,24 @@
     status,
 )
 from store_hosts import Host as SharingHost
+from test_advisories import Host as AdvisoryHost
 from test_gateway_stages import PIECES, StageServer
 from test_stage_coordination import MADE, RESULT
 from test_stage_coordination import Host as StageHost
 from test_stage_coordination import graph as stage_graph_of
 
-from chervilarch import clocks, stage_coordination, store, tasks
+from chervilarch import (
+    advisory_messages,
+    clocks,
+    prompt_blocks,
+    stage_coordination,
+    store,
+    tasks,
+)
 from chervilarch import loop as loops
 
 _PAUSE_S = 3.0
+UNUSED_ADDRESS = ("127.0.0.1", 9)
 _CONFIGURATION = store.Topic.CONFIGURATION
 
 
@@ -203,6 +212,26 @@
     assert not sent
 
 
+def test_a_prompt_that_was_blocked_in_a_pause_is_not_sent(serving, sent):
+    exchange = serving.ctrl.advisories
+    exchange._peers = lambda: [stage_coordination.Peer("n2", UNUSED_ADDRESS)]
+    exchange.start()
+    exchange._has_answer = True
+    serving.loop.clock.paused_s += _PAUSE_S
+    waiting = serving.send(KEY, ("Prompt-Prefix", "p1:10,own:5"))
+    run_a_while(serving)
+    assert not sent
+    now = serving.loop.now()
+    block = prompt_blocks.PromptBlock(
+        frozenset(("p1",)), 1, True, now - 2.0, now + 60.0, now + 60.0
+    )
+    exchange._handle(
+        advisory_messages.AdvisoryMessage((block,)), UNUSED_ADDRESS
+    )
+    assert read_status(serving, waiting) == 503
+    assert not sent
+
+
 class WaitingStageServer(StageServer):
     """A stage worker that answers once it may."""
 
@@ -402,3 +431,24 @@
     assert paused.endpoints.topic_follower.read_at <= fleet.clock.now - 2.0
     for host in hosts:
         host.sharing.close()
+
+
+def test_a_host_asks_for_the_blocks_that_it_missed_in_a_pause(fleet):
+    source = lh.FakeStore()
+    members = []
+    made = [
+        AdvisoryHost(fleet.new_loop(), f"h{n}", members, source)
+        for n in range(2)
+    ]
+    fleet.advance(1.0)
+    told, paused = made
+    for number in range(5):
+        told.learn(number, fleet.clock.now)
+    # No longer sent unless asked for.
+    fleet.advance(12.0, stopped=paused.exchange._loop)
+    assert told.refuses()
+    lose_datagrams(paused.exchange._socket)
+    fleet.run()
+    assert paused.refuses()
+    for host in made:
+        host.exchange.close()
