Write a host's entry again after a restore of the store

Cause: each host wrote its entry once, when it started; the store may lose what it has acknowledged since the copy was made. Evidence, before: the three tests of entries in tests/test_rewritten_records.py, "assert [] == ['n1']". Change: `HostEntry` writes it again at a random time up to 4 s after each rise of the store's era. A write counts only if no rise was seen between its start and its answer. Result: the three hold, and tests/test_discovery.py.

--- a/chervilarch/fleet.py
+++ b/chervilarch/fleet.py
@@ -7,6 +7,7 @@
 from chervilarch import (
     clocks,
     gossip,
+    host_entry,
     hosts,
     membership,
     metrics,
@@ -56,13 +57,15 @@
             own: this host.
             key: seals datagrams.
             clock: for gossip's own thread.
-            rng: chooses the hosts that gossip probes.
+            rng: chooses the hosts that gossip probes, and spreads writes.
             seeds: IP addresses of hosts that may be running.
         """
         self._loop = loop
         self._store = source
         self._own = own
         self._seeds = seeds
+        value = f"{own.address} {own.data_centre}".encode()
+        self._entry = host_entry.HostEntry(loop, source, own.name, value, rng)
         # The gateway doesn't export gossip's counters.
         self.gossip = gossip.GossipController(
             own, key, clock, metrics.Metrics(None), rng
@@ -71,6 +74,7 @@
     def start(self) -> None:
         """Starts gossip and looks for other hosts."""
         self.gossip.start()
+        self._entry.start()
         tasks.Task(self._join())
         self._contact_seeds()
 
@@ -113,23 +117,16 @@
         self._loop.call_later(_SEED_PERIOD_S, self._contact_seeds)
 
     def _join(self) -> tasks.Coroutine[None]:
-        """Adds this host to the store's list, then reads the list.
+        """Reads the store's list once this host is on it.
 
         Reads it again whenever no peer is known; never returns.
         """
-        own = self._own
-        value = f"{own.address} {own.data_centre}".encode()
-        is_listed = False
+        yield self._entry.written
         while True:
-            if not is_listed:
-                error = yield self._store.put(
-                    store.Topic.ROUTERS, own.name, value, _STORE_TIMEOUT_S
-                )
-                is_listed = error is None
             page = yield self._store.read_newest(
                 store.Topic.ROUTERS, "", _STORE_TIMEOUT_S
             )
-            if isinstance(page, store.StoreError) or not is_listed:
+            if isinstance(page, store.StoreError):
                 yield tasks.sleep(self._loop, _RETRY_S)
                 continue
             self._add_listed_hosts(page)
--- a/chervilarch/store.py
+++ b/chervilarch/store.py
@@ -7,6 +7,10 @@
 
 from chervilarch import state_log
 
+# After a restore of the store, each host writes again what may be lost at a
+# random time up to this.
+REWRITE_SPREAD_S = 4.0
+
 
 class Topic(enum.Enum):
     """Topics of the store.
