Correct the blocks of prompts in a restored store

Callers would see (shown at components): after a restore and a restart of all hosts, prompts that crash engines were sent again, and prompts that were known to be sound again were refused. Cause: a block left the list of what must be written once it was confirmed, and its removal too; a restore takes back both. Change: at a rise of the era each host that knows blocks, ended ones too, reads the records after a random delay of up to 4 s and writes what still differs; a further rise meanwhile starts it over. Records of a later round are left alone.

--- a/chervilarch/block_records.py
+++ b/chervilarch/block_records.py
@@ -2,9 +2,15 @@
 
 Running hosts tell each other of blocks. The store's records are for hosts that
 start, as all may have been restarted at once.
+
+A restore of the store from an older copy loses blocks, and brings back others
+that had been removed. The hosts that know better correct it: each reads the
+records after a random delay and writes what still differs, which is nothing for
+nearly all of them.
 """
 
 import hashlib
+import random
 from collections.abc import Callable
 
 import msgspec
@@ -39,6 +45,8 @@
         source: store.Store,
         clock: clocks.Clock,
         on_read: Callable[[list[PromptBlock]], None],
+        known_blocks: Callable[[], list[PromptBlock]],
+        rng: random.Random,
     ):
         """Creates the records; nothing is read before `start`.
 
@@ -47,16 +55,23 @@
             source: the platform's store.
             clock: its time of day dates the records.
             on_read: called with the blocks that were stored.
+            known_blocks: returns the blocks that this host knows, also ended
+                ones.
+            rng: spreads the reads of all hosts over time after a restore.
         """
         self._loop = loop
         self._store = source
         self._clock = clock
         self._on_read = on_read
+        self._known_blocks = known_blocks
+        self._rng = rng
+        self._is_correcting = False
         self._unwritten: dict[str, bytes] = {}
         self._is_writing = False
 
     def start(self) -> None:
         """Reads the stored blocks; repeats that until the store answers."""
+        self._store.eras.add_listener(self._on_restore)
         tasks.Task(self._read())
 
     def write(self, blocks: list[PromptBlock]) -> None:
@@ -84,14 +99,60 @@
         self.write([block._replace(is_active=False) for block in old])
         self._on_read([block for block in blocks if block not in old])
 
+    def _on_restore(self, era: int) -> None:
+        if not self._is_correcting:
+            self._is_correcting = True
+            tasks.Task(self._correct())
+
+    def _correct(self) -> tasks.Coroutine[None]:
+        """Writes what a restored store lacks, until no restore interferes."""
+        while True:
+            era = self._store.eras.era
+            delay_s = self._rng.uniform(0.0, store.REWRITE_SPREAD_S)
+            yield tasks.sleep(self._loop, delay_s)
+            if not self._known_blocks():
+                page = store.NewestPage([], False, 0)
+            else:
+                page = yield self._store.read_newest(
+                    store.Topic.BLOCKS, "", _STORE_TIMEOUT_S
+                )
+            if isinstance(page, store.StoreError):
+                yield tasks.sleep(self._loop, _RETRY_S)
+            elif self._store.eras.era == era:
+                break
+        self._is_correcting = False
+        self.write(self._wrong_blocks(page.records))
+
+    def _wrong_blocks(self, records: list[store.Record]) -> list[PromptBlock]:
+        """Returns the known blocks whose records are missing or outdated."""
+        decoded = {record.key: self._decode(record) for record in records}
+        wrong = []
+        for block in self._known_blocks():
+            key = _key(block)
+            stored = decoded.get(key)
+            # Another host knows of a later round.
+            is_later = stored is not None and stored.round > block.round
+            is_outdated = stored is None or stored.round < block.round
+            if block.is_active:
+                is_wrong = is_outdated
+            else:
+                is_wrong = key in decoded and not is_later
+            if is_wrong:
+                wrong.append(block)
+        return wrong
+
     def _write(self) -> tasks.Coroutine[None]:
         while self._unwritten:
             key, value = next(iter(self._unwritten.items()))
+            era = self._store.eras.era
             error = yield self._store.put(
                 store.Topic.BLOCKS, key, value, _STORE_TIMEOUT_S
             )
             if error is not None:
                 yield tasks.sleep(self._loop, _RETRY_S)
+            elif era not in (None, self._store.eras.era):
+                # The write was under way in a restore and may be lost.
+                continue
             elif self._unwritten.get(key) == value:
                 del self._unwritten[key]
         self._is_writing = False
--- a/chervilarch/crash_evidence.py
+++ b/chervilarch/crash_evidence.py
@@ -283,6 +283,10 @@
             prompts = frozenset(p for p in report.prompts if not parts <= p)
             self._reports[key] = report._replace(prompts=prompts)
 
+    def blocks(self) -> list[PromptBlock]:
+        """Returns all blocks, also those that ended."""
+        return self._blocks.all()
+
     def active_blocks(self) -> list[PromptBlock]:
         """Returns the blocks in force, and those whose test is due."""
         return self._blocks.active()
--- a/chervilarch/prompt_guard.py
+++ b/chervilarch/prompt_guard.py
@@ -78,7 +78,7 @@
         # When a start of each part was last sent to other hosts, or by one.
         self._told_at: dict[str, float] = {}
         self._records = block_records.BlockRecords(
-            loop, source, loop.clock, self.merge
+            loop, source, loop.clock, self.merge, self._evidence.blocks, rng
         )
         exchange.add_source(self)
 
--- a/tests/test_rewritten_records.py
+++ b/tests/test_rewritten_records.py
@@ -5,16 +5,26 @@
 
 import loop_helpers as lh
 import pytest
+from test_advisories import _BAD as BAD
+from test_advisories import Host as AdvisoryHost
 
-from chervilarch import fleet as fleets
 from chervilarch import (
+    block_records,
+    host_entry,
     membership,
+    prompt_blocks,
     store,
     tasks,
 )
+from chervilarch import fleet as fleets
 
 _ROUTERS = store.Topic.ROUTERS
+_BLOCKS = store.Topic.BLOCKS
+_FLEET_SIZE = 195
 # What the users' platform takes of a whole fleet, a second.
+_MAX_WRITES_PER_S = 400
+_MAX_READS_PER_S = 2000
+_WINDOW_S = 0.1
 
 
 @pytest.fixture
@@ -100,3 +110,140 @@
     lh.advance(loop, clock, 5.0)
     source.answer()
     assert keys(source, _ROUTERS) == ["n1"]
+
+
+@pytest.fixture
+def blocking_host(env):
+    """A host that has blocked a prompt and stored the block."""
+    loop, clock, source = env
+    host = AdvisoryHost(loop, "h0", [], source)
+    for number in range(3):
+        host.learn(number, clock.now)
+    lh.advance(loop, clock, 1.0)
+    assert len(keys(source, _BLOCKS)) == 1
+    yield host
+    host.exchange.close()
+
+
+def test_a_block_that_a_restored_store_has_lost_is_written_again(
+    env, blocking_host
+):
+    loop, clock, source = env
+    restore(source, 0, 1)
+    lh.advance(loop, clock, 5.0)
+    assert len(keys(source, _BLOCKS)) == 1
+
+
+def test_a_block_that_ended_is_removed_from_a_restored_store(
+    env, blocking_host
+):
+    loop, clock, source = env
+    lh.advance(loop, clock, 31.0)
+    blocking_host.guard._evidence.record_start(BAD, clock.now)
+    blocking_host.guard._update_blocks(is_own=True)
+    lh.advance(loop, clock, 0.1)
+    assert keys(source, _BLOCKS) == []
+    restore(source, 1, 1)
+    assert len(keys(source, _BLOCKS)) == 1
+    lh.advance(loop, clock, 5.0)
+    assert keys(source, _BLOCKS) == []
+
+
+def test_a_block_that_was_under_way_in_a_restore_is_written_again(env):
+    loop, clock, _ = env
+    source = SlowStore()
+    source.eras.observe(0)
+    block = block_of(loop.now())
+    records = new_records(loop, clock, source, [], 1)
+    records.start()
+    records.write([block])
+    restore(source, 0, 1)
+    source.answer()
+    lh.advance(loop, clock, 5.0)
+    source.answer()
+    assert len(keys(source, _BLOCKS)) == 1
+
+
+def test_blocks_of_a_later_round_are_left_in_a_restored_store(env):
+    loop, clock, source = env
+    early, late = (block_of(loop.now())._replace(round=n) for n in (1, 2))
+    new_records(loop, clock, source, [late], 0).write([late])
+    for number, known in enumerate((early, early._replace(is_active=False))):
+        new_records(loop, clock, source, [known], number).start()
+    source.eras.observe(0)
+    restore(source, 1, 1)
+    lh.advance(loop, clock, 5.0)
+    assert len(source.log[_BLOCKS]) == 1
+    assert b'"round":2' in source.log[_BLOCKS][0].value
+
+
+def block_of(now):
+    return prompt_blocks.PromptBlock(
+        BAD, 1, True, now, now + 300.0, now + 300.0
+    )
+
+
+def new_records(loop, clock, source, known, seed):
+    return block_records.BlockRecords(
+        loop,
+        source,
+        clock,
+        lambda blocks: None,
+        lambda: known,
+        random.Random(seed),
+    )
+
+
+class CountingStore(lh.FakeStore):
+    """A host's link to the store; notes the time of each call."""
+
+    def __init__(self, loop, shared, times):
+        super().__init__(shared)
+        self._loop = loop
+        self._times = times
+
+    def read_newest(self, topic, after, timeout_s):
+        self._times.append(("read", self._loop.now()))
+        return super().read_newest(topic, after, timeout_s)
+
+    def put(self, topic, key, value, timeout_s):
+        self._times.append(("write", self._loop.now()))
+        return super().put(topic, key, value, timeout_s)
+
+
+def most_in_a_window(times):
+    times = sorted(times)
+    return max(
+        sum(start <= time < start + _WINDOW_S for time in times)
+        for start in times
+    )
+
+
+def test_a_large_fleet_makes_no_burst_on_a_restored_store(env, record_property):
+    loop, clock, shared = env
+    times = []
+    known = [block_of(loop.now())]
+    links = []
+    for number in range(_FLEET_SIZE):
+        link = CountingStore(loop, shared, times)
+        links.append(link)
+        rng = random.Random(number)
+        host_entry.HostEntry(loop, link, f"n{number}", b"a dc1", rng).start()
+        new_records(loop, clock, link, known, 1000 + number).start()
+    lh.advance(loop, clock, 1.0)
+    times.clear()
+    shared.restore(0, 1)
+    for link in links:
+        link.eras.observe(1)
+    lh.advance(loop, clock, 5.0)
+    assert len(keys(shared, _ROUTERS)) == _FLEET_SIZE
+    assert len(keys(shared, _BLOCKS)) == 1
+    writes = [time for kind, time in times if kind == "write"]
+    reads = [time for kind, time in times if kind == "read"]
+    assert len(writes) <= _FLEET_SIZE + 10
+    assert len(reads) <= _FLEET_SIZE
+    most_writes, most_reads = most_in_a_window(writes), most_in_a_window(reads)
+    record_property("writes", (len(writes), most_writes))
+    record_property("reads", (len(reads), most_reads))
+    assert most_writes <= _MAX_WRITES_PER_S * _WINDOW_S
+    assert most_reads <= _MAX_READS_PER_S * _WINDOW_S
