Log how long a host waited to confirm what it knew

The logs showed when a process had been paused, and a confirmation that failed, but not how long requests were held back by one that succeeded. A test also covers a shutdown meanwhile; it held before.

--- a/chervilarch/resumption.py
+++ b/chervilarch/resumption.py
@@ -50,13 +50,16 @@
     def _check(self) -> None:
         now = self._loop.now()
         resumed_at = self._loop.resumed_at
-        if not all(check(resumed_at) for check in self._checks):
-            if now < self._give_up_at:
-                self._loop.call_later(_CHECK_PERIOD_S, self._check)
-                return
+        is_confirmed = all(check(resumed_at) for check in self._checks)
+        if not is_confirmed and now < self._give_up_at:
+            self._loop.call_later(_CHECK_PERIOD_S, self._check)
+            return
+        waited_s = round(now - resumed_at, 3)
+        if is_confirmed:
+            state_log.log_change("confirmed after a pause", waited_s=waited_s)
+        else:
             state_log.log_fault(
-                "not confirmed after a pause",
-                waited_s=round(now - resumed_at, 3),
+                "not confirmed after a pause", waited_s=waited_s
             )
         pending, self._pending = self._pending, None
         tasks.resolve(pending, None)
--- a/tests/test_paused_process.py
+++ b/tests/test_paused_process.py
@@ -185,6 +185,19 @@
     assert not sent
 
 
+def test_a_request_that_waits_after_a_pause_is_refused_at_a_shutdown(
+    serving, sent
+):
+    pause(serving)
+    waiting = serving.send(KEY)
+    lh.run_until(serving.loop, lambda: serving.serving_state.in_flight)
+    serving.handler.cut_off()
+    assert read_status(serving, waiting) == 503
+    serving.store.release()
+    run_a_while(serving, 5)
+    assert not sent
+
+
 def test_a_repeat_after_a_pause_avoids_an_endpoint_that_left(world, sent):
     first = []
 
