--- a/chervilarch/block_records.py
+++ b/chervilarch/block_records.py
@@ -111,11 +111,11 @@
             delay_s = self._rng.uniform(0.0, store.REWRITE_SPREAD_S)
             yield tasks.sleep(self._loop, delay_s)
             if not self._known_blocks():
-                page = store.NewestPage([], False, 0)
-            else:
-                page = yield self._store.read_newest(
-                    store.Topic.BLOCKS, "", _STORE_TIMEOUT_S
-                )
+                self._is_correcting = False
+                return
+            page = yield self._store.read_newest(
+                store.Topic.BLOCKS, "", _STORE_TIMEOUT_S
+            )
             if isinstance(page, store.StoreError):
                 yield tasks.sleep(self._loop, _RETRY_S)
             elif self._store.eras.era == era:
