Let no odd record of another writer stop those who read the list

Callers saw: daemons that read a list with one odd entry (nested deeply, a number too large, a port out of range) ended again and again, or stopped following the list, after which requests were lost.

Cause: each decoder caught the exceptions that its author thought of, and nothing behind it caught the others. - msgspec raises RecursionError for nesting, also in fields that aren't used; the follower's task ended. In the store's client the exception was raised in a future's callback, so the read never ended. - int() takes digits that aren't ASCII and refuses more than 4,300 of them; numbers beyond 64 bits raised only when a datagram carried them on. - pycapnp raises RuntimeError for a value that an enum lacks, so a message kind of a later version ended a process of an older one. - A start far in the future hid every later record of its endpoint. - A stored block without parts would have refused every prompt.

Change: `decoding.attempt` turns what decoders raise into `Unreadable`; its list of exceptions is named once. Records, items and members are decoded one by one. Numbers are bounded by the fields that carry them on, addresses by one parser. Callbacks of followers, gossip and sockets are guarded one by one. Not the loop: an exception in, say, the poll for signals must rather end the process than the poll.

Why it works: no bytes reach state before they are within the bounds of all that uses them later, and one bad part is left out at the smallest unit.

--- a/chervilarch/advisory_messages.py
+++ b/chervilarch/advisory_messages.py
@@ -2,8 +2,6 @@
 
 from typing import NamedTuple
 
-import capnp
-
 from chervilarch import (
     crash_evidence,
     endpoint_limits,
@@ -93,6 +91,8 @@
                 now + slot.heldMs / _MS_PER_S,
             )
             for slot in msg.blocks
+            # A block without parts would refuse every prompt.
+            if len(slot.parts)
         )
         limits = (
             endpoint_limits.EndpointLimit(
@@ -102,10 +102,11 @@
                 now - slot.ageMs / _MS_PER_S,
             )
             for slot in msg.limits
+            if endpoint_limits.is_limit(slot.perSecond)
         )
         items = (*blocks, *starts, *crashes, *limits)
         return AdvisoryMessage(items, msg.wantsAll)
-    except (capnp.KjException, ValueError) as exc:
+    except messages.DECODING_ERRORS as exc:
         return messages.BadFrame(f"malformed advisories: {exc}")
 
 
--- a/chervilarch/attempts.py
+++ b/chervilarch/attempts.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from chervilarch import endpoint_state, exchanges, request, rules
+from chervilarch import decoding, endpoint_state, exchanges, request, rules
 
 _HTTP_OK = 200
 _MS_PER_S = 1000
@@ -119,7 +119,7 @@
         )
     try:
         reply = msgspec.json.decode(result.body, type=dict)
-    except msgspec.DecodeError as exc:
+    except decoding.ERRORS as exc:
         return Failure(
             FailureCause.FAILED, f"status {result.status}, not JSON: {exc}"
         )
--- a/chervilarch/block_records.py
+++ b/chervilarch/block_records.py
@@ -12,10 +12,11 @@
 import hashlib
 import random
 from collections.abc import Callable
+from typing import Annotated
 
 import msgspec
 
-from chervilarch import clocks, state_log, store, tasks
+from chervilarch import clocks, decoding, prompt_blocks, state_log, store, tasks
 from chervilarch import loop as loops
 from chervilarch.prompt_blocks import BLOCK_RETENTION_S, PromptBlock
 
@@ -25,13 +26,18 @@
 _KEY_BYTES = 16
 # Changes that wait while the store is away; the oldest go first.
 _MAX_UNWRITTEN = 256
+# A block's parts must fit a datagram beside those of other blocks.
+_MAX_PARTS_CHARS = 4096
+# Longest time that a block's evidence precedes its end.
+_MAX_AGE_S = 24 * 3600.0
 
 
 class _Record(msgspec.Struct):
     """A block as it is stored; times are in Unix seconds."""
 
-    parts: list[str]
-    round: int
+    # A block without parts would refuse every prompt.
+    parts: Annotated[list[str], msgspec.Meta(min_length=1)]
+    round: Annotated[int, msgspec.Meta(ge=1, le=2**31 - 1)]
     since: float
     ends_at: float
 
@@ -178,25 +184,35 @@
         )
 
     def _decode(self, record: store.Record) -> PromptBlock | None:
-        try:
-            fields = msgspec.json.decode(record.value, type=_Record)
-        except msgspec.MsgspecError as exc:
+        fields = decoding.attempt(_decode_record, record.value)
+        if isinstance(fields, decoding.Unreadable):
             state_log.log_fault(
-                "prompt block unreadable", key=record.key, reason=str(exc)
+                "prompt block unreadable", key=record.key, reason=fields.reason
             )
             return None
-        offset_s = self._clock.wall() - self._loop.now()
-        ends_at = fields.ends_at - offset_s
+        now = self._loop.now()
+        offset_s = self._clock.wall() - now
+        ends_at = min(
+            fields.ends_at - offset_s, now + prompt_blocks.MAX_BLOCK_S
+        )
+        since = min(fields.since - offset_s, now)
         return PromptBlock(
             frozenset(fields.parts),
             fields.round,
             True,
-            fields.since - offset_s,
+            max(since, ends_at - _MAX_AGE_S),
             ends_at,
             ends_at,
         )
 
 
+def _decode_record(value: bytes) -> _Record:
+    fields = msgspec.json.decode(value, type=_Record)
+    if sum(len(part) for part in fields.parts) > _MAX_PARTS_CHARS:
+        raise ValueError("its parts are too long")
+    return fields
+
+
 def _key(block: PromptBlock) -> str:
     names = "\n".join(sorted(block.parts))
     return hashlib.blake2b(names.encode(), digest_size=_KEY_BYTES).hexdigest()
--- a/chervilarch/config_transfer.py
+++ b/chervilarch/config_transfer.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
-from chervilarch import configuration, messages, metrics
+from chervilarch import configuration, decoding, messages, metrics
 
 MAX_FRAME_BYTES = 32 * 1024 * 1024
 _MAX_REQUEST_BYTES = 4096
@@ -124,7 +124,9 @@
         return None
     try:
         document = json.loads(reply.document)
-    except ValueError:
+    except decoding.ERRORS:
+        return None
+    if not isinstance(document, dict):
         return None
     return configuration.ConfigState(reply.through, reply.version, document)
 
--- a/chervilarch/endpoint_limits.py
+++ b/chervilarch/endpoint_limits.py
@@ -5,6 +5,7 @@
 last seen.
 """
 
+import math
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -13,7 +14,7 @@
 
 # An endpoint that takes no requests still gets one at times, as only its answer
 # can tell that this is over.
-_MIN_PER_S = 0.1
+MIN_PER_S = 0.1
 # Other hosts needn't know of smaller changes.
 _CHANGE_SHARE = 0.1
 _MAX_LIMITS = 4096
@@ -60,7 +61,7 @@
         known = self._limits.get(run)
         if known is None and per_s is None:
             return
-        named = 0.0 if per_s is None else max(_MIN_PER_S, per_s)
+        named = 0.0 if per_s is None else max(MIN_PER_S, per_s)
         now = self._loop.now()
         limit = EndpointLimit(run.key, run.incarnation, named, now)
         self._set(limit)
@@ -111,6 +112,11 @@
         )
 
 
+def is_limit(per_s: float) -> bool:
+    """Returns whether a host may name this limit; 0.0 ends one."""
+    return per_s == 0.0 or MIN_PER_S <= per_s < math.inf
+
+
 def _is_news(known: EndpointLimit, limit: EndpointLimit) -> bool:
     change = abs(limit.per_s - known.per_s)
     return change > _CHANGE_SHARE * min(limit.per_s, known.per_s)
--- a/chervilarch/endpoint_list.py
+++ b/chervilarch/endpoint_list.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from chervilarch import endpoint_state, hosts, store
+from chervilarch.decoding import Unreadable
 
 # Endpoints whose entry expired in an outage of the store, or was lost in its
 # restore from an older copy, renew it within about this time, unless they have
@@ -12,6 +13,11 @@
 # that a store is restored from is some seconds old.
 REMOVAL_MEMORY_S = 300.0
 MAX_REMOVALS = 4096
+# A start further ahead of this host's time of day isn't believed: it would hide
+# every later record of the endpoint. Clocks that are wrong by a time zone still
+# agree.
+_MAX_START_AHEAD_S = 24 * 3600.0
+_MS_PER_S = 1000
 
 
 class Listing(NamedTuple):
@@ -26,6 +32,19 @@
     sequence: int
 
 
+def check_start(listing: Listing, wall_s: float) -> Listing | Unreadable:
+    """Returns the listing if its start is believable.
+
+    Args:
+        listing: the listing.
+        wall_s: this host's time of day in Unix seconds.
+    """
+    latest_ms = (wall_s + _MAX_START_AHEAD_S) * _MS_PER_S
+    if listing.entry.incarnation > latest_ms:
+        return Unreadable("its start lies too far in the future")
+    return listing
+
+
 def runs(
     listed: dict[str, dict[str, Listing]],
 ) -> set[endpoint_state.EndpointRun]:
@@ -154,6 +173,17 @@
         """Applies a removal; returns whether the entry was removed at once."""
         return self._remove(name, now, is_missing=False)
 
+    def discard(self, name: str) -> bool:
+        """Unlists an entry that was overwritten by one that can't be read.
+
+        That says nothing of the endpoint: its next valid record lists it again.
+
+        Returns:
+            Whether it was listed.
+        """
+        self._graces.pop(name, None)
+        return self._listed.pop(name, None) is not None
+
     def _remove(self, name: str, now: float, is_missing: bool) -> bool:
         listing = self._listed.get(name)
         if listing is None:
--- a/chervilarch/fleet.py
+++ b/chervilarch/fleet.py
@@ -5,12 +5,14 @@
 import random
 
 from chervilarch import (
+    addresses,
     clocks,
     gossip,
     host_entry,
     hosts,
     membership,
     metrics,
+    schemas,
     stage_coordination,
     state_log,
     store,
@@ -95,6 +97,7 @@
             member
             for member in self.gossip.members()[1:]
             if member.status is membership.Status.ALIVE
+            and _has_peer_ports(member.address)
         ]
 
     def known_count(self) -> int:
@@ -138,7 +141,7 @@
         entries = []
         for record in page.records:
             fields = record.value.decode("utf-8", "replace").split()
-            if len(fields) != 2:
+            if not _is_host_entry(record.key, fields):
                 state_log.log_fault("host entry unreadable", host=record.key)
                 continue
             address, data_centre = fields
@@ -158,6 +161,23 @@
         self.gossip.add_listed_hosts(entries)
 
 
+def _is_host_entry(name: str, fields: list[str]) -> bool:
+    """Returns whether a record of the list names a gateway."""
+    return (
+        len(fields) == 2
+        and _has_peer_ports(fields[0])
+        and schemas.is_name(fields[1])
+        and schemas.is_name(name)
+    )
+
+
+def _has_peer_ports(gossip_address: str) -> bool:
+    address = addresses.parse(gossip_address)
+    return (
+        address is not None and address[1] + max(PeerPort) <= addresses.MAX_PORT
+    )
+
+
 def peer(member: membership.Member, port: PeerPort) -> stage_coordination.Peer:
     """Returns a member with the address of one of its sockets."""
     host, gossip_port = member.address.rsplit(":", 1)
--- a/chervilarch/follower.py
+++ b/chervilarch/follower.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from chervilarch import clocks, log_client
+from chervilarch import clocks, log_client, state_log
 
 _FIRST_BACKOFF_S = 0.1
 _MAX_BACKOFF_S = 1.0
@@ -79,7 +79,14 @@
                 continue
             backoff_s = _FIRST_BACKOFF_S
             wait_s = log_client.LONG_POLL_S
-            self._handler.handle_page(page)
+            try:
+                self._handler.handle_page(page)
+            except Exception as exc:  # noqa: BLE001
+                # An exception must not end the thread.
+                state_log.log_exception("log page not handled", exc)
+                self._set_reachable(False, "a page can't be handled")
+                self._stop.wait(_MAX_BACKOFF_S)
+                continue
             # The page covers everything appended before the read started.
             self.last_read_started_at = started_at
             self._set_reachable(True, "")
--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -8,6 +8,7 @@
     routing_table,
     state_log,
     store,
+    tasks,
     topic_follower,
 )
 from chervilarch import loop as loops
@@ -78,7 +79,7 @@
 
     def _apply_snapshot(self, records: Iterable[store.Record]) -> None:
         for record in records:
-            self._apply_record(record)
+            tasks.call_guarded(self._apply_record, record)
 
     def _apply_record(self, record: store.Record) -> bool:
         if record.key != self._key or not record.value:
@@ -102,7 +103,7 @@
         self.table = table
         self.applied_at = self._loop.now()
         for listener in self._listeners:
-            self._loop.run_callback(listener, table)
+            tasks.call_guarded(listener, table)
         return True
 
     def _is_newer(
@@ -251,7 +252,7 @@
         present = set()
         for record in records:
             present.add(record.key)
-            self._apply_record(record)
+            tasks.call_guarded(self._apply_record, record)
         if self._endpoints.remove_missing(present, self._loop.now()):
             self._changed = True
 
@@ -265,6 +266,10 @@
                 self._record_removal(name, "removed from the list")
             return True
         listing = self._decode(name, value)
+        if isinstance(listing, endpoint_list.Listing):
+            listing = endpoint_list.check_start(
+                listing, self._loop.clock.wall()
+            )
         is_readable = isinstance(listing, endpoint_list.Listing)
         content = listing.entry if is_readable else value
         is_new = self._last_content.get(name) != content
@@ -277,7 +282,7 @@
                     endpoint=name,
                     reason=listing.reason,
                 )
-            if self._endpoints.remove(name, now):
+            if self._endpoints.discard(name):
                 self._changed = True
             return is_new
         self._unreadable.discard(name)
@@ -314,4 +319,4 @@
         for name, listing in self._endpoints.listed().items():
             by_pool.setdefault(listing.entry.pool, {})[name] = listing
         for listener in self._listeners:
-            self._loop.run_callback(listener, by_pool)
+            tasks.call_guarded(listener, by_pool)
--- a/chervilarch/gossip.py
+++ b/chervilarch/gossip.py
@@ -18,6 +18,7 @@
     messages,
     metrics,
     state_log,
+    tasks,
 )
 
 _LEAVING_SENDS = 12
@@ -243,9 +244,10 @@
             readable, _, _ = select.select(
                 [self._socket], [], [], _SELECT_TIMEOUT_S
             )
+            # An exception must not end the thread.
             if readable:
-                self._receive()
-            self.tick()
+                tasks.call_guarded(self._receive)
+            tasks.call_guarded(self.tick)
 
     def tick(self) -> None:
         """Runs the probes and sends the pings that are due."""
--- a/chervilarch/hosts.py
+++ b/chervilarch/hosts.py
@@ -10,7 +10,15 @@
 
 import msgspec
 
-from chervilarch import exchanges, metrics, state_log, transfers
+from chervilarch import (
+    addresses,
+    decoding,
+    exchanges,
+    metrics,
+    state_log,
+    tasks,
+    transfers,
+)
 
 POLL_PERIOD_S = 1.0
 # Listeners get an unchanged list again after this many polls.
@@ -18,6 +26,10 @@
 _TIMEOUT_S = 2.0
 _OK = 200
 _NOT_MODIFIED = 304
+# Parts of the list that are nested more deeply are left out.
+_MAX_DEPTH = 32
+# Fits the field that carries it to other hosts.
+_MAX_INCARNATION = 2**63 - 1
 ROLE_ENDPOINT = "endpoint"
 ROLE_ROUTER = "router"
 LEAVING = "leaving"
@@ -67,6 +79,7 @@
         self._reachable: bool | None = None
         self._etag = ""
         self._last: list[HostEntry] = []
+        self._unreadable_count = 0
         self._stop = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name="hosts", daemon=True
@@ -98,11 +111,16 @@
             return self._last
         if result.status != _OK:
             return HostListError(f"HTTP status {result.status}")
-        try:
-            items = msgspec.json.decode(result.body, type=dict)["hosts"]
-            self._last = [_parse_entry(item) for item in items]
-        except (msgspec.DecodeError, KeyError, TypeError) as exc:
-            return HostListError(f"unreadable list: {exc!r}")
+        items = decoding.attempt(_decode_items, result.body)
+        if isinstance(items, decoding.Unreadable):
+            return HostListError(f"unreadable list: {items.reason}")
+        parsed = [decoding.attempt(_parse_entry, item) for item in items]
+        entries = [item for item in parsed if isinstance(item, HostEntry)]
+        faults = [item for item in parsed if not isinstance(item, HostEntry)]
+        if faults and not entries:
+            return HostListError(f"unreadable list: {faults[0].reason}")
+        self._report_unreadable(faults)
+        self._last = entries
         self._etag = result.headers.get("etag", "")
         return self._last
 
@@ -123,7 +141,17 @@
 
     def _notify_listeners(self, entries: list[HostEntry]) -> None:
         for listener in self._listeners:
-            listener(entries)
+            tasks.call_guarded(listener, entries)
+
+    def _report_unreadable(self, faults: list[decoding.Unreadable]) -> None:
+        """Logs how many entries can't be read when that changes."""
+        if len(faults) != self._unreadable_count and faults:
+            state_log.log_fault(
+                "host entries unreadable",
+                entries=len(faults),
+                reason=faults[0].reason,
+            )
+        self._unreadable_count = len(faults)
 
     def _record_reachability(self, reachable: bool, reason: str) -> None:
         if reachable == self._reachable:
@@ -136,7 +164,27 @@
             state_log.log_fault("host list unreachable", reason=reason)
 
 
+def _decode_items(body: bytes) -> list[dict]:
+    try:
+        document = msgspec.json.decode(body, type=dict)
+    except RecursionError:
+        flat = decoding.flatten(body, _MAX_DEPTH)
+        document = msgspec.json.decode(flat, type=dict)
+    return msgspec.convert(document["hosts"], list)
+
+
 def _parse_entry(item: dict) -> HostEntry:
-    return msgspec.convert(
-        [item.get(name, "") for name in HostEntry._fields], HostEntry
+    """Returns one entry.
+
+    Raises:
+        one of `decoding.ERRORS`: the entry isn't valid.
+    """
+    fields = msgspec.convert(item, dict)
+    entry = msgspec.convert(
+        [fields.get(name, "") for name in HostEntry._fields], HostEntry
     )
+    if addresses.parse(entry.address) is None:
+        raise ValueError(f"{entry.address[:40]!r} is not an address")
+    if not 0 <= entry.incarnation <= _MAX_INCARNATION:
+        raise ValueError("the incarnation is out of range")
+    return entry
--- a/chervilarch/log_client.py
+++ b/chervilarch/log_client.py
@@ -1,16 +1,18 @@
 """Client of the platform's append-only log, over HTTP and JSON."""
 
-from typing import Any, NamedTuple
+from typing import Annotated, Any, NamedTuple
 
 import msgspec
 
-from chervilarch import exchanges, records, transfers
+from chervilarch import decoding, exchanges, records, transfers
 
 READ_LIMIT = 1000
 LONG_POLL_S = 5.0
 REPLY_MARGIN_S = 2.0
 APPEND_TIMEOUT_S = 2.0
 _MS_PER_S = 1000
+# Bounds of the field that carries an offset to other hosts.
+_Offset = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
 
 class LogPage(NamedTuple):
@@ -31,6 +33,20 @@
     retention_s: float
 
 
+class _Item(msgspec.Struct):
+    offset: _Offset
+    time: float
+    body: Any
+
+
+class _Page(msgspec.Struct):
+    first_offset: _Offset
+    next_offset: _Offset
+    records: list[_Item]
+    time: float
+    retention_s: float
+
+
 class LogError(NamedTuple):
     """The log gave no usable reply.
 
@@ -97,28 +113,30 @@
         return LogError(f"{result.kind.value}: {result.detail}", result.sent)
     if result.status != 200:
         return LogError(f"HTTP status {result.status}", True)
-    try:
-        return msgspec.json.decode(result.body, type=dict)
-    except msgspec.DecodeError as exc:
-        return LogError(f"not JSON: {exc}", True)
+    reply = decoding.attempt(_decode_object, result.body)
+    if isinstance(reply, decoding.Unreadable):
+        return LogError(f"not JSON: {reply.reason}", True)
+    return reply
+
+
+def _decode_object(body: bytes) -> dict[str, Any]:
+    return msgspec.json.decode(body, type=dict)
 
 
 def _parse_page(result: exchanges.TransferResult) -> LogPage | LogError:
     reply = _parse_reply(result)
     if isinstance(reply, LogError):
         return reply
-    try:
-        return LogPage(
-            reply["first_offset"],
-            reply["next_offset"],
-            [
-                records.Record(
-                    item["offset"], item["time"], records.decode(item["body"])
-                )
-                for item in reply["records"]
-            ],
-            reply["time"],
-            reply["retention_s"],
-        )
-    except (KeyError, TypeError) as exc:
-        return LogError(f"the reply lacks {exc}", True)
+    page = decoding.attempt(msgspec.convert, reply, _Page)
+    if isinstance(page, decoding.Unreadable):
+        return LogError(f"the reply is not a page: {page.reason}", True)
+    return LogPage(
+        page.first_offset,
+        page.next_offset,
+        [
+            records.Record(item.offset, item.time, records.decode(item.body))
+            for item in page.records
+        ],
+        page.time,
+        page.retention_s,
+    )
--- a/chervilarch/messages.py
+++ b/chervilarch/messages.py
@@ -7,16 +7,26 @@
 import hashlib
 import hmac
 import pathlib
+import zlib
 from typing import NamedTuple
 
 import capnp
 
-from chervilarch import membership
+from chervilarch import addresses, decoding, membership
 
 MAC_BYTES = 16
 # Fits an unfragmented datagram. Checked by a test of a large gossip datagram,
 # not when datagrams are sent.
 TARGET_DATAGRAM_BYTES = 1400
+# What reading a message raises if its bytes aren't valid.
+DECODING_ERRORS = (
+    capnp.KjException,
+    RuntimeError,  # A value that the enum lacks, as of a later version.
+    zlib.error,
+    *decoding.ERRORS,
+)
+# Leaves room to count up in the field.
+_MAX_INCARNATION = 2**63 - 1
 SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("peer.capnp")))
 
 
@@ -140,6 +150,10 @@
         return payload
     try:
         msg = SCHEMA.Gossip.from_bytes_packed(payload)
+        if not _is_usable(msg.sender):
+            return BadFrame("the sender's address or incarnation is invalid")
+        if msg.kind == "indirectPing" and not addresses.parse(msg.subject):
+            return BadFrame("the subject's address is invalid")
         return Gossip(
             kind=str(msg.kind),
             sender=_read_member(msg.sender),
@@ -147,17 +161,20 @@
             sequence=msg.sequence,
             probe=msg.probe,
             subject=msg.subject,
-            members=tuple(_read_member(slot) for slot in msg.members),
+            members=tuple(
+                _read_member(slot) for slot in msg.members if _is_usable(slot)
+            ),
             leaving=tuple(
                 LeavingEndpoint(slot.address, slot.incarnation)
                 for slot in msg.leaving
+                if slot.incarnation <= _MAX_INCARNATION
             ),
             uses=tuple(
                 AccountUse(slot.account, slot.perSecond) for slot in msg.uses
             ),
             knows=msg.knows,
         )
-    except (capnp.KjException, ValueError) as exc:
+    except DECODING_ERRORS as exc:
         return BadFrame(f"malformed gossip: {exc}")
 
 
@@ -175,7 +192,7 @@
     try:
         msg = SCHEMA.TransferRequest.from_bytes_packed(payload)
         return TransferRequest(msg.nonce, msg.target)
-    except (capnp.KjException, ValueError) as exc:
+    except DECODING_ERRORS as exc:
         return BadFrame(f"malformed request: {exc}")
 
 
@@ -195,7 +212,7 @@
         return TransferReply(
             msg.nonce, msg.through, msg.version, bytes(msg.document)
         )
-    except (capnp.KjException, ValueError) as exc:
+    except DECODING_ERRORS as exc:
         return BadFrame(f"malformed reply: {exc}")
 
 
@@ -215,6 +232,14 @@
     slot.milliCores = member.milli_cores
 
 
+def _is_usable(slot) -> bool:
+    """Returns whether a member can be contacted and told to other hosts."""
+    return (
+        addresses.parse(slot.address) is not None
+        and slot.incarnation <= _MAX_INCARNATION
+    )
+
+
 def _read_member(slot) -> membership.Member:
     return membership.Member(
         name=slot.name,
--- a/chervilarch/operator_client.py
+++ b/chervilarch/operator_client.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from chervilarch import exchanges, log_client, records, transfers
+from chervilarch import decoding, exchanges, log_client, records, transfers
 
 _TIMEOUT_S = 3.0
 _HTTP_OK = 200
@@ -75,5 +75,5 @@
         return ReportError(f"HTTP status {result.status}")
     try:
         return msgspec.json.decode(result.body, type=dict)
-    except msgspec.DecodeError as exc:
+    except decoding.ERRORS as exc:
         return ReportError(f"not JSON: {exc}")
--- a/chervilarch/peer_socket.py
+++ b/chervilarch/peer_socket.py
@@ -12,8 +12,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from chervilarch import decoding, messages, state_log, tasks
 from chervilarch import loop as loops
-from chervilarch import messages, state_log
 
 # The largest payload of a UDP datagram over IPv4.
 _MAX_UDP_PAYLOAD_BYTES = 65507
@@ -57,7 +57,7 @@
         """Sends a datagram; one that can't be sent is logged and dropped."""
         try:
             self._socket.sendto(frame, address)
-        except OSError as exc:
+        except (OSError, OverflowError) as exc:
             state_log.log_fault(
                 "datagram not sent",
                 host=address[0],
@@ -84,10 +84,12 @@
     def _receive(self, events: int) -> None:
         while (received := self._receive_frame()) is not None:
             frame, source = received
-            message = self._decode(frame)
+            message = decoding.attempt(self._decode, frame)
+            if isinstance(message, decoding.Unreadable):
+                message = messages.BadFrame(message.reason)
             if isinstance(message, messages.BadFrame):
                 state_log.log_fault(
                     self._refused_event, host=source[0], reason=message.reason
                 )
                 continue
-            self._on_message(message, source)
+            tasks.call_guarded(self._on_message, message, source)
--- a/chervilarch/permits.py
+++ b/chervilarch/permits.py
@@ -13,8 +13,6 @@
 from concurrent.futures import Future
 from typing import NamedTuple
 
-import capnp
-
 from chervilarch import endpoint_limits, messages, peer_socket, tasks
 from chervilarch import loop as loops
 from chervilarch.endpoint_state import EndpointRun
@@ -236,7 +234,8 @@
         return payload
     try:
         msg = messages.SCHEMA.Permit.from_bytes_packed(payload)
-        if msg.kind == "request" and not msg.perSecond > 0:
+        is_limit = endpoint_limits.is_limit(msg.perSecond)
+        if msg.kind == "request" and not (msg.perSecond and is_limit):
             return messages.BadFrame("a permit without a limit")
         return _Message(
             _Kind(str(msg.kind)),
@@ -245,5 +244,5 @@
             msg.perSecond,
             msg.waitMs / _MS_PER_S,
         )
-    except (capnp.KjException, ValueError) as exc:
+    except messages.DECODING_ERRORS as exc:
         return messages.BadFrame(f"malformed permit message: {exc}")
--- a/chervilarch/platform/documents.py
+++ b/chervilarch/platform/documents.py
@@ -4,27 +4,40 @@
 endpoint writes a record with its own address and state.
 """
 
-from typing import NamedTuple
+from typing import Annotated
 
 import msgspec
 
-from chervilarch import endpoint_list, hosts, routing_table
+from chervilarch import (
+    addresses,
+    decoding,
+    endpoint_list,
+    hosts,
+    routing_table,
+)
 
 _MS_PER_S = 1000
 _BYTES_PER_MB = 1_000_000
 _STATES = {"ready": "live", "draining": hosts.LEAVING}
 
 
-class Unreadable(NamedTuple):
-    """A record that is not valid, and why."""
+# Longer times have no use and would overflow fields of messages between hosts.
+_MAX_TIME_MS = 24 * 3600 * _MS_PER_S
+_MAX_NAME_CHARS = 255
 
-    reason: str
+Unreadable = decoding.Unreadable
+# Bounds of the fields that carry the values to other hosts.
+_Counter = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+_Size = Annotated[float, msgspec.Meta(ge=0, le=2**53)]
+_Priority = Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31 - 1)]
+_Index = Annotated[int, msgspec.Meta(ge=0, le=2**16 - 1)]
+_Name = Annotated[str, msgspec.Meta(max_length=_MAX_NAME_CHARS)]
 
 
 class _Stage(msgspec.Struct):
     service: str
-    after: list[int] = []
-    bytes: float = 0
+    after: list[_Index] = []
+    bytes: _Size = 0
 
 
 class _Split(msgspec.Struct):
@@ -39,7 +52,7 @@
     kind: str
     timeout_ms: float
     target_latency_ms: float = 0
-    priority: int = 0
+    priority: _Priority = 0
     # Either one service or `traffic_split` is set.
     service: str = ""
     traffic_split: list[_Split] = []
@@ -76,7 +89,7 @@
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: _Priority | None = None
 
 
 class _Config(msgspec.Struct):
@@ -88,27 +101,28 @@
 
 
 class _Server(msgspec.Struct):
-    service: str
+    service: _Name
     address: str
-    zone: str
+    zone: _Name
     # `slots` and `cold_remaining_ms` aren't used. They are declared so that a
     # record in which another program wrote another type for them is refused.
     slots: int
     state: str
-    sequence: int
+    sequence: _Counter
     cold_remaining_ms: float = 0
     # Start time of the endpoint in Unix milliseconds.
-    born: int = 0
+    born: _Counter = 0
 
 
 def decode_configuration(
     value: bytes,
 ) -> routing_table.RoutingTable | Unreadable:
     """Returns the routing table of a configuration record."""
-    try:
-        config = msgspec.json.decode(value, type=_Config)
-    except msgspec.MsgspecError as exc:
-        return Unreadable(str(exc))
+    return decoding.attempt(_decode_configuration, value)
+
+
+def _decode_configuration(value: bytes) -> routing_table.RoutingTable:
+    config = msgspec.json.decode(value, type=_Config)
     limits = config.limits
     return routing_table.RoutingTable(
         config.version,
@@ -122,8 +136,8 @@
         routing_table.CallerLimits(
             limits.max_header_bytes,
             limits.max_body_bytes,
-            limits.header_timeout_ms / _MS_PER_S,
-            limits.idle_timeout_ms / _MS_PER_S,
+            _seconds(limits.header_timeout_ms),
+            _seconds(limits.idle_timeout_ms),
         ),
         config.tenants is not None,
     )
@@ -133,15 +147,17 @@
     server_id: str, value: bytes
 ) -> endpoint_list.Listing | Unreadable:
     """Returns the listing of an endpoint's record."""
-    try:
-        server = msgspec.json.decode(value, type=_Server)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-        return Unreadable(str(exc))
+    # The id goes into a header of each call.
+    is_text = server_id.isascii() and server_id.isprintable()
+    if not server_id or not is_text:
+        return Unreadable("the key is not printable ASCII")
+    server = decoding.attempt(_decode_server, value)
+    if isinstance(server, Unreadable):
+        return server
     if server.state not in _STATES:
-        return Unreadable(f"state {server.state!r} is not known")
-    host, sep, port = server.address.rpartition(":")
-    if not sep or not host or not port.isdigit():
-        return Unreadable(f"{server.address!r} is not an address")
+        return Unreadable(f"state {server.state[:20]!r} is not known")
+    if addresses.parse(server.address) is None:
+        return Unreadable(f"{server.address[:40]!r} is not an address")
     entry = hosts.HostEntry(
         server_id,
         server.address,
@@ -154,6 +170,14 @@
     return endpoint_list.Listing(entry, server.sequence)
 
 
+def _decode_server(value: bytes) -> _Server:
+    return msgspec.json.decode(value, type=_Server)
+
+
+def _seconds(milliseconds: float) -> float:
+    return min(milliseconds, _MAX_TIME_MS) / _MS_PER_S
+
+
 def _build_route(route: _Route) -> routing_table.Route:
     weighted_pools = [
         (split.service, split.weight) for split in route.traffic_split
@@ -170,9 +194,9 @@
             if is_repeatable
             else routing_table.RetryPolicy.AT_MOST_ONCE
         ),
-        timeout_s=route.timeout_ms / _MS_PER_S,
-        objective_s=(route.target_latency_ms or route.timeout_ms) / _MS_PER_S,
-        gap_objective_s=route.gap_aim_ms / _MS_PER_S,
+        timeout_s=_seconds(route.timeout_ms),
+        objective_s=_seconds(route.target_latency_ms or route.timeout_ms),
+        gap_objective_s=_seconds(route.gap_aim_ms),
         priority=route.priority,
         pools=tuple(weighted_pools) or ((route.service, 1.0),),
         max_attempts=max(1, route.max_attempts),
--- a/chervilarch/platform/store.py
+++ b/chervilarch/platform/store.py
@@ -1,16 +1,15 @@
 """HTTP client of the platform's store, a log of keyed records by topic."""
 
 import base64
-import binascii
 import struct
 from collections.abc import Callable
 from concurrent.futures import Future
-from typing import Any
+from typing import Annotated, Any
 from urllib import parse
 
 import msgspec
 
-from chervilarch import exchanges, http_client, state_log, store
+from chervilarch import decoding, exchanges, http_client, state_log, store
 
 _OK = 200
 _GONE = 410
@@ -36,16 +35,22 @@
 _LENGTH = struct.Struct(">I")
 
 
+# Bounds of the field that carries an offset to other hosts.
+_MAX_OFFSET = 2**63 - 1
+_Offset = Annotated[int, msgspec.Meta(ge=0, le=_MAX_OFFSET)]
+
+
 class _Item(msgspec.Struct):
     key: str
     value: str  # base64
-    offset: int
+    offset: _Offset
 
 
 class _Newest(msgspec.Struct):
-    items: list[_Item]
+    # Decoded one by one, so that a bad one doesn't hide the others.
+    items: list[msgspec.Raw]
     has_more: bool
-    end: int
+    end: _Offset
 
 
 class StoreClient:
@@ -109,7 +114,10 @@
         def finish(done: Future) -> None:
             result = done.result()
             era = self._observe_era(result)
-            fut.set_result(convert(result, era))
+            converted = decoding.attempt(convert, result, era)
+            if isinstance(converted, decoding.Unreadable):
+                converted = store.StoreError(f"unreadable: {converted.reason}")
+            fut.set_result(converted)
 
         self._client.call(exchange).add_done_callback(finish)
         return fut
@@ -155,19 +163,25 @@
     error = _reply_error(result)
     if error is not None:
         return error
-    try:
-        page = msgspec.json.decode(result.body, type=_Newest)
-        records = [
-            store.Record(
-                item.offset, item.key, base64.b64decode(item.value), era
-            )
-            for item in page.items
-        ]
-    except (msgspec.MsgspecError, binascii.Error) as exc:
-        return store.StoreError(f"unreadable page: {exc}")
+    page = msgspec.json.decode(result.body, type=_Newest)
+    records = []
+    for raw in page.items:
+        record = decoding.attempt(_decode_item, raw, era)
+        if isinstance(record, decoding.Unreadable):
+            state_log.log_fault("store item unreadable", reason=record.reason)
+        else:
+            records.append(record)
+    if page.has_more and not records:
+        return store.StoreError("no item of the page is readable")
     return store.NewestPage(records, page.has_more, page.end, era)
 
 
+def _decode_item(raw: msgspec.Raw, era: int) -> store.Record:
+    item = msgspec.json.decode(raw, type=_Item)
+    value = base64.b64decode(item.value, validate=True)
+    return store.Record(item.offset, item.key, value, era)
+
+
 def _decode_changes(
     result: exchanges.TransferResult, offset: int, era: int
 ) -> store.RecordPage | store.StoreError:
@@ -178,6 +192,8 @@
     if len(body) < _HEADER.size:
         return store.StoreError("the reply ends within its head")
     end, first = _HEADER.unpack_from(body)
+    if max(end, first) > _MAX_OFFSET:
+        return store.StoreError("the reply names an offset out of range")
     records = []
     position = _HEADER.size
     while position + _LENGTH.size <= len(body):
--- a/chervilarch/platform/wire.py
+++ b/chervilarch/platform/wire.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from chervilarch import (
+    decoding,
     endpoint_list,
     exchanges,
     http_server,
@@ -27,6 +28,13 @@
 _HEADER_NAME = re.compile(r"[-!#$%&'*+.^_`|~0-9a-z]+")
 # No line breaks and no NUL; other control characters are of no use either.
 _HEADER_VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
+# A longer time has no use and would overflow fields of messages between hosts.
+_MAX_ALLOWED_S = 24 * 3600.0
+# Bounds of the fields that carry the numbers to other hosts.
+_MAX_PIECES = 2**16 - 1
+_MAX_TOKENS = 2**32 - 1
+_MAX_HANDLE_CHARS = 255
+
 # Headers that aren't forwarded (RFC 9110, section 7.6.1).
 _HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -111,7 +119,7 @@
         try:
             allowed_s = _parse_milliseconds(by_name.get("deadline-ms"))
             prompt = _parse_prompt(by_name)
-            counts = _parse_integers(by_name.get("pieces", ""))
+            counts = _parse_counts(by_name.get("pieces", ""), _MAX_PIECES)
         except ValueError as exc:
             return outcomes.Rejected(
                 outcomes.Reason.BAD_REQUEST,
@@ -236,22 +244,12 @@
         self, body: bytes, count: int
     ) -> list[routed.PieceReply] | None:
         """Parses the reply to a piece call; None if it isn't valid."""
-        try:
-            items = msgspec.json.decode(body, type=_PieceAnswers).items
-        except msgspec.MsgspecError:
+        answers = decoding.attempt(_decode_answers, body)
+        if isinstance(answers, decoding.Unreadable):
             return None
-        if len(items) != count:
+        if len(answers.items) != count:
             return None
-        return [
-            routed.PieceReply(
-                item.handle,
-                ""
-                if item.handle
-                else _FAILURES_BY_REASON.get(item.reason, pieces.FAILED),
-                item.reason == "room",
-            )
-            for item in items
-        ]
+        return [_build_piece_reply(item) for item in answers.items]
 
     def build_free(
         self, address: str, handles: list[str]
@@ -272,8 +270,43 @@
     return parse.urlsplit(target).path == "/chervilarch/readiness"
 
 
+def _decode_answers(body: bytes) -> _PieceAnswers:
+    return msgspec.json.decode(body, type=_PieceAnswers)
+
+
+def _build_piece_reply(item: _PieceAnswer) -> routed.PieceReply:
+    is_handle = _is_handle(item.handle)
+    return routed.PieceReply(
+        item.handle if is_handle else "",
+        ""
+        if is_handle
+        else _FAILURES_BY_REASON.get(item.reason, pieces.FAILED),
+        item.reason == "room",
+    )
+
+
+def _is_handle(text: str) -> bool:
+    """Returns whether a text can be listed as a handle in a header."""
+    return (
+        0 < len(text) <= _MAX_HANDLE_CHARS
+        and text.isascii()
+        and text.isprintable()
+        and not set(text) & {" ", ","}
+    )
+
+
 def _parse_milliseconds(text: str | None) -> float | None:
-    return None if text is None else float(text) / _MS_PER_S
+    """Parses the time that a caller allows; one that has passed is 0.
+
+    Raises:
+        ValueError: it isn't a finite number.
+    """
+    if text is None:
+        return None
+    allowed_s = float(text) / _MS_PER_S
+    if not math.isfinite(allowed_s):
+        raise ValueError(f"{text!r} is no time")
+    return min(max(0.0, allowed_s), _MAX_ALLOWED_S)
 
 
 def _parse_limit(text: str | None) -> float | None:
@@ -290,8 +323,24 @@
     return limit
 
 
-def _parse_integers(text: str) -> tuple[int, ...]:
-    return tuple(int(count) for count in text.split(",")) if text else ()
+def _parse_counts(text: str, largest: int) -> tuple[int, ...]:
+    if not text:
+        return ()
+    return tuple(_parse_count(count, largest) for count in text.split(","))
+
+
+def _parse_count(text: str, largest: int) -> int:
+    """Parses a count.
+
+    Raises:
+        ValueError: it isn't a number, or is out of range.
+    """
+    digits = text.strip()
+    if not (digits.isascii() and digits.isdigit()):
+        raise ValueError(f"{text[:20]!r} is not a count")
+    if len(digits) > len(str(largest)) or int(digits) > largest:
+        raise ValueError(f"{text[:20]!r} is more than {largest}")
+    return int(digits)
 
 
 def _parse_prompt(by_name: dict[str, str]) -> routed.Prompt:
@@ -300,8 +349,10 @@
     for entry in by_name.get("prompt-prefix", "").split(","):
         part, sep, tokens = entry.strip().partition(":")
         if sep:
-            parts.append((part, int(tokens)))
-    usage = _parse_integers(by_name.get("token-usage", ""))
+            parts.append((part, _parse_count(tokens, _MAX_TOKENS)))
+    if sum(tokens for _, tokens in parts) > _MAX_TOKENS:
+        raise ValueError(f"a prompt of more than {_MAX_TOKENS} tokens")
+    usage = _parse_counts(by_name.get("token-usage", ""), _MAX_TOKENS)
     tokens_in, tokens_out = usage if len(usage) == 2 else (0, 0)
     return routed.Prompt(tuple(parts), tokens_in, tokens_out)
 
--- a/chervilarch/prompt_blocks.py
+++ b/chervilarch/prompt_blocks.py
@@ -8,7 +8,8 @@
 from typing import NamedTuple
 
 _FIRST_BLOCK_S = 30.0
-_MAX_BLOCK_S = 480.0
+MAX_BLOCK_S = 480.0
+_MAX_DOUBLINGS = 16
 # After its time a block is lifted for one prompt, on one host; the others wait
 # this long to learn whether that prompt starts.
 _TEST_S = 10.0
@@ -97,7 +98,8 @@
                 self.end(block)
         known = self._blocks.get(parts)
         number = known.round + 1 if known else 1
-        block_s = min(_MAX_BLOCK_S, _FIRST_BLOCK_S * 2 ** (number - 1))
+        doublings = min(number - 1, _MAX_DOUBLINGS)
+        block_s = min(MAX_BLOCK_S, _FIRST_BLOCK_S * 2**doublings)
         ends_at = now + block_s
         self._blocks[parts] = PromptBlock(
             parts, number, True, since, ends_at, ends_at
--- a/chervilarch/records.py
+++ b/chervilarch/records.py
@@ -4,19 +4,25 @@
 (claims, releases and results of non-repeatable calls).
 """
 
-from typing import Any, NamedTuple
+from typing import Annotated, Any, NamedTuple
 
 import msgspec
 
+from chervilarch import decoding
+
 CONFIGURATION_STREAM = "configuration"
 CALLS_STREAM = "calls"
 
 
+# Bounds of the field that carries it to other hosts; -1 stands for none.
+_Version = Annotated[int, msgspec.Meta(ge=-1, le=2**63 - 1)]
+
+
 class Publish(NamedTuple):
     """A change of the configuration, as an RFC 6902 patch of its base."""
 
     publish_id: str
-    base_version: int
+    base_version: _Version
     patch: list[dict[str, Any]]
     author: str
 
@@ -24,8 +30,8 @@
 class Snapshot(NamedTuple):
     """The configuration after folding all records up to an offset."""
 
-    through_offset: int
-    version: int
+    through_offset: _Version
+    version: _Version
     document: dict[str, Any]
 
 
@@ -117,5 +123,5 @@
     try:
         values = [fields[name] for name in body_type._fields]
         return msgspec.convert(values, body_type)
-    except (KeyError, msgspec.ValidationError) as exc:
+    except decoding.ERRORS as exc:
         return Unreadable(f"{fields['kind']}: {exc}")
--- a/chervilarch/schemas.py
+++ b/chervilarch/schemas.py
@@ -1,11 +1,13 @@
 """JSON Schemas of settings and configurations, and their validation."""
 
-import ipaddress
+import re
 import zoneinfo
 from typing import Any, NamedTuple
 
 import jsonschema
 
+from chervilarch import addresses
+
 _NAME = {"type": "string", "pattern": "^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$"}
 _ADDRESS = {"type": "string", "format": "ip-address-and-port"}
 _SHA256 = {"type": "string", "pattern": "^[0-9a-f]{64}$"}
@@ -208,6 +210,11 @@
         return f"{self.path} is {value}: {self.remedy}"
 
 
+def is_name(text: str) -> bool:
+    """Returns whether a text can name a host or a data centre."""
+    return re.fullmatch(_NAME["pattern"], text) is not None
+
+
 @_format_checker.checks("ip-address-and-port")
 def is_address(value: Any) -> bool:
     """Returns whether a string is an IPv4 address and a port.
@@ -216,14 +223,7 @@
     """
     if not isinstance(value, str):
         return True
-    host, sep, port = value.rpartition(":")
-    if not sep or not port.isdigit() or not 0 < int(port) < 65536:
-        return False
-    try:
-        ipaddress.IPv4Address(host)
-    except ValueError:
-        return False
-    return True
+    return addresses.parse(value) is not None
 
 
 @_format_checker.checks("time-zone")
--- a/chervilarch/settings.py
+++ b/chervilarch/settings.py
@@ -4,7 +4,7 @@
 import pathlib
 from typing import Any, NamedTuple
 
-from chervilarch import schemas
+from chervilarch import decoding, schemas
 
 
 class Bounds(NamedTuple):
@@ -83,7 +83,7 @@
         return SettingsError([f"{path}: not UTF-8; save it as UTF-8"])
     try:
         return json.loads(text)
-    except ValueError as exc:
+    except decoding.ERRORS as exc:
         return SettingsError([f"{path}: not JSON: {exc}; correct the file"])
 
 
--- a/chervilarch/stage_messages.py
+++ b/chervilarch/stage_messages.py
@@ -3,8 +3,6 @@
 import enum
 from typing import NamedTuple
 
-import capnp
-
 from chervilarch import messages, pieces, stage_graph
 
 _MS_PER_S = 1000
@@ -96,7 +94,7 @@
         return StageMessage(
             kind, msg.number, graph, results, failure, msg.engine, completed
         )
-    except (capnp.KjException, ValueError, IndexError) as exc:
+    except messages.DECODING_ERRORS as exc:
         return messages.BadFrame(f"malformed stage message: {exc}")
 
 
--- a/chervilarch/store_messages.py
+++ b/chervilarch/store_messages.py
@@ -3,8 +3,6 @@
 import zlib
 from typing import NamedTuple
 
-import capnp
-
 from chervilarch import messages, store
 
 _MS_PER_S = 1000
@@ -94,7 +92,7 @@
             for slot in msg.topics
         ]
         return StoreNews(updates, msg.mustRelay)
-    except (capnp.KjException, ValueError, zlib.error) as exc:
+    except messages.DECODING_ERRORS as exc:
         return messages.BadFrame(f"malformed news of the store: {exc}")
 
 
--- a/chervilarch/store_sharing.py
+++ b/chervilarch/store_sharing.py
@@ -228,9 +228,12 @@
         else:
             now = self._loop.now()
             news = store_messages.decode(self._key, result.body, now)
-            if not isinstance(news, messages.BadFrame):
+            if isinstance(news, messages.BadFrame):
+                reason = news.reason
+            elif [update.topic for update in news.updates] != [topic]:
+                reason = "the reply is of another topic"
+            else:
                 return news.updates[0]
-            reason = news.reason
         state_log.log_fault(
             "no values from a peer",
             host=peer.name,
--- a/chervilarch/tokens.py
+++ b/chervilarch/tokens.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from chervilarch import event_stream
+from chervilarch import decoding, event_stream
 
 
 class TokenData(TypedDict):
@@ -73,7 +73,7 @@
                 return self._apply_token(self._token_decoder.decode(event.data))
             if event.name == "end":
                 return self._apply_end(self._end_decoder.decode(event.data))
-        except msgspec.DecodeError:
+        except decoding.ERRORS:
             return StreamFault.MALFORMED
         if event.name == "error":
             return StreamFault.ENGINE
--- a/chervilarch/topic_follower.py
+++ b/chervilarch/topic_follower.py
@@ -347,12 +347,12 @@
         is_restored = self.has_read() and position.era > self._position.era
         self._position = position
         if is_restored:
-            self.on_restore()
-        self.on_snapshot(records)
-        self.on_removed(removed)
-        self.on_read()
+            tasks.call_guarded(self.on_restore)
+        tasks.call_guarded(self.on_snapshot, records)
+        tasks.call_guarded(self.on_removed, removed)
+        tasks.call_guarded(self.on_read)
         if is_restored and self._told_era < position.era:
-            self.on_update(self.state())
+            tasks.call_guarded(self.on_update, self.state())
 
     def _read_changes(self) -> tasks.Coroutine[bool]:
         """Reads new records once; returns False if a snapshot is needed."""
@@ -414,11 +414,10 @@
         # An update that arrived during the read went further.
         if first > end:
             return
-        self.on_update(
-            store.TopicUpdate(
-                self._topic, first, end, self.read_at, tuple(shared), era
-            )
+        update = store.TopicUpdate(
+            self._topic, first, end, self.read_at, tuple(shared), era
         )
+        tasks.call_guarded(self.on_update, update)
 
     def _apply_changes(
         self, records: Iterable[store.Record], end: int
@@ -428,11 +427,11 @@
         for record in records:
             if record.offset < self._position.offset:
                 continue
-            if self.on_change(record):
+            if tasks.call_guarded(self.on_change, record):
                 shared.append(record)
         era, offset = self._position
         self._position = store.Position(era, max(offset, end))
-        self.on_read()
+        tasks.call_guarded(self.on_read)
         return shared
 
     def _record_success(self, read_at: float, source_ip: str) -> None:
@@ -457,7 +456,7 @@
         )
         # A host that alone lost the store still got updates from neighbours.
         if unread_s >= self._read_period_s + _OUTAGE_MARGIN_S:
-            self.on_outage_end()
+            tasks.call_guarded(self.on_outage_end)
 
     def _record_failure(self, error: store.StoreError) -> None:
         self._retry_delay_s = min(_MAX_RETRY_S, 2 * self._retry_delay_s)
