Don't take a reply that ends within its head for a success

Clients saw: a 200 with an empty or short body, framed as whole, when a server stopped in the middle of its answer's head and closed.

Cause: libcurl reports no error for it. It takes the end of the connection for the end of the head and of a body without a length. `ReplyHead` passed on each line as it came, so a head was in use before it was complete. For the same reason lines of trailers were taken for headers (a trailer could name the request or deny that it ran), and a refusal cut in its head counted as one.

Evidence: tests/test_reply_framing.py on real sockets, both daemons, calls and streams.

Change: `ReplyHead` publishes status and headers at the empty line of a head that isn't interim, and ignores what follows; `reply_head.result` makes the result of a transfer for both daemons, and is a failure without a complete head.

Why it works: no other code sees lines of a head. The failure is of kind BROKEN and the request was sent, so it counts as "may have run": only requests that may be repeated are sent again.

--- a/chervilarch/http_client.py
+++ b/chervilarch/http_client.py
@@ -68,12 +68,13 @@
     def reply(self, elapsed_s: float) -> exchanges.Reply:
         """Returns the reply as far as it has been received."""
         return exchanges.Reply(
-            self.head.status,
-            dict(self.head.headers),
-            bytes(self._body),
-            elapsed_s,
+            self.head.status, dict(self.head.headers), self.body(), elapsed_s
         )
 
+    def body(self) -> bytes:
+        """Returns the part of the body that is kept for `on_done`."""
+        return bytes(self._body)
+
     def on_body_chunk(self, chunk: bytes) -> int:
         """Stores a chunk of the body; called by libcurl."""
         if self.on_data is not None and self.head.status == 200:
@@ -225,19 +226,13 @@
         for transfer, code, text in ended:
             # An earlier callback may have cancelled this one.
             if transfer is not None and transfer.curl is not None:
-                result = _result(transfer, transfer.curl, code, text)
+                result = reply_head.result(
+                    transfer.curl, code, text, transfer.head, transfer.body()
+                )
                 self.release(transfer)
                 self._loop.run_callback(transfer.on_done, result)
 
 
-def _result(
-    transfer: Transfer, curl: pycurl.Curl, code: int | None, text: str
-) -> exchanges.TransferResult:
-    if code is None:
-        return transfer.reply(curl.getinfo(pycurl.TOTAL_TIME))
-    return reply_head.failure(curl, code, text, transfer.head)
-
-
 def _configure(curl: pycurl.Curl, transfer: Transfer) -> None:
     exchange = transfer.exchange
     curl.setopt(pycurl.URL, exchange.url)
--- a/chervilarch/reply_head.py
+++ b/chervilarch/reply_head.py
@@ -9,15 +9,22 @@
     pycurl.E_OPERATION_TIMEDOUT: exchanges.FailureKind.TIMED_OUT,
     pycurl.E_WRITE_ERROR: exchanges.FailureKind.TOO_LARGE,
 }
+_FIRST_FINAL_STATUS = 200
+_STATUS_DIGITS = 3
 _LENGTH_HEADERS = {"content-length", "transfer-encoding"}
 
 
 class ReplyHead:
-    """The head of one reply, as far as it has been received.
+    """The head of one reply, once it has been received completely.
+
+    Interim heads (status 1xx) and trailers aren't part of it.
 
     Attributes:
-        status: HTTP status, 0 before there is one.
-        headers: names in lower case with values, in the order received.
+        status: HTTP status, 0 before the head is complete.
+        headers: names in lower case with values, in the order received; empty
+            before the head is complete.
+        is_complete: whether the empty line that ends the head has come. libcurl
+            takes a reply that ends before it for complete.
         is_ambiguous: whether the head names two ways to find the end of the
             body. libcurl refuses the other heads with a doubtful end by itself.
     """
@@ -25,26 +32,69 @@
     def __init__(self) -> None:
         self.status = 0
         self.headers: list[tuple[str, str]] = []
+        self.is_complete = False
         self.is_ambiguous = False
+        self._partial_status = 0
+        self._partial_headers: list[tuple[str, str]] = []
 
     def on_line(self, line: bytes) -> int | None:
         """Parses one line; called by libcurl, which gives up at a 0."""
+        if self.is_complete:
+            return None
         text = line.decode("latin-1").strip()
         if text.startswith("HTTP/"):
-            self.headers.clear()
-            words = text.split(" ", 2)
-            self.status = int(words[1]) if words[1].isdigit() else 0
+            self._partial_headers = []
+            self._partial_status = _parse_status(text)
             return None
         name, sep, value = text.partition(":")
         if sep:
-            self.headers.append((name.strip().lower(), value.strip()))
-        if text:
+            self._partial_headers.append((name.strip().lower(), value.strip()))
+        if text or not line.endswith(b"\n"):
             return None
+        return self._end_head()
+
+    def _end_head(self) -> int | None:
+        if self._partial_status < _FIRST_FINAL_STATUS:
+            return None
+        self.is_complete = True
+        self.status = self._partial_status
+        self.headers = self._partial_headers
         names = {name for name, _ in self.headers}
         self.is_ambiguous = names >= _LENGTH_HEADERS
         return 0 if self.is_ambiguous else None
 
 
+def _parse_status(line: str) -> int:
+    """Returns the status of a status line, 0 if it has none."""
+    words = line.split()
+    is_number = len(words) > 1 and words[1].isascii() and words[1].isdigit()
+    return int(words[1][:_STATUS_DIGITS]) if is_number else 0
+
+
+def result(
+    curl: pycurl.Curl, code: int | None, text: str, head: ReplyHead, body: bytes
+) -> exchanges.TransferResult:
+    """Returns the result of a transfer that has ended.
+
+    Args:
+        curl: its handle.
+        code: libcurl's error, None if it reports none.
+        text: libcurl's error message.
+        head: the head that was received.
+        body: the body that was kept.
+    """
+    if code is not None:
+        return failure(curl, code, text, head)
+    if not head.is_complete:
+        return exchanges.TransferFailure(
+            exchanges.FailureKind.BROKEN,
+            "the reply ended within its head",
+            was_sent(curl),
+        )
+    elapsed_s = curl.getinfo(pycurl.TOTAL_TIME)
+    return exchanges.Reply(head.status, dict(head.headers), body, elapsed_s)
+
+
 def failure(
     curl: pycurl.Curl, code: int, text: str, head: ReplyHead
 ) -> exchanges.TransferFailure:
--- a/chervilarch/transfers.py
+++ b/chervilarch/transfers.py
@@ -239,21 +239,13 @@
         queued = 1
         while queued:
             queued, done, failed = self._multi.info_read()
-            for curl in done:
+            ended = [(curl, None, "") for curl in done] + failed
+            for curl, code, text in ended:
                 transfer = self._running[curl]
-                reply = exchanges.Reply(
-                    transfer.head.status,
-                    dict(transfer.head.headers),
-                    bytes(transfer.body),
-                    curl.getinfo(pycurl.TOTAL_TIME),
-                )
-                self._complete(transfer, reply)
-            for curl, code, text in failed:
-                transfer = self._running[curl]
-                self._complete(
-                    transfer,
-                    reply_head.failure(curl, code, text, transfer.head),
+                result = reply_head.result(
+                    curl, code, text, transfer.head, bytes(transfer.body)
                 )
+                self._complete(transfer, result)
 
     def _complete(
         self, transfer: _Transfer, result: exchanges.TransferResult
--- a/tests/test_reply_framing.py
+++ b/tests/test_reply_framing.py
@@ -30,6 +30,44 @@
 }
 
 
+_OK = b"HTTP/1.1 200 OK\r\n"
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Bytes after which the server closes the connection.
+CUT_HEADS = {
+    "after the status line": _OK,
+    "within a header": _OK + b"Content-Len",
+    "after a header": _OK + b"Content-Length: 10\r\n",
+    "after a length of 0": _OK + b"Content-Length: 0\r\n",
+    "after chunked": _OK + _CHUNKED,
+    "after a refusal": b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n",
+    "within the empty line": _OK + b"Content-Length: 0\r\n\r",
+    "after a space": _OK + b"Content-Length: 0\r\n ",
+    "after an interim head": _CONTINUE,
+    "within an interim head": b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n",
+    "within the head after an interim one": _CONTINUE + _OK,
+    "after two interim heads": 2 * _CONTINUE,
+    "within the status line": b"HTTP/1.1 20",
+}
+
+
+@pytest.fixture
+def closing_server_of():
+    """Returns a server that sends some bytes and closes the connection."""
+    servers = []
+
+    def create(data):
+        def serve(conn):
+            lh.read_request(conn)
+            conn.sendall(data)
+
+        servers.append(lh.RawServer(serve))
+        return servers[-1]
+
+    yield create
+    for server in servers:
+        server.close()
+
+
 @pytest.fixture
 def server_of():
     """Returns a server that sends one reply on each request."""
@@ -76,6 +114,43 @@
     return request.getfixturevalue(request.param)
 
 
+@pytest.fixture
+def gateway_stream():
+    loop = loops.Loop(clocks.SystemClock())
+    client = http_client.Client(loop)
+
+    def stream(exchange):
+        chunks, results = [], []
+        transfer = client.start(exchange, results.append, chunks.append)
+        lh.run_until(loop, lambda: results)
+        return transfer.head.status, b"".join(chunks), results[0]
+
+    yield stream
+    client.close()
+    loop.close()
+
+
+@pytest.fixture
+def router_stream():
+    thread = transfers.TransferThread()
+    thread.start()
+
+    def stream(exchange):
+        chunks = thread.open_stream(exchange)
+        data = b""
+        while got := chunks.read(lh.TIMEOUT_S):
+            data += got
+        return chunks.status, data, chunks.result
+
+    yield stream
+    thread.stop()
+
+
+@pytest.fixture(params=["gateway_stream", "router_stream"])
+def stream(request):
+    return request.getfixturevalue(request.param)
+
+
 def exchange(server):
     return exchanges.Exchange(
         "GET", f"http://{server.address}/x", timeout_s=2.0
@@ -93,6 +168,53 @@
         assert server.connections == count
 
 
+@pytest.mark.parametrize("name", CUT_HEADS)
+def test_a_reply_that_ends_within_its_head_is_a_failure(
+    call, closing_server_of, name
+):
+    result = call(exchange(closing_server_of(CUT_HEADS[name])))
+    assert isinstance(result, exchanges.TransferFailure)
+    assert result.kind is exchanges.FailureKind.BROKEN
+    # It may have run.
+    assert result.sent
+
+
+@pytest.mark.parametrize("name", CUT_HEADS)
+def test_a_stream_that_ends_within_its_head_is_a_failure(
+    stream, closing_server_of, name
+):
+    status, chunks, result = stream(
+        exchange(closing_server_of(CUT_HEADS[name]))
+    )
+    assert (status, chunks) == (0, b"")
+    assert isinstance(result, exchanges.TransferFailure)
+    assert result.sent
+
+
+def test_interim_heads_and_trailers_are_no_part_of_the_head(
+    call, closing_server_of
+):
+    server = closing_server_of(
+        b"HTTP/1.1 103 Early Hints\r\nX-A: early\r\n\r\n"
+        + _OK
+        + _CHUNKED
+        + b"X-B: head\r\n\r\n2\r\nok\r\n0\r\n"
+        + b"X-B: trailer\r\nX-C: trailer\r\nContent-Length: 9\r\n\r\n"
+    )
+    result = call(exchange(server))
+    assert (result.status, result.body) == (200, b"ok")
+    assert result.headers == {"transfer-encoding": "chunked", "x-b": "head"}
+
+
+@pytest.mark.parametrize("trailer", [b"", b"X-C: t\r\n", b"X-C: t"])
+def test_a_reply_that_ends_within_its_trailers_is_a_failure(
+    call, closing_server_of, trailer
+):
+    body = b"2\r\nok\r\n0\r\n" + trailer
+    result = call(exchange(closing_server_of(_OK + _CHUNKED + b"\r\n" + body)))
+    assert isinstance(result, exchanges.TransferFailure)
+
+
 @pytest.mark.parametrize(
     ("fields", "body"),
     [
