Refuse at once what a stop of a gateway would cut off

Callers saw: in a planned stop, in calm, requests that came late in the grace period were taken and passed on, and cut off at its end, among them some that may not be repeated.

Cause: after a SIGTERM a gateway took every request until its listener closed, and from kept connections until its end, whatever time was left. Requests that had waited for their stages were sent on in the last second. A request that was half sent got no answer at all.

On the code before test_a_request_that_the_grace_period_would_cut_off_is_refused got a 200 from an endpoint for a request that had 60 s to end in 59.3 s.

Change: a request whose deadline comes before the end of the grace period is taken: it has its answer by then. Of another one, the last 32 answers of its route tell how likely it would be cut off; for streams, which can only be broken, and for what may run only once, 1.5 times their times count. If none would have been cut off, it is taken; if none is known, refused. The same is asked again before the final call, by the times of calls alone. The refusal is a 503 with Retry-After and Connection: close; nothing was sent, and nothing will be. At the end what is half sent gets 503, too.

Weighed: a refusal costs a caller the time until another host serves it, a cut up to the grace period and maybe the knowledge whether it ran. Where another host of the data centre is alive that time is 0.1 s; elsewhere the balancer sends callers here until it has noticed the stop, and Retry-After says so. What may be repeated is taken if the likelihood of a cut (at most 0.5) times the time left is less than that. Refusing by the deadline alone would refuse nearly all, as deadlines are several times the usual times.

--- a/chervilarch/fleet.py
+++ b/chervilarch/fleet.py
@@ -92,6 +92,13 @@
         """Returns the hosts believed alive, with the address of a socket."""
         return [peer(member, port) for member in self._alive_members()]
 
+    def has_neighbour(self) -> bool:
+        """Returns whether another host of this data centre is alive."""
+        return any(
+            member.data_centre == self._own.data_centre
+            for member in self._alive_members()
+        )
+
     def _alive_members(self) -> list[membership.Member]:
         return [
             member
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -31,6 +31,7 @@
     stage_coordination,
     stage_scheduler,
     state_log,
+    stop_admission,
     store,
     store_sharing,
     telemetry,
@@ -174,6 +175,13 @@
     def _begin_drain(self) -> None:
         self._serving_state.is_draining = True
         self._drain_started_at = self._loop.now()
+        self._ctrl.stop_admission.begin(
+            self._drain_started_at + _DRAIN_NOTICE_S,
+            self._drain_started_at
+            + self._cfg.bounds.grace_s
+            - _EXIT_MARGIN_S
+            - _CUT_OFF_MARGIN_S,
+        )
         self._ctrl.fleet.leave()
         self._ctrl.stage_coordinator.leave()
         self._ctrl.permits.leave()
@@ -189,20 +197,19 @@
     def _finish_drain(self) -> None:
         """Stops the loop once no caller is connected or the time is up.
 
-        Requests that are still in flight shortly before the end of the grace
-        period are answered with a refusal.
+        Requests that are still in flight or being read shortly before the end
+        of the grace period are answered.
         """
         self._caller_server.close_idle()
         grace_s = self._cfg.bounds.grace_s - _EXIT_MARGIN_S
         elapsed_s = self._loop.now() - self._drain_started_at
-        if (
-            elapsed_s >= grace_s - _CUT_OFF_MARGIN_S
-            and self._serving_state.in_flight
-        ):
-            state_log.log_fault(
-                "requests cut off", in_flight=self._serving_state.in_flight
-            )
+        if elapsed_s >= grace_s - _CUT_OFF_MARGIN_S:
+            if self._serving_state.in_flight:
+                state_log.log_fault(
+                    "requests cut off", in_flight=self._serving_state.in_flight
+                )
             self._handler.cut_off()
+            self._caller_server.refuse_unread()
         if elapsed_s >= grace_s or not self._caller_server.connection_count():
             self._loop.stop()
             return
@@ -351,6 +358,7 @@
         limits=limits,
         permits=request_permits,
         resumption=resuming,
+        stop_admission=stop_admission.StopAdmission(gateways.has_neighbour),
     )
 
 
--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -196,6 +196,11 @@
         for conn in list(self._connections):
             conn.close_if_idle()
 
+    def refuse_unread(self) -> None:
+        """Refuses the requests that haven't been sent completely."""
+        for conn in list(self._connections):
+            conn.refuse_if_reading()
+
     def remove(self, conn: "_Connection") -> None:
         """Removes a closed connection."""
         self._connections.discard(conn)
@@ -260,6 +265,11 @@
         if self.is_idle():
             self.close()
 
+    def refuse_if_reading(self) -> None:
+        """Refuses a request of which only a part has been read."""
+        if self._first_byte_at and not (self._responder or self._closing):
+            self._reject(503, "this host stops")
+
     def unsent_bytes(self) -> int:
         """Returns the number of buffered bytes."""
         return len(self._out)
@@ -479,6 +489,8 @@
                 ("Content-Length", str(len(rejection.body))),
                 ("Connection", "close"),
             ]
+            if status == 503:
+                headers.append(("Retry-After", "0"))
             self._out += self._codec.send(_response_head(status, headers))
             if rejection.body:
                 self._out += self._codec.send(h11.Data(data=rejection.body))
--- a/chervilarch/routed.py
+++ b/chervilarch/routed.py
@@ -102,6 +102,8 @@
         self.priority = 0
         self.deadline_at = float("inf")
         self.objective_at = float("inf")
+        # When the stages had ended and the final call began.
+        self.call_began_at = float("inf")
         self.attempts_sent = 0
         # Ended attempts that an endpoint may have run. A running attempt counts
         # only once it ends.
--- a/chervilarch/routed_context.py
+++ b/chervilarch/routed_context.py
@@ -18,6 +18,7 @@
     routed,
     routing_table,
     stage_coordination,
+    stop_admission,
     store_sharing,
     telemetry,
 )
@@ -50,6 +51,7 @@
     limits: endpoint_limits.EndpointLimits
     permits: permits.Permits
     resumption: resumption.Resumption
+    stop_admission: stop_admission.StopAdmission
 
 
 class RoutedContext:
--- a/chervilarch/routed_filters.py
+++ b/chervilarch/routed_filters.py
@@ -12,6 +12,7 @@
     outcomes,
     stage_inputs,
     state_log,
+    stop_admission,
     stream_call,
     tasks,
 )
@@ -111,6 +112,18 @@
     return (yield from call_next())
 
 
+def refuse_while_stopping(
+    ctx: RoutedContext, call_next: NextFilter
+) -> tasks.Coroutine[outcomes.Outcome]:
+    """Refuses requests that would be cut off when this host stops."""
+    refusal = ctx.ctrl.stop_admission.refusal(
+        ctx.req, stop_admission.Step.REQUEST, ctx.now()
+    )
+    if refusal is not None:
+        return refusal
+    return (yield from call_next())
+
+
 def refuse_blocked_prompts(
     ctx: RoutedContext, call_next: NextFilter
 ) -> tasks.Coroutine[outcomes.Outcome]:
@@ -152,6 +165,12 @@
                 "the stages took all of the time",
                 "allow a longer deadline",
             )
+        refusal = ctx.ctrl.stop_admission.refusal(
+            ctx.req, stop_admission.Step.CALL, ctx.now()
+        )
+        if refusal is not None:
+            return refusal
+        ctx.req.call_began_at = ctx.now()
         if ctx.req.route.is_stream:
             return (yield from stream_call.StreamCall(ctx, inputs).run())
         return (yield from final_call.BufferedCall(ctx, inputs).run())
@@ -164,6 +183,7 @@
     find_route,
     identify_account,
     set_deadline,
+    refuse_while_stopping,
     refuse_blocked_prompts,
     refuse_over_limits,
     run_call,
--- a/chervilarch/serving.py
+++ b/chervilarch/serving.py
@@ -9,6 +9,7 @@
     routed,
     routed_filters,
     state_log,
+    stop_admission,
     tasks,
 )
 from chervilarch.routed_context import RoutedContext, RoutedControllers
@@ -16,6 +17,7 @@
 # A request without an answer yet is answered this long before its deadline.
 _ANSWER_MARGIN_S = 0.005
 _MS_PER_S = 1000
+_FIRST_ERROR_STATUS = 500
 
 
 class ServingState:
@@ -143,6 +145,7 @@
             "this host stops and the final call was not sent",
             "this host stops and had no whole answer",
             "send the request to another host",
+            stop_admission.RETRY_S,
         )
 
     def _end_early(
@@ -151,6 +154,7 @@
         detail_if_unsent: str,
         detail_if_sent: str,
         remedy: str,
+        retry_after_s: float = 1.0,
     ) -> None:
         """Ends the request with a detail for whether its call was sent.
 
@@ -162,7 +166,7 @@
             return
         if self._req.attempts_sent == 0:
             outcome: outcomes.Outcome = outcomes.NotRun(
-                reason, detail_if_unsent, remedy
+                reason, detail_if_unsent, remedy, retry_after_s
             )
         else:
             outcome = outcomes.TooLate(reason, detail_if_sent, remedy)
@@ -187,6 +191,8 @@
         name = outcomes.outcome_name(outcome)
         if isinstance(outcome, outcomes.Answer):
             status = outcome.output.head.status
+            if status < _FIRST_ERROR_STATUS:
+                self._record_time()
             self._end(f"answer {status}", has_begun, status=status)
         else:
             self._end(
@@ -196,6 +202,17 @@
                 detail=outcome.detail,
             )
 
+    def _record_time(self) -> None:
+        """Records how long the answer took, for a stop of this host."""
+        now = self._ctrl.loop.now()
+        for step, began_at in (
+            (stop_admission.Step.REQUEST, self._req.arrived_at),
+            (stop_admission.Step.CALL, self._req.call_began_at),
+        ):
+            self._ctrl.stop_admission.record(
+                self._req.route.name, step, now - began_at
+            )
+
     def _answer(self, outcome: outcomes.Outcome) -> None:
         if isinstance(outcome, outcomes.Answer):
             success: final_call.Success = outcome.output
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -200,6 +200,57 @@
     endpoint.close()
 
 
+def test_a_request_that_the_grace_period_would_cut_off_is_refused(gateway):
+    process, store, ports = gateway
+    seen = []
+    endpoint = lh.RawServer(lh.answer_with(answer(), seen))
+    entry = {
+        "service": "s1",
+        "address": endpoint.address,
+        "zone": "dc1",
+        "slots": 8,
+        "state": "ready",
+        "sequence": 1,
+        "born": 1,
+    }
+    store.write("keyed.servers", "e1", json.dumps(entry).encode())
+    wait_for(process, "endpoint listed", endpoint="e1")
+    wait_until_ready(ports[1])
+    with socket.create_connection(
+        ("127.0.0.1", ports[0]), lh.TIMEOUT_S
+    ) as kept:
+
+        def ask(path):
+            kept.sendall(
+                f"POST {path} HTTP/1.1\r\nHost: a.example\r\n"
+                "Request-Id: id1\r\nContent-Length: 0\r\n\r\n".encode()
+            )
+            head = b""
+            while b"\r\n\r\n" not in head:
+                head += kept.recv(65536)
+            head, _, body = head.lower().partition(b"\r\n\r\n")
+            length = int(head.split(b"content-length: ")[1].split(b"\r\n")[0])
+            while len(body) < length:
+                body += kept.recv(65536)
+            return head + b"\r\n"
+
+        # Nothing is known of the route's times, and its time-out lies beyond
+        # the end of the grace period.
+        assert b" 404 " in ask("/unknown/")
+        process.send_signal(signal.SIGTERM)
+        wait_for(process, "drain started")
+        for received in (ask("/x/1"), get(ports[0]).lower()):
+            assert received.startswith(b"http/1.1 503 ")
+            # The balancer has no other host, and notices the stop later.
+            retry_after = received.split(b"retry-after: ")[1]
+            assert float(retry_after.split(b"\r\n")[0]) > 0
+            assert b"connection: close\r\n" in received
+    wait_for(process, "gateway stopped")
+    assert process.wait(lh.TIMEOUT_S) == 0
+    assert not seen
+    endpoint.close()
+
+
 def test_signals_during_exit_do_not_change_the_status(gateway):
     process, _, _ = gateway
     wait_for(process, "readiness changed", ready=True)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -213,6 +213,25 @@
     lh.receive(loop, conn, lambda data: data.endswith(b"served"))
 
 
+@pytest.mark.parametrize(
+    "part",
+    [b"GET /x/ HT", b"PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n1"],
+)
+def test_a_request_that_a_stop_finds_half_sent_is_refused(world, part):
+    loop, clock, handler, server = world
+    conn = lh.connect(server.port)
+    conn.sendall(part)
+    lh.run_until(loop, lambda: server.connection_count() == 1)
+    clock.advance(http_server.FIRST_REQUEST_WAIT_S)
+    lh.run_pending(loop)
+    server.close_idle()
+    server.refuse_unread()
+    received = lh.receive(loop, conn, lambda data: b"<EOF>" in data)
+    assert received.startswith(b"HTTP/1.1 503")
+    assert b"retry-after: 0\r\n" in received.lower()
+    assert not handler.begun
+
+
 def test_a_body_over_the_limit_is_refused_by_its_declared_length(world):
     loop, _, handler, server = world
     conn = lh.connect(server.port)
--- /dev/null
+++ b/tests/test_stop.py
@@ -0,0 +1,173 @@
+"""A stop takes no request that it would cut off."""
+
+import gateway_world as gw
+import loop_helpers as lh
+import pytest
+
+from chervilarch import outcomes, routed, routing_table, stop_admission
+from chervilarch.stop_admission import Step
+
+ANY = routing_table.RetryPolicy.ANY
+ONCE = routing_table.RetryPolicy.AT_MOST_ONCE
+
+
+def request(policy=ANY, deadline_at=110.0):
+    req = routed.RoutedRequest(
+        gw.http_server.Request("POST", "/x/1", [], b"", 100.0, ""),
+        "id1",
+        "a.example",
+        "",
+        None,
+        routed.Prompt(()),
+        (),
+        "",
+        "",
+    )
+    req.route = lh.route(retry_policy=policy)
+    req.deadline_at = deadline_at
+    return req
+
+
+@pytest.fixture
+def admission():
+    return stop_admission.StopAdmission(lambda: True)
+
+
+@pytest.mark.parametrize(
+    ("policy", "is_stream", "longest_s", "is_taken"),
+    [
+        (ANY, False, 5.0, True),
+        (ANY, False, 5.1, False),
+        (ONCE, False, 3.3, True),
+        (ONCE, False, 3.4, False),
+        (ANY, True, 3.3, True),
+        (ANY, True, 3.4, False),
+    ],
+)
+def test_a_request_is_taken_only_if_it_has_time_to_end(
+    admission, policy, is_stream, longest_s, is_taken
+):
+    for elapsed_s in (0.1, longest_s, 0.1):
+        admission.record("r", Step.REQUEST, elapsed_s)
+    admission.begin(102.5, 105.0)
+    req = request(policy)
+    req.route = req.route._replace(is_stream=is_stream)
+    refusal = admission.refusal(req, Step.REQUEST, 100.0)
+    assert (refusal is None) is is_taken
+
+
+def test_a_request_whose_deadline_comes_first_is_taken(admission):
+    admission.begin(102.5, 105.0)
+    late = request(ONCE, deadline_at=105.0)
+    assert admission.refusal(late, Step.REQUEST, 100.0) is None
+
+
+def test_without_known_times_no_request_is_taken(admission):
+    admission.begin(102.5, 105.0)
+    refusal = admission.refusal(request(), Step.CALL, 100.0)
+    assert isinstance(refusal, outcomes.NotRun)
+    assert refusal.reason is outcomes.Reason.SHUTTING_DOWN
+
+
+@pytest.mark.parametrize(
+    ("has_neighbour", "now", "retry_s"),
+    [(True, 100.0, 0.1), (False, 100.0, 2.5), (False, 103.0, 0.1)],
+)
+def test_a_refused_caller_comes_again_when_another_host_serves_it(
+    admission, has_neighbour, now, retry_s
+):
+    admission.has_neighbour = lambda: has_neighbour
+    admission.begin(102.5, 105.0)
+    refusal = admission.refusal(request(ONCE), Step.REQUEST, now)
+    assert refusal.retry_after_s == retry_s
+
+
+@pytest.mark.parametrize(
+    ("policy", "has_neighbour", "is_taken"),
+    [(ANY, True, False), (ANY, False, True), (ONCE, False, False)],
+)
+def test_a_repeatable_request_is_taken_if_a_refusal_costs_its_caller_more(
+    admission, policy, has_neighbour, is_taken
+):
+    # One of four would be cut off after 5 s; a refused caller waits for 2.5 s.
+    for elapsed_s in (0.1, 0.1, 6.0, 0.1):
+        admission.record("r", Step.REQUEST, elapsed_s)
+    admission.has_neighbour = lambda: has_neighbour
+    admission.begin(102.5, 105.0)
+    refusal = admission.refusal(request(policy), Step.REQUEST, 100.0)
+    assert (refusal is None) is is_taken
+
+
+def test_a_request_that_is_probably_cut_off_is_refused_at_any_cost(admission):
+    for elapsed_s in (0.1, 9.0, 9.0):
+        admission.record("r", Step.REQUEST, elapsed_s)
+    admission.begin(102.5, 105.0)
+    # A cut off request would have cost less than the retry.
+    assert admission.refusal(request(), Step.REQUEST, 104.99)
+
+
+def test_after_the_end_of_the_grace_period_no_request_is_taken(admission):
+    admission.record("r", Step.REQUEST, 0.001)
+    admission.begin(102.5, 105.0)
+    assert admission.refusal(request(), Step.REQUEST, 105.1)
+
+
+def test_a_host_that_does_not_stop_takes_every_request(admission):
+    admission.record("r", Step.REQUEST, 1e6)
+    assert admission.refusal(request(), Step.REQUEST, 100.0) is None
+
+
+@pytest.fixture
+def world():
+    created = gw.World()
+    yield created
+    created.close()
+
+
+@pytest.fixture(
+    params=[
+        gw.route_document(),
+        gw.route_document(kind="non_idempotent"),
+        gw.stream_route_document(),
+    ],
+    ids=["safe", "once", "stream"],
+)
+def stopping(request, world):
+    """A gateway that stops before its requests' deadlines."""
+    seen = []
+    is_stream = request.param["kind"] == "streaming"
+    data = gw.stream(gw.events(1, 2)) if is_stream else gw.answer()
+    world.endpoint("e1", lh.answer_with(data, seen))
+    world.start(request.param)
+    world.serving_state.is_draining = True
+    # The deadline is after 4 s.
+    now = world.loop.now()
+    world.ctrl.stop_admission.begin(now, now + 3.0)
+    return world, seen
+
+
+def test_a_request_that_a_stop_would_cut_off_is_refused_at_once(stopping):
+    world, seen = stopping
+    received = world.fetch(gw.KEY).lower()
+    assert received.startswith(b"http/1.1 503")
+    assert b"retry-after: 0.100\r\n" in received
+    assert b"connection: close\r\n" in received
+    assert b'"reason":"shutting-down"' in received
+    assert not seen
+
+
+def test_a_request_that_can_end_before_a_stop_is_served(stopping):
+    world, seen = stopping
+    for step in Step:
+        world.ctrl.stop_admission.record("r1", step, 0.001)
+    assert world.fetch(gw.KEY).startswith(b"HTTP/1.1 200")
+    assert len(seen) == 1
+
+
+def test_a_stop_learns_from_complete_answers(world):
+    world.endpoint("e1", lh.answer_with(gw.answer()))
+    world.start(gw.route_document())
+    assert world.fetch(gw.KEY).startswith(b"HTTP/1.1 200")
+    now = world.loop.now()
+    world.ctrl.stop_admission.begin(now, now + 3.0)
+    assert world.fetch(gw.KEY).startswith(b"HTTP/1.1 200")
