Cut off no request while a router's server stops

Callers saw: a router that was stopped took requests late, from kept connections and from the listener's queue, and cut those that took longer than 5 s, with no answer, claimed calls among them.

Cause: the router waited for its requests with the listener open, so that more came meanwhile, then stopped its server, whose time for slow callers (5 s) also counted for requests that were still being served.

Evidence: tests/test_wsgi_server.py, test_a_stop_cuts_off_no_request_however_long_it_takes failed before (TimeoutError at the half-sent request; the log says "connections cut off" beside the request that runs).

Change: the listener closes right after the notice; the server's stop waits until every request has ended, and its bound holds for callers that still send or read only. What is half sent then gets 503.

Why it works: each request ends by its deadline, or 10 s after its caller stopped reading, and no new one comes once the listener and the idle connections are closed.

A router still has no setting for the time until it is killed (docs/OPERATIONS.md says how long that must be).

--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -209,6 +209,10 @@
         """Returns the number of open connections."""
         return len(self._connections)
 
+    def serves_requests(self) -> bool:
+        """Returns whether any request waits for the end of its answer."""
+        return any(conn.is_serving() for conn in self._connections)
+
     def _accept(self, events: int) -> None:
         while True:
             try:
@@ -254,6 +258,10 @@
         """Returns whether no request is being read, served or answered."""
         return not (self._responder or self._first_byte_at or self._out)
 
+    def is_serving(self) -> bool:
+        """Returns whether a request waits for the end of its answer."""
+        return self._responder is not None
+
     def close_if_idle(self) -> None:
         """Closes the connection unless a request was sent or may come soon."""
         age_s = self._loop.now() - self._opened_at
--- a/chervilarch/router.py
+++ b/chervilarch/router.py
@@ -60,9 +60,8 @@
         )
         self._request_tracker.begin_drain()
         threading.Event().wait(self._app.cfg.bounds.drain_notice_s)
-        self._request_tracker.wait_idle()
+        # Waits for all requests; while the listener is open, more may come.
         self._server.stop(_SHUTDOWN_TIMEOUT_S)
-        # Requests that were just accepted ran until now.
         self._wait_for_results()
         controllers.stop(self._ctrl)
         state_log.log_change("router stopped")
--- a/chervilarch/server.py
+++ b/chervilarch/server.py
@@ -38,6 +38,7 @@
         408: "send the whole request faster",
         413: "send a smaller body",
         431: "send fewer or shorter headers",
+        503: "send the request to another host",
     },
 )
 
--- a/chervilarch/wsgi_server.py
+++ b/chervilarch/wsgi_server.py
@@ -77,6 +77,8 @@
     def stop(self, timeout_s: float) -> None:
         """Serves what was accepted, closes the connections, ends the thread.
 
+        Requests are served to their end, however long that takes.
+
         Args:
             timeout_s: time after which connections are closed although callers
                 still send or read.
@@ -93,9 +95,14 @@
     def _close_connections(self, give_up_at: float) -> None:
         self._server.close_idle()
         count = self._server.connection_count()
-        if not count or self._loop.now() >= give_up_at:
-            if count:
-                state_log.log_fault("connections cut off", count=count)
+        if self._loop.now() >= give_up_at:
+            self._server.refuse_unread()
+            if not self._server.serves_requests():
+                if count:
+                    state_log.log_fault("connections cut off", count=count)
+                self._loop.stop()
+                return
+        if not count:
             self._loop.stop()
             return
         self._loop.call_later(
--- a/tests/test_wsgi_server.py
+++ b/tests/test_wsgi_server.py
@@ -175,6 +175,37 @@
     assert not stopper.is_alive()
 
 
+def test_a_stop_cuts_off_no_request_however_long_it_takes():
+    world = World()
+    begun, may_end = threading.Event(), threading.Event()
+
+    def app(environ, start):
+        begun.set()
+        may_end.wait(lh.TIMEOUT_S)
+        start("200 OK", [("Content-Length", "6")])
+        return [b"served"]
+
+    world.app = app
+    conn = world.connect()
+    port = world.server.port
+    half_sent = socket.create_connection(("127.0.0.1", port), lh.TIMEOUT_S)
+    half_sent.sendall(b"GET / HTTP/1.1\r\nHost")
+    assert begun.wait(lh.TIMEOUT_S)
+    world.is_draining.set()
+    # The time for callers to send and read is over at once.
+    stopper = threading.Thread(target=world.server.stop, args=(0.0,))
+    stopper.start()
+    with half_sent:
+        assert read_to_end(half_sent).startswith(b"HTTP/1.1 503")
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(("127.0.0.1", port), lh.TIMEOUT_S)
+    may_end.set()
+    with conn:
+        assert read_to_end(conn).endswith(b"served")
+    stopper.join(lh.TIMEOUT_S)
+    assert not stopper.is_alive()
+
+
 def test_a_response_that_breaks_the_protocol_ends_only_its_connection(world):
     def app(environ, start):
         is_faulty = environ["PATH_INFO"] == "/faulty"
