Refuse in a stopping router what its grace period would cut off

Callers saw: requests that were taken by a router that stops, and whose deadline lay beyond the time at which it was killed, were cut with no answer.

Cause: a router knew nothing of that time and served on, whatever was left.

The new tests have no call to fail on in the code before, which lacks the setting.

Change: with the new optional bound `grace_s` (0 or absent: as before) a request whose deadline lies beyond the end is refused, unless its expected time, which the admission knows already, is less than what is left; 1.5 times that for streams and calls that may run only once. 0.7 s before the end requests in flight are answered 500, "unknown", and streams broken. Threads of such requests aren't waited for.

Why it works: the refusal comes before a claim, and `guard_not_run` proves it as any other; a request that was cut off may have run, and "unknown" says no more.

--- a/chervilarch/drain.py
+++ b/chervilarch/drain.py
@@ -15,6 +15,8 @@
         self._lock = threading.Lock()
         self._in_flight = 0
         self._draining = False
+        # Monotonic time at which requests in flight are cut off.
+        self.ends_at = float("inf")
 
     @contextlib.contextmanager
     def track(self) -> Iterator[None]:
@@ -36,6 +38,7 @@
         """Returns whether a shutdown has begun."""
         return self._draining
 
-    def begin_drain(self) -> None:
-        """Marks this process as draining; requests are still served."""
+    def begin_drain(self, ends_at: float) -> None:
+        """Marks this process as draining; requests are served until a time."""
+        self.ends_at = ends_at
         self._draining = True
--- a/chervilarch/filters.py
+++ b/chervilarch/filters.py
@@ -18,20 +18,29 @@
 
 NextFilter = Callable[[], outcomes.Outcome]
 _MS_PER_S = 1000
+# Streams and requests that may run only once must have this multiple of their
+# expected time: cutting them off leaves callers without an answer or in doubt.
+_STRICT_MARGIN = 1.5
 
 
 class FilterContext:
-    """A request, and the controllers and settings that filters use."""
+    """A request, and the controllers and settings that filters use.
+
+    Attributes:
+        stops_at: monotonic time at which this host cuts off its requests.
+    """
 
     def __init__(
         self,
         ctrl: controllers.Controllers,
         cfg: settings.Settings,
         req: request.PipelineRequest,
+        stops_at: float,
     ):
         self.ctrl = ctrl
         self.cfg = cfg
         self.req = req
+        self.stops_at = stops_at
 
 
 Filter = Callable[[FilterContext, NextFilter], outcomes.Outcome]
@@ -161,7 +170,7 @@
         remaining_ms=round(remaining_s * _MS_PER_S, 1),
     )
     if admission.can_finish(estimates, remaining_s):
-        return call_next()
+        return _stop_refusal(ctx, expected_s) or call_next()
     if service_s > remaining_s:
         return outcomes.NotRun(
             outcomes.Reason.DEADLINE_TOO_SHORT,
@@ -177,6 +186,31 @@
     )
 
 
+def _stop_refusal(
+    ctx: FilterContext, expected_s: float
+) -> outcomes.NotRun | None:
+    """Returns the refusal of a request that a stop would cut off.
+
+    Args:
+        ctx: the request.
+        expected_s: expected time of the request, 0 if it isn't known.
+    """
+    req = ctx.req
+    if req.deadline_at <= ctx.stops_at:
+        return None
+    is_strict = req.wants_stream or not req.pipeline.is_repeatable()
+    margin = _STRICT_MARGIN if is_strict else 1.0
+    left_s = ctx.stops_at - ctx.ctrl.clock.monotonic()
+    if expected_s and margin * expected_s <= left_s:
+        return None
+    return outcomes.NotRun(
+        outcomes.Reason.SHUTTING_DOWN,
+        "this host stops before the request can end",
+        "send the request to another host",
+        0.0,
+    )
+
+
 def run_stages(ctx: FilterContext, call_next: NextFilter) -> outcomes.Outcome:
     """Runs the pipeline's stages; the last filter."""
     return stages.run_pipeline(ctx.ctrl, ctx.req)
--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -209,6 +209,11 @@
         """Returns the number of open connections."""
         return len(self._connections)
 
+    def cut_off(self, status: int, answer: Rejection) -> None:
+        """Answers the requests in flight; breaks answers that have begun."""
+        for conn in list(self._connections):
+            conn.cut_off(status, answer)
+
     def serves_requests(self) -> bool:
         """Returns whether any request waits for the end of its answer."""
         return any(conn.is_serving() for conn in self._connections)
@@ -258,6 +263,16 @@
         """Returns whether no request is being read, served or answered."""
         return not (self._responder or self._first_byte_at or self._out)
 
+    def cut_off(self, status: int, answer: Rejection) -> None:
+        """Answers a request in flight, or breaks the answer that has begun."""
+        responder = self._responder
+        if responder is None or responder.ended:
+            return
+        if responder.head_sent:
+            responder.abort()
+        else:
+            responder.send(status, answer.headers, answer.body)
+
     def is_serving(self) -> bool:
         """Returns whether a request waits for the end of its answer."""
         return self._responder is not None
--- a/chervilarch/router.py
+++ b/chervilarch/router.py
@@ -26,6 +26,8 @@
 _IDLE_TIMEOUT_S = 10.0
 _SHUTDOWN_TIMEOUT_S = 5.0
 _RECORD_RESULTS_TIMEOUT_S = 5.0
+# End of the grace period, left to send answers and to exit.
+_EXIT_MARGIN_S = 0.7
 _POLL_INTERVAL_S = 0.05
 
 
@@ -58,14 +60,22 @@
         state_log.log_change(
             "drain started", in_flight=self._request_tracker.in_flight()
         )
-        self._request_tracker.begin_drain()
+        ends_at = self._drain_ends_at()
+        self._request_tracker.begin_drain(ends_at)
         threading.Event().wait(self._app.cfg.bounds.drain_notice_s)
         # Waits for all requests; while the listener is open, more may come.
-        self._server.stop(_SHUTDOWN_TIMEOUT_S)
+        self._server.stop(_SHUTDOWN_TIMEOUT_S, ends_at)
         self._wait_for_results()
         controllers.stop(self._ctrl)
         state_log.log_change("router stopped")
 
+    def _drain_ends_at(self) -> float:
+        """Returns when requests in flight are cut off, in monotonic seconds."""
+        grace_s = self._app.cfg.bounds.grace_s
+        if not grace_s:
+            return float("inf")
+        return self._env.clock.monotonic() + grace_s - _EXIT_MARGIN_S
+
     def request_stop(self) -> None:
         """Starts a graceful shutdown; idempotent."""
         self._stop_requested.set()
@@ -156,6 +166,7 @@
         limits,
         is_draining,
         server.build_rejection,
+        server.build_cut_off(),
     )
 
 
--- a/chervilarch/schemas.py
+++ b/chervilarch/schemas.py
@@ -106,6 +106,7 @@
                 "body_timeout_s": _POSITIVE,
                 "drain_notice_s": {"type": "number", "minimum": 0},
                 "stale_after_s": _POSITIVE,
+                "grace_s": {"type": "number", "minimum": 0},
             },
         },
     },
--- a/chervilarch/server.py
+++ b/chervilarch/server.py
@@ -187,7 +187,9 @@
             return self._send_outcome(parsed, False)
         if parsed.wants_stream:
             parsed.emit = self._send_tokens
-        ctx = filters.FilterContext(self._ctrl, self._cfg, parsed)
+        ctx = filters.FilterContext(
+            self._ctrl, self._cfg, parsed, self._request_tracker.ends_at
+        )
         try:
             outcome = self._run_filters(ctx)
         except OSError:
@@ -344,6 +346,19 @@
     )
 
 
+def build_cut_off() -> tuple[int, http_server.Rejection]:
+    """Returns the answer to a request that is cut off when the host stops."""
+    outcome = outcomes.Unknown(
+        Reason.SHUTTING_DOWN,
+        "this host stops and had no answer",
+        "send the request to another host, with the same key if it has one",
+    )
+    document = outcomes.problem(outcome, "")
+    return document["status"], http_server.Rejection(
+        [("Content-Type", _PROBLEM)], msgspec.json.encode(document)
+    )
+
+
 def _json_response(
     document: Any, status: int = 200, mimetype: str = _JSON
 ) -> werkzeug.Response:
--- a/chervilarch/settings.py
+++ b/chervilarch/settings.py
@@ -16,6 +16,7 @@
         body_timeout_s: time limit for a caller to send a body.
         drain_notice_s: time for the balancer to stop sending requests here on
             shutdown.
+        grace_s: time from SIGTERM until the process is killed, 0 for no limit.
         stale_after_s: time without contact with the platform's log or a peer
             after which requests are refused.
     """
@@ -25,6 +26,7 @@
     body_timeout_s: float = 10.0
     drain_notice_s: float = 2.0
     stale_after_s: float = 15.0
+    grace_s: float = 0.0
 
 
 class Settings(NamedTuple):
--- a/chervilarch/wsgi_server.py
+++ b/chervilarch/wsgi_server.py
@@ -21,6 +21,7 @@
 # Time for a caller to read what was sent, before its request ends.
 WRITE_TIMEOUT_S = 10.0
 _CLOSE_POLL_S = 0.02
+_CUT_OFF_ANSWER = (500, http_server.Rejection([], b""))
 # Describe the body as it was sent; the application gets it decoded.
 _FRAMING_HEADERS = ("content-length", "transfer-encoding")
 
@@ -40,6 +41,7 @@
         limits: http_server.Limits,
         is_closing: Callable[[], bool],
         build_rejection: Callable[[int, str], http_server.Rejection],
+        cut_off_answer: tuple[int, http_server.Rejection] = _CUT_OFF_ANSWER,
     ):
         """Binds the address.
 
@@ -51,12 +53,15 @@
             limits: limits on the size and time of a request.
             is_closing: whether connections close after the current response.
             build_rejection: returns the answer to a request that can't be read.
+            cut_off_answer: status and answer of a request that a stop cuts off.
 
         Raises:
             OSError: the address can't be bound.
         """
         self._loop = loop
         self._pool = futures.ThreadPoolExecutor(threads, "request")
+        self._cut_off_answer = cut_off_answer
+        self._has_cut_off = False
         handler = _Handler(loop, app, self._pool, limits, is_closing)
         self._server = http_server.Server(
             loop, address, handler, build_rejection
@@ -74,27 +79,37 @@
         """Starts serving."""
         self._thread.start()
 
-    def stop(self, timeout_s: float) -> None:
+    def stop(self, timeout_s: float, ends_at: float = float("inf")) -> None:
         """Serves what was accepted, closes the connections, ends the thread.
 
-        Requests are served to their end, however long that takes.
-
         Args:
             timeout_s: time after which connections are closed although callers
                 still send or read.
+            ends_at: monotonic time at which the requests in flight are
+                answered as cut off.
         """
-        self._loop.call_from_thread(lambda: self._begin_stop(timeout_s))
+        self._loop.call_from_thread(
+            lambda: self._begin_stop(timeout_s, ends_at)
+        )
         self._thread.join()
-        self._pool.shutdown()
-        self._loop.close()
+        # Threads that serve requests that were cut off aren't waited for.
+        self._pool.shutdown(wait=not self._has_cut_off, cancel_futures=True)
+        if not self._has_cut_off:
+            self._loop.close()
 
-    def _begin_stop(self, timeout_s: float) -> None:
+    def _begin_stop(self, timeout_s: float, ends_at: float) -> None:
         self._server.stop_accepting()
-        self._close_connections(self._loop.now() + timeout_s)
+        self._close_connections(self._loop.now() + timeout_s, ends_at)
 
-    def _close_connections(self, give_up_at: float) -> None:
+    def _close_connections(self, give_up_at: float, ends_at: float) -> None:
         self._server.close_idle()
         count = self._server.connection_count()
+        if self._loop.now() >= ends_at:
+            if self._server.serves_requests():
+                state_log.log_fault("requests cut off")
+                self._has_cut_off = True
+            self._server.cut_off(*self._cut_off_answer)
+            give_up_at = ends_at
         if self._loop.now() >= give_up_at:
             self._server.refuse_unread()
             if not self._server.serves_requests():
@@ -106,7 +121,8 @@
             self._loop.stop()
             return
         self._loop.call_later(
-            _CLOSE_POLL_S, lambda: self._close_connections(give_up_at)
+            _CLOSE_POLL_S,
+            lambda: self._close_connections(give_up_at, ends_at),
         )
 
 
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -1,10 +1,21 @@
 """A stop takes no request that it would cut off."""
 
+import types
+
 import gateway_world as gw
 import loop_helpers as lh
 import pytest
 
-from chervilarch import outcomes, routed, routing_table, stop_admission
+from chervilarch import (
+    admission,
+    clocks,
+    filters,
+    outcomes,
+    routed,
+    routing_table,
+    settings,
+    stop_admission,
+)
 from chervilarch.stop_admission import Step
 
 ANY = routing_table.RetryPolicy.ANY
@@ -29,7 +40,7 @@
 
 
 @pytest.fixture
-def admission():
+def stop():
     return stop_admission.StopAdmission(lambda: True)
 
 
@@ -45,26 +56,26 @@
     ],
 )
 def test_a_request_is_taken_only_if_it_has_time_to_end(
-    admission, policy, is_stream, longest_s, is_taken
+    stop, policy, is_stream, longest_s, is_taken
 ):
     for elapsed_s in (0.1, longest_s, 0.1):
-        admission.record("r", Step.REQUEST, elapsed_s)
-    admission.begin(102.5, 105.0)
+        stop.record("r", Step.REQUEST, elapsed_s)
+    stop.begin(102.5, 105.0)
     req = request(policy)
     req.route = req.route._replace(is_stream=is_stream)
-    refusal = admission.refusal(req, Step.REQUEST, 100.0)
+    refusal = stop.refusal(req, Step.REQUEST, 100.0)
     assert (refusal is None) is is_taken
 
 
-def test_a_request_whose_deadline_comes_first_is_taken(admission):
-    admission.begin(102.5, 105.0)
+def test_a_request_whose_deadline_comes_first_is_taken(stop):
+    stop.begin(102.5, 105.0)
     late = request(ONCE, deadline_at=105.0)
-    assert admission.refusal(late, Step.REQUEST, 100.0) is None
+    assert stop.refusal(late, Step.REQUEST, 100.0) is None
 
 
-def test_without_known_times_no_request_is_taken(admission):
-    admission.begin(102.5, 105.0)
-    refusal = admission.refusal(request(), Step.CALL, 100.0)
+def test_without_known_times_no_request_is_taken(stop):
+    stop.begin(102.5, 105.0)
+    refusal = stop.refusal(request(), Step.CALL, 100.0)
     assert isinstance(refusal, outcomes.NotRun)
     assert refusal.reason is outcomes.Reason.SHUTTING_DOWN
 
@@ -74,11 +85,11 @@
     [(True, 100.0, 0.1), (False, 100.0, 2.5), (False, 103.0, 0.1)],
 )
 def test_a_refused_caller_comes_again_when_another_host_serves_it(
-    admission, has_neighbour, now, retry_s
+    stop, has_neighbour, now, retry_s
 ):
-    admission.has_neighbour = lambda: has_neighbour
-    admission.begin(102.5, 105.0)
-    refusal = admission.refusal(request(ONCE), Step.REQUEST, now)
+    stop.has_neighbour = lambda: has_neighbour
+    stop.begin(102.5, 105.0)
+    refusal = stop.refusal(request(ONCE), Step.REQUEST, now)
     assert refusal.retry_after_s == retry_s
 
 
@@ -87,34 +98,34 @@
     [(ANY, True, False), (ANY, False, True), (ONCE, False, False)],
 )
 def test_a_repeatable_request_is_taken_if_a_refusal_costs_its_caller_more(
-    admission, policy, has_neighbour, is_taken
+    stop, policy, has_neighbour, is_taken
 ):
     # One of four would be cut off after 5 s; a refused caller waits for 2.5 s.
     for elapsed_s in (0.1, 0.1, 6.0, 0.1):
-        admission.record("r", Step.REQUEST, elapsed_s)
-    admission.has_neighbour = lambda: has_neighbour
-    admission.begin(102.5, 105.0)
-    refusal = admission.refusal(request(policy), Step.REQUEST, 100.0)
+        stop.record("r", Step.REQUEST, elapsed_s)
+    stop.has_neighbour = lambda: has_neighbour
+    stop.begin(102.5, 105.0)
+    refusal = stop.refusal(request(policy), Step.REQUEST, 100.0)
     assert (refusal is None) is is_taken
 
 
-def test_a_request_that_is_probably_cut_off_is_refused_at_any_cost(admission):
+def test_a_request_that_is_probably_cut_off_is_refused_at_any_cost(stop):
     for elapsed_s in (0.1, 9.0, 9.0):
-        admission.record("r", Step.REQUEST, elapsed_s)
-    admission.begin(102.5, 105.0)
+        stop.record("r", Step.REQUEST, elapsed_s)
+    stop.begin(102.5, 105.0)
     # A cut off request would have cost less than the retry.
-    assert admission.refusal(request(), Step.REQUEST, 104.99)
+    assert stop.refusal(request(), Step.REQUEST, 104.99)
 
 
-def test_after_the_end_of_the_grace_period_no_request_is_taken(admission):
-    admission.record("r", Step.REQUEST, 0.001)
-    admission.begin(102.5, 105.0)
-    assert admission.refusal(request(), Step.REQUEST, 105.1)
+def test_after_the_end_of_the_grace_period_no_request_is_taken(stop):
+    stop.record("r", Step.REQUEST, 0.001)
+    stop.begin(102.5, 105.0)
+    assert stop.refusal(request(), Step.REQUEST, 105.1)
 
 
-def test_a_host_that_does_not_stop_takes_every_request(admission):
-    admission.record("r", Step.REQUEST, 1e6)
-    assert admission.refusal(request(), Step.REQUEST, 100.0) is None
+def test_a_host_that_does_not_stop_takes_every_request(stop):
+    stop.record("r", Step.REQUEST, 1e6)
+    assert stop.refusal(request(), Step.REQUEST, 100.0) is None
 
 
 @pytest.fixture
@@ -171,3 +182,55 @@
     now = world.loop.now()
     world.ctrl.stop_admission.begin(now, now + 3.0)
     assert world.fetch(gw.KEY).startswith(b"HTTP/1.1 200")
+
+
+@pytest.fixture
+def admit(monkeypatch):
+    """Returns a router's refusal of a request with 10 s to its deadline."""
+
+    def run(expected_s, stops_at, is_repeatable=True, wants_stream=False):
+        estimate = admission.StageEstimate(
+            limit=1.0, unit_s=1.0, base_s=expected_s, backlog=0.0, units=1.0
+        )
+        monkeypatch.setattr(
+            filters.stages, "estimate_stages", lambda *_: [estimate]
+        )
+        req = types.SimpleNamespace(
+            deadline_at=110.0,
+            wants_stream=wants_stream,
+            trace=types.SimpleNamespace(add_step=lambda *_, **__: None),
+            pipeline=types.SimpleNamespace(
+                stages=(), is_repeatable=lambda: is_repeatable
+            ),
+        )
+        ctrl = types.SimpleNamespace(clock=clocks.ManualClock(100.0))
+        ctx = filters.FilterContext(ctrl, settings.Settings, req, stops_at)
+        return filters.admit(ctx, lambda: "taken")
+
+    return run
+
+
+@pytest.mark.parametrize(
+    ("expected_s", "fields", "is_taken"),
+    [
+        (5.0, {}, True),
+        (5.1, {}, False),
+        (3.3, {"is_repeatable": False}, True),
+        (3.4, {"is_repeatable": False}, False),
+        (3.4, {"wants_stream": True}, False),
+        # Nothing is known of the pipeline's times.
+        (0.0, {}, False),
+    ],
+)
+def test_a_router_takes_a_request_only_if_it_has_time_to_end(
+    admit, expected_s, fields, is_taken
+):
+    outcome = admit(expected_s, 105.0, **fields)
+    assert (outcome == "taken") is is_taken
+    if not is_taken:
+        assert outcome.reason is outcomes.Reason.SHUTTING_DOWN
+
+
+@pytest.mark.parametrize("stops_at", [110.0, float("inf")])
+def test_a_router_takes_a_request_whose_deadline_comes_first(admit, stops_at):
+    assert admit(9.9, stops_at, is_repeatable=False) == "taken"
--- a/tests/test_wsgi_server.py
+++ b/tests/test_wsgi_server.py
@@ -219,3 +219,39 @@
         received = b""
         while not received.endswith(b"served"):
             received += conn.recv(65536)
+
+
+def test_requests_at_the_end_of_the_grace_period_are_answered():
+    world = World()
+    begun, may_end = threading.Semaphore(0), threading.Event()
+
+    def app(environ, start):
+        write = start("200 OK", [])
+        if environ["PATH_INFO"] == "/stream":
+            write(b"part")
+        begun.release()
+        may_end.wait(lh.TIMEOUT_S)
+        return [b"rest"]
+
+    world.app = app
+    waiting, stream = world.connect(b"waiting"), world.connect(b"stream")
+    for _ in range(2):
+        assert begun.acquire(timeout=lh.TIMEOUT_S)
+    received = b""
+    while b"part" not in received:
+        received += stream.recv(65536)
+    world.is_draining.set()
+    stopper = threading.Thread(
+        target=world.server.stop, args=(lh.TIMEOUT_S, 0.0)
+    )
+    stopper.start()
+    with waiting:
+        received = read_to_end(waiting)
+    assert received.startswith(b"HTTP/1.1 500")
+    assert b"connection: close" in received.lower()
+    # A stream that has begun doesn't look complete.
+    with stream:
+        assert not read_to_end(stream).endswith(b"0\r\n\r\n")
+    stopper.join(lh.TIMEOUT_S)
+    assert not stopper.is_alive()
+    may_end.set()
