Give no more work to an endpoint whose answer says that it leaves

Cause: the header wasn't read, so a host kept sending requests to such an endpoint until the store's list said it, which may be late or lost while the store is away.

The run is marked as leaving on the first such answer to a request, a stream or a call for pieces, as if its record had said so; a new start of the endpoint is used again.

--- a/chervilarch/endpoint_list.py
+++ b/chervilarch/endpoint_list.py
@@ -228,6 +228,22 @@
         missing = [name for name in self._listed if name not in present]
         return any([self._remove(name, now, True) for name in missing])
 
+    def mark_leaving(self, name: str, incarnation: int) -> bool:
+        """Marks a run as leaving before its record says so.
+
+        Returns:
+            Whether it is news.
+        """
+        listing = self._listed.get(name)
+        if listing is None or listing.entry.incarnation != incarnation:
+            return False
+        if listing.entry.state == hosts.LEAVING:
+            return False
+        entry = listing.entry._replace(state=hosts.LEAVING)
+        self._listed[name] = listing._replace(entry=entry)
+        self._seen[name] = self._seen[name]._replace(is_leaving=True)
+        return True
+
     def mark_ended(self, name: str, incarnation: int, now: float) -> bool:
         """Removes a run of an endpoint that is known to have ended."""
         listing = self._listed.get(name)
--- a/chervilarch/final_call.py
+++ b/chervilarch/final_call.py
@@ -89,8 +89,12 @@
 ) -> None:
     """Records what the head of an attempt's reply says of the endpoint."""
     # A status of 0 means that there was no reply.
-    if head.status and not head.is_misdirected:
-        ctx.ctrl.limits.record_answer(lease.slot.endpoint, head.limit_per_s)
+    if not head.status or head.is_misdirected:
+        return
+    ctx.ctrl.limits.record_answer(lease.slot.endpoint, head.limit_per_s)
+    if head.is_leaving:
+        entry = lease.listing.entry
+        ctx.ctrl.endpoints.mark_leaving(entry.name, entry.incarnation)
 
 
 def finish_attempt(
--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -177,6 +177,16 @@
         """Calls `listener` with the usable endpoints, by pool and id."""
         self._listeners.append(listener)
 
+    def mark_leaving(self, name: str, incarnation: int) -> None:
+        """Gives no more work to a run whose answer says that it leaves."""
+        if self._endpoints.mark_leaving(name, incarnation):
+            state_log.log_change(
+                "endpoint leaving", endpoint=name, reason="its answer says so"
+            )
+            self._changed = True
+            # Later, as the caller may be a listener in mid-change.
+            self._loop.call_soon(self._notify_listeners)
+
     def mark_ended(self, name: str, incarnation: int) -> None:
         """Removes a run of an endpoint that is known to have ended."""
         if self._endpoints.mark_ended(name, incarnation, self._loop.now()):
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -281,6 +281,7 @@
         stage_budgets,
         meters,
         endpoints.mark_ended,
+        endpoints.mark_leaving,
         limits,
     )
     runner.confirmed = resuming.confirmed
--- a/chervilarch/piece_calls.py
+++ b/chervilarch/piece_calls.py
@@ -119,12 +119,14 @@
         return self._runner.wire.parse_head(result.status, headers)
 
     def _record_head(self, result: exchanges.TransferResult) -> None:
-        """Records the limit that the worker names."""
+        """Records what the worker says of its limit and its shutdown."""
         head = self._parse_head(result)
         if head is None or head.is_misdirected:
             return
         run = self._batch.worker.run()
         self._runner.limits.record_answer(run, head.limit_per_s)
+        if head.is_leaving:
+            self._runner.on_endpoint_leaving(run.key, run.incarnation)
 
     def _record_failure(
         self, result: exchanges.TransferResult, reason: str
--- a/chervilarch/piece_runner.py
+++ b/chervilarch/piece_runner.py
@@ -43,6 +43,7 @@
         retry_budgets: budgets.PoolBudgets,
         meters: telemetry.Telemetry,
         on_endpoint_removed: Callable[[str, int], None],
+        on_endpoint_leaving: Callable[[str, int], None],
         limits: endpoint_limits.EndpointLimits,
     ):
         self.loop = loop
@@ -51,6 +52,7 @@
         self._budgets = retry_budgets
         self.meters = meters
         self.on_endpoint_removed = on_endpoint_removed
+        self.on_endpoint_leaving = on_endpoint_leaving
         self.limits = limits
         self._queues: dict[str, piece_queue.PieceQueue] = {}
         self._listed: dict[str, dict[str, endpoint_list.Listing]] = {}
--- a/chervilarch/platform/wire.py
+++ b/chervilarch/platform/wire.py
@@ -72,7 +72,7 @@
 )
 # Headers of endpoints' replies that aren't passed to callers.
 _INTERNAL_REPLY_HEADERS = frozenset(
-    ("server-load", "instance-id", "not-executed")
+    ("server-load", "instance-id", "not-executed", "server-leaving")
 )
 _FAILURES_BY_REASON = {
     "late": pieces.PAST_DEADLINE,
@@ -194,6 +194,7 @@
                 if name not in dropped and _is_valid_header(name, value)
             ],
             _parse_limit(by_name.get("server-limit")),
+            by_name.get("server-leaving", "").strip() == "1",
         )
 
     def build_refusal(
--- a/chervilarch/routed.py
+++ b/chervilarch/routed.py
@@ -127,6 +127,7 @@
         headers: headers to forward to the caller.
         limit_per_s: requests a second that the endpoint takes from all hosts
             together, None if it names no limit.
+        is_leaving: whether the endpoint says that it will shut down.
     """
 
     status: int
@@ -136,6 +137,7 @@
     is_misdirected: bool
     headers: http_server.Headers
     limit_per_s: float | None = None
+    is_leaving: bool = False
 
 
 class PieceReply(NamedTuple):
--- a/tests/test_piece_runner.py
+++ b/tests/test_piece_runner.py
@@ -30,9 +30,10 @@
     def items(self):
         return json.loads(self.exchange.body)["items"]
 
-    def reply(self, *answers):
+    def reply(self, *answers, status=200, **headers):
         body = json.dumps({"items": list(answers)}).encode()
-        self.on_done(exchanges.Reply(200, {}, body, 0.1))
+        fields = {name.replace("_", "-"): headers[name] for name in headers}
+        self.on_done(exchanges.Reply(status, fields, body, 0.1))
 
     def succeed(self):
         self.reply(*({"handle": f"h{item['piece']}"} for item in self.items()))
@@ -63,6 +64,7 @@
     def __init__(self, share=1.0, fixed=100.0):
         self.loop, self.clock = lh.new_loop()
         self.client = FakeClient()
+        self.leaving = []
         self.runner = piece_runner.PieceRunner(
             self.loop,
             self.client,
@@ -70,6 +72,7 @@
             budgets.PoolBudgets(share, fixed, 10.0),
             telemetry.Telemetry(),
             lambda name, incarnation: None,
+            lambda name, incarnation: self.leaving.append((name, incarnation)),
             endpoint_limits.EndpointLimits(self.loop),
         )
         self.runner.set_pools({"p": routing_table.Pool("p", WORKER_PROFILE)})
@@ -98,6 +101,15 @@
     assert handles == ["h0", "h1", "h2"]
 
 
+def test_a_worker_whose_reply_says_it_leaves_is_reported(world):
+    world.submit(1)
+    call = world.client.started[0]
+    call.reply({"handle": "h0"}, server_leaving="1")
+    assert [name for name, _ in world.leaving] == [
+        call.exchange.headers[1].removeprefix("Expect-Instance: ")
+    ]
+
+
 def test_pieces_of_a_broken_call_are_retried(world):
     pending = world.submit()
     world.client.started[0].fail()
