Send an endpoint nothing during the pause that its refusal asks for

Cause: the header was dropped, so a declining endpoint got further requests at once, and callers were told to come back after 0.1 s to a pool that would take nothing by then.

The run is paused until then: final calls choose other endpoints; if all are paused, a request waits if it can still be served in time, or is refused at once with the time that is left. Stage workers get no calls and no frees (results expire), and a job that can't be started in time is refused at once. Odd values are ignored, absurd ones bounded.

--- a/chervilarch/endpoint_lease.py
+++ b/chervilarch/endpoint_lease.py
@@ -31,11 +31,13 @@
         ctx: the request.
         requirements: what the call needs of the endpoint.
         tried: ids of endpoints that aren't to be chosen.
-        may_wait: whether to wait for a permit if all endpoints need one.
+        may_wait: whether to wait for a permit if all endpoints need one, or for
+            the end of a pause that all ask for.
 
     Returns:
         The lease, a refusal if the prompt was blocked since its admission or no
-        endpoint has a permit in time, or None if there is no endpoint.
+        endpoint has a permit or ends its pause in time, or None if there is no
+        endpoint.
     """
     # The list of endpoints may be older than a pause of the process.
     yield ctx.ctrl.resumption.confirmed()
@@ -60,9 +62,9 @@
 ) -> tasks.Coroutine[placement.Lease | outcomes.NotRun | None]:
     own = ctx.ctrl.placement
     while True:
-        chosen = own.pick(requirements, tried)
-        if chosen is None:
-            return None
+        chosen = yield from _pick(ctx, requirements, tried, may_wait)
+        if not isinstance(chosen, placement.Lease):
+            return chosen
         run = chosen.slot.endpoint
         if ctx.ctrl.limits.per_s(run) is None:
             return chosen
@@ -101,8 +103,27 @@
             return refusal(permit.wait_s)
 
 
+def _pick(
+    ctx: contexts.RoutedContext,
+    requirements: placement.Requirements,
+    tried: set[str],
+    may_wait: bool,
+) -> tasks.Coroutine[placement.Lease | outcomes.NotRun | None]:
+    """Chooses an endpoint; if all are paused, waits for the first if it may."""
+    while True:
+        chosen = ctx.ctrl.placement.pick(requirements, tried)
+        if chosen is not None:
+            return chosen
+        pause_s = ctx.ctrl.placement.pause_s(requirements.pool, tried)
+        if not pause_s:
+            return None
+        if not may_wait or pause_s > longest_wait_s(ctx, 0.0):
+            return refusal(pause_s)
+        yield tasks.sleep(ctx.ctrl.loop, pause_s)
+
+
 def longest_wait_s(ctx: contexts.RoutedContext, expected_s: float) -> float:
-    """Returns how long a request may wait for a permit."""
+    """Returns how long a request may wait for a permit or a pause's end."""
     remaining_s = ctx.remaining_s() - expected_s
     to_objective_s = ctx.req.objective_at - ctx.now() - expected_s
     return max(
@@ -118,7 +139,7 @@
     """
     return outcomes.NotRun(
         outcomes.Reason.ENDPOINT_LIMIT,
-        "all endpoints of the pool get as many requests as they take",
+        "all endpoints of the pool get as many requests as they take now",
         "send the request again after the time given",
         wait_s,
     )
--- a/chervilarch/final_call.py
+++ b/chervilarch/final_call.py
@@ -95,6 +95,8 @@
     if head.is_leaving:
         entry = lease.listing.entry
         ctx.ctrl.endpoints.mark_leaving(entry.name, entry.incarnation)
+    if head.pause_s is not None:
+        ctx.ctrl.placement.pause(lease.slot.endpoint, ctx.now() + head.pause_s)
 
 
 def finish_attempt(
@@ -168,18 +170,22 @@
     run only once: the call may have run.
     """
     if not ctx.req.possible_runs:
+        pool = ctx.req.route.pool_for(ctx.req.id)
+        retry_s = max(
+            DECLINED_RETRY_S, ctx.ctrl.placement.shortest_wait_s(pool)
+        )
         if last is None:
             return outcomes.NotRun(
                 outcomes.Reason.NO_ENDPOINT,
                 "no endpoint of the pool is known",
                 "send the request again a little later",
-                DECLINED_RETRY_S,
+                retry_s,
             )
         return outcomes.NotRun(
             outcomes.Reason.OVERLOADED,
             f"no endpoint took the request: {last.detail}",
             "send the request again a little later",
-            DECLINED_RETRY_S,
+            retry_s,
         )
     detail = last.detail if last else "no reply"
     if ctx.remaining_s() <= MIN_CALL_S:
--- a/chervilarch/piece_calls.py
+++ b/chervilarch/piece_calls.py
@@ -119,7 +119,7 @@
         return self._runner.wire.parse_head(result.status, headers)
 
     def _record_head(self, result: exchanges.TransferResult) -> None:
-        """Records what the worker says of its limit and its shutdown."""
+        """Records what the worker says of its limit, shutdown and pause."""
         head = self._parse_head(result)
         if head is None or head.is_misdirected:
             return
@@ -127,6 +127,10 @@
         self._runner.limits.record_answer(run, head.limit_per_s)
         if head.is_leaving:
             self._runner.on_endpoint_leaving(run.key, run.incarnation)
+        if head.pause_s is not None:
+            worker = self._batch.worker
+            until = self._loop.now() + head.pause_s
+            worker.paced_until = max(worker.paced_until, until)
 
     def _record_failure(
         self, result: exchanges.TransferResult, reason: str
--- a/chervilarch/piece_queue.py
+++ b/chervilarch/piece_queue.py
@@ -49,7 +49,8 @@
         self.slowness = 1.0
         self.free_at = 0.0
         self.backoff_until = float("-inf")
-        # When the worker's limit on requests allows the next call.
+        # When the worker's limit on requests, or a pause that it asked for,
+        # allows the next call.
         self.paced_until = float("-inf")
         self.failures = 0
         self.full_count = 0
--- a/chervilarch/piece_runner.py
+++ b/chervilarch/piece_runner.py
@@ -98,7 +98,8 @@
         if queue is None or not queue.workers:
             pending.end(pieces.JobFailure(pieces.NO_ENDPOINT))
             return pending
-        if now + queue.call_s(1) > job.deadline_at:
+        next_call_at = min(w.paced_until for w in queue.workers.values())
+        if max(now, next_call_at) + queue.call_s(1) > job.deadline_at:
             pending.end(pieces.JobFailure(pieces.PAST_DEADLINE))
             return pending
         self._budgets.earn(job.pool)
@@ -129,12 +130,16 @@
     def free(self, results: list[pieces.PieceResult]) -> None:
         """Frees results that are no longer needed.
 
-        A worker that limits its requests isn't asked to: its results expire.
+        A worker that limits its requests or asked for a pause isn't asked to:
+        its results expire.
         """
+        now = self.loop.now()
         for result in results:
             queue = self._queues.get(result.pool)
             worker = queue.workers.get(result.endpoint) if queue else None
-            if worker is not None and self.limits.per_s(worker.run()):
+            if worker is not None and (
+                self.limits.per_s(worker.run()) or worker.paced_until > now
+            ):
                 continue
             self._to_free[result.address].append(result.handle)
             if worker is not None:
--- a/chervilarch/placement.py
+++ b/chervilarch/placement.py
@@ -82,6 +82,8 @@
         self._listings: dict[str, endpoint_list.Listing] = {}
         # When endpoints that limit their requests take the next one.
         self._deferred: dict[endpoint_state.EndpointRun, float] = {}
+        # Until when endpoints that asked for a pause get no requests.
+        self._paused: dict[endpoint_state.EndpointRun, float] = {}
 
     def set_endpoints(
         self, listed: dict[str, dict[str, endpoint_list.Listing]]
@@ -89,6 +91,8 @@
         """Sets the endpoints that may get work, by pool and id."""
         pools: dict[str, dict[str, endpoint_state.Endpoint]] = {}
         self._listings = {}
+        runs = endpoint_list.runs(listed)
+        self._paused = {r: t for r, t in self._paused.items() if r in runs}
         for pool, listings in listed.items():
             old = self._pools.get(pool, {})
             kept = pools.setdefault(pool, {})
@@ -120,15 +124,63 @@
         """Prefers other endpoints to one until a monotonic time."""
         self._deferred[run] = max(until, self._deferred.get(run, until))
 
+    def pause(self, run: endpoint_state.EndpointRun, until: float) -> None:
+        """Sends an endpoint no requests until a monotonic time."""
+        self._paused[run] = max(until, self._paused.get(run, until))
+        state_log.log_decision(
+            "endpoint paused",
+            is_problem=True,
+            endpoint=run.key,
+            pause_ms=round(1000 * (until - self._clock.monotonic())),
+        )
+
+    def pause_s(self, pool: str, tried: set[str]) -> float:
+        """Returns when the first paused endpoint of a pool may be used.
+
+        Args:
+            pool: the pool.
+            tried: ids of endpoints that aren't to be counted.
+
+        Returns:
+            Seconds until then, 0.0 if no other endpoint is paused.
+        """
+        now = self._clock.monotonic()
+        return min(
+            (
+                self._paused[run] - now
+                for run in self._runs(pool)
+                if run.key not in tried and self._is_paused(run, now)
+            ),
+            default=0.0,
+        )
+
+    def _runs(self, pool: str) -> list[endpoint_state.EndpointRun]:
+        return [
+            _run_of(name, endpoint)
+            for name, endpoint in self._pools.get(pool, {}).items()
+        ]
+
+    def _is_paused(self, run: endpoint_state.EndpointRun, now: float) -> bool:
+        """Returns whether an endpoint is paused; forgets a pause that ended."""
+        if run not in self._paused:
+            return False
+        if self._paused[run] > now:
+            return True
+        del self._paused[run]
+        return False
+
     def wait_s(self, run: endpoint_state.EndpointRun) -> float:
-        """Returns how long an endpoint is still deferred."""
-        until = self._deferred.get(run, float("-inf"))
+        """Returns how long an endpoint is still deferred or paused."""
+        until = max(
+            times.get(run, float("-inf"))
+            for times in (self._deferred, self._paused)
+        )
         return max(0.0, until - self._clock.monotonic())
 
     def shortest_wait_s(self, pool: str) -> float:
-        """Returns how long all open endpoints of a pool are deferred."""
+        """Returns how long all open endpoints are deferred or paused."""
         now = self._clock.monotonic()
-        if not self._is_any_deferred(now):
+        if not self._is_any_deferred(now) and not self._paused:
             return 0.0
         return min(
             (
@@ -146,6 +198,7 @@
             name: endpoint
             for name, endpoint in self._pools.get(requirements.pool, {}).items()
             if name not in tried
+            and not self._is_paused(_run_of(name, endpoint), now)
         }
         # If all endpoints are ejected, any of them is better than none.
         usable = {
--- a/chervilarch/platform/wire.py
+++ b/chervilarch/platform/wire.py
@@ -24,6 +24,9 @@
 _UNKNOWN_STATUS = 502
 # An endpoint answers with it to a request that was meant for another one.
 _MISDIRECTED_STATUS = 421
+_UNAVAILABLE_STATUS = 503
+# Bounds how long one odd reply can take an endpoint out of use.
+_MAX_PAUSE_S = 600.0
 
 _HEADER_NAME = re.compile(r"[-!#$%&'*+.^_`|~0-9a-z]+")
 # No line breaks and no NUL; other control characters are of no use either.
@@ -195,6 +198,7 @@
             ],
             _parse_limit(by_name.get("server-limit")),
             by_name.get("server-leaving", "").strip() == "1",
+            _parse_pause(status, by_name.get("retry-after")),
         )
 
     def build_refusal(
@@ -344,6 +348,23 @@
     return int(digits)
 
 
+def _parse_pause(status: int, text: str | None) -> float | None:
+    """Parses for how many seconds an endpoint wants no requests, if it says so.
+
+    Only a refusal says it; dates aren't used on the platform.
+    """
+    if status != _UNAVAILABLE_STATUS or text is None:
+        return None
+    try:
+        pause_s = float(text)
+    except ValueError:
+        pause_s = math.nan
+    if not math.isfinite(pause_s) or pause_s < 0:
+        state_log.log_fault("endpoint pause unreadable", value=text)
+        return None
+    return min(pause_s, _MAX_PAUSE_S)
+
+
 def _parse_prompt(by_name: dict[str, str]) -> routed.Prompt:
     """Parses a prompt's parts and its numbers of input and output tokens."""
     parts = []
--- a/chervilarch/routed.py
+++ b/chervilarch/routed.py
@@ -128,6 +128,8 @@
         limit_per_s: requests a second that the endpoint takes from all hosts
             together, None if it names no limit.
         is_leaving: whether the endpoint says that it will shut down.
+        pause_s: seconds for which the endpoint wants no requests of this host,
+            None if it doesn't say so.
     """
 
     status: int
@@ -138,6 +140,7 @@
     headers: http_server.Headers
     limit_per_s: float | None = None
     is_leaving: bool = False
+    pause_s: float | None = None
 
 
 class PieceReply(NamedTuple):
--- a/tests/test_piece_runner.py
+++ b/tests/test_piece_runner.py
@@ -110,6 +110,37 @@
     ]
 
 
+def test_a_worker_gets_no_calls_within_the_pause_that_it_asks_for(world):
+    world.runner.set_endpoints({"p": {"e1": lh.listing("e1")}})
+    world.submit(1)
+    world.client.started[0].reply(status=503, retry_after="3", not_executed="1")
+    lh.advance(world.loop, world.clock, 2.9)
+    assert len(world.client.started) == 1
+    lh.advance(world.loop, world.clock, 0.2)
+    assert len(world.client.started) == 2
+
+
+def test_a_job_is_refused_at_once_if_all_workers_pause_for_longer(world):
+    world.runner.set_endpoints({"p": {"e1": lh.listing("e1")}})
+    world.submit(1)
+    world.client.started[0].reply(
+        status=503, retry_after="30", not_executed="1"
+    )
+    refused = world.submit(1)
+    assert refused.future.done() and refused.is_ended
+
+
+def test_a_worker_that_asked_for_a_pause_is_not_asked_to_free(world):
+    world.runner.set_endpoints({"p": {"e1": lh.listing("e1")}})
+    done = world.submit(1)
+    world.client.started[0].succeed()
+    world.submit(1)
+    world.client.started[1].reply(status=503, retry_after="3", not_executed="1")
+    world.runner.free(done.future.result())
+    lh.advance(world.loop, world.clock, 1.0)
+    assert world.client.freed == []
+
+
 def test_pieces_of_a_broken_call_are_retried(world):
     pending = world.submit()
     world.client.started[0].fail()
