Let the soak's store come back from an older copy

The soak had no restores: its store now has an era in all its answers, may lose the records of its last 1 to 10 s, answers 410 for offsets that it doesn't have, and what operators and endpoints wrote is written again up to 1.5 s later.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -44,6 +44,7 @@
         self._results = endpoints.Results()
         self._replacing: set[asyncio.Task] = set()
         self._version = 0
+        self._is_restoring = False
         self._last_numbers = dict.fromkeys(POOLS, 0)
         # The option `--kinds` selects by parts of the methods' names.
         self._faults = [
@@ -54,6 +55,7 @@
             self._take_store_down,
             self._lose_answers,
             self._compact,
+            self._restore_store,
             self._harm_store_link,
             self._harm_endpoint,
             self._harm_endpoint_link,
@@ -147,6 +149,20 @@
     async def _compact(self, rng: random.Random) -> None:
         self.store_server.compact()
 
+    async def _restore_store(self, rng: random.Random) -> None:
+        """Brings the store back from a copy; its records are written again."""
+        if self._is_restoring:
+            return
+        self._is_restoring = True
+        with self._record_disturbance("store", "restored"):
+            self.store_server.is_down = True
+            await asyncio.sleep(rng.uniform(0.0, 2.0))
+            lost = self.store_server.restore(rng.uniform(1.0, 10.0))
+            self.store_server.is_down = False
+            await asyncio.sleep(rng.uniform(0.0, 1.5))
+            await self.store_server.write_again(lost)
+        self._is_restoring = False
+
     async def _harm_store_link(self, rng: random.Random) -> None:
         gateway = rng.choice(self.gateways)
         with self._record_disturbance(gateway.name, "store link"):
--- a/soak/store.py
+++ b/soak/store.py
@@ -5,6 +5,8 @@
 import collections
 import json
 import struct
+import time
+from typing import NamedTuple
 from urllib import parse
 
 from soak import wire
@@ -16,6 +18,18 @@
 )
 
 
+class Lost(NamedTuple):
+    """What a restore took from a topic.
+
+    Attributes:
+        end: offset of the first lost record.
+        values: the newest lost value of each key.
+    """
+
+    end: int
+    values: dict[str, bytes]
+
+
 class StandInStore:
     """A linearizable log of keyed records per topic.
 
@@ -24,6 +38,7 @@
             gets no answer.
         loses_answers: whether connections are reset after the effect.
         delay_s: delay before each call.
+        era: number in all answers that rises with each restore.
     """
 
     def __init__(self) -> None:
@@ -31,11 +46,13 @@
         self._topics: dict[str, list[tuple[str, bytes]]] = (
             collections.defaultdict(list)
         )
+        self._written_at: dict[str, list[float]] = collections.defaultdict(list)
         self._first_offsets: dict[str, int] = collections.defaultdict(int)
         self._appended = asyncio.Condition()
         self.is_down = False
         self.loses_answers = False
         self.delay_s = 0.0
+        self.era = 1
 
     async def start(self) -> tuple[str, int]:
         """Listens on loopback; returns the address."""
@@ -50,8 +67,29 @@
         """Appends a record; an empty value removes the key."""
         async with self._appended:
             self._topics[topic].append((key, value))
+            self._written_at[topic].append(time.monotonic())
             self._appended.notify_all()
 
+    def restore(self, age_s: float) -> dict[str, Lost]:
+        """Goes back to a copy of the given age; returns what was lost."""
+        self.era += 1
+        copied_at = time.monotonic() - age_s
+        lost = {}
+        for topic, records in self._topics.items():
+            end = sum(at <= copied_at for at in self._written_at[topic])
+            lost[topic] = Lost(end, dict(records[end:]))
+            del records[end:], self._written_at[topic][end:]
+            self._first_offsets[topic] = min(self._first_offsets[topic], end)
+        return lost
+
+    async def write_again(self, lost: dict[str, Lost]) -> None:
+        """Writes again what operators and endpoints wrote and haven't since."""
+        for topic in (CONFIG_TOPIC, ENDPOINTS_TOPIC):
+            end, values = lost[topic]
+            for key, value in values.items():
+                if key not in dict(self._topics[topic][end:]):
+                    await self.write(topic, key, value)
+
     def compact(self) -> None:
         """Makes earlier offsets unreadable; the newest values stay."""
         for topic, records in self._topics.items():
@@ -63,7 +101,7 @@
         """Handles one call."""
         await asyncio.sleep(self.delay_s)
         if self.is_down:
-            await answer.send(503, b"", {})
+            await answer.send(503, b"", self._era_header())
             return
         path, _, query_string = req.path.partition("?")
         query = dict(parse.parse_qsl(query_string))
@@ -71,7 +109,10 @@
         if self.is_down or self.loses_answers:
             answer.abort()
             return
-        await answer.send(status, body, {})
+        await answer.send(status, body, self._era_header())
+
+    def _era_header(self) -> dict[str, str]:
+        return {"Store-Era": str(self.era)}
 
     async def _answer(
         self, path: str, query: dict[str, str], body: bytes
@@ -105,19 +146,19 @@
         self, topic: str, query: dict[str, str]
     ) -> tuple[int, bytes]:
         records, begin = self._topics[topic], int(query["from"])
-        if begin < self._first_offsets[topic]:
-            first = {"first": self._first_offsets[topic]}
-            return 410, json.dumps(first).encode()
         wait_s = float(query.get("wait_ms", 0)) / 1000
         async with self._appended:
             try:
                 async with asyncio.timeout(wait_s or None):
-                    if wait_s:
+                    if wait_s and begin == len(records):
                         await self._appended.wait_for(
-                            lambda: len(records) > begin
+                            lambda: len(records) != begin
                         )
             except TimeoutError:
                 pass  # No new record; the answer has none.
+        if not self._first_offsets[topic] <= begin <= len(records):
+            first = {"first": self._first_offsets[topic]}
+            return 410, json.dumps(first).encode()
         body = struct.pack(">QQ", len(records), self._first_offsets[topic])
         for key, value in records[begin:]:
             data = bytes([len(key)]) + key.encode() + value
