--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -226,7 +226,7 @@
             tuple(
                 run
                 for run in self._endpoints.removed_runs()
-                if max(run.incarnation, run.sequence) <= _MAX_SENT
+                if max(abs(run.incarnation), abs(run.sequence)) <= _MAX_SENT
             ),
         )
 
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -391,6 +391,23 @@
     host.sharing.close()
 
 
+@pytest.mark.parametrize("sequence", [2**70, -(2**70)])
+def test_a_removed_run_with_an_absurd_sequence_stops_no_snapshot(env, sequence):
+    loop, clock, shared = env
+    shared.write(sh.ENDPOINTS, "e0", b"live %d" % sequence)
+    shared.write(sh.ENDPOINTS, "e1", b"live 1")
+    host = follow_endpoints(loop, lh.FakeStore(shared))
+    shared.write(sh.ENDPOINTS, "e0", b"")
+    shared.write(sh.ENDPOINTS, "e1", b"")
+    lh.advance(loop, clock, 2 * sh.PAUSE_S)
+    snapshot = host.endpoints.topic_follower.snapshot()
+    news = store_messages.StoreNews([snapshot])
+    frame = store_messages.encode(sh.KEY, news, loop.now())
+    (decoded,) = store_messages.decode(sh.KEY, frame, loop.now()).updates
+    assert decoded.removed == (store.RemovedRun("e1", 1, 1),)
+    host.sharing.close()
+
+
 def test_a_host_is_served_the_configuration_in_force_not_the_copy(env):
     loop, clock, shared = env
     shared.write(CONFIG, "config", b"1 a")
