Read the gateway's log lines while its test does something else

Cause: the test didn't read the process's output while it polled the listener for 2.5 s. A thread reads it now; what is checked is the same.

--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -4,6 +4,7 @@
 import collections
 import json
 import os
+import queue
 import signal
 import socket
 import struct
@@ -106,17 +107,28 @@
         env={**os.environ, "CHERVILARCH_SETTINGS": str(path)},
         stdout=subprocess.PIPE,
     )
+    # Read all the while: lines that find the pipe full are dropped.
+    process.lines = queue.SimpleQueue()
+    reader = threading.Thread(target=read_lines, args=(process,))
+    reader.start()
     yield process, store, ports
     if process.poll() is None:
         process.kill()
     process.wait()
+    reader.join()
     process.stdout.close()
     store.server.close()
 
 
+def read_lines(process):
+    for line in process.stdout:
+        process.lines.put(line)
+    process.lines.put(b"")
+
+
 def wait_for(process, event, **fields):
     """Reads log lines up to one with this event and these fields."""
-    for line in process.stdout:
+    while line := process.lines.get():
         got = json.loads(line)
         if got["event"] == event and fields.items() <= got.items():
             return got
