Guard callbacks in one place; keep periodic work going when it raises

`Loop.call_every` schedules the next turn first; a new test of the loop holds that. `Loop.run_callback` and `tasks.call_guarded` were the same and are `guards.call`.

--- a/chervilarch/advisories.py
+++ b/chervilarch/advisories.py
@@ -83,6 +83,7 @@
     def start(self) -> None:
         """Begins to exchange items with other hosts."""
         self._exchange()
+        self._loop.call_every(_EXCHANGE_PERIOD_S, self._exchange)
         self._loop.add_resume_listener(self._on_resume)
 
     def close(self) -> None:
@@ -105,7 +106,6 @@
         items = self._all_items(_EXCHANGED_AGE_S)
         if peers and items:
             self._send([self._rng.choice(peers)], items)
-        self._loop.call_later(_EXCHANGE_PERIOD_S, self._exchange)
 
     def _on_resume(self, paused_s: float) -> None:
         """Asks for all, as news of the time of a pause is lost."""
--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -4,11 +4,11 @@
 
 from chervilarch import (
     endpoint_list,
+    guards,
     hosts,
     routing_table,
     state_log,
     store,
-    tasks,
     topic_follower,
 )
 from chervilarch import loop as loops
@@ -79,7 +79,7 @@
 
     def _apply_snapshot(self, records: Iterable[store.Record]) -> None:
         for record in records:
-            tasks.call_guarded(self._apply_record, record)
+            guards.call(self._apply_record, record)
 
     def _apply_record(self, record: store.Record) -> bool:
         if record.key != self._key or not record.value:
@@ -103,7 +103,7 @@
         self.table = table
         self.applied_at = self._loop.now()
         for listener in self._listeners:
-            tasks.call_guarded(listener, table)
+            guards.call(listener, table)
         return True
 
     def _is_newer(
@@ -262,7 +262,7 @@
         present = set()
         for record in records:
             present.add(record.key)
-            tasks.call_guarded(self._apply_record, record)
+            guards.call(self._apply_record, record)
         if self._endpoints.remove_missing(present, self._loop.now()):
             self._changed = True
 
@@ -329,4 +329,4 @@
         for name, listing in self._endpoints.listed().items():
             by_pool.setdefault(listing.entry.pool, {})[name] = listing
         for listener in self._listeners:
-            tasks.call_guarded(listener, by_pool)
+            guards.call(listener, by_pool)
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -115,6 +115,7 @@
             callers=self._cfg.caller_address,
         )
         self._poll()
+        self._loop.call_every(_POLL_INTERVAL_S, self._poll)
         self._loop.run()
         self._close()
         state_log.log_change("gateway stopped", host=self._cfg.host)
@@ -170,7 +171,6 @@
             )
         if self._stop_requested and not self._serving_state.is_draining:
             self._begin_drain()
-        self._loop.call_later(_POLL_INTERVAL_S, self._poll)
 
     def _begin_drain(self) -> None:
         self._serving_state.is_draining = True
@@ -191,6 +191,7 @@
         self._loop.call_later(_DRAIN_NOTICE_S, self._stop_accepting)
 
     def _stop_accepting(self) -> None:
+        self._loop.call_every(_POLL_INTERVAL_S, self._finish_drain)
         self._caller_server.stop_accepting()
         self._finish_drain()
 
@@ -212,8 +213,6 @@
             self._caller_server.refuse_unread()
         if elapsed_s >= grace_s or not self._caller_server.connection_count():
             self._loop.stop()
-            return
-        self._loop.call_later(_POLL_INTERVAL_S, self._finish_drain)
 
     def _ready_page(self, target: str) -> tuple[int, str, bytes]:
         if not wire.is_readiness_check(target):
--- a/chervilarch/gossip.py
+++ b/chervilarch/gossip.py
@@ -13,12 +13,12 @@
 
 from chervilarch import (
     clocks,
+    guards,
     hosts,
     membership,
     messages,
     metrics,
     state_log,
-    tasks,
 )
 
 _LEAVING_SENDS = 12
@@ -246,8 +246,8 @@
             )
             # An exception must not end the thread.
             if readable:
-                tasks.call_guarded(self._receive)
-            tasks.call_guarded(self.tick)
+                guards.call(self._receive)
+            guards.call(self.tick)
 
     def tick(self) -> None:
         """Runs the probes and sends the pings that are due."""
--- a/chervilarch/hosts.py
+++ b/chervilarch/hosts.py
@@ -14,9 +14,9 @@
     addresses,
     decoding,
     exchanges,
+    guards,
     metrics,
     state_log,
-    tasks,
     transfers,
 )
 
@@ -141,7 +141,7 @@
 
     def _notify_listeners(self, entries: list[HostEntry]) -> None:
         for listener in self._listeners:
-            tasks.call_guarded(listener, entries)
+            guards.call(listener, entries)
 
     def _report_unreadable(self, faults: list[decoding.Unreadable]) -> None:
         """Logs how many entries can't be read when that changes."""
--- a/chervilarch/http_client.py
+++ b/chervilarch/http_client.py
@@ -12,7 +12,7 @@
 
 import pycurl
 
-from chervilarch import exchanges, reply_head, tasks
+from chervilarch import exchanges, guards, reply_head, tasks
 from chervilarch import loop as loops
 
 CONNECT_TIMEOUT_S = 0.5
@@ -213,7 +213,7 @@
         queued_chunks, self._queued_chunks = self._queued_chunks, []
         for transfer, chunk in queued_chunks:
             if transfer.curl is not None:
-                self._loop.run_callback(transfer.on_data, chunk)
+                guards.call(transfer.on_data, chunk)
         ended = []
         queued = 1
         while queued:
@@ -230,7 +230,7 @@
                     transfer.curl, code, text, transfer.head, transfer.body()
                 )
                 self.release(transfer)
-                self._loop.run_callback(transfer.on_done, result)
+                guards.call(transfer.on_done, result)
 
 
 def _configure(curl: pycurl.Curl, transfer: Transfer) -> None:
--- a/chervilarch/loop.py
+++ b/chervilarch/loop.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from chervilarch import clocks, state_log
+from chervilarch import clocks, guards, state_log
 
 # Longest wait of one iteration. Timers, sockets and `wake` end a wait earlier.
 # A callback that a signal handler adds without `wake` would be delayed by it;
@@ -91,6 +91,15 @@
         """
         return self.call_at(float("-inf"), callback)
 
+    def call_every(self, period_s: float, callback: Callable[[], None]) -> None:
+        """Runs a callback once a period, also if it raised the time before."""
+
+        def run() -> None:
+            self.call_later(period_s, run)
+            callback()
+
+        self.call_later(period_s, run)
+
     def call_from_thread(self, callback: Callable[[], None]) -> None:
         """Runs a callback on the loop; safe in other threads."""
         self._handed_over.append(callback)
@@ -140,7 +149,7 @@
         looked_at = self.now()
         self._detect_pause(timeout_s)
         for key, events in ready:
-            self.run_callback(key.data, events)
+            guards.call(key.data, events)
             self._detect_pause(0.0)
         self.run_timers(looked_at)
 
@@ -151,16 +160,9 @@
             due.append(heapq.heappop(self._timers)[2])
         for timer in due:
             if timer.callback is not None:
-                self.run_callback(timer.callback)
+                guards.call(timer.callback)
                 self._detect_pause(0.0)
 
-    def run_callback(self, callback: Callable[..., None], *args: Any) -> None:
-        """Runs a callback; if it raises, the work of others goes on."""
-        try:
-            callback(*args)
-        except Exception as exc:  # noqa: BLE001
-            state_log.log_exception("callback failed", exc)
-
     def close(self) -> None:
         """Frees the selector and the wake-up pipe."""
         self._selector.close()
@@ -181,7 +183,7 @@
         paused_s = now - seen_at
         state_log.log_change("process was paused", paused_s=round(paused_s, 3))
         for listener in self._resume_listeners:
-            self.run_callback(listener, paused_s)
+            guards.call(listener, paused_s)
 
     def _timeout_s(self, max_wait_s: float) -> float:
         while self._timers and self._timers[0][2].callback is None:
@@ -196,4 +198,4 @@
         except BlockingIOError:
             pass  # The pipe is empty already.
         while self._handed_over:
-            self.run_callback(self._handed_over.popleft())
+            guards.call(self._handed_over.popleft())
--- a/chervilarch/peer_socket.py
+++ b/chervilarch/peer_socket.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from chervilarch import decoding, messages, state_log, tasks
+from chervilarch import decoding, guards, messages, state_log
 from chervilarch import loop as loops
 
 # The largest payload of a UDP datagram over IPv4.
@@ -92,4 +92,4 @@
                     self._refused_event, host=source[0], reason=message.reason
                 )
                 continue
-            tasks.call_guarded(self._on_message, message, source)
+            guards.call(self._on_message, message, source)
--- a/chervilarch/stage_coordination.py
+++ b/chervilarch/stage_coordination.py
@@ -121,7 +121,7 @@
             self._handle,
             "stage message refused",
         )
-        loop.call_later(_SWEEP_S, self._sweep)
+        loop.call_every(_SWEEP_S, self._sweep)
         loop.add_resume_listener(self._on_resume)
 
     def close(self) -> None:
@@ -423,7 +423,6 @@
                 del self._remote_runs[key]
                 self._discard(remote)
         self._follow_coordinator()
-        self._loop.call_later(_SWEEP_S, self._sweep)
 
 
 def election_priority(peer: Peer) -> tuple[int, int]:
--- a/chervilarch/tasks.py
+++ b/chervilarch/tasks.py
@@ -7,7 +7,7 @@
 """
 
 import collections
-from collections.abc import Callable, Generator
+from collections.abc import Generator
 from concurrent.futures import Future
 from typing import Any, TypeVar
 
@@ -87,15 +87,6 @@
         self.future.set_result(value)
 
 
-def call_guarded(callback: Callable[..., T], *args) -> T | None:
-    """Calls a callback; logs an exception that it raises and returns None."""
-    try:
-        return callback(*args)
-    except Exception as exc:  # noqa: BLE001
-        state_log.log_exception("callback failed", exc)
-        return None
-
-
 def resolve(fut: Future, value: Any) -> None:
     """Sets a future's result unless it is done."""
     if not fut.done():
--- a/chervilarch/topic_follower.py
+++ b/chervilarch/topic_follower.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable, Iterable
 from concurrent.futures import Future
 
+from chervilarch import guards, state_log, store, tasks
 from chervilarch import loop as loops
-from chervilarch import state_log, store, tasks
 
 # Timeout of a read of the newest values; it doubles with each failure. The
 # store answers in milliseconds, or in up to 0.3 s while it is slow. After an
@@ -347,12 +347,12 @@
         is_restored = self.has_read() and position.era > self._position.era
         self._position = position
         if is_restored:
-            tasks.call_guarded(self.on_restore)
-        tasks.call_guarded(self.on_snapshot, records)
-        tasks.call_guarded(self.on_removed, removed)
-        tasks.call_guarded(self.on_read)
+            guards.call(self.on_restore)
+        guards.call(self.on_snapshot, records)
+        guards.call(self.on_removed, removed)
+        guards.call(self.on_read)
         if is_restored and self._told_era < position.era:
-            tasks.call_guarded(self.on_update, self.state())
+            guards.call(self.on_update, self.state())
 
     def _read_changes(self) -> tasks.Coroutine[bool]:
         """Reads new records once; returns False if a snapshot is needed."""
@@ -417,7 +417,7 @@
         update = store.TopicUpdate(
             self._topic, first, end, self.read_at, tuple(shared), era
         )
-        tasks.call_guarded(self.on_update, update)
+        guards.call(self.on_update, update)
 
     def _apply_changes(
         self, records: Iterable[store.Record], end: int
@@ -427,11 +427,11 @@
         for record in records:
             if record.offset < self._position.offset:
                 continue
-            if tasks.call_guarded(self.on_change, record):
+            if guards.call(self.on_change, record):
                 shared.append(record)
         era, offset = self._position
         self._position = store.Position(era, max(offset, end))
-        tasks.call_guarded(self.on_read)
+        guards.call(self.on_read)
         return shared
 
     def _record_success(self, read_at: float, source_ip: str) -> None:
@@ -456,7 +456,7 @@
         )
         # A host that alone lost the store still got updates from neighbours.
         if unread_s >= self._read_period_s + _OUTAGE_MARGIN_S:
-            tasks.call_guarded(self.on_outage_end)
+            guards.call(self.on_outage_end)
 
     def _record_failure(self, error: store.StoreError) -> None:
         self._retry_delay_s = min(_MAX_RETRY_S, 2 * self._retry_delay_s)
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -203,3 +203,17 @@
         clock.advance(loops.PAUSE_S)
         lh.run_pending(loop)
     assert not resumed
+
+
+def test_a_periodic_callback_that_raised_is_called_again():
+    loop, clock = lh.new_loop()
+    calls = []
+
+    def raise_first():
+        calls.append(loop.now())
+        if len(calls) == 1:
+            raise ValueError("broken")
+
+    loop.call_every(1.0, raise_first)
+    lh.advance(loop, clock, 3.5)
+    assert len(calls) == 3
