Look at the sockets again when timers are due after a wait

After a process was stopped and continued, its timers ran before what had arrived meanwhile was read: stalls, head limits and the silence of other hosts were judged by old news.

Cause: a signal ends the wait for sockets; Python finds the time-out over and returns no socket. So "Run a timer only after what had arrived by its time was read" didn't hold for a stop.

If a timer is due after the wait, the sockets are looked at once more without waiting; then the timers run.

--- a/chervilarch/loop.py
+++ b/chervilarch/loop.py
@@ -147,6 +147,10 @@
         timeout_s = self._timeout_s(max_wait_s)
         ready = self._selector.select(timeout_s)
         looked_at = self.now()
+        if self._timers and self._timers[0][0] <= looked_at:
+            # The wait ends without a look at the sockets if the process was
+            # stopped in it, and they may be older than the timers in any case.
+            ready = self._selector.select(0)
         self._detect_pause(timeout_s)
         for key, events in ready:
             guards.call(key.data, events)
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -1,7 +1,12 @@
 """Tests of the event loop and of tasks over futures."""
 
+import os
 import selectors
+import signal
 import socket
+import subprocess
+import sys
+import time
 from concurrent.futures import Future
 
 import loop_helpers as lh
@@ -217,3 +222,47 @@
     loop.call_every(1.0, raise_first)
     lh.advance(loop, clock, 3.5)
     assert len(calls) == 3
+
+
+_STOPPED_PROGRAM = """
+import selectors, socket, sys
+from chervilarch import clocks
+from chervilarch import loop as loops
+
+loop = loops.Loop(clocks.SystemClock())
+sock = socket.socket(fileno=int(sys.argv[1]))
+ran = []
+timer = loop.call_later(0.6, lambda: ran.append("timer"))
+
+def receive(events):
+    sock.recv(1)
+    ran.append("data")
+    timer.cancel()
+
+loop.watch(sock, selectors.EVENT_READ, receive)
+print("ready", flush=True)
+while not ran:
+    loop.run_once(1.0)
+print(ran[0], flush=True)
+"""
+
+
+def test_a_timer_runs_after_what_had_arrived_while_the_process_was_stopped():
+    own, other = socket.socketpair()
+    fd = other.fileno()
+    with subprocess.Popen(
+        [sys.executable, "-c", _STOPPED_PROGRAM, str(fd)],
+        pass_fds=[fd],
+        stdout=subprocess.PIPE,
+        text=True,
+    ) as process:
+        assert process.stdout.readline() == "ready\n"
+        time.sleep(0.2)  # Until it waits.
+        process.send_signal(signal.SIGSTOP)
+        os.waitpid(process.pid, os.WUNTRACED)
+        own.send(b"a")
+        time.sleep(0.8)  # Until its timer is due.
+        process.send_signal(signal.SIGCONT)
+        assert process.stdout.readline() == "data\n"
+    own.close()
+    other.close()
