--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -20,6 +20,12 @@
     yield from sh.run_hosts(3, data_centres=1)
 
 
+@pytest.fixture
+def fleet():
+    """Three data centres of three hosts."""
+    yield from sh.run_hosts(9, data_centres=3)
+
+
 @pytest.fixture
 def env():
     loop, clock = lh.new_loop()
@@ -127,6 +133,24 @@
     assert second.listed() == third.listed() == ["e0"]
 
 
+def test_a_restore_causes_no_burst_of_reads_and_messages(fleet):
+    loop, clock, shared, members = fleet
+    shared.write(sh.ENDPOINTS, "e0", b"live 2")
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
+    told = []
+    for host in members:
+        follower = host.endpoints.topic_follower
+        follower.on_update = lambda update, send=follower.on_update: (
+            told.append(update.first < update.end) or send(update)
+        )
+    shared.restore(3, era=1)
+    lh.advance(loop, clock, 2 * sh.PAUSE_S)
+    snapshots = [host.source.calls.count("newest") for host in members]
+    assert snapshots == [2] * 9
+    # The first host tells of the restore, then of its usual reads.
+    assert len(told) <= 3 and not any(told)
+
+
 def test_a_snapshot_has_no_pages_of_before_and_after_a_restore(env):
     loop, clock, shared = env
     for name in ("e0", "e1", "e2"):
