Ask a live host after a pause what it knows

Callers could have got requests sent to an endpoint that had begun to leave, by a host that slept through both the leaving and a restore of the store that lost it: the store's copy, read anew after the pause, lists the endpoint as ready. Cause: only a host that starts asks a live one what it holds true. Evidence: test_a_host_that_slept_through_a_restore_asks_what_others_know, before: "assert ['e0', 'e1'] == ['e0']". Change: a host asks again after each pause, with the same exchange as at its start, and its requests wait for the answer (a second at most, as before; not at all if it knows no other host).

--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -258,7 +258,7 @@
         cfg.bounds.drain_s / _LIST_READS_PER_BOUND,
     )
     for follower in (configuration.topic_follower, endpoints.topic_follower):
-        resuming.add_check(functools.partial(_has_read_since, follower))
+        resuming.add_check(functools.partial(_is_confirmed, follower))
     own_placement = placement.Placement(cfg.data_centre, loop.clock, rng)
     # Load of the final calls of all stage graphs that run here, also of remote
     # runs, which run for other hosts. `own_placement` has only the calls that
@@ -362,10 +362,11 @@
     )
 
 
-def _has_read_since(
+def _is_confirmed(
     follower: topic_follower.TopicFollower, resumed_at: float
 ) -> bool:
-    return follower.read_at >= resumed_at
+    has_asked = follower.has_joined or not follower.has_peers()
+    return has_asked and follower.read_at >= resumed_at
 
 
 def main(argv: Sequence[str] | None = None) -> int:
--- a/chervilarch/topic_follower.py
+++ b/chervilarch/topic_follower.py
@@ -44,6 +44,8 @@
             what was passed to the callbacks.
         may_serve: whether a live host was asked for what it holds true, or none
             was found in time.
+        has_joined: whether a live host has answered since the start or the last
+            pause.
     """
 
     def __init__(
@@ -90,6 +92,7 @@
         self._fetching: Future = tasks.done(None)
         self.read_at = float("-inf")
         self.may_serve = False
+        self.has_joined = False
         self.on_snapshot: Callable[[Iterable[store.Record]], None] = _ignore
         # Returns whether the record must be sent to other hosts.
         self.on_change: Callable[[store.Record], bool] = _ignore
@@ -116,6 +119,7 @@
         )
         tasks.Task(self._run())
         tasks.Task(self._join())
+        self._loop.add_resume_listener(self._on_resume)
 
     def has_read(self) -> bool:
         """Returns whether a snapshot was read or fetched from a peer."""
@@ -201,6 +205,12 @@
                     delay_s = max(0.0, self._snapshot_at - self._loop.now())
             yield tasks.sleep(self._loop, delay_s)
 
+    def _on_resume(self, paused_s: float) -> None:
+        """Asks again: the store may have changed and lost the change."""
+        if self.has_joined:
+            self.has_joined = False
+            tasks.Task(self._join())
+
     def _join(self) -> tasks.Coroutine[None]:
         """Asks a live host for what it holds true, until one has answered.
 
@@ -218,7 +228,7 @@
                 elif isinstance(update, store.TopicUpdate):
                     self._merge(update)
                     if not -1 < known_era < self._known.era:
-                        self.may_serve = True
+                        self.may_serve = self.has_joined = True
                         return
             if self._loop.now() - started_at >= wait_s:
                 self.may_serve = True
--- a/tests/test_paused_process.py
+++ b/tests/test_paused_process.py
@@ -498,3 +498,37 @@
     for _ in range(2):
         reader.read_changes(_CONFIGURATION, 0, 1.0)
     assert waits == [1.0, 0.0, 1.0]
+
+
+def test_a_host_that_slept_through_a_restore_asks_what_others_know(fleet):
+    shared = lh.FakeStore()
+    for number in range(2):
+        shared.write(store.Topic.ENDPOINTS, f"e{number}", b"live 1")
+    hosts = [
+        SharingHost(fleet.new_loop(), f"n{number}", lh.FakeStore(shared))
+        for number in range(2)
+    ]
+    for host, other in (hosts, hosts[::-1]):
+        host.neighbours.append(other.peer)
+        host.endpoints.topic_follower.start()
+    fleet.advance(3.0)
+    awake, paused = hosts
+    assert paused.listed() == ["e0", "e1"]
+    shared.write(store.Topic.ENDPOINTS, "e1", b"leaving 2")
+    fleet.advance(2.0, stopped=paused.endpoints._loop)
+    assert awake.listed() == ["e0"]
+    shared.restore(2, 1)
+    fleet.advance(2.0, stopped=paused.endpoints._loop)
+    assert awake.listed() == ["e0"]
+    lh.run_until(
+        paused.endpoints._loop,
+        lambda: (
+            lh.run_pending(awake.endpoints._loop)
+            or paused.endpoints.topic_follower.read_at >= fleet.clock.now
+        ),
+    )
+    for _ in range(20):
+        fleet.advance(0.1)
+    assert paused.listed() == ["e0"]
+    for host in hosts:
+        host.sharing.close()
