Log a stall once, and leave a closed connection's timer alone

A silent engine that is kept left a line for each try to replace it, up to four a second, which would crowd out other lines. A connection whose caller had left when its idle limit passed set a timer once more; it had no effect.

Lines only: no test.

--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -583,7 +583,7 @@
             # A request may wait in the kernel; closing would reset it.
             timer = self._timer
             self._receive()
-            if self._timer is not timer:
+            if self._closed or self._timer is not timer:
                 return
             # A configuration may have raised the limit meanwhile.
             self._limits = self._server.handler.limits()
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -355,13 +355,8 @@
                     return True
                 if not self._can_resume() or ctx.remaining_s() <= 0.0:
                     return False
-                state_log.log_decision(
-                    "endpoint silent",
-                    request_id=ctx.req.id,
-                    endpoint=lease.listing.entry.name,
-                    has_begun=lease.slot.has_answered,
-                    elapsed_ms=ctx.elapsed_ms(),
-                )
+                if self._prepare_after <= stalled_at:
+                    self._log_stall(lease)
                 if ctx.req.route.name in ctx.ctrl.answered_routes:
                     ctx.ctrl.placement.record_silence(lease)
                 self._replacement = tasks.Task(self._prepare(lease, _STALLED))
@@ -378,6 +373,15 @@
             self._prepare_after = ctx.now() + wait_s
         return True
 
+    def _log_stall(self, lease: placement.Lease) -> None:
+        state_log.log_decision(
+            "endpoint silent",
+            request_id=self._ctx.req.id,
+            endpoint=lease.listing.entry.name,
+            has_begun=lease.slot.has_answered,
+            elapsed_ms=self._ctx.elapsed_ms(),
+        )
+
     def _split(
         self,
         head: routed.ReplyHead,
