--- a/chervilarch/platform/wire.py
+++ b/chervilarch/platform/wire.py
@@ -196,7 +196,9 @@
                 for name, value in headers
                 if name not in dropped and _is_valid_header(name, value)
             ],
-            _parse_limit(by_name.get("server-limit")),
+            _parse_amount(
+                by_name.get("server-limit"), "endpoint limit unreadable"
+            ),
             by_name.get("server-leaving", "").strip() == "1",
             _parse_pause(status, by_name.get("retry-after")),
         )
@@ -314,18 +316,18 @@
     return min(max(0.0, allowed_s), _MAX_ALLOWED_S)
 
 
-def _parse_limit(text: str | None) -> float | None:
-    """Parses a number of requests a second; None if there is none."""
+def _parse_amount(text: str | None, unreadable_event: str) -> float | None:
+    """Parses a number from 0 on; logs another one and returns None."""
     if text is None:
         return None
     try:
-        limit = float(text)
+        amount = float(text)
     except ValueError:
-        limit = math.nan
-    if not math.isfinite(limit) or limit < 0:
-        state_log.log_fault("endpoint limit unreadable", value=text)
+        amount = math.nan
+    if not math.isfinite(amount) or amount < 0:
+        state_log.log_fault(unreadable_event, value=text)
         return None
-    return limit
+    return amount
 
 
 def _parse_counts(text: str, largest: int) -> tuple[int, ...]:
@@ -353,16 +355,10 @@
 
     Only a refusal says it; dates aren't used on the platform.
     """
-    if status != _UNAVAILABLE_STATUS or text is None:
+    if status != _UNAVAILABLE_STATUS:
         return None
-    try:
-        pause_s = float(text)
-    except ValueError:
-        pause_s = math.nan
-    if not math.isfinite(pause_s) or pause_s < 0:
-        state_log.log_fault("endpoint pause unreadable", value=text)
-        return None
-    return min(pause_s, _MAX_PAUSE_S)
+    pause_s = _parse_amount(text, "endpoint pause unreadable")
+    return None if pause_s is None else min(pause_s, _MAX_PAUSE_S)
 
 
 def _parse_prompt(by_name: dict[str, str]) -> routed.Prompt:
