Answer a request after a fault of the server's own

Callers saw a closed connection without an answer, which tells them nothing, when an exception came between a request's arrival and its answer. An exception between a request's start and its first filter left it without any answer until its deadline, and counted as in flight.

Cause: http_server ("request not begun") and serving ("answer not sent") closed the connection; `Responder.head_sent` was set before the head was built, so a head that can't be built counted as sent. What a future's callback raises is swallowed, so nothing ended the request.

Evidence, tests/test_gateway.py before: a_fault_while_a_request_is_begun: assert False (b''.startswith(b'HTTP/1.1 502')) a_fault_before_the_filters: AssertionError: the condition never held a_fault_while_an_answer_is_sent: IndexError: list index out of range (no status line)

Now such a request gets a plain 502, which promises nothing, unless its head was sent: then the connection is closed as before. The request ends in the counts and the log as a fault of the gateway.

Two tests demanded the silent close, that is, the fault: the request that can't be begun must now be answered and its connection must serve the next one, the answer that can't be sent must become a 502. A new test holds that an answer that has begun is still broken off.

--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -33,6 +33,9 @@
 # disconnected.
 UNREAD_TIMEOUT_S = 15.0
 
+# Doesn't say whether the request ran.
+_FAULT_STATUS = 502
+
 _REASON_PHRASES = {
     status.value: status.phrase.encode() for status in http.HTTPStatus
 }
@@ -101,8 +104,9 @@
 
     def send_head(self, status: int, headers: Headers) -> None:
         """Sends the status line and headers."""
+        head = self._conn.build_head(status, headers)
         self.head_sent = True
-        self._conn.send_head(status, headers)
+        self._conn.send_event(head)
 
     def send_body(self, data: bytes) -> None:
         """Sends a chunk of the body."""
@@ -126,6 +130,19 @@
             self.send_body(body)
         self.finish()
 
+    def fail(self) -> None:
+        """Ends the answer after a fault, with a status if none was sent.
+
+        The status doesn't say whether the request ran.
+        """
+        if not self.head_sent:
+            try:
+                self.send(_FAULT_STATUS, [], b"")
+                return
+            except Exception as exc:  # noqa: BLE001
+                state_log.log_exception("fault not answered", exc)
+        self.abort()
+
     def buffered(self) -> int:
         """Returns how many bytes are yet to be written to the socket."""
         return self._conn.unsent_bytes()
@@ -297,15 +314,13 @@
         """Returns the number of buffered bytes."""
         return len(self._out)
 
-    def send_head(self, status: int, headers: Headers) -> None:
-        """Queues the status line and headers."""
-        if self._closed:
-            return
+    def build_head(self, status: int, headers: Headers) -> h11.Response:
+        """Returns the status line and headers, for `send_event`."""
         # A request that was read already is served before the close.
         has_next = bool(self._codec.trailing_data[0])
         if self._server.handler.is_closing() and not has_next:
             headers = [*headers, ("Connection", "close")]
-        self.send_event(_response_head(status, headers))
+        return _response_head(status, headers)
 
     def send_event(self, event: h11.Event) -> None:
         """Queues an event of the answer."""
@@ -498,7 +513,8 @@
             on_disconnect = self._server.handler.begin(req, responder)
         except Exception as exc:  # noqa: BLE001
             state_log.log_exception("request not begun", exc)
-            self.close()
+            if not responder.ended:
+                responder.fail()
             return
         if not responder.ended:
             self._on_disconnect = on_disconnect
--- a/chervilarch/serving.py
+++ b/chervilarch/serving.py
@@ -18,6 +18,11 @@
 _ANSWER_MARGIN_S = 0.005
 _MS_PER_S = 1000
 _FIRST_ERROR_STATUS = 500
+_OWN_FAULT = outcomes.Unknown(
+    outcomes.Reason.INTERNAL,
+    "the gateway met a fault of its own",
+    "report the request's id",
+)
 
 
 class ServingState:
@@ -99,11 +104,19 @@
         confirmed = self._ctrl.resumption.confirmed()
         if not confirmed.done() and self._req.allowed_s is not None:
             self._set_deadline(self._req.arrived_at + self._req.allowed_s)
-        confirmed.add_done_callback(lambda _: self._run_filters())
+        confirmed.add_done_callback(lambda _: self._begin_filters())
 
-    def _run_filters(self) -> None:
+    def _begin_filters(self) -> None:
         if self._is_ended:
             return
+        try:
+            self._run_filters()
+        except Exception as exc:  # noqa: BLE001
+            state_log.log_exception("filters not begun", exc)
+            self._finish(None)
+            self._cancel_task()
+
+    def _run_filters(self) -> None:
         self._ctx = RoutedContext(self._ctrl, self._req, self._responder)
         self._task = tasks.Task(routed_filters.run_chain(self._ctx))
         self._task.future.add_done_callback(
@@ -177,17 +190,14 @@
         if self._is_ended:
             return
         if outcome is None:
-            outcome = outcomes.Unknown(
-                outcomes.Reason.INTERNAL,
-                "the gateway met a fault of its own",
-                "report the request's id",
-            )
+            outcome = _OWN_FAULT
         has_begun = self._responder.head_sent
         try:
             self._answer(outcome)
         except Exception as exc:  # noqa: BLE001
             state_log.log_exception("answer not sent", exc)
-            self._responder.abort()
+            self._responder.fail()
+            outcome = _OWN_FAULT
         name = outcomes.outcome_name(outcome)
         if isinstance(outcome, outcomes.Answer):
             status = outcome.output.head.status
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -21,6 +21,8 @@
     stream_route_document,
 )
 
+from chervilarch import http_server, serving
+
 
 def test_a_request_and_its_answer_are_forwarded_unchanged(world):
     requests = []
@@ -362,3 +364,43 @@
     received = world.fetch(KEY)
     assert status(received) == 502
     assert len(requests) == 1
+
+
+def test_a_fault_while_a_request_is_begun_is_answered(world):
+    world.endpoint("e1", lh.answer_with(answer()))
+    world.start(route_document())
+    assert status(world.fetch(KEY)) == 200
+    world.ctrl.wire.parse_request = lambda req: 1 / 0
+    received = world.fetch(KEY)
+    assert received.startswith(b"HTTP/1.1 502")
+    assert b"not-executed" not in received.lower()
+
+
+def test_a_fault_before_the_filters_is_answered_and_leaves_nothing(
+    world, monkeypatch
+):
+    world.endpoint("e1", lh.answer_with(answer()))
+    world.start(route_document())
+    assert status(world.fetch(KEY)) == 200
+    monkeypatch.setattr(serving, "RoutedContext", lambda *args: 1 / 0)
+    assert status(world.fetch(KEY)) == 502
+    assert world.serving_state.in_flight == 0
+    assert not world.handler._requests
+
+
+def test_a_fault_while_an_answer_is_sent_is_answered(world, monkeypatch):
+    world.endpoint("e1", lh.answer_with(answer()))
+    world.start(route_document())
+    build = http_server._response_head
+    statuses = []
+
+    def fail_once(code, headers):
+        statuses.append(code)
+        if len(statuses) == 1:
+            raise ValueError("odd header")
+        return build(code, headers)
+
+    monkeypatch.setattr(http_server, "_response_head", fail_once)
+    assert status(world.fetch(KEY)) == 502
+    assert statuses == [200, 502]
+    assert world.serving_state.in_flight == 0
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -336,7 +336,7 @@
     lh.run_until(loop, lambda: len(handler.begun) == 2)
 
 
-def test_a_request_that_cannot_be_begun_is_closed_and_others_served(world):
+def test_a_request_that_cannot_be_begun_is_answered_and_others_served(world):
     loop, _, handler, server = world
 
     def fail(req, reply):
@@ -345,9 +345,30 @@
     begin_request, handler.begin = handler.begin, fail
     conn = lh.connect(server.port)
     conn.sendall(get())
-    assert lh.receive(loop, conn, lambda data: b"<EOF>" in data) == b"<EOF>"
+    received = lh.receive(loop, conn, lambda data: b"\r\n\r\n" in data)
+    assert received.startswith(b"HTTP/1.1 502")
+    assert b"content-length: 0\r\n" in received.lower()
     handler.begin = begin_request
-    begin(world)
+    conn.sendall(get("/x/2"))
+    lh.run_until(loop, lambda: handler.begun)
+    assert handler.begun[0][0].target == "/x/2"
+    begin(world, count=2)
+
+
+def test_a_request_that_fails_after_its_head_was_sent_is_broken_off(world):
+    loop, _, handler, server = world
+
+    def fail(req, reply):
+        reply.send_head(200, [])
+        reply.send_body(b"part")
+        raise ValueError("broken")
+
+    handler.begin = fail
+    conn = lh.connect(server.port)
+    conn.sendall(get())
+    received = lh.receive(loop, conn, lambda data: b"<EOF>" in data)
+    assert b"part" in received and b"0\r\n\r\n" not in received
+    assert received.count(b"HTTP/1.1") == 1
 
 
 def test_a_raised_idle_limit_holds_for_open_connections(world):
--- a/tests/test_odd_headers.py
+++ b/tests/test_odd_headers.py
@@ -70,5 +70,5 @@
 
     world.ctrl.wire.build_refusal = fail
     world.start(route_document())
-    assert world.fetch(KEY, path="/nowhere") == b""
+    assert status(world.fetch(KEY, path="/nowhere")) == 502
     assert not world.serving_state.in_flight
