Read a request by the limits in force when it begins

After a configuration raised the limit on bodies or heads, a caller on a kept connection still got 413 or 431 for one request that the new limits allow; such an answer tells it not to try again. A lowered limit came one request late too.

Cause: the limits were read at the end of the last answer, and the codec's own limit on heads was set once per connection.

Now the limits are read with a request's first byte. The codec is made anew between two requests if its limit on heads changed.

--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -258,9 +258,8 @@
         self._idle_since = self._opened_at
         self._has_served = False
         self._limits = server.handler.limits()
-        self._codec = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
-        )
+        self._codec_header_bytes = self._limits.header_bytes
+        self._codec = _create_codec(self._codec_header_bytes)
         self._head: h11.Request | None = None
         self._body = bytearray()
         self._first_byte_at = 0.0
@@ -413,6 +412,15 @@
             self._parse()
 
     def _start_reading(self) -> None:
+        """Begins to read a request, with the limits in force."""
+        self._limits = self._server.handler.limits()
+        if self._limits.header_bytes != self._codec_header_bytes:
+            # The codec's own limit can't be changed.
+            unread = self._codec.trailing_data[0]
+            self._codec_header_bytes = self._limits.header_bytes
+            self._codec = _create_codec(self._codec_header_bytes)
+            if unread:
+                self._codec.receive_data(unread)
         self._first_byte_at = self._loop.now()
         self._set_timer(self._limits.header_timeout_s)
 
@@ -421,16 +429,14 @@
         if self._closed or self._responder is not None or self._closing:
             return
         self._pipelined_bytes = 0
+        if self._codec.trailing_data[0] and not self._first_byte_at:
+            self._start_reading()
         try:
             self._read_events()
         except h11.RemoteProtocolError as exc:
             self._reject(exc.error_status_hint, str(exc))
-        if self._closed or self._closing:
-            return
-        if self._responder is None and self._codec.trailing_data[0]:
-            if not self._first_byte_at:
-                self._start_reading()
-        self._watch()
+        if not (self._closed or self._closing):
+            self._watch()
 
     def _read_events(self) -> None:
         """Handles what the codec has received.
@@ -617,6 +623,10 @@
         self.close()
 
 
+def _create_codec(header_bytes: int) -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
+
+
 def _response_head(status: int, headers: Headers) -> h11.Response:
     return h11.Response(
         status_code=status,
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -399,3 +399,49 @@
     received = lh.receive(loop, conn, lambda data: b"<EOF>" in data)
     assert received.index(b"one") < received.index(b"two")
     assert received.lower().count(b"connection: close") == 1
+
+
+@pytest.mark.parametrize("is_pipelined", [False, True])
+@pytest.mark.parametrize(
+    "second",
+    [
+        b"POST /x/2 HTTP/1.1\r\nHost: a\r\nContent-Length: 500\r\n\r\n"
+        + b"a" * 500,
+        get("/x/2", "X-Long: " + "a" * 5000 + "\r\n"),
+    ],
+)
+def test_a_kept_connection_gets_the_limits_in_force(
+    world, second, is_pipelined
+):
+    loop, _, handler, _ = world
+    conn = begin(world)
+    if is_pipelined:
+        conn.sendall(second[:-1])
+        lh.run_pending(loop)
+    else:
+        handler.begun[0][1].send(200, [], b"one")
+        lh.receive(loop, conn, lambda data: data.endswith(b"one"))
+    handler.current_limits = handler.current_limits._replace(
+        header_bytes=8192, body_bytes=1000
+    )
+    if is_pipelined:
+        handler.begun[0][1].send(200, [], b"one")
+        lh.run_pending(loop)
+        conn.sendall(second[-1:])
+    else:
+        # The head alone is more than the codec kept before.
+        conn.sendall(second[:4500])
+        lh.run_pending(loop)
+        conn.sendall(second[4500:])
+    lh.run_until(loop, lambda: len(handler.begun) == 2)
+
+
+def test_a_lowered_limit_holds_for_open_connections(world):
+    loop, _, handler, _ = world
+    conn = begin(world)
+    handler.begun[0][1].send(200, [], b"one")
+    lh.receive(loop, conn, lambda data: data.endswith(b"one"))
+    handler.current_limits = handler.current_limits._replace(header_bytes=100)
+    conn.sendall(get("/x/2", "X-Long: " + "a" * 200 + "\r\n"))
+    received = lh.receive(loop, conn, lambda data: b"<EOF>" in data)
+    assert received.startswith(b"HTTP/1.1 431")
