Read all datagrams that wait before judging probes

After a pause of a host, or with many datagrams in its socket, it suspected hosts whose acks it had but hadn't read; others were told.

Cause: one datagram was read a round, then the probes were judged, by the time after the read.

Evidence: two new tests in tests/test_membership.py, run with the old order of a round (the round got a name for them): a_host_whose_ack_waits_in_the_kernel_is_not_suspected and a_pause_after_the_last_look_makes_no_host_suspected: assert <Status.SUSPECT> is <Status.ALIVE>

Now a round reads until the socket is empty, at most 1024 datagrams, so that a flood can't keep the probes from their turn, and judges by the time before the look that found it empty: what comes later isn't missing yet. A host that is silent through a pause is suspected as before (test). `tick` gets that time as an argument; its one caller in a test follows.

--- a/chervilarch/gossip.py
+++ b/chervilarch/gossip.py
@@ -30,6 +30,8 @@
 _REPLAY_WINDOW = 1024
 _INCARNATION_PER_S = 1000
 _SELECT_TIMEOUT_S = 0.05
+# Most datagrams that are read before the probes get their turn.
+_MAX_DATAGRAMS = 1024
 # A host that knows fewer of the live hosts than this share is sent all of
 # them; while the fleet grows, also one that knows any fewer. Member updates
 # alone take many seconds to reach all when all have started at once.
@@ -241,17 +243,32 @@
 
     def _run(self) -> None:
         while not self._stop.is_set():
-            readable, _, _ = select.select(
-                [self._socket], [], [], _SELECT_TIMEOUT_S
-            )
+            self.run_once(_SELECT_TIMEOUT_S)
+
+    def run_once(self, max_wait_s: float) -> None:
+        """Handles the datagrams that wait, then what is due.
+
+        After a pause, acks may wait behind other datagrams. What is due is
+        judged by the time at which the socket was last seen empty: an ack that
+        came later isn't missing yet.
+        """
+        wait_s = max_wait_s
+        for _ in range(_MAX_DATAGRAMS):
+            looked_at = self._clock.monotonic()
+            readable, _, _ = select.select([self._socket], [], [], wait_s)
+            if not readable:
+                break
             # An exception must not end the thread.
-            if readable:
-                guards.call(self._receive)
-            guards.call(self.tick)
+            guards.call(self._receive)
+            wait_s = 0.0
+        guards.call(self.tick, looked_at)
 
-    def tick(self) -> None:
-        """Runs the probes and sends the pings that are due."""
-        now = self._clock.monotonic()
+    def tick(self, now: float) -> None:
+        """Runs the probes and sends the pings that are due.
+
+        Args:
+            now: monotonic time up to which datagrams were read.
+        """
         with self._lock:
             self._check_probes(now)
             if now >= self._next_period:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,7 +2,9 @@
 
 import collections
 import random
+import types
 
+import loop_helpers as lh
 import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
@@ -244,5 +246,71 @@
             while net.frames[controller._address]:
                 controller._receive()
         for controller in controllers:
-            controller.tick()
+            controller.tick(clock.monotonic())
     assert {controller.live_count() for controller in controllers} == {74}
+
+
+@pytest.fixture
+def pair():
+    """Two hosts on loopback that know each other, and their clock."""
+    clock = clocks.ManualClock()
+    port = lh.free_ports(2)
+    made = []
+    for number, name in enumerate("ab"):
+        own = member(name)._replace(address=f"127.0.0.1:{port + number}")
+        controller = gossip.GossipController(
+            own, KEY, clock, metrics.Metrics(None), random.Random(1)
+        )
+        controller._socket.bind(controller._address)
+        made.append(controller)
+    a, b = made
+    a._membership.observe(b.members()[0], clock.monotonic())
+    b._membership.observe(a.members()[0], clock.monotonic())
+    yield a, b, clock
+    for controller in made:
+        controller._socket.close()
+
+
+def other_status(controller):
+    return controller.members()[1].status
+
+
+def test_a_host_whose_ack_waits_in_the_kernel_is_not_suspected(pair):
+    a, b, clock = pair
+    a.run_once(0.0)  # Sends the probe.
+    for _ in range(3):
+        b.contact(a.members()[0].address)
+    b.run_once(lh.TIMEOUT_S)  # Sends the ack, behind other datagrams.
+    clock.advance(membership.PROBE_PERIOD_S + 0.1)
+    a.run_once(lh.TIMEOUT_S)
+    assert other_status(a) is Status.ALIVE
+
+
+def test_a_pause_after_the_last_look_makes_no_host_suspected(pair, monkeypatch):
+    a, b, clock = pair
+    a.run_once(0.0)
+
+    def pause_after_look(*args):
+        found = look(*args)
+        if not found[0]:
+            b._receive()
+            clock.advance(membership.PROBE_PERIOD_S + 0.1)
+        return found
+
+    look = gossip.select.select
+    with monkeypatch.context() as patch:
+        patch.setattr(
+            gossip, "select", types.SimpleNamespace(select=pause_after_look)
+        )
+        a.run_once(0.0)
+    assert other_status(a) is Status.ALIVE
+    a.run_once(lh.TIMEOUT_S)
+    assert other_status(a) is Status.ALIVE
+
+
+def test_a_host_that_is_silent_through_a_pause_is_suspected(pair):
+    a, _, clock = pair
+    a.run_once(0.0)
+    clock.advance(membership.PROBE_PERIOD_S + 0.1)
+    a.run_once(0.0)
+    assert other_status(a) is Status.SUSPECT
