Read on at a request's time limit while its rest waits unread

After the server was held up past a body's time limit, a body over 64 KB got 408 although all of it had been sent in time.

Cause: 64 KB are read before timers run, and the time limit rejected the request without another look, as the idle limit takes.

Evidence, tests/test_http_server.py before: a_body_in_the_kernel_outlives_its_time_limit: AssertionError: the condition never held

Now the time limit looks again. If bytes wait, the request gets 0.5 s more, once, as more may wait in the caller's kernel. A body that still isn't whole then, or of which nothing waits, gets 408 (two tests that hold this passed before and after).

--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -32,6 +32,9 @@
 # A caller that takes no byte of a finished answer for this long is
 # disconnected.
 UNREAD_TIMEOUT_S = 15.0
+# A request of which bytes wait unread at its time limit may be read for this
+# long in addition: more may wait in the caller's kernel.
+LATE_READ_S = 0.5
 
 # Doesn't say whether the request ran.
 _FAULT_STATUS = 502
@@ -263,6 +266,7 @@
         self._head: h11.Request | None = None
         self._body = bytearray()
         self._first_byte_at = 0.0
+        self._is_late = False
         self._responder: Responder | None = None
         self._on_disconnect: Callable[[], None] | None = None
         self._out = bytearray()
@@ -388,19 +392,20 @@
         if events & selectors.EVENT_READ and not self._closed:
             self._receive()
 
-    def _receive(self) -> None:
+    def _receive(self) -> bool:
+        """Reads what waits in the socket; returns whether there was any."""
         try:
             data = self._sock.recv(_RECV_BYTES)
         except BlockingIOError:
-            return
+            return False
         except OSError:
             self.close()
-            return
+            return False
         if not data:
             self.close()
-            return
+            return False
         if self._closing:
-            return
+            return True
         if self._responder is not None:
             self._pipelined_bytes += len(data)
             if self._pipelined_bytes >= _MAX_PIPELINED_BYTES:
@@ -410,6 +415,7 @@
         self._codec.receive_data(data)
         if self._responder is None:
             self._parse()
+        return True
 
     def _start_reading(self) -> None:
         """Begins to read a request, with the limits in force."""
@@ -422,6 +428,7 @@
             if unread:
                 self._codec.receive_data(unread)
         self._first_byte_at = self._loop.now()
+        self._is_late = False
         self._set_timer(self._limits.header_timeout_s)
 
     def _parse(self) -> None:
@@ -614,7 +621,7 @@
                 self._set_timer(self._limits.idle_timeout_s - idle_s)
                 return
         if self._first_byte_at and not self._closing:
-            self._reject(408, "the request wasn't sent in time")
+            self._time_out_reading()
             return
         if self._out:
             state_log.log_decision(
@@ -622,6 +629,18 @@
             )
         self.close()
 
+    def _time_out_reading(self) -> None:
+        """Rejects a request whose rest doesn't wait in the kernel either."""
+        timer = self._timer
+        has_received = self._receive()
+        if self._closed or self._responder or self._timer is not timer:
+            return
+        if has_received and not self._is_late:
+            self._is_late = True
+            self._set_timer(LATE_READ_S)
+            return
+        self._reject(408, "the request wasn't sent in time")
+
 
 def _create_codec(header_bytes: int) -> h11.Connection:
     return h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -2,6 +2,7 @@
 
 import selectors
 import socket
+import threading
 
 import loop_helpers as lh
 import pytest
@@ -445,3 +446,59 @@
     conn.sendall(get("/x/2", "X-Long: " + "a" * 200 + "\r\n"))
     received = lh.receive(loop, conn, lambda data: b"<EOF>" in data)
     assert received.startswith(b"HTTP/1.1 431")
+
+
+def begin_body(world, length):
+    """Sends the head of a request with a body."""
+    loop, _, handler, server = world
+    handler.current_limits = handler.current_limits._replace(body_bytes=length)
+    conn = lh.connect(server.port)
+    head = f"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: {length}\r\n\r\n"
+    conn.sendall(head.encode())
+    lh.run_until(loop, lambda: server.connection_count() == 1)
+    lh.run_pending(loop)
+    return conn
+
+
+def take_long(world):
+    """Keeps the loop from reading until past the time limit of a body."""
+    loop, clock, handler, _ = world
+    clock.advance(handler.current_limits.idle_timeout_s + 1.0)
+    loop.run_timers(loop.now())
+
+
+def test_a_body_in_the_kernel_outlives_its_time_limit(world):
+    loop, _, handler, server = world
+    body = b"a" * (2 * 1024 * 1024)
+    conn = begin_body(world, len(body))
+    # What the kernels don't take at once comes after the pause.
+    sent = conn.send(body)
+    assert sent > 64 * 1024
+    conn.setblocking(True)
+    rest = threading.Thread(target=conn.sendall, args=(body[sent:],))
+    rest.start()
+    take_long(world)
+    lh.run_until(loop, lambda: handler.begun)
+    rest.join(lh.TIMEOUT_S)
+    assert handler.begun[0][0].body == body
+
+
+def test_a_body_that_goes_on_after_its_time_limit_is_refused(world):
+    loop, clock, handler, _ = world
+    conn = begin_body(world, 1000)
+    conn.sendall(b"a")
+    take_long(world)
+    conn.sendall(b"a")
+    clock.advance(http_server.LATE_READ_S + 0.1)
+    loop.run_timers(loop.now())
+    received = lh.receive(loop, conn, lambda data: b"<EOF>" in data)
+    assert received.startswith(b"HTTP/1.1 408")
+    assert not handler.begun
+
+
+def test_a_body_of_which_nothing_waits_at_its_time_limit_is_refused(world):
+    loop, _, handler, _ = world
+    conn = begin_body(world, 1000)
+    take_long(world)
+    received = lh.receive(loop, conn, lambda data: b"<EOF>" in data)
+    assert received.startswith(b"HTTP/1.1 408")
