Release an endpoint's slot when the check of its connection raises

What callers saw: nothing directly. An endpoint that was to replace a silent one seemed busier by one call, for good, on a host where opening a socket had failed (no descriptors left, for example).

Cause: `_lease_reachable` abandoned its lease only when it was cancelled. Any other exception ended the task with the slot taken.

Evidence: test_a_check_that_raises_leaves_no_slot_taken failed before, in both cases:

E assert not {1: <chervilarch.endpoint_state.Slot object at ...>}

Why this works: the lease is abandoned in `finally` unless the check returned a result, which is dealt with as before.

Result: the tests of test_silent_engines.py pass.

--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -163,15 +163,16 @@
             if not isinstance(lease, placement.Lease):
                 return lease
             entry = lease.listing.entry
+            reached = None
             try:
                 reached = yield reachability.check(
                     self._ctx.ctrl.loop,
                     entry.address,
                     http_client.CONNECT_TIMEOUT_S,
                 )
-            except tasks.Cancelled:
-                own.abandon(lease)
-                raise
+            finally:
+                if reached is None:
+                    own.abandon(lease)
             if reached is reachability.Reachability.ACCEPTS:
                 return lease
             own.finish_unreachable(lease)
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -171,6 +171,19 @@
     assert not trusted[0]
 
 
+def test_a_check_that_raises_leaves_no_slot_taken(world, silent, monkeypatch):
+    def check(loop, address, timeout_s):
+        world.loop.call_later(0.0, silent.go_on)
+        raise OSError("no socket is left")
+
+    monkeypatch.setattr(stream_call.reachability, "check", check)
+    world.endpoint("e2", lh.answer_with(b""))
+    world.ctrl.placement.pick = first_of(world.ctrl.placement.pick)
+    start(world)
+    assert events(3, 4) in world.fetch(KEY)
+    assert not world.ctrl.placement._pools["s1"]["e2"].slots
+
+
 class HeldStage:
     """A worker whose second call is answered only once it is released."""
 
