Keep the inputs of a silent attempt while its replacement gets new ones

What callers saw: a stream that had been resumed at a second engine, which was still to take its turn, was refused there: the engine found its inputs gone. Only routes with stages and at least three attempts.

Cause: to prepare the next attempt of a partly answered stream, its stages run again, into the same `StageInputs`; the results that the waiting engine was to fetch were freed first.

Why this works: the stages run into a second `StageInputs`. It replaces the first, which is freed, when the next attempt is sent, thus after the silent one has ended; or it is freed if that one goes on.

A silent engine is now kept with what it needs.

--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -101,6 +101,9 @@
     ):
         self._ctx = ctx
         self._inputs = inputs
+        # Results of stages that ran again for the next attempt. Those of the
+        # current one are kept, as it may still begin.
+        self._next_inputs: stage_inputs.StageInputs | None = None
         self._pool = ctx.req.route.pool_for(ctx.req.id)
         self._tried: set[str] = set()
         self._splitter = EventSplitter()
@@ -117,6 +120,7 @@
             return (yield from self._run())
         finally:
             self._drop_replacement()
+            self._inputs.free()
 
     def _run(self) -> tasks.Coroutine[outcomes.Outcome]:
         ctx = self._ctx
@@ -139,6 +143,7 @@
                     break
             lease = yield self._replacement.future
             self._replacement = None
+            self._use_next_inputs()
         if isinstance(lease, outcomes.NotRun):
             return lease
         return final_call.failure_outcome(ctx, last)
@@ -209,6 +214,7 @@
         finally:
             if not isinstance(leased, placement.Lease):
                 ctx.ctrl.retry_budgets.refund(self._pool)
+                self._free_next_inputs()
         is_not_run = not ctx.req.possible_runs and failure.certainly_not_run()
         if isinstance(leased, placement.Lease) or is_not_run:
             return leased
@@ -224,19 +230,30 @@
         elif isinstance(replacement.future.result(), placement.Lease):
             self._ctx.ctrl.placement.abandon(replacement.future.result())
             self._ctx.ctrl.retry_budgets.refund(self._pool)
-        # Results of stages that ran again for it.
-        self._inputs.free()
+        self._free_next_inputs()
+
+    def _use_next_inputs(self) -> None:
+        """Frees the results for the last attempt if there are new ones."""
+        if self._next_inputs is not None:
+            self._inputs.free()
+            self._inputs, self._next_inputs = self._next_inputs, None
+
+    def _free_next_inputs(self) -> None:
+        if self._next_inputs is not None:
+            self._next_inputs.free()
+            self._next_inputs = None
 
     def _requirements(self) -> placement.Requirements:
         prompt = self._ctx.req.prompt
+        inputs = self._next_inputs or self._inputs
         return placement.Requirements(
             self._pool,
             is_prompt=self._ctx.req.route.is_prompt,
             shared=prompt.shared_name(),
             shared_tokens=prompt.shared_tokens(),
             own_tokens=prompt.own_tokens(),
-            input_bytes=self._inputs.result_bytes_by_data_centre(),
-            preferred=self._inputs.proposed_engine,
+            input_bytes=inputs.result_bytes_by_data_centre(),
+            preferred=inputs.proposed_engine,
             finish_by=self._ctx.req.deadline_at,
         )
 
@@ -249,8 +266,10 @@
         is_gone = attempt_result.cause is attempts.FailureCause.INPUT_GONE
         if not self._has_sent_event and not is_gone:
             return None
-        self._inputs.free()
-        return (yield from self._inputs.run(self._has_sent_event))
+        if attempt_result is not _STALLED:
+            self._inputs.free()
+        self._next_inputs = stage_inputs.StageInputs(self._ctx)
+        return (yield from self._next_inputs.run(self._has_sent_event))
 
     def _attempt(
         self, lease: placement.Lease
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -134,7 +134,7 @@
     """Returns a `pick` that chooses engines in the order of their names."""
 
     def pick_first(requirements, tried):
-        names = {"e1", "e2"}
+        names = {"e1", "e2", "e3"}
         return pick(
             requirements, tried | (names - {min(names - tried, default="")})
         )
@@ -185,12 +185,19 @@
 
 
 class HeldStage:
-    """A worker whose second call is answered only once it is released."""
+    """A worker that answers one of its calls only once it is released.
 
-    def __init__(self):
+    Attributes:
+        calls: number of calls so far.
+        freed_handles: handles that it was told to free.
+        is_called: whether the call that it holds has come.
+    """
+
+    def __init__(self, held_call=2):
+        self._held_call = held_call
         self.calls = 0
         self.freed_handles = []
-        self.second_call = threading.Event()
+        self.is_called = threading.Event()
         self.release = threading.Event()
 
     def serve(self, conn):
@@ -204,13 +211,28 @@
             return
         self.calls += 1
         number = self.calls
-        if number == 2:
-            self.second_call.set()
+        if number == self._held_call:
+            self.is_called.set()
             assert self.release.wait(lh.TIMEOUT_S)
         made = json.dumps({"items": [{"handle": f"h{number}"}]}).encode()
         conn.sendall(answer(200, made))
 
 
+def start_with_stage(world, **changes):
+    start(
+        world,
+        services=({"name": "s1"}, {"name": "p1", "pieces": PIECES}),
+        stages=[{"service": "p1", "after": [], "bytes": 100}],
+        **changes,
+    )
+
+
+def send_with_stage(world):
+    return world.send(
+        KEY, ("Connection", "close"), ("Pieces", "1"), ("Piece-Key", "pk")
+    )
+
+
 @pytest.fixture
 def held_stage(world, stalls):
     """A stage before the stream; its engines are e1, silent, and e2."""
@@ -223,15 +245,9 @@
     world.endpoint("e2", lh.answer_with(resumed, requests))
     world.endpoint("m1", stage.serve, pool="p1")
     world.ctrl.placement.pick = first_of(world.ctrl.placement.pick)
-    start(
-        world,
-        services=({"name": "s1"}, {"name": "p1", "pieces": PIECES}),
-        stages=[{"service": "p1", "after": [], "bytes": 100}],
-    )
-    conn = world.send(
-        KEY, ("Connection", "close"), ("Pieces", "1"), ("Piece-Key", "pk")
-    )
-    lh.run_until(world.loop, stage.second_call.is_set)
+    start_with_stage(world)
+    conn = send_with_stage(world)
+    lh.run_until(world.loop, stage.is_called.is_set)
     yield stage, engine, requests, conn
     stage.release.set()
     engine.go_on()
@@ -333,3 +349,33 @@
     start(world)
     received = world.fetch(KEY)
     assert events(3, 4) in received and len(refusals) == 1
+
+
+def test_inputs_of_a_silent_resumed_attempt_are_kept(world, stalls):
+    """The second engine waits for its turn; a third is there."""
+    stalls(first_event_s=0.0)
+    stage = HeldStage(held_call=3)
+    engine = SilentEngine(b"")
+    broken_off = stream(events(1, 2), ends=False)
+    world.endpoint("e1", lh.answer_with(broken_off))
+    world.endpoint("e2", engine.serve)
+    world.endpoint("e3", lh.answer_with(b""))
+    world.endpoint("m1", stage.serve, pool="p1")
+    world.ctrl.placement.pick = first_of(world.ctrl.placement.pick)
+    freed = []
+    free = world.ctrl.stage_coordinator.free
+
+    def observed(results):
+        freed.extend(result.handle for result in results)
+        free(results)
+
+    world.ctrl.stage_coordinator.free = observed
+    start_with_stage(world, max_attempts=3)
+    conn = send_with_stage(world)
+    lh.run_until(world.loop, stage.is_called.is_set)
+    assert freed == ["h1"]
+    engine.go_on()
+    received = lh.receive(world.loop, conn, lambda data: b"<EOF>" in data)
+    assert received.endswith(events(3, 4) + b"\r\n0\r\n\r\n<EOF>")
+    stage.release.set()
+    lh.run_until(world.loop, lambda: len(stage.freed_handles) == 3)
