Bound the stages that run again while an engine is silent

What callers saw: longer waits for stages, on hosts where a partly answered stream had fallen silent: its stages ran again every 0.25 s while no other engine was there, and at each gap of a stream that went on slowly.

Cause: preparing another attempt spent a retry, ran the stages, found no engine and refunded the retry; 0.25 s later all began again. When the silent engine went on, the run was cancelled, the results freed and the retry refunded, so that the next gap ran the stages anew. The retry budget bounded neither.

Evidence: before, of the new tests,

- test_stages_run_no_more_often_than_retries_are_allowed (no other engine, five tries): `E AssertionError: assert (... and 6 <= 2)`
- test_a_slow_stream_reruns_no_stages_at_each_gap, both cases: `E AssertionError: assert 7 <= 2`
- test_results_of_stages_that_ran_again_are_kept_for_the_next_try[valid]: the call went out with h4, not h2.

Why this works: the stages run only once another engine that accepts a connection is known. Their run goes on when the silent engine does, and its results serve the next try, as long as their workers are sure to keep them. A retry isn't refunded once its stages have run, so that the budget bounds what is left: results that expired or a run that failed.

Tests changed: two tests looked at the connections that the other engine got. It now gets one more that is only checked, before the stages run. They still demand that no request, or exactly one, comes on them.

Result: the tests of test_silent_engines.py, test_stream_stalls.py, test_gateway_stages.py and test_gateway.py pass.

--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -4,6 +4,7 @@
 endpoint after the last one.
 """
 
+from collections.abc import Callable
 from concurrent.futures import Future
 
 from chervilarch import (
@@ -101,9 +102,15 @@
     ):
         self._ctx = ctx
         self._inputs = inputs
-        # Results of stages that ran again for the next attempt. Those of the
-        # current one are kept, as it may still begin.
+        # Results of stages that ran again, until an attempt is sent with them.
+        # Those of the current attempt are kept, as it may still begin.
         self._next_inputs: stage_inputs.StageInputs | None = None
+        # They may expire from this monotonic time on.
+        self._next_inputs_until = float("inf")
+        # Runs the stages again, even if the silent engine goes on meanwhile.
+        self._rerun: tasks.Task | None = None
+        # Whether the preparation of the next attempt waited for stages to run.
+        self._has_rerun = False
         self._pool = ctx.req.route.pool_for(ctx.req.id)
         self._tried: set[str] = set()
         self._splitter = EventSplitter()
@@ -120,7 +127,7 @@
             return (yield from self._run())
         finally:
             self._drop_replacement()
-            self._inputs.free()
+            self._free_inputs()
 
     def _run(self) -> tasks.Coroutine[outcomes.Outcome]:
         ctx = self._ctx
@@ -157,14 +164,37 @@
             )
         )
 
+    def _pick(
+        self, tried: set[str]
+    ) -> tasks.Coroutine[placement.Lease | outcomes.NotRun | None]:
+        """Leases an endpoint without a permit, which mustn't be used."""
+        yield self._ctx.ctrl.resumption.confirmed()
+        return self._ctx.ctrl.placement.pick(self._requirements(), tried)
+
+    def _is_other_reachable(self) -> tasks.Coroutine[bool]:
+        """Returns whether an untried endpoint accepts a connection now."""
+        lease = yield from self._lease_reachable(self._pick)
+        if not isinstance(lease, placement.Lease):
+            return False
+        self._ctx.ctrl.placement.abandon(lease)
+        return True
+
     def _lease_reachable(
         self,
+        lease_one: Callable[
+            [set[str]],
+            tasks.Coroutine[placement.Lease | outcomes.NotRun | None],
+        ],
     ) -> tasks.Coroutine[placement.Lease | outcomes.NotRun | None]:
-        """Leases an endpoint that accepts a connection now."""
+        """Leases an endpoint that accepts a connection now.
+
+        Args:
+            lease_one: leases an endpoint that isn't among those given.
+        """
         own = self._ctx.ctrl.placement
         tried = set(self._tried)
         while True:
-            lease = yield from self._lease(tried)
+            lease = yield from lease_one(tried)
             if not isinstance(lease, placement.Lease):
                 return lease
             entry = lease.listing.entry
@@ -202,19 +232,26 @@
         )
         if may_crash or not final_call.try_spend_retry(ctx, self._pool):
             return None
+        self._has_rerun = False
         leased: placement.Lease | outcomes.NotRun | None = None
         try:
-            failed = yield from self._rerun_stages(failure)
-            if failed is not None:
-                return failed
+            self._drop_expired_inputs()
+            if self._needs_rerun(failure):
+                if failure is _STALLED:
+                    is_useful = yield from self._is_other_reachable()
+                    if not is_useful:
+                        return None
+                failed = yield from self._rerun_stages(failure)
+                self._has_rerun = True
+                if self._next_inputs is None:
+                    return failed
             if failure is _STALLED:
-                leased = yield from self._lease_reachable()
+                leased = yield from self._lease_reachable(self._lease)
             else:
                 leased = yield from self._lease(self._tried)
         finally:
             if not isinstance(leased, placement.Lease):
-                ctx.ctrl.retry_budgets.refund(self._pool)
-                self._free_next_inputs()
+                self._refund_retry()
         is_not_run = not ctx.req.possible_runs and failure.certainly_not_run()
         if isinstance(leased, placement.Lease) or is_not_run:
             return leased
@@ -229,8 +266,12 @@
             replacement.cancel()
         elif isinstance(replacement.future.result(), placement.Lease):
             self._ctx.ctrl.placement.abandon(replacement.future.result())
+            self._refund_retry()
+
+    def _refund_retry(self) -> None:
+        """Refunds a retry that wasn't sent, unless stages ran for it."""
+        if not self._has_rerun:
             self._ctx.ctrl.retry_budgets.refund(self._pool)
-        self._free_next_inputs()
 
     def _use_next_inputs(self) -> None:
         """Frees the results for the last attempt if there are new ones."""
@@ -238,10 +279,13 @@
             self._inputs.free()
             self._inputs, self._next_inputs = self._next_inputs, None
 
-    def _free_next_inputs(self) -> None:
+    def _free_inputs(self) -> None:
+        """Frees all results, and stops stages that run again."""
+        if self._rerun is not None:
+            self._rerun.cancel()
+        self._inputs.free()
         if self._next_inputs is not None:
             self._next_inputs.free()
-            self._next_inputs = None
 
     def _requirements(self) -> placement.Requirements:
         prompt = self._ctx.req.prompt
@@ -257,19 +301,46 @@
             finish_by=self._ctx.req.deadline_at,
         )
 
+    def _drop_expired_inputs(self) -> None:
+        inputs = self._next_inputs
+        if inputs is not None and self._ctx.now() >= self._next_inputs_until:
+            inputs.free()
+            self._next_inputs = None
+
+    def _needs_rerun(self, failure: attempts.Failure) -> bool:
+        """Returns whether a stage's result was lost or already freed."""
+        if not self._ctx.req.route.stages or self._next_inputs is not None:
+            return False
+        is_gone = failure.cause is attempts.FailureCause.INPUT_GONE
+        return self._has_sent_event or is_gone
+
     def _rerun_stages(
-        self, attempt_result: attempts.Failure
+        self, failure: attempts.Failure
     ) -> tasks.Coroutine[outcomes.Outcome | None]:
-        """Runs the stages again if a result was lost or already freed."""
-        if not self._ctx.req.route.stages:
-            return None
-        is_gone = attempt_result.cause is attempts.FailureCause.INPUT_GONE
-        if not self._has_sent_event and not is_gone:
-            return None
-        if attempt_result is not _STALLED:
+        """Runs the stages again, or waits for a run that goes on."""
+        if failure is not _STALLED:
             self._inputs.free()
-        self._next_inputs = stage_inputs.StageInputs(self._ctx)
-        return (yield from self._next_inputs.run(self._has_sent_event))
+        if self._rerun is None or self._rerun.future.done():
+            self._rerun = tasks.Task(self._run_stages())
+        return (yield self._rerun.future)
+
+    def _run_stages(self) -> tasks.Coroutine[outcomes.Outcome | None]:
+        ctx = self._ctx
+        inputs = stage_inputs.StageInputs(ctx)
+        pools = ctx.ctrl.configuration.table.pools
+        profiles = [
+            pools[stage.pool].worker_profile
+            for stage in ctx.req.route.stages
+            if stage.pool in pools
+        ]
+        self._next_inputs_until = ctx.now() + min(
+            (profile.result_ttl_s for profile in profiles if profile),
+            default=0.0,
+        )
+        failed = yield from inputs.run(self._has_sent_event)
+        if failed is None:
+            self._next_inputs = inputs
+        return failed
 
     def _attempt(
         self, lease: placement.Lease
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -218,10 +218,11 @@
         conn.sendall(answer(200, made))
 
 
-def start_with_stage(world, **changes):
+def start_with_stage(world, handle_s=4.0, **changes):
+    pieces = {**PIECES, "handle_s": handle_s}
     start(
         world,
-        services=({"name": "s1"}, {"name": "p1", "pieces": PIECES}),
+        services=({"name": "s1"}, {"name": "p1", "pieces": pieces}),
         stages=[{"service": "p1", "after": [], "bytes": 100}],
         **changes,
     )
@@ -234,7 +235,7 @@
 
 
 @pytest.fixture
-def held_stage(world, stalls):
+def held_stage(request, world, stalls):
     """A stage before the stream; its engines are e1, silent, and e2."""
     stalls(gap_s=0.02)
     stage = HeldStage()
@@ -245,7 +246,7 @@
     world.endpoint("e2", lh.answer_with(resumed, requests))
     world.endpoint("m1", stage.serve, pool="p1")
     world.ctrl.placement.pick = first_of(world.ctrl.placement.pick)
-    start_with_stage(world)
+    start_with_stage(world, handle_s=getattr(request, "param", 4.0))
     conn = send_with_stage(world)
     lh.run_until(world.loop, stage.is_called.is_set)
     yield stage, engine, requests, conn
@@ -259,7 +260,8 @@
     stage, engine, requests, conn = held_stage
     engine.go_on()
     received = lh.receive(world.loop, conn, lambda data: b"<EOF>" in data)
-    assert engine.is_open and not requests
+    # Its connections are only checked.
+    assert engine.is_open and not any(requests)
     assert received.endswith(events(3, 4) + b"\r\n0\r\n\r\n<EOF>")
     stage.release.set()
     lh.run_until(world.loop, lambda: "h2" in stage.freed_handles)
@@ -271,10 +273,11 @@
     stage, engine, requests, conn = held_stage
     stage.release.set()
     received = lh.receive(world.loop, conn, lambda data: b"<EOF>" in data)
-    # One connection only checks that the engine accepts it.
-    lh.run_until(world.loop, lambda: len(requests) >= 2)
-    check, resumed = sorted(requests)
-    assert check == b"" and b"Last-Event-Id: 2" in resumed
+    # Two connections only check that the engine accepts them: before the stages
+    # run again and after.
+    lh.run_until(world.loop, lambda: len(requests) >= 3)
+    *checks, resumed = sorted(requests)
+    assert checks == [b"", b""] and b"Last-Event-Id: 2" in resumed
     assert received.endswith(events(3, 4) + b"\r\n0\r\n\r\n<EOF>")
     engine.go_on()
     lh.run_until(world.loop, lambda: engine.is_open is not None)
@@ -354,11 +357,16 @@
 
 def test_inputs_of_a_silent_resumed_attempt_are_kept(world, stalls):
     """The second engine waits for its turn; a third is there."""
-    stalls(first_event_s=0.0)
     stage = HeldStage(held_call=3)
     engine = SilentEngine(b"")
-    broken_off = stream(events(1, 2), ends=False)
-    world.endpoint("e1", lh.answer_with(broken_off))
+
+    def break_off(conn):
+        lh.read_request(conn)
+        # Only the second engine counts as silent, however busy the machine is.
+        stalls(first_event_s=0.0)
+        conn.sendall(stream(events(1, 2), ends=False))
+
+    world.endpoint("e1", break_off)
     world.endpoint("e2", engine.serve)
     world.endpoint("e3", lh.answer_with(b""))
     world.endpoint("m1", stage.serve, pool="p1")
@@ -380,3 +388,105 @@
     assert received.endswith(events(3, 4) + b"\r\n0\r\n\r\n<EOF>")
     stage.release.set()
     lh.run_until(world.loop, lambda: len(stage.freed_handles) == 3)
+
+
+def test_stages_run_no_more_often_than_retries_are_allowed(world, stalls):
+    """There is no other engine while one is silent."""
+    stalls(gap_s=0.02)
+    stage = HeldStage(held_call=None)
+    engine = SilentEngine(events(1, 2))
+    world.endpoint("e1", engine.serve)
+    world.endpoint("m1", stage.serve, pool="p1")
+    tries = count_tries(world)
+    start_with_stage(world)
+    conn = send_with_stage(world)
+    lh.run_until(world.loop, lambda: len(tries) == 5)
+    engine.go_on()
+    received = lh.receive(world.loop, conn, lambda data: b"<EOF>" in data)
+    assert events(3, 4) in received and stage.calls <= 2
+
+
+def count_tries(world):
+    """Returns a list that gets an item whenever a retry is asked for."""
+    tries = []
+    spend = world.ctrl.retry_budgets.spend
+
+    def observed(pool, now):
+        tries.append(pool)
+        return spend(pool, now)
+
+    world.ctrl.retry_budgets.spend = observed
+    return tries
+
+
+@pytest.mark.parametrize("has_other", [False, True])
+def test_a_slow_stream_reruns_no_stages_at_each_gap(world, stalls, has_other):
+    """Each gap ends while its replacement is prepared, if there can be one."""
+    stalls(gap_s=0.02)
+    stage = HeldStage(held_call=2)
+    tries = count_tries(world)
+    submitted = []
+    submit = world.ctrl.stage_coordinator.submit
+
+    def observed(graph):
+        submitted.append(graph)
+        return submit(graph)
+
+    world.ctrl.stage_coordinator.submit = observed
+    requests = []
+
+    def serve(conn):
+        lh.read_request(conn)
+        conn.sendall(_HEAD)
+        for number in range(1, 7):
+            conn.sendall(events(number, number))
+            assert wait_for(lambda: len(tries) >= number)  # noqa: B023
+
+    world.endpoint("e1", serve)
+    if has_other:
+        world.endpoint("e2", lh.answer_with(b"", requests))
+    world.endpoint("m1", stage.serve, pool="p1")
+    world.ctrl.placement.pick = first_of(world.ctrl.placement.pick)
+    start_with_stage(world)
+    conn = send_with_stage(world)
+    received = lh.receive(world.loop, conn, lambda data: b"<EOF>" in data)
+    stage.release.set()
+    assert events(6, 6) in received and not any(requests)
+    assert len(submitted) <= 2
+
+
+def wait_for(condition):
+    """Waits in a fake engine's thread; returns whether the condition held."""
+    give_up_at = time.monotonic() + lh.TIMEOUT_S
+    while not condition() and time.monotonic() < give_up_at:
+        time.sleep(0.002)
+    return condition()
+
+
+@pytest.mark.parametrize(
+    ("held_stage", "used"),
+    [(2 * lh.TIMEOUT_S, "h2"), (0.0, "h3")],
+    indirect=["held_stage"],
+    ids=["valid", "expired"],
+)
+def test_results_of_stages_that_ran_again_are_kept_for_the_next_try(
+    world, held_stage, used
+):
+    """No engine is free when the results are there."""
+    stage, engine, requests, conn = held_stage
+    pick = world.ctrl.placement.pick
+    refusals = []
+
+    def refuse_twice(requirements, tried):
+        if "e1" not in tried or len(refusals) == 2:
+            return pick(requirements, tried)
+        refusals.append(tried)
+        return None
+
+    world.ctrl.placement.pick = refuse_twice
+    stage.release.set()
+    received = lh.receive(world.loop, conn, lambda data: b"<EOF>" in data)
+    lh.run_until(world.loop, lambda: any(requests))
+    assert f"Inputs: {used}\r\n".encode() in max(requests)
+    assert used == f"h{stage.calls}"
+    assert received.endswith(events(3, 4) + b"\r\n0\r\n\r\n<EOF>")
