Prepare anew when a silent engine says that its inputs are gone

What callers saw: a refusal (503) though another engine was there. The silent engine answered that a stage's result was gone, while its replacement was being prepared or waited for a permit; the replacement was then sent with the handles of the same results, and declined too.

Cause: the replacement of an engine that is silent before any event shares the results with it. Its preparation went on unchanged after the engine's answer.

Why this works: such a replacement is dropped (its lease and its retry are given back) and another one is prepared for the new failure, for which the stages run again. Once events were sent the replacement has results of its own and stays.

--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -140,6 +140,10 @@
                 return outcomes.Answer(attempt_result)
             last = attempt_result
             self._splitter.discard_partial()
+            is_gone = last.cause is attempts.FailureCause.INPUT_GONE
+            if is_gone and not self._has_sent_event:
+                # It has the same inputs: no stages ran for it.
+                self._drop_replacement()
             if self._replacement is None:
                 self._replacement = tasks.Task(self._prepare(lease, last))
             elif last is not _STALLED:
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -3,6 +3,7 @@
 import json
 import threading
 import time
+from concurrent.futures import Future
 from unittest import mock
 
 import loop_helpers as lh
@@ -15,7 +16,7 @@
     stream_route_document,
 )
 
-from chervilarch import http_client, stream_call
+from chervilarch import http_client, permits, stream_call, tasks
 
 PIECES = {
     "slots": 1,
@@ -490,3 +491,55 @@
     assert f"Inputs: {used}\r\n".encode() in max(requests)
     assert used == f"h{stage.calls}"
     assert received.endswith(events(3, 4) + b"\r\n0\r\n\r\n<EOF>")
+
+
+def test_a_replacement_gets_no_inputs_that_are_known_to_be_gone(world, stalls):
+    """The silent engine says so while its replacement waits for a permit."""
+    stalls(first_event_s=0.0)
+    stage = HeldStage(held_call=None)
+    is_asked = threading.Event()
+    requests = []
+    gone = answer(409, b"", stamp="", extra="Not-Executed: 1\r\n")
+
+    def serve_e1(conn):
+        lh.read_request(conn)
+        assert is_asked.wait(lh.TIMEOUT_S)
+        conn.sendall(gone)
+
+    def serve_e2(conn):
+        request = lh.read_request(conn)
+        if request:
+            requests.append(request)
+            is_known = b"Inputs: h1\r\n" in request
+            conn.sendall(gone if is_known else stream(events(1, 2)))
+
+    world.endpoint("e1", serve_e1)
+    world.endpoint("e2", serve_e2)
+    world.endpoint("m1", stage.serve, pool="p1")
+    world.ctrl.placement.pick = first_of(world.ctrl.placement.pick)
+    per_s = world.ctrl.limits.per_s
+    world.ctrl.limits.per_s = lambda run: 1.0 if run.key == "e2" else per_s(run)
+    first_permit = Future()
+    has_failed = []
+
+    def acquire(run, max_wait_s):
+        if is_asked.is_set():
+            return tasks.done(permits.Permit(True, 0.0))
+        is_asked.set()
+        return first_permit
+
+    world.ctrl.permits.acquire = acquire
+    record_end = world.ctrl.prompt_guard.record_end
+
+    def observed(lease, cause):
+        has_failed.append(cause)
+        record_end(lease, cause)
+
+    world.ctrl.prompt_guard.record_end = observed
+    start_with_stage(world)
+    conn = send_with_stage(world)
+    lh.run_until(world.loop, lambda: has_failed)
+    tasks.resolve(first_permit, permits.Permit(True, 0.0))
+    received = lh.receive(world.loop, conn, lambda data: b"<EOF>" in data)
+    assert received.startswith(b"HTTP/1.1 200")
+    assert len(requests) == 1 and b"Inputs: h2\r\n" in requests[0]
