Give up on confirming after a pause in every case

Requests on a host could wait without end after a pause: repeated short hold-ups pushed the time on at which the host goes on unconfirmed, and a check that raised once was never called again.

Cause: every pause set the time to give up anew; `_check` scheduled its next turn only after all checks had returned.

Pauses under 1 s move that time on to 3 s after the first at most; a longer one starts anew, as what was learned before it is old (test). A check that raises has confirmed nothing and is asked again. Work goes on before the log line is written.

Limit: pauses of 1 s and more in quick succession still hold work back; the wait of each request has its own bound.

--- a/chervilarch/resumption.py
+++ b/chervilarch/resumption.py
@@ -9,12 +9,14 @@
 from collections.abc import Callable
 from concurrent.futures import Future
 
+from chervilarch import guards, state_log, store, tasks
 from chervilarch import loop as loops
-from chervilarch import state_log, store, tasks
 
 # Longest time from the end of a pause until what was known before it is used
 # again. The store answers in up to 0.3 s while it is slow.
 _CONFIRM_TIMEOUT_S = 1.0
+# The same with further, shorter pauses meanwhile; a longer one starts anew.
+_MAX_CONFIRM_S = 3.0
 _CHECK_PERIOD_S = 0.01
 
 
@@ -26,6 +28,7 @@
         self._checks: list[Callable[[float], bool]] = []
         self._pending: Future | None = None
         self._give_up_at = float("-inf")
+        self._latest_at = float("-inf")
         loop.add_resume_listener(self._on_resume)
 
     def add_check(self, is_confirmed: Callable[[float], bool]) -> None:
@@ -42,7 +45,10 @@
         return self._pending or tasks.done(None)
 
     def _on_resume(self, paused_s: float) -> None:
-        self._give_up_at = self._loop.now() + _CONFIRM_TIMEOUT_S
+        now = self._loop.now()
+        if self._pending is None or paused_s >= _CONFIRM_TIMEOUT_S:
+            self._latest_at = now + _MAX_CONFIRM_S
+        self._give_up_at = min(now + _CONFIRM_TIMEOUT_S, self._latest_at)
         if self._pending is None:
             self._pending = Future()
             self._loop.call_soon(self._check)
@@ -50,10 +56,15 @@
     def _check(self) -> None:
         now = self._loop.now()
         resumed_at = self._loop.resumed_at
-        is_confirmed = all(check(resumed_at) for check in self._checks)
+        # A check that raises hasn't confirmed anything.
+        is_confirmed = all(
+            guards.call(check, resumed_at) for check in self._checks
+        )
         if not is_confirmed and now < self._give_up_at:
             self._loop.call_later(_CHECK_PERIOD_S, self._check)
             return
+        pending, self._pending = self._pending, None
+        tasks.resolve(pending, None)
         waited_s = round(now - resumed_at, 3)
         if is_confirmed:
             state_log.log_change("confirmed after a pause", waited_s=waited_s)
@@ -61,8 +72,6 @@
             state_log.log_fault(
                 "not confirmed after a pause", waited_s=waited_s
             )
-        pending, self._pending = self._pending, None
-        tasks.resolve(pending, None)
 
 
 class ResumableStore:
--- a/tests/test_paused_process.py
+++ b/tests/test_paused_process.py
@@ -532,3 +532,60 @@
     assert paused.listed() == ["e0"]
     for host in hosts:
         host.sharing.close()
+
+
+@pytest.fixture
+def resuming():
+    """Returns a loop, its clock and what waits after a pause on the loop."""
+    loop, clock = lh.new_loop()
+    yield loop, clock, resumption.Resumption(loop)
+    loop.close()
+
+
+def hold_up(loop, clock, seconds):
+    loop.run_once(0.0)
+    clock.advance(seconds)
+    loop.run_once(0.0)
+
+
+def test_repeated_pauses_do_not_hold_work_back_without_end(resuming):
+    loop, clock, held = resuming
+    held.add_check(lambda resumed_at: False)
+    hold_up(loop, clock, 2.0)
+    confirmed = held.confirmed()
+    for _ in range(4):
+        hold_up(loop, clock, 0.6)
+        assert not confirmed.done()
+    hold_up(loop, clock, 0.7)
+    lh.run_pending(loop)
+    assert confirmed.done()
+
+
+def test_a_long_pause_starts_the_time_to_confirm_anew(resuming):
+    loop, clock, held = resuming
+    held.add_check(lambda resumed_at: False)
+    hold_up(loop, clock, 2.0)
+    confirmed = held.confirmed()
+    hold_up(loop, clock, 30.0)
+    lh.advance(loop, clock, 0.4)
+    assert not confirmed.done()
+    lh.advance(loop, clock, 0.8)
+    assert confirmed.done()
+
+
+def test_a_check_that_raises_does_not_hold_work_back_without_end(resuming):
+    loop, clock, held = resuming
+    results = [ValueError("broken"), True]
+
+    def check(resumed_at):
+        result = results.pop(0)
+        if isinstance(result, Exception):
+            raise result
+        return result
+
+    held.add_check(check)
+    hold_up(loop, clock, 2.0)
+    confirmed = held.confirmed()
+    assert not confirmed.done()
+    lh.advance(loop, clock, 0.1)
+    assert confirmed.done() and not results
