Bound the wait of a request without a limit after a pause

A request that names no time limit could wait without an answer while what the host knew before a pause wasn't confirmed.

Cause: its time limit is the route's, which is known only once the configuration may be used; until then no timer ran.

Evidence, tests/test_paused_process.py before: a_request_without_a_limit_does_not_wait_without_end: AssertionError: the condition never held

Now it waits 5 s at most, then gets 503 as not run.

--- a/chervilarch/serving.py
+++ b/chervilarch/serving.py
@@ -16,6 +16,9 @@
 
 # A request without an answer yet is answered this long before its deadline.
 _ANSWER_MARGIN_S = 0.005
+# A request without a time limit of its own may wait this long until the
+# configuration, which has one, is confirmed after a pause.
+_MAX_CONFIRM_WAIT_S = 5.0
 _MS_PER_S = 1000
 _FIRST_ERROR_STATUS = 500
 _OWN_FAULT = outcomes.Unknown(
@@ -102,8 +105,11 @@
         self._on_end = on_end
         self._state.in_flight += 1
         confirmed = self._ctrl.resumption.confirmed()
-        if not confirmed.done() and self._req.allowed_s is not None:
-            self._set_deadline(self._req.arrived_at + self._req.allowed_s)
+        if not confirmed.done():
+            allowed_s = self._req.allowed_s
+            if allowed_s is None:
+                allowed_s = _MAX_CONFIRM_WAIT_S
+            self._set_deadline(self._req.arrived_at + allowed_s)
         confirmed.add_done_callback(lambda _: self._begin_filters())
 
     def _begin_filters(self) -> None:
--- a/tests/test_paused_process.py
+++ b/tests/test_paused_process.py
@@ -589,3 +589,16 @@
     assert not confirmed.done()
     lh.advance(loop, clock, 0.1)
     assert confirmed.done() and not results
+
+
+def test_a_request_without_a_limit_does_not_wait_without_end(serving, sent):
+    serving.ctrl.resumption.confirmed = tasks.Future
+    conn = lh.connect(serving.server.port)
+    conn.sendall(
+        b"POST /x/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n"
+        b"Request-Id: id1\r\nAuthorization: Bearer k1\r\n\r\n"
+    )
+    lh.run_until(serving.loop, lambda: serving.serving_state.in_flight)
+    pause(serving, 10.0)
+    assert read_status(serving, conn) == 503
+    assert not sent
