Let a caller read slowly while it takes bytes

A caller of the router that read a long answer steadily but slowly was cut off when it hadn't read all that waited within 10 s.

Cause: the limit counted until the buffer was empty.

Evidence, tests/test_wsgi_server.py before: a_caller_that_reads_slowly_but_steadily_is_not_cut_off: TimeoutError: the caller doesn't read the response a_caller_that_stops_reading_is_cut_off_after_its_last_byte: assert 10.0 == 22.0

Now the 10 s count from the last byte that the caller took. One that takes none is cut off after 10 s as before (test).

--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -150,6 +150,10 @@
         """Returns how many bytes are yet to be written to the socket."""
         return self._conn.unsent_bytes()
 
+    def taken_at(self) -> float:
+        """Returns when the caller last took bytes, in monotonic seconds."""
+        return self._conn.taken_at
+
     def on_writable(self, callback: Callable[[], None]) -> None:
         """Calls back once all bytes have been written to the socket."""
         self._conn.on_flushed = callback
@@ -274,6 +278,7 @@
         self._closed = False
         self._pipelined_bytes = 0
         self.on_flushed: Callable[[], None] | None = None
+        self.taken_at = self._opened_at
         self._timer = self._loop.call_later(
             self._limits.idle_timeout_s, self._time_out
         )
@@ -562,6 +567,7 @@
                 self.close()
                 return
             del self._out[:sent]
+            self.taken_at = self._loop.now()
         if self._closed:
             return
         if self._closing and not self._out:
--- a/chervilarch/wsgi_server.py
+++ b/chervilarch/wsgi_server.py
@@ -18,7 +18,7 @@
 from chervilarch import http_server, state_log
 from chervilarch import loop as loops
 
-# Time for a caller to read what was sent, before its request ends.
+# A request ends if its caller takes no byte for this long.
 WRITE_TIMEOUT_S = 10.0
 _CLOSE_POLL_S = 0.02
 _CUT_OFF_ANSWER = (500, http_server.Rejection([], b""))
@@ -184,8 +184,7 @@
         Raises:
             OSError: the caller has disconnected or doesn't read.
         """
-        if not self._may_write.wait(WRITE_TIMEOUT_S):
-            raise TimeoutError("the caller doesn't read the response")
+        self._wait_until_writable()
         if self._is_disconnected:
             raise ConnectionResetError("the caller has disconnected")
         with self._lock:
@@ -194,6 +193,20 @@
                 self._may_write.clear()
         self._hand_over(lambda: self._send(data))
 
+    def _wait_until_writable(self) -> None:
+        """Waits while the caller reads too slowly.
+
+        Raises:
+            TimeoutError: the caller takes no byte.
+        """
+        began_at = self._loop.now()
+        left_s = WRITE_TIMEOUT_S
+        while not self._may_write.wait(left_s):
+            taken_at = max(began_at, self._responder.taken_at())
+            left_s = taken_at + WRITE_TIMEOUT_S - self._loop.now()
+            if left_s <= 0.0:
+                raise TimeoutError("the caller doesn't read the response")
+
     def finish(self) -> None:
         """Ends the response as complete."""
         self._hand_over(self._finish)
--- a/tests/test_wsgi_server.py
+++ b/tests/test_wsgi_server.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+import types
 
 import loop_helpers as lh
 import pytest
@@ -255,3 +256,84 @@
     stopper.join(lh.TIMEOUT_S)
     assert not stopper.is_alive()
     may_end.set()
+
+
+class SlowCaller:
+    """A caller that takes bytes at certain times; stands in for an event."""
+
+    def __init__(self, clock, taken_after_s, is_read=True):
+        self._clock = clock
+        self._began_at = clock.monotonic()
+        self._taken = [self._began_at + after_s for after_s in taken_after_s]
+        self._is_read = is_read
+
+    def taken_at(self):
+        now = self._clock.monotonic()
+        return max([at for at in self._taken if at <= now], default=0.0)
+
+    def wait(self, timeout_s):
+        end = self._clock.monotonic() + timeout_s
+        if self._is_read and self._taken[-1] <= end:
+            self._clock.advance(self._taken[-1] - self._clock.monotonic())
+            return True
+        self._clock.advance(timeout_s)
+        return False
+
+
+@pytest.fixture
+def make_response():
+    loop, clock = lh.new_loop()
+
+    def make(taken_after_s, is_read):
+        caller = SlowCaller(clock, taken_after_s, is_read)
+        response = wsgi_server._Response(loop, caller)
+        response._may_write = caller
+        return response, clock
+
+    yield make
+    loop.close()
+
+
+def test_a_caller_that_reads_slowly_but_steadily_is_not_cut_off(make_response):
+    pauses_s = wsgi_server.WRITE_TIMEOUT_S - 1.0
+    taken = [count * pauses_s for count in range(1, 8)]
+    response, _ = make_response(taken, is_read=True)
+    response.write(b"more")
+
+
+@pytest.mark.parametrize("taken", [[], [4.0, 12.0]])
+def test_a_caller_that_stops_reading_is_cut_off_after_its_last_byte(
+    make_response, taken
+):
+    response, clock = make_response(taken, is_read=False)
+    began_at = clock.monotonic()
+    with pytest.raises(TimeoutError):
+        response.write(b"more")
+    expected = max(taken, default=0.0) + wsgi_server.WRITE_TIMEOUT_S
+    assert clock.monotonic() - began_at == pytest.approx(expected)
+
+
+def test_the_server_notes_when_a_caller_takes_bytes():
+    loop, clock = lh.new_loop()
+    begun = []
+    handler = types.SimpleNamespace(
+        limits=http_server.Limits,
+        is_closing=lambda: False,
+        begin=lambda req, responder: begun.append(responder) or (lambda: None),
+    )
+    server = http_server.Server(loop, "127.0.0.1:0", handler)
+    conn = lh.connect(server.port)
+    conn.sendall(_GET % b"x")
+    lh.run_until(loop, lambda: begun)
+    begun[0].send_head(200, [])
+    while begun[0].buffered() <= http_server.WRITE_HIGH_BYTES:
+        begun[0].send_body(b"a" * 65536)
+    buffered, filled_at = begun[0].buffered(), clock.monotonic()
+    assert begun[0].taken_at() == filled_at
+    clock.advance(3.0)
+    lh.run_pending(loop)
+    assert begun[0].taken_at() == filled_at
+    lh.receive(loop, conn, lambda data: begun[0].buffered() < buffered)
+    assert begun[0].taken_at() == clock.monotonic()
+    server.stop_accepting()
+    loop.close()
