Don't count a read that a pause ended as a read of the store

Cause: a read that was under way in a pause was ended by a page without records, made up so that the follower reads again. It was recorded as a success and sent to other hosts with the time of the read before; theirs had failed longer. The wrapper isn't in the test of the follower, test_a_read_under_way_in_a_pause_is_repeated_without_a_wait, which failed before with "assert [1.0] == [1.0, 0.0]". Change: the follower itself gives the read up, reads at once and without a wait for a change, and tells nobody; the wrapper of the store is gone. Result: the test holds, and those of sharing, discovery and the restored store.

--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -242,10 +242,9 @@
         cfg.bounds.retry_window_s,
     )
     resuming = resumption.Resumption(loop)
-    topic_source = resumption.ResumableStore(loop, store_client)
     configuration = followers.ConfigFollower(
         loop,
-        topic_source,
+        store_client,
         platform_store.CONFIGURATION_KEY,
         documents.decode_configuration,
         cfg.bounds.config_s / _CONFIG_READS_PER_BOUND,
@@ -253,7 +252,7 @@
     retry_budgets.set_hosts(_MIN_HOSTS)
     endpoints = followers.EndpointFollower(
         loop,
-        topic_source,
+        store_client,
         documents.decode_endpoint,
         cfg.bounds.drain_s / _LIST_READS_PER_BOUND,
     )
--- a/chervilarch/resumption.py
+++ b/chervilarch/resumption.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from concurrent.futures import Future
 
-from chervilarch import guards, state_log, store, tasks
+from chervilarch import guards, state_log, tasks
 from chervilarch import loop as loops
 
 # Longest time from the end of a pause until what was known before it is used
@@ -72,62 +72,3 @@
             state_log.log_fault(
                 "not confirmed after a pause", waited_s=waited_s
             )
-
-
-class ResumableStore:
-    """A store client whose reads that wait for a change end with a pause.
-
-    The connection of such a read may be dead, and its answer tells nothing of
-    the pause. The next read of each topic doesn't wait.
-    """
-
-    def __init__(self, loop: loops.Loop, source: store.Store):
-        self._source = source
-        self._reads: dict[Future, int] = {}
-        # Topics whose first read after a pause is still to come.
-        self._unread_topics: set[store.Topic] = set()
-        loop.add_resume_listener(self._on_resume)
-
-    @property
-    def eras(self) -> store.EraWatch:
-        """The eras of the underlying client."""
-        return self._source.eras
-
-    def read_newest(
-        self, topic: store.Topic, after: str, timeout_s: float
-    ) -> "Future[store.NewestPage | store.StoreError]":
-        """Reads a page of the newest value of each key."""
-        return self._source.read_newest(topic, after, timeout_s)
-
-    def read_changes(
-        self, topic: store.Topic, offset: int, wait_s: float
-    ) -> "Future[store.RecordPage | store.StoreError]":
-        """Reads records from an offset on; a pause ends the read."""
-        if topic in self._unread_topics:
-            self._unread_topics.remove(topic)
-            wait_s = 0.0
-        fut: Future = Future()
-        self._reads[fut] = offset
-        self._source.read_changes(topic, offset, wait_s).add_done_callback(
-            lambda done: self._finish(fut, done.result())
-        )
-        return fut
-
-    def put(
-        self, topic: store.Topic, key: str, value: bytes, timeout_s: float
-    ) -> "Future[store.StoreError | None]":
-        """Sets the newest value of a key."""
-        return self._source.put(topic, key, value, timeout_s)
-
-    def _finish(
-        self, fut: Future, result: store.RecordPage | store.StoreError
-    ) -> None:
-        self._reads.pop(fut, None)
-        tasks.resolve(fut, result)
-
-    def _on_resume(self, paused_s: float) -> None:
-        self._unread_topics.update(store.Topic)
-        era = self._source.eras.era or 0
-        for fut, offset in list(self._reads.items()):
-            # There may be a further record, so the reader reads again at once.
-            self._finish(fut, store.RecordPage([], offset + 1, 0, era))
--- a/chervilarch/topic_follower.py
+++ b/chervilarch/topic_follower.py
@@ -206,7 +206,8 @@
             yield tasks.sleep(self._loop, delay_s)
 
     def _on_resume(self, paused_s: float) -> None:
-        """Asks again: the store may have changed and lost the change."""
+        """Reads and asks again: the store may have lost a change, too."""
+        tasks.resolve(self._update_received, None)
         if self.has_joined:
             self.has_joined = False
             tasks.Task(self._join())
@@ -230,11 +231,12 @@
                     if not -1 < known_era < self._known.era:
                         self.may_serve = self.has_joined = True
                         return
-            if self._loop.now() - started_at >= wait_s:
+            is_late = self._loop.now() - started_at >= wait_s
+            if is_late:
                 self.may_serve = True
             yield tasks.sleep(
                 self._loop,
-                _LATE_JOIN_PERIOD_S if self.may_serve else _JOIN_PERIOD_S,
+                _LATE_JOIN_PERIOD_S if is_late else _JOIN_PERIOD_S,
             )
 
     def _wait_until_due(self) -> tasks.Coroutine[None]:
@@ -249,6 +251,8 @@
 
     def _due_at(self) -> float:
         """Returns when to read if no update arrives before."""
+        if self.read_at < self._loop.resumed_at:
+            return self._loop.resumed_at
         read_rank = self.read_rank()
         if not read_rank or not self._peer_has_read:
             return self.read_at + self._pause_s
@@ -372,9 +376,12 @@
         self._peer_has_read = False
         started_at = self._loop.now()
         era, first = self._position
-        page = yield from self._request_changes(era, first)
+        # The first read after a pause doesn't wait for a change.
+        is_resumed = self.read_at < self._loop.resumed_at
+        wait_s = 0.0 if is_resumed else self._wait_s
+        page = yield from self._request_changes(era, first, wait_s)
         if page is None:
-            return False
+            return self._loop.resumed_at > started_at
         if isinstance(page, store.StoreError):
             if page.is_dropped:
                 state_log.log_change(
@@ -393,17 +400,22 @@
         self._confirm_position(known, store.Position(era, page.end))
         if not page.records:
             # The store waited for a change until the wait time was over.
-            started_at = min(started_at + self._wait_s, self._loop.now())
+            started_at = min(started_at + wait_s, self._loop.now())
         self._record_success(self.read_at if end < page.end else started_at, "")
         self._apply_and_share(page.records, end)
         return True
 
     def _request_changes(
-        self, era: int, first: int
+        self, era: int, first: int, wait_s: float
     ) -> tasks.Coroutine[store.RecordPage | store.StoreError | None]:
-        """Returns the store's answer, or None once a restore is known."""
-        read = self._store.read_changes(self._topic, first, self._wait_s)
-        while not read.done() and not self._is_restored():
+        """Returns the store's answer, or None after a restore or a pause."""
+        resumed_at = self._loop.resumed_at
+        read = self._store.read_changes(self._topic, first, wait_s)
+        while not (
+            read.done()
+            or self._is_restored()
+            or self._loop.resumed_at > resumed_at
+        ):
             self._update_received = Future()
             yield tasks.first_of(read, self._update_received)
         if not read.done() or self._position.era != era:
--- a/tests/test_paused_process.py
+++ b/tests/test_paused_process.py
@@ -30,10 +30,10 @@
     advisory_messages,
     clocks,
     prompt_blocks,
-    resumption,
     stage_coordination,
     store,
     tasks,
+    topic_follower,
 )
 from chervilarch import loop as loops
 
@@ -483,21 +483,25 @@
         host.exchange.close()
 
 
-def test_the_first_read_after_a_pause_does_not_wait_for_a_change(fleet):
+def test_a_read_under_way_in_a_pause_is_repeated_without_a_wait(fleet):
     loop = fleet.new_loop()
-    source = HeldStore()
-    waits = []
+    source = lh.FakeStore()
+    waits, told = [], []
     source.read_changes = lambda topic, offset, wait_s: (
         waits.append(wait_s) or tasks.Future()
     )
-    reader = resumption.ResumableStore(loop, source)
+    follower = topic_follower.TopicFollower(
+        loop, source, _CONFIGURATION, 1.0, 0.0
+    )
+    follower.on_update = told.append
+    follower.start()
     lh.run_pending(loop)
-    reader.read_changes(_CONFIGURATION, 0, 1.0)
+    read_at = follower.read_at
     fleet.clock.advance(_PAUSE_S)
     lh.run_pending(loop)
-    for _ in range(2):
-        reader.read_changes(_CONFIGURATION, 0, 1.0)
-    assert waits == [1.0, 0.0, 1.0]
+    assert waits == [1.0, 0.0]
+    # A read that was given up is no news, neither here nor for other hosts.
+    assert follower.read_at == read_at and not told
 
 
 def test_a_host_that_slept_through_a_restore_asks_what_others_know(fleet):
