--- a/tests/test_paused_process.py
+++ b/tests/test_paused_process.py
@@ -30,6 +30,7 @@
     advisory_messages,
     clocks,
     prompt_blocks,
+    resumption,
     stage_coordination,
     store,
     tasks,
