Don't take another host's entry for one that the store has again

Callers would see (shown at components): attempts at an endpoint that a restore of the store had lost and that never came back, on some hosts for good; or a live endpoint left out on all hosts but one.

Cause: what a host tells another of the endpoints included entries in their grace time, which aren't in the store. The other one listed them as present, or ended the grace time of its own.

Entries in their grace time aren't told, and what another host tells of an entry that is in its grace time here counts only if it says that the endpoint leaves. The store ends a grace time, nobody else.

--- a/chervilarch/endpoint_list.py
+++ b/chervilarch/endpoint_list.py
@@ -138,6 +138,10 @@
         self._removed.pop(name, None)
         return old is None or old.entry != listing.entry
 
+    def has_grace(self, name: str) -> bool:
+        """Returns whether an entry isn't in the store but may return."""
+        return name in self._graces
+
     def _was_removed(self, name: str) -> bool:
         grace = self._graces.get(name)
         return name in self._removed or (grace is not None and grace.is_removed)
--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -222,6 +222,7 @@
                 record
                 for name, record in self._records.items()
                 if self._endpoints.find(name)
+                and not self._endpoints.has_grace(name)
             ),
             tuple(
                 run
@@ -233,14 +234,16 @@
     def _apply_beliefs(self, beliefs: store.Beliefs) -> None:
         """Applies what another host knows of entries, and adds none."""
         for record in beliefs.records:
-            if self._endpoints.find(record.key):
-                self._apply_record(record)
-                continue
             listing = self._decode(record.key, record.value)
-            if (
+            is_leaving = (
                 isinstance(listing, endpoint_list.Listing)
                 and listing.entry.state == hosts.LEAVING
-            ):
+            )
+            if self._endpoints.find(record.key):
+                # The other host doesn't know that the entry isn't in the store.
+                if is_leaving or not self._endpoints.has_grace(record.key):
+                    self._apply_record(record)
+            elif is_leaving:
                 run = store.RemovedRun(
                     record.key,
                     listing.entry.incarnation,
--- /dev/null
+++ b/tests/test_restored_entries.py
@@ -0,0 +1,157 @@
+"""Endpoints that a restore of the store lost or brought back."""
+
+import loop_helpers as lh
+import pytest
+import store_hosts as sh
+
+from chervilarch import store
+
+
+@pytest.fixture
+def cluster():
+    yield from sh.run_hosts(3, data_centres=1)
+
+
+def advance_until(loop, clock, condition):
+    lh.run_until(loop, lambda: lh.advance(loop, clock, 0.01) or condition())
+
+
+def test_a_cut_off_host_lets_lost_entries_lapse_as_well(cluster):
+    loop, clock, shared, (first, second, third) = cluster
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
+    third.source.error = store.StoreError("cut off")
+    shared.restore(2, era=1)
+    advance_until(
+        loop,
+        clock,
+        lambda: third.endpoints.topic_follower.state().era == 1,
+    )
+    third.source.error = None
+    for sequence in range(2, 12):
+        shared.write(sh.ENDPOINTS, "e0", b"live %d" % sequence)
+        lh.advance(loop, clock, 1.0)
+    got = [host.listed() for host in (first, second, third)]
+    assert got == [["e0", "e1"]] * 3
+
+
+def test_a_host_started_in_the_grace_time_lets_lost_entries_lapse(cluster):
+    loop, clock, shared, (first, second, third) = cluster
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
+    shared.restore(2, era=1)
+    lh.advance(loop, clock, 1.2)
+    late = sh.Host(loop, "n9", lh.FakeStore(shared))
+    late.neighbours = [first.peer]
+    late.source.error = store.StoreError("429")
+    late.endpoints.topic_follower.start()
+    lh.run_until(loop, late.endpoints.topic_follower.has_read)
+    late.source.error = None
+    lh.advance(loop, clock, 8.0)
+    got = [host.listed() for host in (first, late)]
+    late.sharing.close()
+    assert got == [["e0", "e1"]] * 2
+
+
+def test_a_host_that_fetches_in_the_grace_time_of_an_outage_lets_entries_lapse(
+    cluster,
+):
+    loop, clock, shared, (first, second, third) = cluster
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
+    for host in (first, second, third):
+        host.source.error = store.StoreError("down")
+    lh.advance(loop, clock, 4.0)
+    shared.write(sh.ENDPOINTS, "e2", b"")
+    for host in (first, second, third):
+        host.source.error = None
+    advance_until(
+        loop, clock, lambda: first.endpoints.topic_follower.state().end == 4
+    )
+    late = sh.Host(loop, "n9", lh.FakeStore(shared))
+    late.neighbours = [first.peer]
+    late.source.error = store.StoreError("429")
+    late.endpoints.topic_follower.start()
+    lh.run_until(loop, late.endpoints.topic_follower.has_read)
+    late.source.error = None
+    lh.advance(loop, clock, 8.0)
+    got = [host.listed() for host in (first, late)]
+    late.sharing.close()
+    assert got == [["e0", "e1"]] * 2
+
+
+def test_renewals_reach_all_hosts_after_the_reader_fetched_from_a_peer(cluster):
+    loop, clock, shared, (first, second, third) = cluster
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
+    first.source.error = store.StoreError("429")
+    shared.restore(2, era=1)
+    advance_until(
+        loop,
+        clock,
+        lambda: first.endpoints.topic_follower.state().era == 1,
+    )
+    first.source.error = None
+    # The reader of rank 0 reads again before the entry returns.
+    reads = first.reads()
+    advance_until(loop, clock, lambda: first.reads() > reads)
+    print("grace since", [h.listed() for h in (first, second, third)])
+    for sequence in range(2, 10):
+        shared.write(sh.ENDPOINTS, "e2", b"live %d" % sequence)
+        lh.advance(loop, clock, 1.0)
+        print(
+            [h.listed() for h in (first, second, third)],
+            [h.reads() for h in (first, second, third)],
+        )
+    got = [host.listed() for host in (first, second, third)]
+    assert got == [["e0", "e1", "e2"]] * 3
+
+
+def test_a_peers_answer_does_not_end_the_grace_time(cluster):
+    loop, clock, shared, (first, second, third) = cluster
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
+    shared.restore(2, era=1)
+    follower = third.endpoints.topic_follower
+    advance_until(
+        loop,
+        clock,
+        lambda: all(
+            host.endpoints.topic_follower.state().era == 1
+            for host in (first, second, third)
+        ),
+    )
+    # The process was frozen for a moment.
+    assert follower.has_joined
+    follower._on_resume(0.6)
+    advance_until(loop, clock, lambda: follower.has_joined)
+    lh.advance(loop, clock, 8.0)
+    got = [host.listed() for host in (first, second, third)]
+    assert got == [["e0", "e1"]] * 3
+
+
+def test_a_host_frozen_across_a_restore_lets_lost_entries_lapse(cluster):
+    loop, clock, shared, (first, second, third) = cluster
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
+    shared.restore(2, era=1)
+    third_err = store.StoreError("frozen")
+    third.source.error = third_err
+    for host in (first, second):
+        host.neighbours.remove(third.peer)
+    lh.advance(loop, clock, 1.5)
+    # It goes on while the others' grace time runs.
+    third.source.error = None
+    for host in (first, second):
+        host.neighbours.append(third.peer)
+    third.endpoints.topic_follower._on_resume(1.5)
+    lh.advance(loop, clock, 8.0)
+    got = [host.listed() for host in (first, second, third)]
+    assert got == [["e0", "e1"]] * 3
+
+
+def test_an_answer_of_before_the_restore_does_not_end_the_grace_time(cluster):
+    loop, clock, shared, (first, second, third) = cluster
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
+    before = second.endpoints.topic_follower.snapshot()
+    shared.restore(2, era=1)
+    follower = third.endpoints.topic_follower
+    advance_until(loop, clock, lambda: follower.state().era == 1)
+    follower._merge(before)
+    lh.advance(loop, clock, 8.0)
+    got = [host.listed() for host in (first, second, third)]
+    assert got == [["e0", "e1"]] * 3
