Don't list a removed endpoint again out of the store's copy

Cause: renewals that change nothing but a sequence aren't passed on, so a host that doesn't read remembers a removed run with an old sequence; the copy's record has a higher one and was taken for a later one.

--- a/chervilarch/endpoint_list.py
+++ b/chervilarch/endpoint_list.py
@@ -110,8 +110,16 @@
             if not grace.is_removed:
                 self._graces[name] = _Grace(self._grace_until, False)
 
-    def apply(self, name: str, listing: Listing) -> bool:
-        """Applies a record; returns whether it changed the list."""
+    def apply(self, name: str, listing: Listing, is_copy: bool = False) -> bool:
+        """Applies a record; returns whether it changed the list.
+
+        Args:
+            name: id of the endpoint.
+            listing: the record.
+            is_copy: whether it is in a copy that the store was restored from.
+                This host may not have got the last sequences of a run that it
+                knows to have been removed, so they don't list it again there.
+        """
         entry = listing.entry
         is_leaving = entry.state == hosts.LEAVING
         seen = self._seen.get(name)
@@ -119,7 +127,11 @@
             order = (entry.incarnation, listing.sequence)
             if order < seen[:2]:
                 return False
-            if order == seen[:2] and self._was_removed(name):
+            if self._was_removed(name) and (
+                order == seen[:2]
+                or (is_copy and entry.incarnation == seen.incarnation)
+            ):
+                self._seen[name] = seen._replace(sequence=listing.sequence)
                 return False
             if entry.incarnation == seen.incarnation:
                 is_leaving = is_leaving or seen.is_leaving
--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -77,7 +77,9 @@
         """Returns the record in force, which the store may have lost."""
         return store.Beliefs((self._record,) if self._record else ())
 
-    def _apply_snapshot(self, records: Iterable[store.Record]) -> None:
+    def _apply_snapshot(
+        self, records: Iterable[store.Record], is_copy: bool = False
+    ) -> None:
         for record in records:
             guards.call(self._apply_record, record)
 
@@ -260,17 +262,26 @@
             if self._endpoints.apply_removed(run, self._loop.now()):
                 self._record_removal(run.name, "removed at another host")
 
-    def _apply_snapshot(self, records: Iterable[store.Record]) -> None:
+    def _apply_snapshot(
+        self, records: Iterable[store.Record], is_copy: bool = False
+    ) -> None:
         """Applies all records; other entries are removed without an event."""
         present = set()
         for record in records:
             present.add(record.key)
-            guards.call(self._apply_record, record)
+            guards.call(self._apply_record, record, is_copy)
         if self._endpoints.remove_missing(present, self._loop.now()):
             self._changed = True
 
-    def _apply_record(self, record: store.Record) -> bool:
-        """Applies a record; returns whether other hosts must get it."""
+    def _apply_record(
+        self, record: store.Record, is_copy: bool = False
+    ) -> bool:
+        """Applies a record; returns whether other hosts must get it.
+
+        Args:
+            record: the record.
+            is_copy: whether it is in the copy that the store was restored from.
+        """
         name, value = record.key, record.value
         now = self._loop.now()
         if not value:
@@ -299,7 +310,7 @@
                 self._changed = True
             return is_new
         self._unreadable.discard(name)
-        if self._endpoints.apply(name, listing):
+        if self._endpoints.apply(name, listing, is_copy):
             self._changed = True
             is_new = True
             entry = self._endpoints.find(name).entry
--- a/chervilarch/topic_follower.py
+++ b/chervilarch/topic_follower.py
@@ -93,7 +93,11 @@
         self.read_at = float("-inf")
         self.may_serve = False
         self.has_joined = False
-        self.on_snapshot: Callable[[Iterable[store.Record]], None] = _ignore
+        # Gets all records, and whether the store has just been restored from
+        # the copy that they are of.
+        self.on_snapshot: Callable[[Iterable[store.Record], bool], None] = (
+            _ignore
+        )
         # Returns whether the record must be sent to other hosts.
         self.on_change: Callable[[store.Record], bool] = _ignore
         self.on_removed: Callable[[Iterable[store.RemovedRun]], None] = _ignore
@@ -356,14 +360,22 @@
         self,
         records: Iterable[store.Record],
         position: store.Position,
-        removed: Iterable[store.RemovedRun] = (),
+        removed: Iterable[store.RemovedRun] | None = None,
     ) -> None:
+        """Applies a snapshot.
+
+        Args:
+            records: its records.
+            position: what it goes up to.
+            removed: the removed runs if it is a peer's, None if the store's.
+        """
         is_restored = self.has_read() and position.era > self._position.era
         self._position = position
         if is_restored:
             guards.call(self.on_restore)
-        guards.call(self.on_snapshot, records)
-        guards.call(self.on_removed, removed)
+        is_copy = is_restored and removed is None
+        guards.call(self.on_snapshot, records, is_copy)
+        guards.call(self.on_removed, removed or ())
         guards.call(self.on_read)
         if is_restored and self._told_era < position.era:
             guards.call(self.on_update, self.state())
--- a/tests/test_restored_entries.py
+++ b/tests/test_restored_entries.py
@@ -155,3 +155,51 @@
     lh.advance(loop, clock, 8.0)
     got = [host.listed() for host in (first, second, third)]
     assert got == [["e0", "e1"]] * 3
+
+
+def renew(loop, clock, shared, name, sequences):
+    for sequence in sequences:
+        shared.write(sh.ENDPOINTS, name, b"live %d" % sequence)
+        lh.advance(loop, clock, 1.2 * sh.PAUSE_S)
+
+
+def test_a_removed_endpoint_that_had_renewed_stays_removed(cluster):
+    loop, clock, shared, members = cluster
+    renew(loop, clock, shared, "e1", range(2, 6))
+    copy_end = len(shared.log[sh.ENDPOINTS])
+    shared.write(sh.ENDPOINTS, "e1", b"")
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
+    assert all(host.listed() == ["e0", "e2"] for host in members)
+    shared.restore(copy_end, era=1)
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
+    assert [host.listed() for host in members] == [["e0", "e2"]] * 3
+
+
+def test_a_starting_host_hears_of_removed_endpoint_that_had_renewed(cluster):
+    loop, clock, shared, (first, second, third) = cluster
+    renew(loop, clock, shared, "e1", range(2, 6))
+    copy_end = len(shared.log[sh.ENDPOINTS])
+    shared.write(sh.ENDPOINTS, "e1", b"")
+    lh.advance(loop, clock, 3 * sh.PAUSE_S)
+    shared.restore(copy_end, era=1)
+    late = sh.Host(loop, "n9", lh.FakeStore(shared))
+    late.neighbours = [third.peer]
+    late.endpoints.topic_follower.start()
+    advance_until(loop, clock, lambda: late.endpoints.topic_follower.may_serve)
+    listed = late.listed()
+    late.sharing.close()
+    assert listed == ["e0", "e2"]
+
+
+def test_an_endpoint_restored_twice_from_copies_while_it_renews(cluster):
+    loop, clock, shared, members = cluster
+    renew(loop, clock, shared, "e2", range(2, 6))
+    for era in (1, 2):
+        shared.restore(2, era=era)
+        lh.advance(loop, clock, 0.7)
+        shared.write(sh.ENDPOINTS, "e2", b"live %d" % (6 + era))
+        lh.advance(loop, clock, 0.7)
+    for sequence in range(10, 16):
+        shared.write(sh.ENDPOINTS, "e2", b"live %d" % sequence)
+        lh.advance(loop, clock, 1.0)
+    assert [host.listed() for host in members] == [["e0", "e1", "e2"]] * 3
