--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -11,6 +11,7 @@
 from gateway_world import (
     KEY,
     answer,
+    decline,
     events,
     stream,
     stream_route_document,
@@ -46,7 +47,8 @@
         self._go_on.set()
 
     def serve(self, conn):
-        lh.read_request(conn)
+        if not lh.read_request(conn):
+            return  # The connection was only checked.
         if self._before:
             conn.sendall(_HEAD + self._before)
         assert self._go_on.wait(lh.TIMEOUT_S)
@@ -543,3 +545,16 @@
     received = lh.receive(world.loop, conn, lambda data: b"<EOF>" in data)
     assert received.startswith(b"HTTP/1.1 200")
     assert len(requests) == 1 and b"Inputs: h2\r\n" in requests[0]
+
+
+def test_a_silent_engine_is_kept_until_another_takes_the_request(world, silent):
+    has_declined = []
+    world.endpoint("e2", decline(has_declined))
+    world.ctrl.placement.pick = first_of(world.ctrl.placement.pick)
+    start(world)
+    conn = world.send(KEY, ("Connection", "close"))
+    lh.run_until(world.loop, lambda: any(has_declined))
+    silent.go_on()
+    received = lh.receive(world.loop, conn, lambda data: b"<EOF>" in data)
+    assert silent.is_open
+    assert received.endswith(events(3, 4) + b"\r\n0\r\n\r\n<EOF>")
