--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -236,15 +236,19 @@
     def _apply_beliefs(self, beliefs: store.Beliefs) -> None:
         """Applies what another host knows of entries, and adds none."""
         for record in beliefs.records:
-            listing = self._decode(record.key, record.value)
+            is_known = self._endpoints.find(record.key) is not None
+            # The other host doesn't know that an entry with a grace time isn't
+            # in the store.
+            if is_known and not self._endpoints.has_grace(record.key):
+                self._apply_record(record)
+                continue
+            listing = self._read_listing(record.key, record.value)
             is_leaving = (
                 isinstance(listing, endpoint_list.Listing)
                 and listing.entry.state == hosts.LEAVING
             )
-            if self._endpoints.find(record.key):
-                # The other host doesn't know that the entry isn't in the store.
-                if is_leaving or not self._endpoints.has_grace(record.key):
-                    self._apply_record(record)
+            if is_leaving and is_known:
+                self._apply_record(record)
             elif is_leaving:
                 run = store.RemovedRun(
                     record.key,
@@ -289,11 +293,7 @@
             if self._endpoints.remove(name, now):
                 self._record_removal(name, "removed from the list")
             return True
-        listing = self._decode(name, value)
-        if isinstance(listing, endpoint_list.Listing):
-            listing = endpoint_list.check_start(
-                listing, self._loop.clock.wall()
-            )
+        listing = self._read_listing(name, value)
         is_readable = isinstance(listing, endpoint_list.Listing)
         content = listing.entry if is_readable else value
         is_new = self._last_content.get(name) != content
@@ -329,6 +329,15 @@
             self._records[name] = record
         return is_new
 
+    def _read_listing(
+        self, name: str, value: bytes
+    ) -> "endpoint_list.Listing | tuple":
+        """Returns a record's listing, or a tuple with the reason for none."""
+        listing = self._decode(name, value)
+        if not isinstance(listing, endpoint_list.Listing):
+            return listing
+        return endpoint_list.check_start(listing, self._loop.clock.wall())
+
     def _record_removal(self, name: str, reason: str) -> None:
         self._changed = True
         state_log.log_change("endpoint gone", endpoint=name, reason=reason)
--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -316,7 +316,7 @@
     def refuse_if_reading(self) -> None:
         """Refuses a request of which only a part has been read."""
         if self._first_byte_at and not (self._responder or self._closing):
-            self._reject(503, "this host stops")
+            self._reject(503, "this host stops", [("Retry-After", "0")])
 
     def unsent_bytes(self) -> int:
         """Returns the number of buffered bytes."""
@@ -537,7 +537,9 @@
         if not responder.ended:
             self._on_disconnect = on_disconnect
 
-    def _reject(self, status: int, detail: str) -> None:
+    def _reject(
+        self, status: int, detail: str, extra_headers: Headers = ()
+    ) -> None:
         """Answers a request that can't be read with an error, and closes."""
         if self._codec.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             rejection = self._server.build_rejection(status, detail)
@@ -545,9 +547,8 @@
                 *rejection.headers,
                 ("Content-Length", str(len(rejection.body))),
                 ("Connection", "close"),
+                *extra_headers,
             ]
-            if status == 503:
-                headers.append(("Retry-After", "0"))
             self._out += self._codec.send(_response_head(status, headers))
             if rejection.body:
                 self._out += self._codec.send(h11.Data(data=rejection.body))
--- a/chervilarch/routed.py
+++ b/chervilarch/routed.py
@@ -17,6 +17,8 @@
     routing_table,
 )
 
+_MS_PER_S = 1000
+
 
 class Prompt(NamedTuple):
     """The prompt of a request, as its headers describe it.
@@ -109,6 +111,10 @@
         # only once it ends.
         self.possible_runs = 0
 
+    def elapsed_ms(self, now: float) -> int:
+        """Returns the time since the arrival, at a monotonic time."""
+        return round((now - self.arrived_at) * _MS_PER_S)
+
     def is_retryable(self) -> bool:
         """Returns whether the final call may run more than once."""
         return self.route.retry_policy is routing_table.RetryPolicy.ANY
--- a/chervilarch/routed_context.py
+++ b/chervilarch/routed_context.py
@@ -24,8 +24,6 @@
 )
 from chervilarch import loop as loops
 
-_MS_PER_S = 1000
-
 
 class RoutedControllers(NamedTuple):
     """The controllers of a gateway.
@@ -79,7 +77,7 @@
 
     def elapsed_ms(self) -> int:
         """Returns the time since the request's arrival."""
-        return round((self.now() - self.req.arrived_at) * _MS_PER_S)
+        return self.req.elapsed_ms(self.now())
 
     def record_latency(self) -> None:
         """Records the time from arrival to the answer or its first event."""
--- a/chervilarch/serving.py
+++ b/chervilarch/serving.py
@@ -19,7 +19,6 @@
 # A request without a time limit of its own may wait this long until the
 # configuration, which has one, is confirmed after a pause.
 _MAX_CONFIRM_WAIT_S = 5.0
-_MS_PER_S = 1000
 _FIRST_ERROR_STATUS = 500
 _OWN_FAULT = outcomes.Unknown(
     outcomes.Reason.INTERNAL,
@@ -271,9 +270,7 @@
             outcome=name,
             has_begun=has_begun,
             sends=req.attempts_sent,
-            elapsed_ms=round(
-                (self._ctrl.loop.now() - req.arrived_at) * _MS_PER_S
-            ),
+            elapsed_ms=req.elapsed_ms(self._ctrl.loop.now()),
             **fields,
         )
 
--- a/tests/loop_helpers.py
+++ b/tests/loop_helpers.py
@@ -52,6 +52,15 @@
         run_pending(loop, 2)
 
 
+def advance_until(
+    loop: loops.Loop,
+    clock: clocks.ManualClock,
+    condition: Callable[[], bool],
+) -> None:
+    """Moves the clock in small steps until a condition holds."""
+    run_until(loop, lambda: advance(loop, clock, 0.01) or condition())
+
+
 def listing(
     name: str = "e1",
     pool: str = "p",
--- a/tests/test_restored_entries.py
+++ b/tests/test_restored_entries.py
@@ -12,8 +12,15 @@
     yield from sh.run_hosts(3, data_centres=1)
 
 
-def advance_until(loop, clock, condition):
-    lh.run_until(loop, lambda: lh.advance(loop, clock, 0.01) or condition())
+def start_by_peer(loop, shared, neighbour):
+    """Starts a host whose first values come from a neighbour."""
+    late = sh.Host(loop, "n9", lh.FakeStore(shared))
+    late.neighbours = [neighbour.peer]
+    late.source.error = store.StoreError("429")
+    late.endpoints.topic_follower.start()
+    lh.run_until(loop, late.endpoints.topic_follower.has_read)
+    late.source.error = None
+    return late
 
 
 def test_a_cut_off_host_lets_lost_entries_lapse_as_well(cluster):
@@ -21,7 +28,7 @@
     lh.advance(loop, clock, 3 * sh.PAUSE_S)
     third.source.error = store.StoreError("cut off")
     shared.restore(2, era=1)
-    advance_until(
+    lh.advance_until(
         loop,
         clock,
         lambda: third.endpoints.topic_follower.state().era == 1,
@@ -39,12 +46,7 @@
     lh.advance(loop, clock, 3 * sh.PAUSE_S)
     shared.restore(2, era=1)
     lh.advance(loop, clock, 1.2)
-    late = sh.Host(loop, "n9", lh.FakeStore(shared))
-    late.neighbours = [first.peer]
-    late.source.error = store.StoreError("429")
-    late.endpoints.topic_follower.start()
-    lh.run_until(loop, late.endpoints.topic_follower.has_read)
-    late.source.error = None
+    late = start_by_peer(loop, shared, first)
     lh.advance(loop, clock, 8.0)
     got = [host.listed() for host in (first, late)]
     late.sharing.close()
@@ -62,15 +64,10 @@
     shared.write(sh.ENDPOINTS, "e2", b"")
     for host in (first, second, third):
         host.source.error = None
-    advance_until(
+    lh.advance_until(
         loop, clock, lambda: first.endpoints.topic_follower.state().end == 4
     )
-    late = sh.Host(loop, "n9", lh.FakeStore(shared))
-    late.neighbours = [first.peer]
-    late.source.error = store.StoreError("429")
-    late.endpoints.topic_follower.start()
-    lh.run_until(loop, late.endpoints.topic_follower.has_read)
-    late.source.error = None
+    late = start_by_peer(loop, shared, first)
     lh.advance(loop, clock, 8.0)
     got = [host.listed() for host in (first, late)]
     late.sharing.close()
@@ -82,7 +79,7 @@
     lh.advance(loop, clock, 3 * sh.PAUSE_S)
     first.source.error = store.StoreError("429")
     shared.restore(2, era=1)
-    advance_until(
+    lh.advance_until(
         loop,
         clock,
         lambda: first.endpoints.topic_follower.state().era == 1,
@@ -90,15 +87,10 @@
     first.source.error = None
     # The reader of rank 0 reads again before the entry returns.
     reads = first.reads()
-    advance_until(loop, clock, lambda: first.reads() > reads)
-    print("grace since", [h.listed() for h in (first, second, third)])
+    lh.advance_until(loop, clock, lambda: first.reads() > reads)
     for sequence in range(2, 10):
         shared.write(sh.ENDPOINTS, "e2", b"live %d" % sequence)
         lh.advance(loop, clock, 1.0)
-        print(
-            [h.listed() for h in (first, second, third)],
-            [h.reads() for h in (first, second, third)],
-        )
     got = [host.listed() for host in (first, second, third)]
     assert got == [["e0", "e1", "e2"]] * 3
 
@@ -108,7 +100,7 @@
     lh.advance(loop, clock, 3 * sh.PAUSE_S)
     shared.restore(2, era=1)
     follower = third.endpoints.topic_follower
-    advance_until(
+    lh.advance_until(
         loop,
         clock,
         lambda: all(
@@ -119,7 +111,7 @@
     # The process was frozen for a moment.
     assert follower.has_joined
     follower._on_resume(0.6)
-    advance_until(loop, clock, lambda: follower.has_joined)
+    lh.advance_until(loop, clock, lambda: follower.has_joined)
     lh.advance(loop, clock, 8.0)
     got = [host.listed() for host in (first, second, third)]
     assert got == [["e0", "e1"]] * 3
@@ -150,7 +142,7 @@
     before = second.endpoints.topic_follower.snapshot()
     shared.restore(2, era=1)
     follower = third.endpoints.topic_follower
-    advance_until(loop, clock, lambda: follower.state().era == 1)
+    lh.advance_until(loop, clock, lambda: follower.state().era == 1)
     follower._merge(before)
     lh.advance(loop, clock, 8.0)
     got = [host.listed() for host in (first, second, third)]
@@ -185,7 +177,9 @@
     late = sh.Host(loop, "n9", lh.FakeStore(shared))
     late.neighbours = [third.peer]
     late.endpoints.topic_follower.start()
-    advance_until(loop, clock, lambda: late.endpoints.topic_follower.may_serve)
+    lh.advance_until(
+        loop, clock, lambda: late.endpoints.topic_follower.may_serve
+    )
     listed = late.listed()
     late.sharing.close()
     assert listed == ["e0", "e2"]
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -453,10 +453,6 @@
         host.sharing.close()
 
 
-def advance_until(loop, clock, condition):
-    lh.run_until(loop, lambda: lh.advance(loop, clock, 0.01) or condition())
-
-
 def test_a_host_without_the_store_fetches_an_update_that_it_missed(cluster):
     loop, clock, shared, (first, second, third) = cluster
     lh.advance(loop, clock, 3 * sh.PAUSE_S)
@@ -468,7 +464,7 @@
     for host in (first, second):
         host.neighbours.append(third.peer)
     shared.write(sh.ENDPOINTS, "e0", b"live 2")
-    advance_until(loop, clock, lambda: third.listed() == ["e0", "e2"])
+    lh.advance_until(loop, clock, lambda: third.listed() == ["e0", "e2"])
 
 
 def test_a_host_without_the_store_learns_of_a_restore(cluster):
@@ -479,12 +475,12 @@
     third.source.error = store.StoreError("cut off")
     shared.restore(3, era=1)
     shared.write(sh.ENDPOINTS, "e1", b"leaving 2")
-    advance_until(loop, clock, lambda: third.listed() == ["e0", "e2"])
+    lh.advance_until(loop, clock, lambda: third.listed() == ["e0", "e2"])
     state = third.endpoints.topic_follower.state()
     assert state.position == (1, 4)
     # It applies the updates of the new era from there on.
     shared.write(sh.ENDPOINTS, "e2", b"leaving 2")
-    advance_until(loop, clock, lambda: third.listed() == ["e0"])
+    lh.advance_until(loop, clock, lambda: third.listed() == ["e0"])
 
 
 def start_beside(loop, shared, peers, name="n9"):
@@ -504,7 +500,9 @@
     shared.restore(3, era=1)
     lh.advance(loop, clock, 1.5 * sh.PAUSE_S)
     late = start_beside(loop, shared, [third.peer])
-    advance_until(loop, clock, lambda: late.endpoints.topic_follower.may_serve)
+    lh.advance_until(
+        loop, clock, lambda: late.endpoints.topic_follower.may_serve
+    )
     assert late.listed() == ["e0"]
     shared.write(sh.ENDPOINTS, "e3", b"live 3")
     lh.advance(loop, clock, 3 * sh.PAUSE_S)
@@ -525,7 +523,7 @@
     shared.restore(1, era=1)
     late.peers = [running.peer]
     late.configuration.topic_follower.start()
-    advance_until(
+    lh.advance_until(
         loop, clock, lambda: late.configuration.topic_follower.may_serve
     )
     assert late.configuration.table.version == 3
@@ -554,7 +552,7 @@
     lh.advance(loop, clock, 2 * sh.PAUSE_S)
     assert late.endpoints.topic_follower.may_serve
     late.neighbours.append(third.peer)
-    advance_until(loop, clock, lambda: late.listed() == ["e0", "e2"])
+    lh.advance_until(loop, clock, lambda: late.listed() == ["e0", "e2"])
     late.sharing.close()
 
 
@@ -573,7 +571,7 @@
     lh.advance(loop, clock, 0.3)
     followers = [host.endpoints.topic_follower for host in started]
     assert not any(follower.may_serve for follower in followers)
-    advance_until(loop, clock, lambda: all(f.may_serve for f in followers))
+    lh.advance_until(loop, clock, lambda: all(f.may_serve for f in followers))
     assert fetched[0].result() == store.PeerStarting()
     for host in started:
         host.sharing.close()
