Test that an absurd start told by another host hides no endpoint

What callers would see: an endpoint that one host never lists, after another one told of it as leaving with a start in the far future.

Cause: what another host tells was decoded without the check of the start that the store's records pass.

--- a/tests/test_foreign_records.py
+++ b/tests/test_foreign_records.py
@@ -148,6 +148,23 @@
     assert set(followed[-1]["p"]) == {"e1", "e3"}
 
 
+def test_an_absurd_start_told_by_another_host_does_not_hide_the_true_one(env):
+    loop, clock, source = env
+    follower = followers.EndpointFollower(
+        loop, source, documents.decode_endpoint, 0.8
+    )
+    notified = []
+    follower.add_listener(notified.append)
+    follower.topic_follower.start()
+    lh.run_pending(loop)
+    odd = json.dumps({**SERVER, "state": "draining", "born": 2**62}).encode()
+    told = store.Beliefs((store.Record(0, "e1", odd),))
+    follower.topic_follower.on_beliefs(told)
+    source.write(store.Topic.ENDPOINTS, "e1", json.dumps(SERVER).encode())
+    lh.advance(loop, clock, 0.9)
+    assert list(notified[-1]["p"]) == ["e1"]
+
+
 def test_an_odd_endpoint_record_in_a_snapshot_hides_no_other(env):
     loop, _, source = env
     source.write(store.Topic.ENDPOINTS, "e1", ODD_SERVERS[0])
