--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
 """Case 3: engines crash after the first event of a deadly prompt's answer."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -17,4 +18,5 @@
 )
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(prompts.run(_PLAN)))
+    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    sys.exit(asyncio.run(prompts.run(_PLAN, has_trouble)))
--- a/review/standins/prompts.py
+++ b/review/standins/prompts.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import itertools
-import os
 import pathlib
 import random
 import time
@@ -242,9 +241,9 @@
         return int(len(late) > _MAX_LATE)
 
 
-async def run(plan: Plan) -> int:
+async def run(plan: Plan, has_trouble: bool) -> int:
     """Runs a case; returns the exit status of its script."""
-    case = Case(plan, os.environ.get("TROUBLE", "1") != "0")
+    case = Case(plan, has_trouble)
     try:
         return await case.run()
     except TimeoutError:
