Log who closed a connection, long turns and the process's memory

Cause: the hypotheses of docs/incidents/bytes-without-end.md can't be told apart by the logs: a connection that was closed with a request on it left no line, nor did a request that was refused unread; a reply that was broken off for room looked like one over its own bound; memory and the loop's turns weren't seen at all.

Change: log lines "connection closed" with the reason and the state, "request not read", "long turn", "memory peak", metrics of memory, and the reason for which this side broke off a reply. No logic changes.

--- a/bench/byte_floods.py
+++ b/bench/byte_floods.py
@@ -500,9 +500,7 @@
         )
         return 0
     for name in args.floods or FLOODS:
-        line = asyncio.run(
-            measure(name, args.seconds, args.memory, args.log)
-        )
+        line = asyncio.run(measure(name, args.seconds, args.memory, args.log))
         print(line, flush=True)
     return 0
 
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -24,6 +24,7 @@
     permits,
     piece_runner,
     placement,
+    process_memory,
     prompt_guard,
     resumption,
     serving,
@@ -53,6 +54,7 @@
 # failed checks; until then it still opens connections.
 _DRAIN_NOTICE_S = 2.5
 _POLL_INTERVAL_S = 0.05
+_MEMORY_CHECK_INTERVAL_S = 0.5
 # End of the grace period, left for the process to exit.
 _EXIT_MARGIN_S = 0.5
 # Time before that margin to send the answers of requests that are cut off.
@@ -100,6 +102,7 @@
         self._stop_requested = False
         self._drain_started_at = 0.0
         self._was_ready = False
+        self._memory_peak = process_memory.PeakLog()
 
     def run(self) -> None:
         """Serves until a shutdown is complete."""
@@ -116,6 +119,7 @@
         )
         self._poll()
         self._loop.call_every(_POLL_INTERVAL_S, self._poll)
+        self._loop.call_every(_MEMORY_CHECK_INTERVAL_S, self._check_memory)
         self._loop.run()
         self._close()
         state_log.log_change("gateway stopped", host=self._cfg.host)
@@ -172,6 +176,17 @@
         if self._stop_requested and not self._serving_state.is_draining:
             self._begin_drain()
 
+    def _check_memory(self) -> None:
+        size = process_memory.private_bytes()
+        reply_bytes = self._ctrl.client.kept_bytes
+        self._meters.set_memory(size, reply_bytes)
+        self._memory_peak.observe(
+            size,
+            reply_bytes=reply_bytes,
+            connections=self._caller_server.connection_count(),
+            in_flight=self._serving_state.in_flight,
+        )
+
     def _begin_drain(self) -> None:
         self._serving_state.is_draining = True
         self._drain_started_at = self._loop.now()
--- a/chervilarch/http_client.py
+++ b/chervilarch/http_client.py
@@ -41,6 +41,8 @@
         self.on_data: Callable[[bytes], None] | None = None
         self.curl: pycurl.Curl | None = None
         self.head = reply_head.ReplyHead()
+        # Why this side broke the transfer off, or "".
+        self.fault = ""
         self._body = bytearray()
 
     def cancel(self) -> None:
@@ -81,8 +83,13 @@
             self._client.queue_chunk(self, chunk)
             return len(chunk)
         if len(self._body) + len(chunk) > MAX_REPLY_BYTES:
+            self.fault = f"the reply is over {MAX_REPLY_BYTES} bytes"
             return 0
         if self._client.kept_bytes + len(chunk) > MAX_KEPT_BYTES:
+            self.fault = (
+                f"all replies are over {MAX_KEPT_BYTES} bytes, "
+                f"this one has {len(self._body)}"
+            )
             return 0
         self._body += chunk
         self._client.kept_bytes += len(chunk)
@@ -227,7 +234,11 @@
             # An earlier callback may have cancelled this one.
             if transfer is not None and transfer.curl is not None:
                 result = reply_head.result(
-                    transfer.curl, code, text, transfer.head, transfer.body()
+                    transfer.curl,
+                    code,
+                    transfer.fault or text,
+                    transfer.head,
+                    transfer.body(),
                 )
                 self.release(transfer)
                 guards.call(transfer.on_done, result)
--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -4,6 +4,7 @@
 waits or runs, and an answer that ends early never looks complete.
 """
 
+import enum
 import http
 import selectors
 import socket
@@ -46,6 +47,19 @@
 Headers = list[tuple[str, str]]
 
 
+class CloseReason(enum.Enum):
+    """Why a caller's connection is closed, and by whom."""
+
+    CALLER_CLOSED = "the caller closed it"
+    CALLER_RESET = "the caller reset it"
+    ANSWER_BROKEN = "the answer was broken off"
+    ANSWER_UNREAD = "the caller didn't read the answer"
+    ANSWERED = "its last answer was sent"
+    IDLE = "no request came in time"
+    STOPPING = "this host stops"
+    OUT_OF_STEP = "the request or the answer wasn't whole"
+
+
 class Limits(NamedTuple):
     """Limits on the size of a request and the time to send it.
 
@@ -123,7 +137,7 @@
     def abort(self) -> None:
         """Closes the connection, so that the answer can't look complete."""
         self.ended = True
-        self._conn.close()
+        self._conn.close(CloseReason.ANSWER_BROKEN)
 
     def send(self, status: int, headers: Headers, body: bytes) -> None:
         """Sends a complete answer."""
@@ -311,7 +325,7 @@
             # A request may wait in the kernel; closing would reset it.
             self._receive()
         if self.is_idle():
-            self.close()
+            self.close(CloseReason.STOPPING)
 
     def refuse_if_reading(self) -> None:
         """Refuses a request of which only a part has been read."""
@@ -357,7 +371,7 @@
         if self._codec.our_state is not h11.DONE or (
             self._codec.their_state is not h11.DONE
         ):
-            self.close()
+            self.close(CloseReason.OUT_OF_STEP)
             return
         self._codec.start_next_cycle()
         self._limits = self._server.handler.limits()
@@ -365,10 +379,11 @@
         # The next request may already be in the codec.
         self._loop.call_soon(self._parse)
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Closes the connection and notifies the handler of its request."""
         if self._closed:
             return
+        self._log_close(reason)
         self._closed = True
         self._out.clear()
         self._timer.cancel()
@@ -380,6 +395,20 @@
         if on_disconnect is not None and not self._responder.ended:
             on_disconnect()
 
+    def _log_close(self, reason: CloseReason) -> None:
+        """Logs a close unless nothing was being read, served or answered."""
+        if self.is_idle() or (self._closing and not self._out):
+            return
+        state_log.log_decision(
+            "connection closed",
+            is_problem=True,
+            reason=reason.value,
+            peer=self._peer,
+            is_serving=self._responder is not None,
+            read_bytes=len(self._body),
+            unsent_bytes=len(self._out),
+        )
+
     def _watch(self) -> None:
         events = 0
         if self._pipelined_bytes < _MAX_PIPELINED_BYTES:
@@ -404,10 +433,10 @@
         except BlockingIOError:
             return False
         except OSError:
-            self.close()
+            self.close(CloseReason.CALLER_RESET)
             return False
         if not data:
-            self.close()
+            self.close(CloseReason.CALLER_CLOSED)
             return False
         if self._closing:
             return True
@@ -478,7 +507,7 @@
         elif isinstance(event, h11.EndOfMessage):
             self._serve()
         elif isinstance(event, h11.ConnectionClosed):
-            self.close()
+            self.close(CloseReason.CALLER_CLOSED)
         return not (self._closed or self._closing)
 
     def _begin_request(self, head: h11.Request) -> None:
@@ -541,6 +570,14 @@
         self, status: int, detail: str, extra_headers: Headers = ()
     ) -> None:
         """Answers a request that can't be read with an error, and closes."""
+        state_log.log_decision(
+            "request not read",
+            is_problem=True,
+            status=status,
+            detail=detail,
+            peer=self._peer,
+            read_bytes=len(self._body),
+        )
         if self._codec.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             rejection = self._server.build_rejection(status, detail)
             headers = [
@@ -565,7 +602,7 @@
             except BlockingIOError:
                 break
             except OSError:
-                self.close()
+                self.close(CloseReason.CALLER_RESET)
                 return
             del self._out[:sent]
             self.taken_at = self._loop.now()
@@ -589,7 +626,7 @@
         try:
             self._sock.shutdown(socket.SHUT_WR)
         except OSError:
-            self.close()
+            self.close(CloseReason.CALLER_RESET)
             return
         # Closes after this time even if the caller keeps its side open.
         self._set_timer(1.0)
@@ -634,7 +671,9 @@
             state_log.log_decision(
                 "answer not read", is_problem=True, unsent_bytes=len(self._out)
             )
-        self.close()
+            self.close(CloseReason.ANSWER_UNREAD)
+            return
+        self.close(CloseReason.ANSWERED if self._closing else CloseReason.IDLE)
 
     def _time_out_reading(self) -> None:
         """Rejects a request whose rest doesn't wait in the kernel either."""
--- a/chervilarch/loop.py
+++ b/chervilarch/loop.py
@@ -18,6 +18,9 @@
 # leaves room within the bounds on how old what a host believes may be, which
 # are reads of the store of a second or so.
 PAUSE_S = 0.5
+# A turn of the loop that takes longer is logged: meanwhile nobody else is
+# served.
+LONG_TURN_S = 0.1
 
 
 class Timer:
@@ -156,6 +159,14 @@
             guards.call(key.data, events)
             self._detect_pause(0.0)
         self.run_timers(looked_at)
+        turn_s = self._seen_at - looked_at
+        if turn_s > LONG_TURN_S:
+            state_log.log_decision(
+                "long turn",
+                is_problem=True,
+                turn_ms=round(turn_s * 1000),
+                sockets=len(ready),
+            )
 
     def run_timers(self, due_by: float) -> None:
         """Runs timers due by a time; those set meanwhile wait for the next."""
--- a/chervilarch/telemetry.py
+++ b/chervilarch/telemetry.py
@@ -37,6 +37,9 @@
         self._dropped_lines = self._counter(
             "log_lines_left_out", "Log lines beyond the bound", ["event"]
         )
+        self._memory = self._gauge(
+            "memory_bytes", "Private memory, and bytes kept of replies", ["of"]
+        )
 
     def text(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
@@ -64,6 +67,11 @@
         """Counts a block of prompts that became known to this host."""
         self._prompt_blocks.inc()
 
+    def set_memory(self, private_bytes: int, reply_bytes: int) -> None:
+        """Sets the memory of the process and the bytes kept of replies."""
+        self._memory.labels("process").set(private_bytes)
+        self._memory.labels("replies").set(reply_bytes)
+
     def count_dropped_lines(self, event: str, lines: int) -> None:
         """Counts log lines that were dropped."""
         self._dropped_lines.labels(event).inc(lines)
@@ -80,6 +88,11 @@
             f"chervilarch_{name}", text, labels, registry=self.registry
         )
 
+    def _gauge(self, name: str, text: str, labels: list[str]):
+        return prometheus_client.Gauge(
+            f"chervilarch_{name}", text, labels, registry=self.registry
+        )
+
     def _histogram(
         self, name: str, text: str, labels: list[str], buckets=_LATENCY_BUCKETS
     ):
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -89,6 +89,8 @@
     fut = client.call(exchange)
     lh.run_until(loop, fut.done)
     assert isinstance(fut.result(), exchanges.TransferFailure)
+    if "body" in case:
+        assert "reply is over" in fut.result().detail
     assert server.has_ended.wait(lh.TIMEOUT_S)
     assert server.sent_bytes < _MAX_READ_BYTES
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -502,3 +502,35 @@
     take_long(world)
     received = lh.receive(loop, conn, lambda data: b"<EOF>" in data)
     assert received.startswith(b"HTTP/1.1 408")
+
+
+def closes(caplog):
+    return [r.fields for r in caplog.records if r.msg == "connection closed"]
+
+
+def test_the_log_says_who_closed_a_connection_with_a_request(world, caplog):
+    loop, _, handler, server = world
+    conn = begin(world)
+    conn.close()
+    lh.run_until(loop, lambda: handler.disconnected)
+    begin(world, count=2)
+    handler.begun[1][1].send_head(200, [])
+    handler.begun[1][1].abort()
+    lh.run_until(loop, lambda: not server.connection_count())
+    reasons = [
+        (fields["reason"], fields["is_serving"]) for fields in closes(caplog)
+    ]
+    assert reasons == [
+        (http_server.CloseReason.CALLER_CLOSED.value, True),
+        (http_server.CloseReason.ANSWER_BROKEN.value, True),
+    ]
+
+
+def test_a_connection_that_is_closed_in_calm_leaves_no_line(world, caplog):
+    loop, _, handler, server = world
+    conn = begin(world)
+    handler.begun[0][1].send(200, [], b"out")
+    lh.receive(loop, conn, lambda data: data.endswith(b"out"))
+    conn.close()
+    lh.run_until(loop, lambda: not server.connection_count())
+    assert not closes(caplog)
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -266,3 +266,13 @@
         assert process.stdout.readline() == "data\n"
     own.close()
     other.close()
+
+
+def test_a_long_turn_is_logged(loop_and_clock, caplog):
+    loop, clock = loop_and_clock
+    loop.call_soon(lambda: clock.advance(loops.LONG_TURN_S / 2))
+    lh.run_pending(loop)
+    assert not caplog.records
+    loop.call_soon(lambda: clock.advance(loops.LONG_TURN_S + 0.01))
+    lh.run_pending(loop)
+    assert [record.msg for record in caplog.records] == ["long turn"]
