Leave replies unread at the bound on memory, and give up the largest first

What callers saw: a sound answer of a request that had run became a 502 beside a faulty endpoint's bytes without end.

Cause: at the bound on all bodies together the transfer whose bytes came next was broken off, whoever's it was.

Change: byte_room shares the room. A peer that holds less than its fair part takes room from the one that holds most; others wait with their sockets left unread, and one of them goes on in room of its own. A declared length over the bound ends the transfer at its head. A buffered reply counts until its request has ended, not only until its transfer has.

test_endless_replies_share_a_bound_on_memory counted the bodies through reply(), which no longer copies them; it now counts them in the transfers, compares that with the room's own count, and keeps to the same 64 MiB.

--- a/chervilarch/final_call.py
+++ b/chervilarch/final_call.py
@@ -10,6 +10,7 @@
     attempts,
     endpoint_lease,
     exchanges,
+    http_client,
     outcomes,
     placement,
     routed,
@@ -46,7 +47,7 @@
     """An attempt that has no result yet."""
 
     lease: placement.Lease
-    transfer: object
+    transfer: http_client.Transfer
     future: "Future[Success | attempts.Failure]"
 
 
@@ -226,6 +227,8 @@
         self._pool = ctx.req.route.pool_for(ctx.req.id)
         self._tried: set[str] = set()
         self._running: list[RunningAttempt] = []
+        # Its reply's body is kept until this call ends.
+        self._transfers: list[http_client.Transfer] = []
 
     def run(self) -> tasks.Coroutine[outcomes.Outcome]:
         """Returns an `Answer` whose output is a `Success`, or a failure."""
@@ -233,6 +236,8 @@
             return (yield from self._run())
         finally:
             self._abandon_running()
+            for transfer in self._transfers:
+                transfer.drop_body()
 
     def _run(self) -> tasks.Coroutine[outcomes.Outcome]:
         ctx = self._ctx
@@ -336,6 +341,8 @@
             exchange,
             lambda result: self._resolve(fut, lease, transfer, result),
         )
+        transfer.keep_body()
+        self._transfers.append(transfer)
         record_send(ctx, lease)
         self._running.append(RunningAttempt(lease, transfer, fut))
         return None
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -178,7 +178,7 @@
 
     def _check_memory(self) -> None:
         size = process_memory.private_bytes()
-        reply_bytes = self._ctrl.client.kept_bytes
+        reply_bytes = self._ctrl.client.room.size
         self._meters.set_memory(size, reply_bytes)
         self._memory_peak.observe(
             size,
--- a/chervilarch/http_client.py
+++ b/chervilarch/http_client.py
@@ -12,13 +12,20 @@
 
 import pycurl
 
-from chervilarch import exchanges, guards, reply_head, tasks
+from chervilarch import byte_room, exchanges, guards, reply_head, tasks
 from chervilarch import loop as loops
 
 CONNECT_TIMEOUT_S = 0.5
 MAX_REPLY_BYTES = 16 * 1024 * 1024
-# Bound on the bodies of all running transfers together.
-MAX_KEPT_BYTES = 64 * 1024 * 1024
+# Bounds on the bodies that are kept, for a process without other ones.
+DEFAULT_BOUNDS = byte_room.Bounds(
+    shared=48 * 1024 * 1024,
+    largest=MAX_REPLY_BYTES,
+    small=16 * 1024 * 1024,
+)
+# While transfers wait for room, this often it is looked whether they wait for a
+# silent one.
+_ROOM_CHECK_INTERVAL_S = 0.25
 _MAX_IDLE_CONNECTIONS = 32
 # Below the shortest idle time-out of the servers whose connections are reused.
 _CONNECTION_MAX_IDLE_S = 3
@@ -43,7 +50,11 @@
         self.head = reply_head.ReplyHead()
         # Why this side broke the transfer off, or "".
         self.fault = ""
+        # Whether the reply is left unread for lack of room.
+        self.waits_for_room = False
         self._body = bytearray()
+        self._holder: byte_room.Holder | None = None
+        self.is_body_kept = False
 
     def cancel(self) -> None:
         """Closes the connection; `on_done` isn't called."""
@@ -63,52 +74,83 @@
         try:
             self.curl.pause(state)
         except pycurl.error as exc:
+            if exc.args[0] == pycurl.E_WRITE_ERROR and self.fault:
+                self._client.end_broken_off_soon(self)
             # The end of the reply has arrived, but `on_done` wasn't called yet.
-            if exc.args[0] != pycurl.E_BAD_FUNCTION_ARGUMENT:
+            elif exc.args[0] != pycurl.E_BAD_FUNCTION_ARGUMENT:
                 raise
 
     def reply(self, elapsed_s: float) -> exchanges.Reply:
-        """Returns the reply as far as it has been received."""
+        """Returns the reply as far as it was received, without its body."""
         return exchanges.Reply(
-            self.head.status, dict(self.head.headers), self.body(), elapsed_s
+            self.head.status, dict(self.head.headers), b"", elapsed_s
         )
 
-    def body(self) -> bytes:
-        """Returns the part of the body that is kept for `on_done`."""
-        return bytes(self._body)
+    def kept_bytes(self) -> int:
+        """Returns the size of the body so far."""
+        return len(self._body)
+
+    def keep_body(self) -> None:
+        """Counts the body as kept after `on_done` too, until `drop_body`."""
+        self.is_body_kept = True
+
+    def drop_body(self) -> None:
+        """Returns the room of the body, which nobody needs any longer."""
+        self.is_body_kept = False
+        if self.curl is None:
+            self.close_holder()
+
+    def close_holder(self) -> None:
+        """Returns the room of the body unless `keep_body` was called."""
+        if self._holder is not None and not self.is_body_kept:
+            self._client.room.close(self._holder)
+            self._holder = None
+
+    def take_body(self) -> bytes:
+        """Returns the body, which isn't kept here any longer."""
+        body, self._body = bytes(self._body), bytearray()
+        if self._holder is not None:
+            self._holder.on_evicted = None
+        return body
 
     def on_body_chunk(self, chunk: bytes) -> int:
         """Stores a chunk of the body; called by libcurl."""
         if self.on_data is not None and self.head.status == 200:
             self._client.queue_chunk(self, chunk)
             return len(chunk)
-        if len(self._body) + len(chunk) > MAX_REPLY_BYTES:
-            self.fault = f"the reply is over {MAX_REPLY_BYTES} bytes"
-            return 0
-        if self._client.kept_bytes + len(chunk) > MAX_KEPT_BYTES:
-            self.fault = (
-                f"all replies are over {MAX_KEPT_BYTES} bytes, "
-                f"this one has {len(self._body)}"
+        if self._holder is None:
+            self._holder = self._client.open_holder(self)
+        grant = self._client.take_room(self._holder, len(chunk))
+        self.waits_for_room = grant is byte_room.Grant.WAIT
+        if self.waits_for_room:
+            return pycurl.WRITEFUNC_PAUSE
+        if grant is byte_room.Grant.REFUSED:
+            self.fault = self.fault or (
+                f"the reply is over {self._client.room.bounds.largest} bytes"
             )
             return 0
         self._body += chunk
-        self._client.kept_bytes += len(chunk)
         return len(chunk)
 
-    def kept_bytes(self) -> int:
-        """Returns the bytes of the body that are kept for `on_done`."""
-        return len(self._body)
+    def give_up(self) -> None:
+        """Drops the body for lack of room."""
+        self.fault = f"the reply had to give way, at {len(self._body)} bytes"
+        self._body = bytearray()
 
 
 class Client:
     """Drives a `pycurl.CurlMulti` from the event loop.
 
     Attributes:
-        kept_bytes: bytes of the bodies of all running transfers.
+        room: bounds the bodies that are kept.
     """
 
-    def __init__(self, loop: loops.Loop):
+    def __init__(
+        self, loop: loops.Loop, bounds: byte_room.Bounds = DEFAULT_BOUNDS
+    ):
         self._loop = loop
+        self.room = byte_room.Room(bounds)
+        self._room_timer: loops.Timer | None = None
         self._timer: loops.Timer | None = None
         self._multi = pycurl.CurlMulti()
         self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch)
@@ -117,7 +159,6 @@
         self._running: dict[pycurl.Curl, Transfer] = {}
         self._spare_handles: list[pycurl.Curl] = []
         self._queued_chunks: list[tuple[Transfer, bytes]] = []
-        self.kept_bytes = 0
 
     def start(
         self,
@@ -156,13 +197,68 @@
         """Queues a chunk for `on_data` until libcurl may be called again."""
         self._queued_chunks.append((transfer, chunk))
 
+    def open_holder(self, transfer: Transfer) -> byte_room.Holder:
+        """Returns a holder of room for the body of a transfer."""
+        peer = transfer.exchange.url.split("/")[2]
+        holder = self.room.open(
+            peer,
+            self._loop.now(),
+            # libcurl mustn't be called from its own callbacks.
+            lambda: self._loop.call_soon(lambda: self._resume(transfer)),
+            lambda: self._give_up(transfer),
+        )
+        holder.expected_size = transfer.head.content_length() or 0
+        return holder
+
+    def take_room(self, holder: byte_room.Holder, size: int) -> byte_room.Grant:
+        """Asks for more room for a body."""
+        grant = self.room.take(holder, size, self._loop.now())
+        if grant is byte_room.Grant.WAIT and self._room_timer is None:
+            self._check_room_later()
+        return grant
+
+    def _check_room_later(self) -> None:
+        self._room_timer = self._loop.call_later(
+            _ROOM_CHECK_INTERVAL_S, self._check_room
+        )
+
+    def _check_room(self) -> None:
+        self._room_timer = None
+        if self.room.is_awaited():
+            self._check_room_later()
+            self.room.check(self._loop.now())
+
+    def _resume(self, transfer: Transfer) -> None:
+        """Reads on a reply that may have room now."""
+        if transfer.curl is not None and transfer.waits_for_room:
+            transfer.resume()
+            self._deliver()
+
+    def _give_up(self, transfer: Transfer) -> None:
+        transfer.give_up()
+        self.end_broken_off_soon(transfer)
+
+    def end_broken_off_soon(self, transfer: Transfer) -> None:
+        """Ends a transfer that this side broke off."""
+        self._loop.call_soon(lambda: self._end_broken_off(transfer))
+
+    def _end_broken_off(self, transfer: Transfer) -> None:
+        if transfer.curl is None:
+            return
+        failure = exchanges.TransferFailure(
+            exchanges.FailureKind.TOO_LARGE,
+            transfer.fault,
+            reply_head.was_sent(transfer.curl),
+        )
+        self._end(transfer, failure)
+
     def release(self, transfer: Transfer) -> None:
         """Removes a transfer; closes the connection of an unfinished one."""
         curl, transfer.curl = transfer.curl, None
         if curl is None:
             return
         del self._running[curl]
-        self.kept_bytes -= transfer.kept_bytes()
+        transfer.close_holder()
         self._multi.remove_handle(curl)
         if len(self._spare_handles) < _MAX_SPARE_HANDLES:
             curl.reset()
@@ -238,10 +334,20 @@
                     code,
                     transfer.fault or text,
                     transfer.head,
-                    transfer.body(),
+                    transfer.take_body(),
                 )
-                self.release(transfer)
-                guards.call(transfer.on_done, result)
+                self._end(transfer, result)
+
+    def _end(
+        self, transfer: Transfer, result: exchanges.TransferResult
+    ) -> None:
+        """Passes a result on, and keeps room for its body meanwhile."""
+        is_kept = transfer.is_body_kept
+        transfer.keep_body()
+        self.release(transfer)
+        guards.call(transfer.on_done, result)
+        if not is_kept or not isinstance(result, exchanges.Reply):
+            transfer.drop_body()
 
 
 def _configure(curl: pycurl.Curl, transfer: Transfer) -> None:
--- a/chervilarch/reply_head.py
+++ b/chervilarch/reply_head.py
@@ -11,6 +11,7 @@
 }
 _FIRST_FINAL_STATUS = 200
 _STATUS_DIGITS = 3
+_MAX_LENGTH_DIGITS = 18
 _LENGTH_HEADERS = {"content-length", "transfer-encoding"}
 
 
@@ -53,6 +54,12 @@
             return None
         return self._end_head()
 
+    def content_length(self) -> int | None:
+        """Returns the length that the head names, None without a usable one."""
+        text = dict(self.headers).get("content-length", "")
+        is_number = text.isascii() and text.isdigit()
+        return int(text[:_MAX_LENGTH_DIGITS]) if is_number else None
+
     def _end_head(self) -> int | None:
         if self._partial_status < _FIRST_FINAL_STATUS:
             return None
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -6,6 +6,7 @@
 import pytest
 from gateway_world import (
     KEY,
+    answer,
     events,
     route_document,
     status,
@@ -100,7 +101,7 @@
     client = http_client.Client(loop)
     # One reply stays below its own bound.
     block = b"x" * (http_client.MAX_REPLY_BYTES - _BLOCK)
-    start = b"HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n"
+    start = b"HTTP/1.1 200 OK\r\n\r\n"
     most = 0
     transfers = []
     for _ in range(8):
@@ -113,13 +114,65 @@
 
     def is_full():
         nonlocal most
-        kept = sum(len(t.reply(0.0).body) for t in transfers if t.curl)
+        kept = sum(transfer.kept_bytes() for transfer in transfers)
+        assert kept == client.room.size
         most = max(most, kept)
-        return sum(t.curl is None for t in transfers) >= 4
+        return any(t.fault or t.waits_for_room for t in transfers)
 
     lh.run_until(loop, is_full)
-    assert most <= http_client.MAX_KEPT_BYTES
+    for _ in range(100):
+        loop.run_once(0.01)
+        is_full()
+    bounds = client.room.bounds
+    assert most <= bounds.shared + bounds.largest <= 64 * 1024 * 1024
     client.close()
+    assert not client.room.size
+
+
+def test_a_reply_that_names_a_length_over_the_bound_is_not_kept(endless):
+    loop = loops.Loop(clocks.SystemClock())
+    client = http_client.Client(loop)
+    start = b"HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n"
+    server = endless(start, b"x" * _BLOCK)
+    raw = lh.RawServer(server.serve)
+    exchange = exchanges.Exchange(
+        "GET", f"http://{raw.address}/", timeout_s=60.0, fresh=True
+    )
+    fut = client.call(exchange)
+    lh.run_until(loop, fut.done)
+    assert isinstance(fut.result(), exchanges.TransferFailure)
+    assert server.has_ended.wait(lh.TIMEOUT_S)
+    assert server.sent_bytes < http_client.MAX_REPLY_BYTES
+    assert not client.room.size
+
+
+@pytest.mark.parametrize("size", [64 * 1024, 2 * 1024 * 1024])
+def test_a_sound_answer_is_not_cut_for_the_bytes_of_a_faulty_endpoint(
+    world, endless, size
+):
+    # Four of the faulty endpoint's replies take all the room.
+    block = b"x" * (http_client.MAX_REPLY_BYTES - 8 * 1024)
+    server = endless(_HEAD + b"\r\n" + block, b"", 0.01)
+    world.endpoint("e1", server.serve)
+    body = b"s" * size
+    world.endpoint("e2", lh.answer_with(answer(body=body)), pool="s2")
+    world.start(
+        route_document(kind="non_idempotent"),
+        route_document(
+            name="r2",
+            path_prefix="/sound/",
+            service="s2",
+            kind="non_idempotent",
+        ),
+    )
+    callers = [world.send(KEY) for _ in range(4)]
+    lh.run_until(
+        world.loop, lambda: world.ctrl.client.room.size > 47 * 1024 * 1024
+    )
+    for _ in range(20):
+        assert world.fetch(KEY, path="/sound/1").endswith(body)
+    for caller in callers:
+        caller.close()
 
 
 @pytest.mark.parametrize("path", ["/x/1", "/buffered/1"])
