Count answers that callers haven't read in the room for replies

Cause: a body left the count when its transfer ended, and was then copied to the connection's buffer, where nothing counted it.

Change: the connection's unsent bytes count in the same room, so further large replies are left unread. write_buffer keeps large pieces as they are instead of copying them.

--- a/chervilarch/byte_room.py
+++ b/chervilarch/byte_room.py
@@ -142,14 +142,12 @@
         self._add(holder, size)
         return Grant.TAKEN
 
-    def add(self, holder: Holder, size: int) -> None:
+    def set_size(self, holder: Holder, size: int) -> None:
         """Counts bytes that are held already, also beyond the bound."""
-        self._add(holder, size)
-
-    def give_back(self, holder: Holder, size: int) -> None:
-        """Returns a part of a holder's room."""
-        self._add(holder, -size)
-        self._wake()
+        is_less = size < holder.size
+        self._add(holder, size - holder.size)
+        if is_less:
+            self._wake()
 
     def close(self, holder: Holder) -> None:
         """Removes a holder and returns its room."""
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -89,7 +89,10 @@
         )
         self._handler = serving.CallerHandler(self._ctrl, self._serving_state)
         self._caller_server = http_server.Server(
-            self._loop, cfg.caller_address, self._handler
+            self._loop,
+            cfg.caller_address,
+            self._handler,
+            room=client.room,
         )
         self._ready_server = http_server.Server(
             self._loop, cfg.ready_address, pages.PageHandler(self._ready_page)
--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -13,8 +13,8 @@
 
 import h11
 
+from chervilarch import byte_room, request_framing, state_log, write_buffer
 from chervilarch import loop as loops
-from chervilarch import request_framing, state_log
 
 _RECV_BYTES = 64 * 1024
 _BACKLOG = 1024
@@ -193,6 +193,7 @@
         address: str,
         handler: Handler,
         build_rejection: Callable[[int, str], Rejection] = _empty_rejection,
+        room: byte_room.Room | None = None,
     ):
         """Binds the address.
 
@@ -202,11 +203,13 @@
             handler: serves the requests.
             build_rejection: returns the answer to a request that can't be read,
                 by its status and a description of the fault.
+            room: counts the bytes of answers that callers haven't read yet.
 
         Raises:
             OSError: the address can't be bound.
         """
         self.loop = loop
+        self.room = room or byte_room.Room(byte_room.Bounds(0, 0, 0))
         self.handler = handler
         self.build_rejection = build_rejection
         host, port = address.rsplit(":", 1)
@@ -287,7 +290,8 @@
         self._is_late = False
         self._responder: Responder | None = None
         self._on_disconnect: Callable[[], None] | None = None
-        self._out = bytearray()
+        self._out = write_buffer.WriteBuffer()
+        self._unsent_holder: byte_room.Holder | None = None
         self._closing = False
         self._closed = False
         self._pipelined_bytes = 0
@@ -350,7 +354,7 @@
             return
         data = self._codec.send(event)
         if data:
-            self._out += data
+            self._out.append(data)
             self._flush()
 
     def finish(self) -> None:
@@ -386,6 +390,7 @@
         self._log_close(reason)
         self._closed = True
         self._out.clear()
+        self._count_unsent()
         self._timer.cancel()
         self._loop.unwatch(self._sock)
         self._sock.close()
@@ -531,8 +536,10 @@
             body_timeout_s = limits.idle_timeout_s
         self._set_timer(body_timeout_s)
         if self._codec.they_are_waiting_for_100_continue:
-            self._out += self._codec.send(
-                h11.InformationalResponse(status_code=100, headers=[])
+            self._out.append(
+                self._codec.send(
+                    h11.InformationalResponse(status_code=100, headers=[])
+                )
             )
             self._flush()
 
@@ -586,10 +593,12 @@
                 ("Connection", "close"),
                 *extra_headers,
             ]
-            self._out += self._codec.send(_response_head(status, headers))
+            self._out.append(self._codec.send(_response_head(status, headers)))
             if rejection.body:
-                self._out += self._codec.send(h11.Data(data=rejection.body))
-            self._out += self._codec.send(h11.EndOfMessage())
+                self._out.append(
+                    self._codec.send(h11.Data(data=rejection.body))
+                )
+            self._out.append(self._codec.send(h11.EndOfMessage()))
         self._closing = True
         self._set_timer(UNREAD_TIMEOUT_S)
         self._flush()
@@ -598,16 +607,16 @@
         unsent_before = len(self._out)
         while self._out:
             try:
-                sent = self._sock.send(self._out)
+                self._out.write_to(self._sock)
             except BlockingIOError:
                 break
             except OSError:
                 self.close(CloseReason.CALLER_RESET)
                 return
-            del self._out[:sent]
             self.taken_at = self._loop.now()
         if self._closed:
             return
+        self._count_unsent()
         if self._closing and not self._out:
             self._finish_close()
             return
@@ -620,6 +629,21 @@
         if callback is not None:
             callback()
 
+    def _count_unsent(self) -> None:
+        """Counts the unsent bytes in the server's room."""
+        unsent = len(self._out)
+        room = self._server.room
+        if self._unsent_holder is None:
+            if not unsent:
+                return
+            self._unsent_holder = room.open(
+                self._peer, self._loop.now(), _do_nothing
+            )
+        room.set_size(self._unsent_holder, unsent)
+        if not unsent:
+            room.close(self._unsent_holder)
+            self._unsent_holder = None
+
     def _finish_close(self) -> None:
         # Closing a socket with unread bytes sends a reset, which could drop the
         # answer on its way; so only the write side is closed at first.
@@ -688,6 +712,10 @@
         self._reject(408, "the request wasn't sent in time")
 
 
+def _do_nothing() -> None:
+    pass
+
+
 def _create_codec(header_bytes: int) -> h11.Connection:
     return h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
 
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -56,7 +56,9 @@
         )
         self.serving_state = serving.ServingState()
         self.handler = serving.CallerHandler(self.ctrl, self.serving_state)
-        self.server = http_server.Server(self.loop, "127.0.0.1:0", self.handler)
+        self.server = http_server.Server(
+            self.loop, "127.0.0.1:0", self.handler, room=client.room
+        )
 
     def close(self):
         self.server.stop_accepting()
--- a/tests/test_byte_room.py
+++ b/tests/test_byte_room.py
@@ -132,7 +132,7 @@
 
 def test_bytes_that_can_not_be_given_up_stay(room):
     kept = Message(room, "a")
-    room.add(kept.holder, 390 * _KB)
+    room.set_size(kept.holder, 390 * _KB)
     kept.holder.on_evicted = None
     for message in [Message(room, "a") for _ in range(4)]:
         message.fill()
@@ -158,8 +158,8 @@
 
 def test_room_that_is_given_back_can_be_taken_again(room):
     message = Message(room, "a")
-    room.add(message.holder, 300 * _KB)
-    room.give_back(message.holder, 200 * _KB)
+    room.set_size(message.holder, 300 * _KB)
+    room.set_size(message.holder, 100 * _KB)
     assert room.size == 100 * _KB
     message.close()
     message.close()
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -175,6 +175,31 @@
         caller.close()
 
 
+def test_answers_that_nobody_reads_take_room_from_further_replies(world):
+    body = b"s" * (8 * 1024 * 1024)
+    world.endpoint("e1", lh.answer_with(answer(body=body)))
+    world.start(route_document(kind="non_idempotent"))
+    callers = [world.send(KEY) for _ in range(12)]
+    bounds = world.ctrl.client.room.bounds
+    most = 0
+
+    def is_full():
+        nonlocal most
+        most = max(most, world.ctrl.client.room.size)
+        return most > bounds.shared
+
+    lh.run_until(world.loop, is_full)
+    for _ in range(100):
+        world.loop.run_once(0.01)
+        is_full()
+    assert most <= sum(bounds)
+    for caller in callers[1:]:
+        caller.close()
+    received = lh.receive(world.loop, callers[0], lambda data: body in data)
+    assert status(received) == 200
+    lh.run_until(world.loop, lambda: not world.ctrl.client.room.size)
+
+
 @pytest.mark.parametrize("path", ["/x/1", "/buffered/1"])
 @pytest.mark.parametrize("case", CASES)
 def test_a_request_ends_soon_when_its_endpoint_never_stops(
