Bound the bodies of all callers together by the host's memory

Cause: each request had a bound and all together had none; a gateway didn't know its limit on memory.

Change: memory_mb is in the settings, and memory_limits divides it. A body takes room, its whole declared length at once, before it is read; without room its socket is left unread, and after 0.5 s it is refused as not run (503, Retry-After). Bodies of up to 64 KiB have room of their own. While others wait, a body that makes no progress for 2 s gets 408. 100-continue is sent once there is room.

--- a/chervilarch/byte_room.py
+++ b/chervilarch/byte_room.py
@@ -13,8 +13,7 @@
 
 # Messages up to this size don't wait for larger ones.
 SMALL_BYTES = 64 * 1024
-# A holder that others wait for may be given up after a silence of this many
-# seconds.
+# A holder without progress for this many seconds is given up if others wait.
 MAX_SILENCE_S = 2.0
 
 
@@ -69,11 +68,11 @@
         # Part of `size` in the room for small messages.
         self.small_size = 0
         self.is_evicted = False
-        self.took_at = now
+        self.progressed_at = now
 
     def is_silent(self, now: float) -> bool:
-        """Returns whether it got room and hasn't asked for more in time."""
-        return now - self.took_at > MAX_SILENCE_S
+        """Returns whether it got room and has made no progress since."""
+        return now - self.progressed_at > MAX_SILENCE_S
 
     def is_small_with(self, size: int) -> bool:
         """Returns whether it is a small message with so many more bytes."""
@@ -138,7 +137,7 @@
             self._waiting.setdefault(holder)
             return Grant.WAIT
         self._waiting.pop(holder, None)
-        holder.took_at = now
+        holder.progressed_at = now
         self._add(holder, size)
         return Grant.TAKEN
 
@@ -165,12 +164,16 @@
         return bool(self._waiting)
 
     def check(self, now: float) -> None:
-        """Gives up a holder that all others wait for and that is silent."""
-        leader = self._leader
-        if leader is None or not self._waiting or leader in self._waiting:
+        """Gives up the largest of the silent holders if others wait."""
+        if not self._waiting:
             return
-        if leader.is_silent(now) and leader.on_evicted:
-            self._evict(leader)
+        silent = [
+            holder
+            for holder in self._holders
+            if holder.size and self._is_idle(holder, now)
+        ]
+        if silent:
+            self._evict(max(silent, key=lambda holder: holder.size))
             self._wake()
 
     def _may_take(self, holder: Holder, size: int, now: float) -> bool:
@@ -196,6 +199,9 @@
 
     def _may_lead(self, holder: Holder) -> bool:
         """Returns whether a holder is the one that goes on."""
+        if self.size <= self.bounds.shared + self._small_size:
+            # Nobody uses the room of the one that goes on.
+            self._leader = None
         if self._leader is None:
             self._leader = min(
                 [*self._waiting, holder],
@@ -230,10 +236,16 @@
             )
 
     def _may_evict(self, holder: Holder, now: float) -> bool:
-        if holder.on_evicted is None:
-            return False
-        is_silent = holder not in self._waiting and holder.is_silent(now)
-        return is_silent or not holder.expected_size
+        has_no_length = holder.on_evicted and not holder.expected_size
+        return has_no_length or self._is_idle(holder, now)
+
+    def _is_idle(self, holder: Holder, now: float) -> bool:
+        """Returns whether a holder may be given up for its silence."""
+        return (
+            holder.on_evicted is not None
+            and holder not in self._waiting
+            and holder.is_silent(now)
+        )
 
     def _evict(self, holder: Holder) -> None:
         on_evicted, holder.on_evicted = holder.on_evicted, None
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -9,6 +9,7 @@
 from chervilarch import (
     advisories,
     budgets,
+    byte_room,
     caller_wait,
     endpoint_limits,
     environment,
@@ -20,6 +21,7 @@
     http_client,
     http_server,
     membership,
+    memory_limits,
     pages,
     permits,
     piece_runner,
@@ -82,7 +84,8 @@
         self._loop = loops.Loop(env.clock)
         self._meters = meters
         self._serving_state = serving.ServingState()
-        client = http_client.Client(self._loop)
+        bounds = memory_limits.room_bounds(cfg.memory_mb)
+        client = http_client.Client(self._loop, bounds)
         store_client = platform_store.StoreClient(client, cfg.store_address)
         self._ctrl = build_controllers(
             cfg, self._loop, meters, client, store_client
@@ -92,7 +95,8 @@
             self._loop,
             cfg.caller_address,
             self._handler,
-            room=client.room,
+            answer_room=client.room,
+            body_room=byte_room.Room(bounds),
         )
         self._ready_server = http_server.Server(
             self._loop, cfg.ready_address, pages.PageHandler(self._ready_page)
--- a/chervilarch/gateway_settings.py
+++ b/chervilarch/gateway_settings.py
@@ -48,6 +48,7 @@
             count; the ports are those of `peer_ports`.
         cores: processor cores of this host, a fraction too; 0 if unknown.
         core_share: share of the time of `cores` that this host may use.
+        memory_mb: memory at which the process is killed; 0 if unknown.
         bounds: bounds that the deployment requires.
     """
 
@@ -63,6 +64,7 @@
     seeds: tuple[str, ...]
     cores: float
     core_share: float
+    memory_mb: float
     bounds: GatewayBounds
 
     def milli_cores(self) -> int:
@@ -87,6 +89,7 @@
         "seeds": [],
         "cores": 0.0,
         "core_share": 1.0,
+        "memory_mb": 0.0,
     }
     fields = defaults | document
     fields = {name: fields[name] for name in GatewaySettings._fields}
--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -36,6 +36,16 @@
 # A request of which bytes wait unread at its time limit may be read for this
 # long in addition: more may wait in the caller's kernel.
 LATE_READ_S = 0.5
+# A request that gets no room for its body within this time is refused. Callers
+# give up on a host that hasn't read their request after a second.
+ROOM_WAIT_S = 0.5
+# Retry-After of such a refusal, in seconds.
+ROOM_RETRY_S = 0.5
+# A body of which fewer bytes arrive within `byte_room.MAX_SILENCE_S` may be
+# refused while others wait for room.
+_LEAST_PROGRESS_BYTES = 64 * 1024
+_ROOM_CHECK_INTERVAL_S = 0.25
+_UNBOUNDED = byte_room.Bounds(2**62, 2**62, 2**62)
 
 # Doesn't say whether the request ran.
 _FAULT_STATUS = 502
@@ -193,7 +203,8 @@
         address: str,
         handler: Handler,
         build_rejection: Callable[[int, str], Rejection] = _empty_rejection,
-        room: byte_room.Room | None = None,
+        answer_room: byte_room.Room | None = None,
+        body_room: byte_room.Room | None = None,
     ):
         """Binds the address.
 
@@ -203,13 +214,17 @@
             handler: serves the requests.
             build_rejection: returns the answer to a request that can't be read,
                 by its status and a description of the fault.
-            room: counts the bytes of answers that callers haven't read yet.
+            answer_room: counts the bytes of answers that callers haven't read.
+            body_room: bounds the bodies of requests, from before they are read
+                until they are answered; unbounded by default.
 
         Raises:
             OSError: the address can't be bound.
         """
         self.loop = loop
-        self.room = room or byte_room.Room(byte_room.Bounds(0, 0, 0))
+        self.answer_room = answer_room or byte_room.Room(_UNBOUNDED)
+        self.body_room = body_room or byte_room.Room(_UNBOUNDED)
+        self._room_timer: loops.Timer | None = None
         self.handler = handler
         self.build_rejection = build_rejection
         host, port = address.rsplit(":", 1)
@@ -242,6 +257,19 @@
         for conn in list(self._connections):
             conn.refuse_if_reading()
 
+    def check_room(self) -> None:
+        """Makes bodies that don't arrive give way while others wait."""
+        if self._room_timer is None:
+            self._room_timer = self.loop.call_later(
+                _ROOM_CHECK_INTERVAL_S, self._check_room
+            )
+
+    def _check_room(self) -> None:
+        self._room_timer = None
+        if self.body_room.is_awaited():
+            self.body_room.check(self.loop.now())
+            self.check_room()
+
     def remove(self, conn: "_Connection") -> None:
         """Removes a closed connection."""
         self._connections.discard(conn)
@@ -292,6 +320,12 @@
         self._on_disconnect: Callable[[], None] | None = None
         self._out = write_buffer.WriteBuffer()
         self._unsent_holder: byte_room.Holder | None = None
+        self._body_holder: byte_room.Holder | None = None
+        # Bytes of the body for which there is no room yet.
+        self._unplaced_bytes = 0
+        self._progress_bytes = 0
+        # Set while the body waits for room, and left unread.
+        self._room_timer: loops.Timer | None = None
         self._closing = False
         self._closed = False
         self._pipelined_bytes = 0
@@ -362,6 +396,7 @@
         if self._closed:
             return
         self.send_event(h11.EndOfMessage())
+        self._close_body_holder()
         self._responder = None
         self._on_disconnect = None
         self._head = None
@@ -391,6 +426,7 @@
         self._closed = True
         self._out.clear()
         self._count_unsent()
+        self._close_body_holder()
         self._timer.cancel()
         self._loop.unwatch(self._sock)
         self._sock.close()
@@ -416,7 +452,10 @@
 
     def _watch(self) -> None:
         events = 0
-        if self._pipelined_bytes < _MAX_PIPELINED_BYTES:
+        if (
+            self._pipelined_bytes < _MAX_PIPELINED_BYTES
+            and self._room_timer is None
+        ):
             events |= selectors.EVENT_READ
         if self._out:
             events |= selectors.EVENT_WRITE
@@ -474,6 +513,8 @@
         """Reads events from the codec until a request is complete."""
         if self._closed or self._responder is not None or self._closing:
             return
+        if self._room_timer is not None:
+            return
         self._pipelined_bytes = 0
         if self._codec.trailing_data[0] and not self._first_byte_at:
             self._start_reading()
@@ -499,16 +540,14 @@
             event = self._codec.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
-            if not self._handle_event(event):
+            if not self._handle_event(event) or self._room_timer is not None:
                 return
 
     def _handle_event(self, event: h11.Event) -> bool:
         if isinstance(event, h11.Request):
             self._begin_request(event)
         elif isinstance(event, h11.Data):
-            self._body += event.data
-            if len(self._body) > self._limits.body_bytes:
-                self._reject_body()
+            self._add_body(event.data)
         elif isinstance(event, h11.EndOfMessage):
             self._serve()
         elif isinstance(event, h11.ConnectionClosed):
@@ -535,6 +574,25 @@
         if body_timeout_s is None:
             body_timeout_s = limits.idle_timeout_s
         self._set_timer(body_timeout_s)
+        length = request_framing.declared_length(head)
+        if length or request_framing.is_chunked(head):
+            self._open_body_holder(length)
+        if self._place_body(length):
+            self._invite_body()
+
+    def _open_body_holder(self, length: int) -> None:
+        self._body_holder = self._server.body_room.open(
+            self._peer,
+            self._loop.now(),
+            # The room calls back while it is being used.
+            lambda: self._loop.call_soon(self._read_on),
+            lambda: self._loop.call_soon(self._give_up_body),
+        )
+        self._body_holder.expected_size = length
+        self._progress_bytes = 0
+
+    def _invite_body(self) -> None:
+        """Lets a caller send its body that waits for that."""
         if self._codec.they_are_waiting_for_100_continue:
             self._out.append(
                 self._codec.send(
@@ -543,12 +601,84 @@
             )
             self._flush()
 
+    def _add_body(self, data: bytes) -> None:
+        """Adds a part of the body."""
+        self._body += data
+        if len(self._body) > self._limits.body_bytes:
+            self._reject_body()
+            return
+        holder = self._body_holder
+        self._progress_bytes += len(data)
+        if self._progress_bytes >= _LEAST_PROGRESS_BYTES:
+            self._progress_bytes = 0
+            holder.progressed_at = self._loop.now()
+        if not holder.expected_size:
+            self._place_body(len(data))
+
+    def _place_body(self, size: int) -> bool:
+        """Gets room for bytes of the body; without it the rest isn't read."""
+        if self._body_holder is None:
+            return True
+        self._unplaced_bytes += size
+        room = self._server.body_room
+        grant = room.take(
+            self._body_holder, self._unplaced_bytes, self._loop.now()
+        )
+        if grant is byte_room.Grant.WAIT:
+            if self._room_timer is None:
+                self._room_timer = self._loop.call_later(
+                    ROOM_WAIT_S, self._refuse_for_room
+                )
+                self._server.check_room()
+            return False
+        self._stop_waiting_for_room()
+        if grant is byte_room.Grant.REFUSED:
+            self._reject(413, "the body is larger than this host can keep")
+            return False
+        self._unplaced_bytes = 0
+        return True
+
+    def _stop_waiting_for_room(self) -> None:
+        if self._room_timer is not None:
+            self._room_timer.cancel()
+            self._room_timer = None
+
+    def _read_on(self) -> None:
+        """Reads on if there is room for the body now."""
+        if self._closed or self._closing or self._room_timer is None:
+            return
+        if self._place_body(0):
+            if not self._body:
+                self._invite_body()
+            self._parse()
+
+    def _refuse_for_room(self) -> None:
+        self._room_timer = None
+        self._reject(
+            503,
+            "this host has no room for the body",
+            [("Retry-After", str(ROOM_RETRY_S))],
+        )
+
+    def _give_up_body(self) -> None:
+        if not (self._closed or self._closing or self._responder):
+            self._reject(408, "the body had to give way to others")
+
+    def _close_body_holder(self) -> None:
+        holder, self._body_holder = self._body_holder, None
+        self._stop_waiting_for_room()
+        self._unplaced_bytes = 0
+        if holder is not None:
+            self._server.body_room.close(holder)
+
     def _reject_body(self) -> None:
         self._reject(413, f"the body is over {self._limits.body_bytes} bytes")
 
     def _serve(self) -> None:
         self._timer.cancel()
         self._has_served = True
+        if self._body_holder is not None:
+            self._body_holder.on_evicted = None
         head = self._head
         self._responder = Responder(self)
         req = Request(
@@ -600,6 +730,8 @@
                 )
             self._out.append(self._codec.send(h11.EndOfMessage()))
         self._closing = True
+        self._body.clear()
+        self._close_body_holder()
         self._set_timer(UNREAD_TIMEOUT_S)
         self._flush()
 
@@ -632,7 +764,7 @@
     def _count_unsent(self) -> None:
         """Counts the unsent bytes in the server's room."""
         unsent = len(self._out)
-        room = self._server.room
+        room = self._server.answer_room
         if self._unsent_holder is None:
             if not unsent:
                 return
--- a/chervilarch/request_framing.py
+++ b/chervilarch/request_framing.py
@@ -47,3 +47,8 @@
         if name == b"content-length":
             return int(value)
     return 0
+
+
+def is_chunked(head: h11.Request) -> bool:
+    """Returns whether the body of a request is sent in chunks."""
+    return any(name == b"transfer-encoding" for name, _ in head.headers)
--- a/chervilarch/schemas.py
+++ b/chervilarch/schemas.py
@@ -48,6 +48,7 @@
         "seeds": {"type": "array", "items": _ADDRESS},
         "cores": _POSITIVE,
         "core_share": _POSITIVE,
+        "memory_mb": _POSITIVE,
         "bounds": {
             "type": "object",
             "required": [
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -5,11 +5,13 @@
 import loop_helpers as lh
 
 from chervilarch import (
+    byte_room,
     clocks,
     gateway,
     gateway_settings,
     http_client,
     http_server,
+    memory_limits,
     serving,
     store,
     telemetry,
@@ -47,6 +49,7 @@
             (),
             0.0,
             1.0,
+            0.0,
             BOUNDS,
         )
         self.meters = telemetry.Telemetry()
@@ -57,7 +60,11 @@
         self.serving_state = serving.ServingState()
         self.handler = serving.CallerHandler(self.ctrl, self.serving_state)
         self.server = http_server.Server(
-            self.loop, "127.0.0.1:0", self.handler, room=client.room
+            self.loop,
+            "127.0.0.1:0",
+            self.handler,
+            answer_room=client.room,
+            body_room=byte_room.Room(memory_limits.room_bounds(0.0)),
         )
 
     def close(self):
