Count a call as late also if the request's timer runs before libcurl's

What was seen: test_a_time_out_counts_only_after_the_route_has_been_answered failed once beside other runs (load 17): the endpoint had no failure.

Cause: a call ends 10 ms before its caller's deadline, the request 5 ms before. A loop that is busy for those 5 ms runs the request's timer while libcurl, which counts whole milliseconds, has yet to end the call; the call was then abandoned and the endpoint only suspected.

Evidence: the log of the failure has "request ended" without "attempt failed"; test_a_time_out_counts_also_if_the_request_ends_before_its_call brings the order about and fails before.

Change: a call whose time has run out is late, whoever notices first.

--- a/chervilarch/final_call.py
+++ b/chervilarch/final_call.py
@@ -36,6 +36,11 @@
 _HEDGE_EXTRA_S = 0.05
 
 
+_OUT_OF_TIME = attempts.Failure(
+    attempts.FailureCause.LATE, "no reply before the deadline"
+)
+
+
 class Success(NamedTuple):
     """A complete, stamped reply to this request."""
 
@@ -360,14 +365,18 @@
         """Abandons the attempts that are no longer needed.
 
         Their endpoints become suspects: another attempt answered first, or the
-        request ended (at its deadline, or because the caller left or this host
-        stops) before they answered.
+        request ended (because the caller left or this host stops) before they
+        answered. One whose time has run out is late, also if the request's
+        timer ran before libcurl's.
         """
         for attempt in self._running:
             # Cancelling a call that may run only once can't undo it, so it is
             # left to end by itself.
             if self._ctx.req.is_retryable():
                 attempt.transfer.cancel()
+            if self._ctx.remaining_s() <= RETURN_MARGIN_S:
+                finish_attempt(self._ctx, attempt.lease, _OUT_OF_TIME)
+                continue
             self._ctx.ctrl.placement.abandon(attempt.lease, is_suspect=True)
             self._ctx.ctrl.prompt_guard.record_end(attempt.lease, None)
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -257,6 +257,30 @@
     assert endpoint().failures == 1 and endpoint().suspicions == 1
 
 
+def test_a_time_out_counts_also_if_the_request_ends_before_its_call(
+    world, monkeypatch
+):
+    def answer_unless_slow(conn):
+        if b" /x/slow" in lh.read_request(conn):
+            conn.recv(1)
+        else:
+            conn.sendall(answer())
+
+    start = world.ctrl.client.start
+
+    def start_with_more_time(exchange, *args):
+        more_s = exchange.timeout_s + 1.0
+        return start(exchange._replace(timeout_s=more_s), *args)
+
+    monkeypatch.setattr(world.ctrl.client, "start", start_with_more_time)
+    world.endpoint("e1", answer_unless_slow)
+    world.start(route_document(kind="non_idempotent", timeout_ms=200))
+    assert status(world.fetch(KEY)) == 200
+    assert status(world.fetch(KEY, path="/x/slow")) == 504
+    endpoint = world.ctrl.placement._pools["s1"]["e1"]
+    assert endpoint.failures == 1 and endpoint.suspicions == 1
+
+
 @pytest.mark.parametrize("ends", [True, False])
 def test_a_broken_stream_that_may_not_be_resumed_never_looks_complete(
     world, ends
