Bound the bodies that the router's transfers keep together

What callers saw: beside endpoints that send bytes without end a router's memory grew without a bound, until its process ends and with it all requests.

Cause: each transfer kept up to 8 MiB of its reply, and nothing bounded the sum: 192 requests at a time, each with two attempts.

A body keeps its room until the request has read it.

--- a/chervilarch/call_stage.py
+++ b/chervilarch/call_stage.py
@@ -192,9 +192,13 @@
     ) -> attempts.Success | attempts.Failure:
         """Waits for an attempt's result, records it and releases the slot."""
         transfer_result = running.transfer.future.result()
-        attempt_result = attempts.classify(
-            transfer_result, running.attempt.attempt_id
-        )
+        try:
+            attempt_result = attempts.classify(
+                transfer_result, running.attempt.attempt_id
+            )
+        finally:
+            # Returns the room of the body.
+            running.transfer.cancel()
         elapsed_s = self.ctrl.clock.monotonic() - running.started_at
         self.record_end(
             running.attempt, attempt_result, elapsed_s, transfer_result
