Keep only the start of an endpoint's error text in the router

What callers saw: nothing yet, until the router's process ends for its memory, or until every router refuses calls that may not be repeated.

Cause: the text of an error reply, up to 8 MiB, became an attempt's detail. The explanations of the last 5,000 requests keep it; a call that may not be repeated appends it to the platform's log as its result. A page of the log with it is over 8 MiB and so never read again: every router then lacks the claims until the record expires.

Change: 500 characters are kept; an error that is no text counts as none.

--- a/chervilarch/attempts.py
+++ b/chervilarch/attempts.py
@@ -10,6 +10,9 @@
 _HTTP_OK = 200
 _MS_PER_S = 1000
 LOAD_HEADER = "x-load"
+# Of an endpoint's error text, which explanations, records of the log and
+# callers' answers hold, this much is kept.
+MAX_DETAIL_CHARS = 500
 
 
 class FailureCause(enum.Enum):
@@ -129,7 +132,9 @@
         if "output" not in reply:
             return Failure(FailureCause.FAILED, "the reply has no output")
         return Success(reply["output"])
-    detail = str(reply.get("error", f"status {result.status}"))
+    detail = f"status {result.status}"
+    if isinstance(reply.get("error"), str):
+        detail = reply["error"][:MAX_DETAIL_CHARS]
     if reply.get("ran") is False:
         leaving = reply.get("error") == "leaving"
         return Failure(
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -139,6 +139,20 @@
     assert attempt_result.certainly_not_run() is surely_not_run
 
 
+@pytest.mark.parametrize(
+    ("error", "detail"),
+    [
+        ("e" * 2**20, "e" * 500),
+        (["e"] * 2**20, "status 422"),
+        ({"e": "e"}, "status 422"),
+        ("short", "short"),
+    ],
+)
+def test_an_endpoint_s_long_error_text_is_not_kept(error, detail):
+    result = reply(422, {"attempt_id": "a", "error": error})
+    assert attempts.classify(result, "a").detail == detail
+
+
 OUTCOMES = [
     (outcomes.Rejected(Reason.BAD_REQUEST, "d", "r"), 400, False),
     (outcomes.NotRun(Reason.OVERLOADED, "d", "r"), 503, True),
