End a stream that sends more tokens than were asked for

What callers saw: tokens without end of a faulty engine until their deadline, and a router whose memory grows with them.

Cause: the router keeps a stream's tokens to resume it, and nothing bounded their number or their text; `max_tokens` was only passed on.

Change: a token beyond `max_tokens`, or text beyond 2 Mi characters, fails the attempt. The tokens until then stand, so that another engine can end the answer.

--- a/chervilarch/stream_stage.py
+++ b/chervilarch/stream_stage.py
@@ -21,7 +21,7 @@
 def run_stream(run: call_stage.StageRun) -> call_stage.StageResult:
     """Collects all tokens of a stage; a new attempt resumes a broken stream."""
     run.ctrl.retry_budget.earn()
-    sequence = tokens.TokenSequence()
+    sequence = tokens.TokenSequence(run.req.max_tokens)
     last_failure = None
     while True:
         remaining_s = run.remaining_s()
@@ -139,6 +139,7 @@
     tokens.StreamFault.MALFORMED: attempts.FailureCause.FAILED,
     tokens.StreamFault.SHORT: attempts.FailureCause.FAILED,
     tokens.StreamFault.OVERFLOW: attempts.FailureCause.FAILED,
+    tokens.StreamFault.EXCESS: attempts.FailureCause.FAILED,
     tokens.StreamFault.ENGINE: attempts.FailureCause.FAILED,
 }
 
--- a/chervilarch/tokens.py
+++ b/chervilarch/tokens.py
@@ -5,7 +5,10 @@
 
 import msgspec
 
-from chervilarch import decoding, event_stream
+from chervilarch import caller_input, decoding, event_stream
+
+# Bounds the text of an answer, which is kept so that it can be resumed.
+MAX_TEXT_CHARS = 2 * 1024 * 1024
 
 
 class TokenData(TypedDict):
@@ -36,6 +39,8 @@
     SHORT = "an end before all tokens"
     # An incomplete event has grown over `event_stream.MAX_EVENT_BYTES`.
     OVERFLOW = "an event that is too long"
+    # More tokens than were asked for, or more text than is kept.
+    EXCESS = "more than was asked for"
     # The endpoint sent an error event.
     ENGINE = "the engine reported an error"
 
@@ -43,8 +48,10 @@
 class TokenSequence:
     """Tokens of one answer, which several attempts may have generated."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_tokens: int = caller_input.MAX_TOKENS) -> None:
         self.texts: list[str] = []
+        self._max_tokens = max_tokens
+        self._text_chars = 0
         self.ended = False
         self._attempt_id = ""
         self._parser = event_stream.EventParser()
@@ -87,8 +94,12 @@
         if token["index"] > expected:
             return StreamFault.GAP
         # A lower index repeats a token that was already received.
-        if token["index"] == expected and not self.ended:
-            self.texts.append(token["text"])
+        if token["index"] < expected or self.ended:
+            return None
+        self._text_chars += len(token["text"])
+        if expected >= self._max_tokens or self._text_chars > MAX_TEXT_CHARS:
+            return StreamFault.EXCESS
+        self.texts.append(token["text"])
         return None
 
     def _apply_end(self, end: EndData) -> StreamFault | None:
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -70,6 +70,31 @@
     assert sequence.ended
 
 
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"".join(token(index) for index in range(5)),
+        b"".join(token(index, text="t" * 900_000) for index in range(4)),
+    ],
+    ids=["tokens", "text"],
+)
+def test_tokens_without_end_are_not_kept(data):
+    sequence = tokens.TokenSequence(4)
+    sequence.begin_attempt("a")
+    assert sequence.feed(data) is tokens.StreamFault.EXCESS
+    assert len(sequence.texts) <= 4
+    assert sum(map(len, sequence.texts)) <= 2 * 2**20
+
+
+@pytest.mark.parametrize("repeated", [0, 3])
+def test_an_answer_of_all_tokens_asked_for_is_whole(repeated):
+    sequence = tokens.TokenSequence(4)
+    sequence.begin_attempt("a")
+    data = [token(index) for index in range(4)]
+    assert sequence.feed(b"".join([*data, *data[:repeated], end(4)])) is None
+    assert sequence.ended
+
+
 @seed(2)
 @settings(max_examples=300, deadline=None, database=None)
 @given(st.binary(max_size=400))
