Read a page of the log that is too large in parts

What callers saw: none yet; calls that may not be repeated would be refused by every router for up to an hour.

Cause: a router reads the platform's log in pages of up to 1,000 records, and a record may hold an answer of 16 KiB. A page over the 8 MiB of a reply failed and was asked for again as it was, for as long as the log keeps the records.

Evidence: two of the four new cases failed before, with 1,000 results of 16 kB and 20 records of 4 MB.

Change: a page that is too large is asked for again with an eighth of the records; the number doubles with each page that is read. One record over the bound remains an error.

Result: the new cases pass, and the 178 of three files around them.

--- a/chervilarch/log_client.py
+++ b/chervilarch/log_client.py
@@ -7,6 +7,8 @@
 from chervilarch import decoding, exchanges, records, transfers
 
 READ_LIMIT = 1000
+# A page that is too large is read again with this part of its limit.
+_LIMIT_DIVISOR = 8
 LONG_POLL_S = 5.0
 REPLY_MARGIN_S = 2.0
 APPEND_TIMEOUT_S = 2.0
@@ -65,20 +67,32 @@
     def __init__(self, address: str, transfer_thread: transfers.TransferThread):
         self._base_url = f"http://{address}/streams"
         self._transfers = transfer_thread
+        # Records in a page, by stream.
+        self._limits: dict[str, int] = {}
 
     def read(
         self, stream: str, offset: int, wait_s: float = LONG_POLL_S
     ) -> LogPage | LogError:
         """Reads records from an offset, waiting up to `wait_s` for one."""
+        limit = self._limits.get(stream, READ_LIMIT)
+        result = self._read_page(stream, offset, wait_s, limit)
+        while _is_too_large(result) and limit > 1:
+            limit = max(1, limit // _LIMIT_DIVISOR)
+            result = self._read_page(stream, offset, wait_s, limit)
+        self._limits[stream] = min(READ_LIMIT, 2 * limit)
+        return _parse_page(result)
+
+    def _read_page(
+        self, stream: str, offset: int, wait_s: float, limit: int
+    ) -> exchanges.TransferResult:
         wait_ms = int(wait_s * _MS_PER_S)
         url = (
             f"{self._base_url}/{stream}/records"
-            f"?from={max(0, offset)}&limit={READ_LIMIT}&wait_ms={wait_ms}"
+            f"?from={max(0, offset)}&limit={limit}&wait_ms={wait_ms}"
         )
-        result = self._transfers.send_and_wait(
+        return self._transfers.send_and_wait(
             exchanges.Exchange("GET", url, timeout_s=wait_s + REPLY_MARGIN_S)
         )
-        return _parse_page(result)
 
     def append(self, stream: str, bodies: list[records.Body]) -> int | LogError:
         """Appends records as one group.
@@ -108,6 +122,13 @@
         return offset
 
 
+def _is_too_large(result: exchanges.TransferResult) -> bool:
+    return (
+        isinstance(result, exchanges.TransferFailure)
+        and result.kind is exchanges.FailureKind.TOO_LARGE
+    )
+
+
 def _parse_reply(result: exchanges.TransferResult) -> dict[str, Any] | LogError:
     if isinstance(result, exchanges.TransferFailure):
         return LogError(f"{result.kind.value}: {result.detail}", result.sent)
