End a stream of the router that sends many bytes without a new token

What callers saw: other callers' answers took seconds beside engines that send comments or blank lines without end.

Cause: such bytes don't end a silence, but until it is over they are parsed as fast as they come; the first token may take half of the time that remains.

The four cases of test_bytes_without_a_new_token_end_an_attempt failed before.

Change: 8 MiB without a new token fail the attempt, as a reply of that size.

--- a/chervilarch/stream_stage.py
+++ b/chervilarch/stream_stage.py
@@ -140,6 +140,7 @@
     tokens.StreamFault.SHORT: attempts.FailureCause.FAILED,
     tokens.StreamFault.OVERFLOW: attempts.FailureCause.FAILED,
     tokens.StreamFault.EXCESS: attempts.FailureCause.FAILED,
+    tokens.StreamFault.IDLE: attempts.FailureCause.FAILED,
     tokens.StreamFault.ENGINE: attempts.FailureCause.FAILED,
 }
 
--- a/chervilarch/tokens.py
+++ b/chervilarch/tokens.py
@@ -9,6 +9,8 @@
 
 # Bounds the text of an answer, which is kept so that it can be resumed.
 MAX_TEXT_CHARS = 2 * 1024 * 1024
+# Bounds what an attempt may send without a new token.
+MAX_IDLE_BYTES = 8 * 1024 * 1024
 
 
 class TokenData(TypedDict):
@@ -41,6 +43,8 @@
     OVERFLOW = "an event that is too long"
     # More tokens than were asked for, or more text than is kept.
     EXCESS = "more than was asked for"
+    # Comments, events or repeated tokens without a new token.
+    IDLE = "many bytes without a new token"
     # The endpoint sent an error event.
     ENGINE = "the engine reported an error"
 
@@ -52,6 +56,8 @@
         self.texts: list[str] = []
         self._max_tokens = max_tokens
         self._text_chars = 0
+        # Bytes of the attempt since its last new token.
+        self._idle_bytes = 0
         self.ended = False
         self._attempt_id = ""
         self._parser = event_stream.EventParser()
@@ -61,10 +67,12 @@
     def begin_attempt(self, attempt_id: str) -> None:
         """Prepares for the stream of an attempt that resumes the answer."""
         self._attempt_id = attempt_id
+        self._idle_bytes = 0
         self._parser = event_stream.EventParser()
 
     def feed(self, chunk: bytes) -> StreamFault | None:
         """Parses bytes of the attempt and adds complete tokens to `texts`."""
+        count = len(self.texts)
         events = self._parser.feed(chunk)
         if isinstance(events, event_stream.EventOverflow):
             return StreamFault.OVERFLOW
@@ -72,7 +80,11 @@
             fault = self._apply_event(event)
             if fault is not None:
                 return fault
-        return None
+        self._idle_bytes += len(chunk)
+        if len(self.texts) > count or self.ended:
+            self._idle_bytes = 0
+        is_idle = self._idle_bytes > MAX_IDLE_BYTES
+        return StreamFault.IDLE if is_idle else None
 
     def _apply_event(self, event: event_stream.Event) -> StreamFault | None:
         try:
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -86,6 +86,29 @@
     assert sum(map(len, sequence.texts)) <= 2 * 2**20
 
 
+ENDLESS = {
+    "comments": b": c\n\n",
+    "blank lines": b"\n",
+    "other events": b"event: ping\ndata: {}\n\n",
+    "repeated tokens": token(0),
+}
+
+
+@pytest.mark.parametrize("kind", ENDLESS)
+def test_bytes_without_a_new_token_end_an_attempt(sequence, kind):
+    sequence.feed(token(0))
+    chunk = ENDLESS[kind] * (2**18 // len(ENDLESS[kind]))
+    faults = [sequence.feed(chunk) for _ in range(40)]
+    assert not any(faults[:30])
+    assert faults[-1] is tokens.StreamFault.IDLE
+
+
+def test_bytes_between_tokens_do_not_add_up(sequence):
+    comments = ENDLESS["comments"] * (2**20 // len(ENDLESS["comments"]))
+    for index in range(12):
+        assert sequence.feed(comments + token(index)) is None
+
+
 @pytest.mark.parametrize("repeated", [0, 3])
 def test_an_answer_of_all_tokens_asked_for_is_whole(repeated):
     sequence = tokens.TokenSequence(4)
