Bound the time of a whole transfer of the configuration between routers

What callers saw: a router kept an old configuration beside a peer that answers byte by byte; others got none from a router that four such peers had connected to.

Evidence: both tests of tests/test_dripping_peers.py failed before.

Change: a request has to come within a second and a reply within ten.

Result: both pass.

--- a/chervilarch/config_transfer.py
+++ b/chervilarch/config_transfer.py
@@ -8,6 +8,7 @@
 import secrets
 import socket
 import threading
+import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
@@ -15,7 +16,10 @@
 
 MAX_FRAME_BYTES = 32 * 1024 * 1024
 _MAX_REQUEST_BYTES = 4096
+# Bounds each wait for the peer, and the time to receive a request.
 _TIMEOUT_S = 1.0
+# Bounds the time to receive a reply.
+_REPLY_TIMEOUT_S = 10.0
 _THREADS = 4
 _LENGTH_BYTES = 4
 _ACCEPT_WAIT_S = 0.2
@@ -86,7 +90,9 @@
             self._connection_slots.release()
 
     def _handle_request(self, conn: socket.socket) -> None:
-        frame = _receive_frame(conn, _MAX_REQUEST_BYTES)
+        frame = _receive_frame(
+            conn, _MAX_REQUEST_BYTES, time.monotonic() + _TIMEOUT_S
+        )
         if frame is None:
             self._metrics.count("peers.bad_frame")
             return
@@ -114,7 +120,9 @@
         with socket.create_connection((host, int(port)), _TIMEOUT_S) as conn:
             req = messages.TransferRequest(nonce, address)
             _send_frame(conn, messages.encode_request(key, req))
-            frame = _receive_frame(conn, MAX_FRAME_BYTES)
+            frame = _receive_frame(
+                conn, MAX_FRAME_BYTES, time.monotonic() + _REPLY_TIMEOUT_S
+            )
     except OSError:
         return None
     if frame is None:
@@ -135,19 +143,38 @@
     conn.sendall(len(frame).to_bytes(_LENGTH_BYTES, "big") + frame)
 
 
-def _receive_frame(conn: socket.socket, max_bytes: int) -> bytes | None:
-    header = _receive_exactly(conn, _LENGTH_BYTES)
+def _receive_frame(
+    conn: socket.socket, max_bytes: int, ends_at: float
+) -> bytes | None:
+    header = _receive_exactly(conn, _LENGTH_BYTES, ends_at)
     if header is None:
         return None
     size = int.from_bytes(header, "big")
     if size > max_bytes:
         return None
-    return _receive_exactly(conn, size)
+    return _receive_exactly(conn, size, ends_at)
+
+
+def _receive_exactly(
+    conn: socket.socket, size: int, ends_at: float
+) -> bytes | None:
+    """Receives a number of bytes.
+
+    Args:
+        conn: the connection.
+        size: number of bytes.
+        ends_at: monotonic time at which to give up, however slowly bytes come.
 
+    Returns:
+        the bytes, None if the peer closed the connection before.
 
-def _receive_exactly(conn: socket.socket, size: int) -> bytes | None:
+    Raises:
+        OSError: they didn't come in time.
+    """
     data = bytearray()
     while len(data) < size:
+        if time.monotonic() >= ends_at:
+            raise TimeoutError("the peer sends too slowly")
         chunk = conn.recv(min(65536, size - len(data)))
         if not chunk:
             return None
