--- a/chervilarch/tokens.py
+++ b/chervilarch/tokens.py
@@ -5,7 +5,12 @@
 
 import msgspec
 
-from chervilarch import decoding, event_stream
+from chervilarch import caller_input, decoding, event_stream
+
+# Bounds the text of an answer, which is kept so that it can be resumed.
+MAX_TEXT_CHARS = 2 * 1024 * 1024
+# Bounds what an attempt may send without a new token.
+MAX_IDLE_BYTES = 8 * 1024 * 1024
 
 
 class TokenData(TypedDict):
@@ -36,6 +41,10 @@
     SHORT = "an end before all tokens"
     # An incomplete event has grown over `event_stream.MAX_EVENT_BYTES`.
     OVERFLOW = "an event that is too long"
+    # More tokens than were asked for, or more text than is kept.
+    EXCESS = "more than was asked for"
+    # Comments, events or repeated tokens without a new token.
+    IDLE = "many bytes without a new token"
     # The endpoint sent an error event.
     ENGINE = "the engine reported an error"
 
@@ -43,8 +52,12 @@
 class TokenSequence:
     """Tokens of one answer, which several attempts may have generated."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_tokens: int = caller_input.MAX_TOKENS) -> None:
         self.texts: list[str] = []
+        self._max_tokens = max_tokens
+        self._text_chars = 0
+        # Bytes of the attempt since its last new token.
+        self._idle_bytes = 0
         self.ended = False
         self._attempt_id = ""
         self._parser = event_stream.EventParser()
@@ -54,10 +67,12 @@
     def begin_attempt(self, attempt_id: str) -> None:
         """Prepares for the stream of an attempt that resumes the answer."""
         self._attempt_id = attempt_id
+        self._idle_bytes = 0
         self._parser = event_stream.EventParser()
 
     def feed(self, chunk: bytes) -> StreamFault | None:
         """Parses bytes of the attempt and adds complete tokens to `texts`."""
+        count = len(self.texts)
         events = self._parser.feed(chunk)
         if isinstance(events, event_stream.EventOverflow):
             return StreamFault.OVERFLOW
@@ -65,7 +80,11 @@
             fault = self._apply_event(event)
             if fault is not None:
                 return fault
-        return None
+        self._idle_bytes += len(chunk)
+        if len(self.texts) > count or self.ended:
+            self._idle_bytes = 0
+        is_idle = self._idle_bytes > MAX_IDLE_BYTES
+        return StreamFault.IDLE if is_idle else None
 
     def _apply_event(self, event: event_stream.Event) -> StreamFault | None:
         try:
@@ -87,8 +106,12 @@
         if token["index"] > expected:
             return StreamFault.GAP
         # A lower index repeats a token that was already received.
-        if token["index"] == expected and not self.ended:
-            self.texts.append(token["text"])
+        if token["index"] < expected or self.ended:
+            return None
+        self._text_chars += len(token["text"])
+        if expected >= self._max_tokens or self._text_chars > MAX_TEXT_CHARS:
+            return StreamFault.EXCESS
+        self.texts.append(token["text"])
         return None
 
     def _apply_end(self, end: EndData) -> StreamFault | None:
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -70,6 +70,54 @@
     assert sequence.ended
 
 
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"".join(token(index) for index in range(5)),
+        b"".join(token(index, text="t" * 900_000) for index in range(4)),
+    ],
+    ids=["tokens", "text"],
+)
+def test_tokens_without_end_are_not_kept(data):
+    sequence = tokens.TokenSequence(4)
+    sequence.begin_attempt("a")
+    assert sequence.feed(data) is tokens.StreamFault.EXCESS
+    assert len(sequence.texts) <= 4
+    assert sum(map(len, sequence.texts)) <= 2 * 2**20
+
+
+ENDLESS = {
+    "comments": b": c\n\n",
+    "blank lines": b"\n",
+    "other events": b"event: ping\ndata: {}\n\n",
+    "repeated tokens": token(0),
+}
+
+
+@pytest.mark.parametrize("kind", ENDLESS)
+def test_bytes_without_a_new_token_end_an_attempt(sequence, kind):
+    sequence.feed(token(0))
+    chunk = ENDLESS[kind] * (2**18 // len(ENDLESS[kind]))
+    faults = [sequence.feed(chunk) for _ in range(40)]
+    assert not any(faults[:30])
+    assert faults[-1] is tokens.StreamFault.IDLE
+
+
+def test_bytes_between_tokens_do_not_add_up(sequence):
+    comments = ENDLESS["comments"] * (2**20 // len(ENDLESS["comments"]))
+    for index in range(12):
+        assert sequence.feed(comments + token(index)) is None
+
+
+@pytest.mark.parametrize("repeated", [0, 3])
+def test_an_answer_of_all_tokens_asked_for_is_whole(repeated):
+    sequence = tokens.TokenSequence(4)
+    sequence.begin_attempt("a")
+    data = [token(index) for index in range(4)]
+    assert sequence.feed(b"".join([*data, *data[:repeated], end(4)])) is None
+    assert sequence.ended
+
+
 @seed(2)
 @settings(max_examples=300, deadline=None, database=None)
 @given(st.binary(max_size=400))
@@ -139,6 +187,20 @@
     assert attempt_result.certainly_not_run() is surely_not_run
 
 
+@pytest.mark.parametrize(
+    ("error", "detail"),
+    [
+        ("e" * 2**20, "e" * 500),
+        (["e"] * 2**20, "status 422"),
+        ({"e": "e"}, "status 422"),
+        ("short", "short"),
+    ],
+)
+def test_an_endpoint_s_long_error_text_is_not_kept(error, detail):
+    result = reply(422, {"attempt_id": "a", "error": error})
+    assert attempts.classify(result, "a").detail == detail
+
+
 OUTCOMES = [
     (outcomes.Rejected(Reason.BAD_REQUEST, "d", "r"), 400, False),
     (outcomes.NotRun(Reason.OVERLOADED, "d", "r"), 503, True),
