Send the rest of an answer to a caller that has closed its sending side

Callers that close their sending side after their last request lost the rest of an answer that had ended and was still on its way: a body over what the sockets hold ended in its middle.

Cause: an end of input closed the connection at once, with the bytes that were still to be sent. It was meant for a caller that left while its request runs (GONE), where the work has to stop within half a second. Once the answer has ended there is no work to stop; whether the caller still reads shows when bytes are sent, and a caller that takes none for 15 s is disconnected as before.

--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -290,6 +290,7 @@
         self._out = bytearray()
         self._closing = False
         self._closed = False
+        self._has_read_all = False
         self._pipelined_bytes = 0
         self.on_flushed: Callable[[], None] | None = None
         self.taken_at = self._opened_at
@@ -411,7 +412,8 @@
 
     def _watch(self) -> None:
         events = 0
-        if self._pipelined_bytes < _MAX_PIPELINED_BYTES:
+        is_full = self._pipelined_bytes >= _MAX_PIPELINED_BYTES
+        if not (is_full or self._has_read_all):
             events |= selectors.EVENT_READ
         if self._out:
             events |= selectors.EVENT_WRITE
@@ -436,7 +438,7 @@
             self.close(CloseReason.CALLER_RESET)
             return False
         if not data:
-            self.close(CloseReason.CALLER_CLOSED)
+            self._end_reading()
             return False
         if self._closing:
             return True
@@ -451,6 +453,20 @@
             self._parse()
         return True
 
+    def _end_reading(self) -> None:
+        """Closes the connection after the rest of an answer that has ended.
+
+        The caller sends no more. That it reads no more either shows only when
+        bytes are sent to it.
+        """
+        if self._responder is not None or not self._out:
+            self.close(CloseReason.CALLER_CLOSED)
+            return
+        self._closing = True
+        self._has_read_all = True
+        self._set_timer(UNREAD_TIMEOUT_S)
+        self._watch()
+
     def _start_reading(self) -> None:
         """Begins to read a request, with the limits in force."""
         self._limits = self._server.handler.limits()
