Keep the connection after a refusal of a HEAD request

A HEAD request that was refused (503, 504, 404, 401), or whose page has a body, got the head of its answer and then the close of its connection; requests that the caller had sent behind it were dropped unread. The log said "answer not sent" and counted the request as a fault of the gateway.

Cause: the answer's body was given to the codec, which doesn't allow one to HEAD (nor with 204 and 304) and raised; the answer was then broken off. Such bodies are left out now, with the length that GET would have, as HTTP asks for.

Tests: a_refusal_of_a_head_request_keeps_its_connection failed before (2 of 2) and passes now. The others beside it (HEAD through the gateway, stray bytes after 204 and 304, an offer of another protocol) passed before too: these ends had no test.

--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -39,6 +39,7 @@
 
 # Doesn't say whether the request ran.
 _FAULT_STATUS = 502
+_BODYLESS = frozenset((204, 304))
 
 _REASON_PHRASES = {
     status.value: status.phrase.encode() for status in http.HTTPStatus
@@ -143,7 +144,7 @@
         """Sends a complete answer."""
         length = ("Content-Length", str(len(body)))
         self.send_head(status, [*headers, length])
-        if body:
+        if body and self._conn.allows_body(status):
             self.send_body(body)
         self.finish()
 
@@ -345,6 +346,10 @@
             headers = [*headers, ("Connection", "close")]
         return _response_head(status, headers)
 
+    def allows_body(self, status: int) -> bool:
+        """Returns whether the answer to the current request has a body."""
+        return status not in _BODYLESS and self._head.method != b"HEAD"
+
     def send_event(self, event: h11.Event) -> None:
         """Queues an event of the answer."""
         if self._closed:
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -4,6 +4,7 @@
 
 import loop_helpers as lh
 import pytest
+from gateway_world import KEY, answer, route_document, status
 
 from chervilarch import http_server
 
@@ -68,3 +69,50 @@
     lh.run_pending(loop)
     conn.close()
     lh.run_until(loop, lambda: not server.connection_count())
+
+
+@pytest.mark.parametrize("extra", ["", "Connection: close\r\n"])
+def test_a_refusal_of_a_head_request_keeps_its_connection(serving, extra):
+    loop, _, handler, _ = serving
+    conn = begin(serving, get(extra=extra).replace(b"GET", b"HEAD"))
+    handler.begun[0][1].send(503, [], b"refused")
+    if not extra:
+        conn.sendall(get("/x/2"))
+        lh.run_until(loop, lambda: len(handler.begun) == 2)
+        handler.begun[1][1].send(200, [], b"two")
+    until = b"<EOF>" if extra else b"two"
+    received = lh.receive(loop, conn, lambda data: until in data)
+    assert received.startswith(b"HTTP/1.1 503")
+    assert b"content-length: 7\r\n" in received.lower()
+    assert b"refused" not in received
+    assert handler.begun[0][1].ended
+
+
+@pytest.mark.parametrize("path", ["/nowhere", "/x/1"])
+def test_a_head_request_is_answered(world, path):
+    world.endpoint("e1", lh.answer_with(answer(body=b"")))
+    world.start(route_document())
+    received = world.fetch(KEY, method="HEAD", path=path, body=b"")
+    assert status(received) == (200 if path == "/x/1" else 404)
+    assert received.endswith(b"\r\n\r\n")
+    assert not world.serving_state.in_flight
+
+
+@pytest.mark.parametrize("code", [204, 304])
+def test_bytes_after_an_answer_without_a_body_are_dropped(world, code):
+    world.endpoint("e1", lh.answer_with(answer(code, b"stray")))
+    world.start(route_document(max_attempts=1))
+    received = world.fetch(KEY)
+    assert status(received) == code
+    assert b"stray" not in received
+
+
+def test_a_request_that_offers_another_protocol_is_answered(serving):
+    loop, _, handler, _ = serving
+    extra = "Upgrade: h2c\r\nConnection: Upgrade, HTTP2-Settings\r\n"
+    conn = begin(serving, get(extra=extra))
+    handler.begun[0][1].send(200, [], b"one")
+    conn.sendall(get("/x/2", extra))
+    lh.run_until(loop, lambda: len(handler.begun) == 2)
+    handler.begun[1][1].send(200, [], b"two")
+    lh.receive(loop, conn, lambda data: data.endswith(b"two"))
