Bound callers' connections below the limit on descriptors

A gateway whose descriptors were all in use by callers' kept connections left new callers' requests without an answer, and had none left for the calls of the requests that it had accepted: those failed as if their endpoints refused connections. Meanwhile the listener stayed readable, so that the loop turned without a pause.

Cause: nothing bounded the connections, and a failed accept was taken for a connection that was reset meanwhile.

Callers may now hold half of the descriptors: each request in flight needs about one for its caller and one for its call. At the bound the longest idle connections are closed, in groups and after a look for a request in the kernel; if none is idle, new connections stay in the listener's queue and it is looked again after 0.1 s, also when the process or the host is out of descriptors. `gateway started` names the bound, `connections at the bound` tells of it.

Evidence: with 128 descriptors and 200 idle connections a request got no answer within 10 s. The fixture `gateway` of the process tests takes a limit on descriptors; without one it is as before.

--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -10,6 +10,7 @@
     advisories,
     budgets,
     caller_wait,
+    descriptors,
     endpoint_limits,
     environment,
     fleet,
@@ -88,8 +89,12 @@
             cfg, self._loop, meters, client, store_client
         )
         self._handler = serving.CallerHandler(self._ctrl, self._serving_state)
+        self._max_connections = descriptors.max_caller_connections()
         self._caller_server = http_server.Server(
-            self._loop, cfg.caller_address, self._handler
+            self._loop,
+            cfg.caller_address,
+            self._handler,
+            max_connections=self._max_connections,
         )
         self._ready_server = http_server.Server(
             self._loop, cfg.ready_address, pages.PageHandler(self._ready_page)
@@ -116,6 +121,7 @@
             host=self._cfg.host,
             data_centre=self._cfg.data_centre,
             callers=self._cfg.caller_address,
+            max_connections=self._max_connections,
         )
         self._poll()
         self._loop.call_every(_POLL_INTERVAL_S, self._poll)
--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -5,6 +5,8 @@
 """
 
 import enum
+import errno
+import heapq
 import http
 import selectors
 import socket
@@ -18,6 +20,12 @@
 
 _RECV_BYTES = 64 * 1024
 _BACKLOG = 1024
+# Idle connections that are closed at a time to make room for new ones.
+_MAX_CLOSED_FOR_ROOM = 32
+# Without room, connections wait this long in the listener's queue until it is
+# looked again.
+_ACCEPT_RETRY_S = 0.1
+_NO_DESCRIPTOR_ERRORS = (errno.EMFILE, errno.ENFILE)
 # A sender pauses while more bytes than this wait for a slow caller.
 WRITE_HIGH_BYTES = 256 * 1024
 # With this many pipelined bytes read, the rest is left in the kernel.
@@ -58,6 +66,7 @@
     ANSWERED = "its last answer was sent"
     IDLE = "no request came in time"
     STOPPING = "this host stops"
+    NO_ROOM = "a new connection needs its place"
     OUT_OF_STEP = "the request or the answer wasn't whole"
 
 
@@ -194,6 +203,7 @@
         address: str,
         handler: Handler,
         build_rejection: Callable[[int, str], Rejection] = _empty_rejection,
+        max_connections: int | None = None,
     ):
         """Binds the address.
 
@@ -203,6 +213,9 @@
             handler: serves the requests.
             build_rejection: returns the answer to a request that can't be read,
                 by its status and a description of the fault.
+            max_connections: bound on open connections, None for none. At the
+                bound the longest idle ones are closed for new ones; if none is
+                idle, new ones wait in the listener's queue.
 
         Raises:
             OSError: the address can't be bound.
@@ -218,6 +231,7 @@
         self._listener.setblocking(False)
         self.port = self._listener.getsockname()[1]
         self._connections: set[_Connection] = set()
+        self._max_connections = max_connections
         loop.watch(self._listener, selectors.EVENT_READ, self._accept)
 
     def stop_accepting(self) -> None:
@@ -226,6 +240,7 @@
         Connections that wait in the listener's queue are accepted first: the
         kernel would reset them.
         """
+        self._max_connections = None
         self._accept(selectors.EVENT_READ)
         self.loop.unwatch(self._listener)
         self._listener.close()
@@ -233,7 +248,7 @@
     def close_idle(self) -> None:
         """Closes the connections that serve no request and have none sent."""
         for conn in list(self._connections):
-            conn.close_if_idle()
+            conn.close_if_idle(CloseReason.STOPPING)
 
     def refuse_unread(self) -> None:
         """Refuses the requests that haven't been sent completely."""
@@ -258,14 +273,57 @@
         return any(conn.is_serving() for conn in self._connections)
 
     def _accept(self, events: int) -> None:
-        while True:
+        while self._is_below_bound() or self._close_for_room():
             try:
                 sock, peer = self._listener.accept()
-            except OSError:
-                return  # No connection waits, or it was reset meanwhile.
+            except OSError as exc:
+                # No connection waits, it was reset meanwhile, or the process
+                # can't open another.
+                if exc.errno not in _NO_DESCRIPTOR_ERRORS:
+                    return
+                if not self._close_for_room():
+                    break
+                continue
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self._connections.add(_Connection(self, sock, peer[0]))
+        self._pause_accepting()
+
+    def _is_below_bound(self) -> bool:
+        return (
+            self._max_connections is None
+            or len(self._connections) < self._max_connections
+        )
+
+    def _close_for_room(self) -> bool:
+        """Closes the longest idle connections; returns whether it closed any.
+
+        The others have a request that is being read, served or answered.
+        """
+        open_before = len(self._connections)
+        for conn in heapq.nsmallest(
+            _MAX_CLOSED_FOR_ROOM,
+            (conn for conn in self._connections if conn.is_idle()),
+            key=lambda conn: conn.idle_since,
+        ):
+            conn.close_if_idle(CloseReason.NO_ROOM)
+        closed = open_before - len(self._connections)
+        state_log.log_decision(
+            "connections at the bound",
+            is_problem=True,
+            connections=open_before,
+            idle_closed=closed,
+        )
+        return closed > 0
+
+    def _pause_accepting(self) -> None:
+        """Leaves new connections in the listener's queue for a moment."""
+        self.loop.unwatch(self._listener)
+        self.loop.call_later(_ACCEPT_RETRY_S, self._resume_accepting)
+
+    def _resume_accepting(self) -> None:
+        if self._listener.fileno() >= 0:
+            self.loop.watch(self._listener, selectors.EVENT_READ, self._accept)
 
 
 class _Connection:
@@ -277,7 +335,7 @@
         self._sock = sock
         self._peer = peer
         self._opened_at = self._loop.now()
-        self._idle_since = self._opened_at
+        self.idle_since = self._opened_at
         self._has_served = False
         self._limits = server.handler.limits()
         self._codec_header_bytes = self._limits.header_bytes
@@ -318,7 +376,7 @@
         """Returns whether a request waits for the end of its answer."""
         return self._responder is not None
 
-    def close_if_idle(self) -> None:
+    def close_if_idle(self, reason: CloseReason) -> None:
         """Closes the connection unless a request was sent or may come soon."""
         age_s = self._loop.now() - self._opened_at
         if not self._has_served and age_s < FIRST_REQUEST_WAIT_S:
@@ -327,7 +385,7 @@
             # A request may wait in the kernel; closing would reset it.
             self._receive()
         if self.is_idle():
-            self.close(CloseReason.STOPPING)
+            self.close(reason)
 
     def refuse_if_reading(self) -> None:
         """Refuses a request of which only a part has been read."""
@@ -663,7 +721,7 @@
         )
 
     def _set_answered_timer(self) -> None:
-        self._idle_since = self._loop.now()
+        self.idle_since = self._loop.now()
         self._set_timer(
             UNREAD_TIMEOUT_S if self._out else self._limits.idle_timeout_s
         )
@@ -681,7 +739,7 @@
                 return
             # A configuration may have raised the limit meanwhile.
             self._limits = self._server.handler.limits()
-            idle_s = self._loop.now() - self._idle_since
+            idle_s = self._loop.now() - self.idle_since
             if idle_s < self._limits.idle_timeout_s:
                 self._set_timer(self._limits.idle_timeout_s - idle_s)
                 return
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -1,5 +1,6 @@
 """Ways on which a request or its connection ends."""
 
+import errno
 import socket
 
 import loop_helpers as lh
@@ -37,6 +38,17 @@
     loop.close()
 
 
+@pytest.fixture
+def bounded():
+    """A server that holds two connections at most."""
+    loop, clock = lh.new_loop()
+    handler = Handler()
+    server = http_server.Server(loop, "127.0.0.1:0", handler, max_connections=2)
+    yield loop, clock, handler, server
+    server.stop_accepting()
+    loop.close()
+
+
 def get(path="/x/1", extra=""):
     return f"GET {path} HTTP/1.1\r\nHost: a\r\n{extra}\r\n".encode()
 
@@ -116,3 +128,76 @@
     lh.run_until(loop, lambda: len(handler.begun) == 2)
     handler.begun[1][1].send(200, [], b"two")
     lh.receive(loop, conn, lambda data: data.endswith(b"two"))
+
+
+def serve(serving, path):
+    """Sends a request on a new connection and waits until it has begun."""
+    loop, _, handler, server = serving
+    count = len(handler.begun)
+    conn = lh.connect(server.port)
+    conn.sendall(get(path))
+    lh.run_until(loop, lambda: len(handler.begun) > count)
+    return conn
+
+
+def finish(serving, conn, number):
+    """Answers a request; its connection is idle from then on."""
+    loop, _, handler, _ = serving
+    handler.begun[number][1].send(200, [], b"end")
+    lh.receive(loop, conn, lambda data: data.endswith(b"end"))
+
+
+def test_a_full_server_closes_the_longest_idle_connections(
+    bounded, monkeypatch
+):
+    monkeypatch.setattr(http_server, "_MAX_CLOSED_FOR_ROOM", 1)
+    loop, clock, handler, server = bounded
+    first = serve(bounded, "/x/1")
+    second = serve(bounded, "/x/2")
+    finish(bounded, second, 1)
+    clock.advance(1.0)
+    finish(bounded, first, 0)
+    third = serve(bounded, "/x/3")
+    assert lh.receive(loop, second, lambda data: data) == b"<EOF>"
+    assert server.connection_count() == 2
+    first.sendall(get("/x/4"))
+    lh.run_until(loop, lambda: len(handler.begun) == 4)
+    finish(bounded, third, 2)
+
+
+def test_a_full_server_cuts_no_request_for_a_new_connection(bounded, caplog):
+    loop, clock, handler, server = bounded
+    first = serve(bounded, "/x/1")
+    second = serve(bounded, "/x/2")
+    third = lh.connect(server.port)
+    third.sendall(get("/x/3"))
+    with caplog.at_level("INFO"):
+        lh.run_pending(loop, 100)
+    assert caplog.messages.count("connections at the bound") == 1
+    lh.advance(loop, clock, 1.0)
+    assert len(handler.begun) == 2 and not handler.disconnected
+    finish(bounded, first, 0)
+    lh.advance_until(loop, clock, lambda: len(handler.begun) == 3)
+    finish(bounded, second, 1)
+    finish(bounded, third, 2)
+
+
+def test_a_listener_without_descriptors_does_not_spin(serving, monkeypatch):
+    loop, clock, handler, server = serving
+    listener = server._listener
+    calls = []
+
+    class Listener:
+        fileno = listener.fileno
+
+        def accept(self):
+            calls.append(1)
+            raise OSError(errno.EMFILE, "no descriptors")
+
+    monkeypatch.setattr(server, "_listener", Listener())
+    conn = lh.connect(server.port)
+    conn.sendall(get())
+    lh.run_pending(loop, 100)
+    assert len(calls) == 1
+    monkeypatch.setattr(server, "_listener", listener)
+    lh.advance_until(loop, clock, lambda: handler.begun)
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -2,9 +2,12 @@
 
 import base64
 import collections
+import contextlib
+import functools
 import json
 import os
 import queue
+import resource
 import signal
 import socket
 import struct
@@ -71,7 +74,8 @@
 
 
 @pytest.fixture
-def gateway(tmp_path):
+def gateway(tmp_path, request):
+    """A gateway; `request.param` is how many descriptors it may open."""
     store = StoreServer()
     ports = [lh.free_ports(1) for _ in range(3)]
     peer = lh.free_ports(5)
@@ -102,10 +106,15 @@
         "limits": CALLER_LIMITS,
     }
     store.write("keyed.op", "config", json.dumps(config).encode())
+    limit = getattr(request, "param", None)
     process = subprocess.Popen(
         [sys.executable, "-m", "chervilarch.gateway_main"],
         env={**os.environ, "CHERVILARCH_SETTINGS": str(path)},
         stdout=subprocess.PIPE,
+        preexec_fn=limit
+        and functools.partial(
+            resource.setrlimit, resource.RLIMIT_NOFILE, (limit, limit)
+        ),
     )
     # Read all the while: lines that find the pipe full are dropped.
     process.lines = queue.SimpleQueue()
@@ -212,6 +221,29 @@
     endpoint.close()
 
 
+@pytest.mark.parametrize("gateway", [128], indirect=True)
+def test_idle_callers_leave_descriptors_for_the_requests_of_others(gateway):
+    process, store, ports = gateway
+    endpoint = lh.RawServer(lh.answer_with(answer()))
+    entry = {
+        "service": "s1",
+        "address": endpoint.address,
+        "zone": "dc1",
+        "slots": 8,
+        "state": "ready",
+        "sequence": 1,
+        "born": 1,
+    }
+    store.write("keyed.servers", "e1", json.dumps(entry).encode())
+    wait_for(process, "endpoint listed", endpoint="e1")
+    wait_until_ready(ports[1])
+    with contextlib.ExitStack() as idle:
+        for _ in range(200):
+            idle.enter_context(lh.connect(ports[0]))
+        assert get(ports[0]).endswith(b"out")
+    endpoint.close()
+
+
 def test_a_request_that_the_grace_period_would_cut_off_is_refused(gateway):
     process, store, ports = gateway
     seen = []
