--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -11,6 +11,7 @@
     budgets,
     byte_room,
     caller_wait,
+    descriptors,
     endpoint_limits,
     environment,
     fleet,
@@ -91,12 +92,14 @@
             cfg, self._loop, meters, client, store_client
         )
         self._handler = serving.CallerHandler(self._ctrl, self._serving_state)
+        self._max_connections = descriptors.max_caller_connections()
         self._caller_server = http_server.Server(
             self._loop,
             cfg.caller_address,
             self._handler,
             answer_room=client.room,
             body_room=byte_room.Room(bounds),
+            max_connections=self._max_connections,
         )
         self._ready_server = http_server.Server(
             self._loop, cfg.ready_address, pages.PageHandler(self._ready_page)
@@ -123,6 +126,7 @@
             host=self._cfg.host,
             data_centre=self._cfg.data_centre,
             callers=self._cfg.caller_address,
+            max_connections=self._max_connections,
         )
         self._poll()
         self._loop.call_every(_POLL_INTERVAL_S, self._poll)
