Don't take comments and blank lines of a stream for events

Callers saw: beside a faulty endpoint that sends blank lines or comment blocks without end, sound requests waited up to 5 s, one failed; its own callers got a head and comments until their deadline. Cause: each "\n\n" ended an event: blank lines and comment blocks reset the stall timer, were a first event (which sends the head, frees the stages' results and clears a prompt of suspicion), and were relayed without end. Comment lines without a blank line were kept up to 1 MiB. A blank line after the last event was dropped, so that the body wasn't the endpoint's.

A block counts as an event now if it has a line that is neither blank nor a comment. Comments are legal keep-alives: those before the first event of an attempt are kept until it is complete, later ones are passed on as they come, and those at the end belong to the body, all byte for byte. More than 64 KiB without an event breaks the attempt off as faulty, as an event over 1 MiB did. A successor's end without a body no longer drops the incomplete event of the attempt that it was to replace.

Two existing tests of test_endless_replies.py got further cases.

--- a/chervilarch/event_stream.py
+++ b/chervilarch/event_stream.py
@@ -1,10 +1,14 @@
 """Server-sent events: an incremental parser and an encoder."""
 
+import re
 from typing import NamedTuple
 
 # Bounds the bytes that are kept of an incomplete event.
 MAX_EVENT_BYTES = 1024 * 1024
+# Bounds the comments and blank lines between two events.
+MAX_IDLE_BYTES = 64 * 1024
 _EVENT_END = b"\n\n"
+_FIELD = re.compile(rb"^[^:\r\n]", re.MULTILINE)
 
 
 class Event(NamedTuple):
@@ -62,31 +66,75 @@
     return Event(name, b"\n".join(data))
 
 
+class Complete(NamedTuple):
+    """Bytes of a stream that can be passed on.
+
+    Attributes:
+        data: whole events, comments and blank lines.
+        has_event: whether an event is among them.
+    """
+
+    data: bytes
+    has_event: bool
+
+
 class EventSplitter:
     """Splits a stream's bytes into complete events.
 
+    Comments and blank lines are no events. Those before the first event of an
+    attempt are kept until it is complete, later ones are passed on.
+
     Attributes:
         last_id: id of the last complete event or of the resumed one, "" for
             none.
     """
 
     def __init__(self) -> None:
-        self._partial = bytearray()
         self.last_id = ""
+        self._begin()
 
-    def feed(self, chunk: bytes) -> bytes:
-        """Returns the bytes of the events that a chunk completes."""
+    def _begin(self) -> None:
+        self._partial = bytearray()
+        self._has_event = False
+        # Where the first field of an event begins, -1 if there is none in the
+        # part that was searched.
+        self._field_at = -1
+        self._searched_bytes = 0
+        # Bytes that were passed on since the last event.
+        self._idle_bytes = 0
+
+    def feed(self, chunk: bytes) -> Complete:
+        """Returns what a chunk completes."""
         # The end may have begun in the chunk before.
         start = max(0, len(self._partial) - 1)
         self._partial += chunk
         end = self._partial.rfind(_EVENT_END, start)
-        if end < 0:
-            return b""
-        end += len(_EVENT_END)
-        complete = bytes(self._partial[:end])
+        end = end + len(_EVENT_END) if end >= 0 else 0
+        self._find_field()
+        has_event = 0 <= self._field_at < end
+        self._has_event = self._has_event or has_event
+        if not end or not self._has_event:
+            return Complete(b"", False)
+        data = bytes(self._partial[:end])
         del self._partial[:end]
-        self._take_id(complete)
-        return complete
+        if has_event:
+            self._take_id(data)
+            self._idle_bytes = 0
+            self._field_at = -1
+            self._searched_bytes = 0
+            self._find_field()
+        else:
+            self._idle_bytes += end
+            self._field_at = max(-1, self._field_at - end)
+            self._searched_bytes -= end
+        return Complete(data, has_event)
+
+    def _find_field(self) -> None:
+        if self._field_at >= 0:
+            return
+        found = _FIELD.search(self._partial, self._searched_bytes)
+        self._field_at = found.start() if found else -1
+        self._searched_bytes = len(self._partial)
 
     def _take_id(self, data: bytes) -> None:
         start = data.rfind(b"\nid:") + 1
@@ -94,12 +142,23 @@
             line = data[start : data.index(b"\n", start)]
             self.last_id = line[3:].strip().decode("latin-1")
 
-    def is_overlong(self) -> bool:
-        """Returns whether an incomplete event exceeds the bound."""
-        return len(self._partial) > MAX_EVENT_BYTES
-
-    def discard_partial(self) -> bool:
-        """Drops an incomplete event; returns whether there was one."""
-        had_partial = bool(self._partial.strip())
-        self._partial = bytearray()
-        return had_partial
+    def fault(self) -> str:
+        """Returns which bound the stream exceeds, or ""."""
+        if self._field_at >= 0:
+            is_over = len(self._partial) > MAX_EVENT_BYTES
+            return "an event is too long" if is_over else ""
+        is_over = self._idle_bytes + len(self._partial) > MAX_IDLE_BYTES
+        return "too many bytes without an event" if is_over else ""
+
+    def end_attempt(self) -> bytes | None:
+        """Prepares for the stream of the next attempt.
+
+        Returns:
+            Comments and blank lines after the last event, None if the stream
+            has ended within an event.
+        """
+        rest = bytes(self._partial)
+        line = rest.rpartition(_EVENT_END)[2].strip()
+        is_within = self._field_at >= 0 or bool(line)
+        self._begin()
+        return None if is_within else rest
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -127,7 +127,7 @@
             if isinstance(attempt_result, final_call.Success):
                 return outcomes.Answer(attempt_result)
             last = attempt_result
-            self._splitter.discard_partial()
+            self._splitter.end_attempt()
             lease = yield from self._next_lease(lease, last)
         if isinstance(lease, outcomes.NotRun):
             return lease
@@ -415,20 +415,21 @@
                 )
                 final_call.record_head(ctx, lease, head)
             if not isinstance(item, _Chunk):
-                return self._classify_end(head, item)
+                return self._end(head, item)
             complete = self._split(head, transfer, item.chunk, is_first)
             if isinstance(complete, attempts.Failure):
                 return complete
-            if not complete:
+            if complete.has_event:
+                last_event_at = ctx.now()
+                lease.slot.record_event(last_event_at)
+                self._drop_replacement()
+                self._drop_successor()
+                if is_first:
+                    is_first = False
+                    self._on_first_event(lease, head)
+            if not complete.data:
                 continue
-            last_event_at = ctx.now()
-            lease.slot.record_event(last_event_at)
-            self._drop_replacement()
-            self._drop_successor()
-            if is_first:
-                is_first = False
-                self._on_first_event(lease, head)
-            ctx.responder.send_body(complete)
+            ctx.responder.send_body(complete.data)
             if ctx.responder.buffered() > WRITE_HIGH_BYTES:
                 transfer.pause()
                 yield self._writable()
@@ -584,8 +585,8 @@
         transfer,
         chunk: bytes,
         is_first: bool,
-    ) -> bytes | attempts.Failure:
-        """Returns the events that a chunk completes, unless it can't be used.
+    ) -> event_stream.Complete | attempts.Failure:
+        """Returns what a chunk completes, unless it can't be used.
 
         Args:
             head: head of the reply.
@@ -598,10 +599,9 @@
             if isinstance(attempt_result, attempts.Failure):
                 return attempt_result
         complete = self._splitter.feed(chunk)
-        if self._splitter.is_overlong():
-            return attempts.Failure(
-                attempts.FailureCause.FAILED, "an event is too long"
-            )
+        fault = self._splitter.fault()
+        if fault:
+            return attempts.Failure(attempts.FailureCause.FAILED, fault)
         return complete
 
     def _stalled_at(
@@ -678,8 +678,20 @@
                     attempts.FailureCause.INPUT_GONE, "a stage's result is gone"
                 )
             return attempt_result
-        if head.status == 200 and self._splitter.discard_partial():
+        return attempt_result
+
+    def _end(
+        self, head: routed.ReplyHead, result: exchanges.TransferResult
+    ) -> "final_call.Success | attempts.Failure":
+        """Passes on the rest of a stream that has ended as it should."""
+        attempt_result = self._classify_end(head, result)
+        if isinstance(attempt_result, attempts.Failure) or head.status != 200:
+            return attempt_result
+        rest = self._splitter.end_attempt()
+        if rest is None:
             return attempts.Failure(
                 attempts.FailureCause.LOST, "the stream ended within an event"
             )
-        return attempt_result
+        if rest and self._has_sent_event:
+            self._ctx.responder.send_body(rest)
+        return attempt_result._replace(body=rest)
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -2,6 +2,7 @@
 
 import threading
 
+import h11
 import loop_helpers as lh
 import pytest
 from gateway_world import (
@@ -10,6 +11,7 @@
     events,
     route_document,
     status,
+    stream,
     stream_route_document,
 )
 
@@ -75,6 +77,9 @@
         _HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
         b"0" * _BLOCK,
     ),
+    "comment lines": (_HEAD + b"\r\n", b": c\n" * 1000),
+    "comment blocks": (_HEAD + b"\r\n", b": c\n\n" * 1000),
+    "blank lines": (_HEAD + b"\r\n", b"\n" * 1000),
 }
 
 
@@ -193,11 +198,12 @@
     assert server.sent_bytes < _MAX_READ_BYTES
 
 
+@pytest.mark.parametrize("block", [b": comment\n", b": comment\n\n", b"\n\n"])
 def test_bytes_without_an_event_do_not_keep_a_stream_from_resuming(
-    world, endless
+    world, endless, block
 ):
     start = _HEAD + b"\r\n" + events(1, 2)
-    server = endless(start, b": comment\n", 0.02)
+    server = endless(start, block, 0.02)
     requests = []
 
     def resume(conn):
@@ -215,3 +221,40 @@
     received = lh.receive(world.loop, conn, lambda data: b"<EOF>" in data)
     assert b"Last-Event-Id: 2" in requests[0]
     assert events(1, 2) in received and events(3, 4) in received
+
+
+def test_comments_are_no_first_event_and_resume_at_another_endpoint(
+    world, endless
+):
+    server = endless(_HEAD + b"\r\n", b": comment\n\n", 0.02)
+    world.endpoint("e1", server.serve)
+    world.start(stream_route_document(timeout_ms=60000))
+    conn = world.send(KEY, ("Connection", "close"))
+    lh.run_until(world.loop, lambda: server.sent_bytes > 100)
+    world.endpoint("e2", lh.answer_with(_HEAD + b"\r\n" + events(1, 2)))
+    received = lh.receive(world.loop, conn, lambda data: b"<EOF>" in data)
+    assert events(1, 2) in received and b"comment" not in received
+
+
+def read_body(received):
+    """Returns the body of a complete answer."""
+    codec = h11.Connection(h11.CLIENT)
+    codec.send(h11.Request(method="GET", target="/", headers=[("Host", "a")]))
+    codec.send(h11.EndOfMessage())
+    codec.receive_data(received)
+    body = b""
+    while not isinstance(event := codec.next_event(), h11.EndOfMessage):
+        body += event.data if isinstance(event, h11.Data) else b""
+    return body
+
+
+_COMMENTED = (
+    b": a\n\n\n\n" + events(1, 1) + b": b\n\n" + events(2, 2) + b": c\n\n\n"
+)
+
+
+@pytest.mark.parametrize("data", [_COMMENTED, b": only\n\n", b"\n", b""])
+def test_comments_of_a_stream_reach_the_caller_as_they_were_sent(world, data):
+    world.endpoint("e1", lh.answer_with(stream(data)))
+    world.start({**stream_route_document(), "resumable": False})
+    assert read_body(world.fetch(KEY)) == data
