Count the incomplete events of streams towards the room for replies

Without room the attempt fails as the endpoint's fault; a holder that has to give way ends its transfer, as for other replies.

--- a/chervilarch/event_stream.py
+++ b/chervilarch/event_stream.py
@@ -142,6 +142,10 @@
             line = data[start : data.index(b"\n", start)]
             self.last_id = line[3:].strip().decode("latin-1")
 
+    def kept_bytes(self) -> int:
+        """Returns the size of what isn't complete."""
+        return len(self._partial)
+
     def fault(self) -> str:
         """Returns which bound the stream exceeds, or ""."""
         if self._field_at >= 0:
--- a/chervilarch/http_client.py
+++ b/chervilarch/http_client.py
@@ -90,6 +90,32 @@
         """Returns the size of the body so far."""
         return len(self._body)
 
+    def hold(self, size: int) -> bool:
+        """Counts what the receiver of `on_data` keeps of the body now.
+
+        Small parts need no room. A holder that has to give way ends the
+        transfer.
+
+        Args:
+            size: in bytes.
+
+        Returns:
+            Whether there is room for it.
+        """
+        if size <= byte_room.SMALL_BYTES:
+            if self._holder is not None:
+                self.close_holder()
+            return True
+        if self._holder is None:
+            self._holder = self._client.open_holder(self)
+            self._holder.expected_size = 0
+        missing = size - self._holder.size
+        if missing < 0:
+            self._client.room.give_back(self._holder, -missing)
+            return True
+        grant = self._client.take_room(self._holder, missing)
+        return grant is byte_room.Grant.TAKEN
+
     def keep_body(self) -> None:
         """Counts the body as kept after `on_done` too, until `drop_body`."""
         self.is_body_kept = True
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -600,6 +600,8 @@
                 return attempt_result
         complete = self._splitter.feed(chunk)
         fault = self._splitter.fault()
+        if not fault and not transfer.hold(self._splitter.kept_bytes()):
+            fault = "no room for an incomplete event"
         if fault:
             return attempts.Failure(attempts.FailureCause.FAILED, fault)
         return complete
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -1,5 +1,6 @@
 """Endpoints that send bytes without end until the connection is closed."""
 
+import select
 import threading
 
 import h11
@@ -15,7 +16,13 @@
     stream_route_document,
 )
 
-from chervilarch import clocks, exchanges, http_client
+from chervilarch import (
+    byte_room,
+    clocks,
+    event_stream,
+    exchanges,
+    http_client,
+)
 from chervilarch import loop as loops
 
 _HEAD = (
@@ -258,3 +265,33 @@
     world.endpoint("e1", lh.answer_with(stream(data)))
     world.start({**stream_route_document(), "resumable": False})
     assert read_body(world.fetch(KEY)) == data
+
+
+def test_incomplete_events_share_the_room_of_kept_replies(world, endless):
+    size = event_stream.MAX_EVENT_BYTES - _BLOCK
+    half = _HEAD + b"\r\n" + b"data: " + b"x" * size
+    world.endpoint("e1", endless(half, b"", 0.01).serve)
+    world.endpoint("e2", lh.answer_with(answer(body=b"s")), pool="s2")
+    world.start(
+        {**stream_route_document(), "resumable": False},
+        route_document(
+            name="r2", path_prefix="/sound/", service="s2", kind="safe"
+        ),
+    )
+    room = world.ctrl.client.room
+    room.bounds = byte_room.Bounds(shared=4 * size, largest=size, small=_BLOCK)
+    callers = [world.send(KEY) for _ in range(8)]
+
+    def answered():
+        return select.select(callers, [], [], 0)[0]
+
+    lh.run_until(world.loop, answered)
+    received = lh.receive(
+        world.loop, answered()[0], lambda data: b"\r\n\r\n" in data
+    )
+    assert status(received) == 502
+    assert room.size <= room.bounds.shared + room.bounds.largest
+    assert status(world.fetch(KEY, path="/sound/1")) == 200
+    for caller in callers:
+        caller.close()
+    lh.run_until(world.loop, lambda: not room.size)
