Handle at most 64 KiB of a reply in one turn of the loop

Callers saw: sound requests that take 0.06 s in calm wait up to seconds, some fail, beside 30 connections that send at full speed. Cause: libcurl reads up to ten buffers of a connection in one call, again in the call of its timer, and each chunk cost a callback, a task's step, a frame of the answer and a send: a turn of the loop took as long as the fast peers had bytes, and a sound request needs several turns.

A transfer that has had 64 KiB in a turn (as much as a caller's socket gets) is paused from its write callback, which libcurl allows, and resumed in the next turn; a transfer that its reader has paused stays paused. The chunks of a transfer in a turn reach `on_data` joined. Small replies never get there: no further calls, timers or system calls.

Evidence: the four new tests of test_http_client.py fail on the code before (up to 2.9 MB of one transfer in a turn, 22 chunks after a pause; one fails for a private name), pass after (3 runs).

--- a/chervilarch/http_client.py
+++ b/chervilarch/http_client.py
@@ -23,6 +23,8 @@
     largest=MAX_REPLY_BYTES,
     small=16 * 1024 * 1024,
 )
+# What else of a reply has arrived waits for the next turn of the loop.
+TURN_BYTES = 64 * 1024
 # While transfers wait for room, this often it is looked whether they wait for a
 # silent one.
 _ROOM_CHECK_INTERVAL_S = 0.25
@@ -52,6 +54,11 @@
         self.fault = ""
         # Whether the reply is left unread for lack of room.
         self.waits_for_room = False
+        # Whether the receiver of `on_data` asked to stop reading.
+        self.is_paused = False
+        # Bytes that were handled in this turn of the loop.
+        self._turn = 0
+        self._turn_bytes = 0
         self._body = bytearray()
         self._holder: byte_room.Holder | None = None
         self.is_body_kept = False
@@ -62,10 +69,12 @@
 
     def pause(self) -> None:
         """Stops reading the reply until `resume`."""
+        self.is_paused = True
         self._set_pause(pycurl.PAUSE_RECV)
 
     def resume(self) -> None:
         """Resumes reading the reply."""
+        self.is_paused = False
         self._set_pause(pycurl.PAUSE_CONT)
 
     def _set_pause(self, state: int) -> None:
@@ -141,6 +150,9 @@
 
     def on_body_chunk(self, chunk: bytes) -> int:
         """Stores a chunk of the body; called by libcurl."""
+        if not self._has_turn(len(chunk)):
+            self._client.resume_next_turn(self)
+            return pycurl.WRITEFUNC_PAUSE
         if self.on_data is not None and self.head.status == 200:
             self._client.queue_chunk(self, chunk)
             return len(chunk)
@@ -158,6 +170,15 @@
         self._body += chunk
         return len(chunk)
 
+    def _has_turn(self, size: int) -> bool:
+        """Returns whether this turn of the loop handles so many more bytes."""
+        if self._turn != self._client.turn():
+            self._turn, self._turn_bytes = self._client.turn(), 0
+        if self._turn_bytes and self._turn_bytes + size > TURN_BYTES:
+            return False
+        self._turn_bytes += size
+        return True
+
     def give_up(self) -> None:
         """Drops the body for lack of room."""
         self.fault = f"the reply had to give way, at {len(self._body)} bytes"
@@ -184,7 +205,10 @@
         self._multi.setopt(pycurl.M_MAXCONNECTS, _MAX_IDLE_CONNECTIONS)
         self._running: dict[pycurl.Curl, Transfer] = {}
         self._spare_handles: list[pycurl.Curl] = []
-        self._queued_chunks: list[tuple[Transfer, bytes]] = []
+        self._queued_chunks: dict[Transfer, list[bytes]] = {}
+        # Had their part of a turn.
+        self._next_turn: list[Transfer] = []
+        self._next_turn_after = 0
 
     def start(
         self,
@@ -221,7 +245,32 @@
 
     def queue_chunk(self, transfer: Transfer, chunk: bytes) -> None:
         """Queues a chunk for `on_data` until libcurl may be called again."""
-        self._queued_chunks.append((transfer, chunk))
+        self._queued_chunks.setdefault(transfer, []).append(chunk)
+
+    def turn(self) -> int:
+        """Returns the number of the loop's turn."""
+        return self._loop.turns
+
+    def resume_next_turn(self, transfer: Transfer) -> None:
+        """Reads on a reply in the next turn of the loop."""
+        if not self._next_turn:
+            self._loop.call_soon(self._begin_turn)
+        self._next_turn.append(transfer)
+        self._next_turn_after = self._loop.turns
+
+    def _begin_turn(self) -> None:
+        """Reads on the replies that had their part of the turn before."""
+        if self._loop.turns <= self._next_turn_after:
+            self._loop.call_soon(self._begin_turn)
+            return
+        if not self._next_turn:
+            return  # The client was closed.
+        transfers, self._next_turn = self._next_turn, []
+        for transfer in transfers:
+            if transfer.curl is not None and not transfer.is_paused:
+                transfer.resume()
+        self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+        self._deliver()
 
     def open_holder(self, transfer: Transfer) -> byte_room.Holder:
         """Returns a holder of room for the body of a transfer."""
@@ -294,6 +343,7 @@
 
     def close(self) -> None:
         """Cancels all transfers and closes the client."""
+        self._next_turn.clear()
         for transfer in list(self._running.values()):
             self.release(transfer)
         self._multi.close()
@@ -339,10 +389,10 @@
 
     def _deliver(self) -> None:
         """Runs the callbacks for what the last call of libcurl received."""
-        queued_chunks, self._queued_chunks = self._queued_chunks, []
-        for transfer, chunk in queued_chunks:
+        queued_chunks, self._queued_chunks = self._queued_chunks, {}
+        for transfer, chunks in queued_chunks.items():
             if transfer.curl is not None:
-                guards.call(transfer.on_data, chunk)
+                guards.call(transfer.on_data, b"".join(chunks))
         ended = []
         queued = 1
         while queued:
--- a/chervilarch/loop.py
+++ b/chervilarch/loop.py
@@ -45,10 +45,12 @@
         resumed_at: monotonic time at which the process last went on after a
             pause. A stopped process, a suspended machine and a callback that
             took too long are the same to the rest of the program.
+        turns: number of iterations that have begun.
     """
 
     def __init__(self, clock: clocks.Clock):
         self.clock = clock
+        self.turns = 0
         self.resumed_at = float("-inf")
         self._seen_at: float | None = None
         self._resume_listeners: list[Callable[[float], None]] = []
@@ -147,6 +149,7 @@
         Timers that come due during a socket's callback wait for the next
         iteration: what they wait for may have arrived meanwhile.
         """
+        self.turns += 1
         timeout_s = self._timeout_s(max_wait_s)
         ready = self._selector.select(timeout_s)
         looked_at = self.now()
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -143,3 +143,67 @@
         client.start(exchange, fail)
     lh.run_until(loop, lambda: len(ended) == 3)
     server.close()
+
+
+_BULK = bytes(range(256)) * 16 * 1024
+
+
+def bulk_exchange():
+    """Returns a request to a new server that answers with `_BULK`."""
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(_BULK)
+    server = replying(head + _BULK)
+    return exchanges.Exchange(
+        "GET", f"http://{server.address}/", timeout_s=60.0, fresh=True
+    )
+
+
+@pytest.mark.parametrize("count", [1, 8])
+def test_no_reply_takes_more_than_its_part_of_a_turn(world, count):
+    loop, client = world
+    exchange = bulk_exchange()
+    bodies = [bytearray() for _ in range(count)]
+    results = []
+    for body in bodies:
+        client.start(exchange, results.append, body.extend)
+    most, before = 0, [0] * count
+
+    def has_ended():
+        nonlocal most, before
+        after = [len(body) for body in bodies]
+        steps = [b - a for a, b in zip(before, after, strict=True)]
+        most, before = max(most, *steps), after
+        return len(results) == count
+
+    lh.run_until(loop, has_ended)
+    assert all(body == _BULK for body in bodies)
+    assert all(isinstance(result, exchanges.Reply) for result in results)
+    assert most <= 64 * 1024
+
+
+def test_a_reply_that_waits_for_its_turn_stays_paused(world):
+    loop, client = world
+    chunks, results = [], []
+
+    def pause(chunk):
+        chunks.append(chunk)
+        transfer.pause()
+
+    transfer = client.start(bulk_exchange(), results.append, pause)
+    while not results:
+        count = len(chunks)
+        lh.run_until(loop, lambda c=count: results or len(chunks) > c)
+        lh.run_pending(loop)
+        assert len(chunks) <= count + 1
+        transfer.resume()
+    assert b"".join(chunks) == _BULK
+
+
+def test_a_client_may_be_closed_while_replies_wait_for_their_turn(world):
+    loop, client = world
+    transfer = client.start(
+        bulk_exchange(), lambda result: None, lambda chunk: None
+    )
+    lh.run_until(loop, lambda: client._next_turn)
+    transfer.cancel()
+    client.close()
+    lh.run_pending(loop)
