Don't blame an endpoint for a pause while it was connected to

A request was refused (503, "no endpoint took the request") and its sound endpoint ejected when the process was paused for half a second or longer between the start of its connection and the next look at it.

Cause: libcurl looks at the time of a connection before it looks at its socket, where the connection may have stood all the while. The result "nothing was sent, timed out" counted as an endpoint that can't be reached.

An attempt that wasn't sent and spans a pause now ends its lease without a judgement, and the request may choose the endpoint again. That choice waits for the confirmation after a pause as before, so an endpoint that left meanwhile gets nothing; one that is really away is ejected by the next attempt.

Test: an_endpoint_is_not_blamed_for_a_pause_while_it_was_connected_to, 2 of 2 failed before, 2 of 2 pass now.

--- a/chervilarch/final_call.py
+++ b/chervilarch/final_call.py
@@ -105,8 +105,16 @@
     ctx: contexts.RoutedContext,
     lease: placement.Lease,
     attempt_result: Success | attempts.Failure,
+    tried: set[str],
 ) -> None:
-    """Counts an ended attempt and ends its lease of the endpoint."""
+    """Counts an ended attempt and ends its lease of the endpoint.
+
+    Args:
+        ctx: the request.
+        lease: lease of the attempt's endpoint.
+        attempt_result: how the attempt ended.
+        tried: ids of the endpoints that the request isn't sent to again.
+    """
     guard = ctx.ctrl.prompt_guard
     if isinstance(attempt_result, Success):
         ctx.req.possible_runs += 1
@@ -119,7 +127,12 @@
     ctx.req.possible_runs += not attempt_result.certainly_not_run()
     entry = lease.listing.entry
     if attempt_result.cause is attempts.FailureCause.NOT_SENT:
-        ctx.ctrl.placement.finish_unreachable(lease)
+        if ctx.ctrl.loop.resumed_at > lease.slot.started_at:
+            # The time for the connection ran out in a pause of this process.
+            ctx.ctrl.placement.abandon(lease)
+            tried.discard(entry.name)
+        else:
+            ctx.ctrl.placement.finish_unreachable(lease)
     elif attempt_result.cause is attempts.FailureCause.LEAVING:
         ctx.ctrl.endpoints.mark_ended(entry.name, entry.incarnation)
         ctx.ctrl.placement.abandon(lease)
@@ -250,7 +263,7 @@
             for attempt in [a for a in self._running if a.future.done()]:
                 self._running.remove(attempt)
                 attempt_result = attempt.future.result()
-                finish_attempt(ctx, attempt.lease, attempt_result)
+                finish_attempt(ctx, attempt.lease, attempt_result, self._tried)
                 if isinstance(
                     attempt_result, Success
                 ) and not self._is_retryable_error(attempt_result):
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -390,7 +390,7 @@
             if not has_result:
                 ctx.ctrl.placement.abandon(lease)
                 ctx.ctrl.prompt_guard.record_end(lease, None)
-        final_call.finish_attempt(ctx, lease, attempt_result)
+        final_call.finish_attempt(ctx, lease, attempt_result, self._tried)
         return attempt_result
 
     def _relay(
@@ -552,7 +552,7 @@
         self._successor = None
         transfer.cancel()
         final_call.record_head(ctx, lease, head)
-        final_call.finish_attempt(ctx, lease, attempt_result)
+        final_call.finish_attempt(ctx, lease, attempt_result, self._tried)
         self._prepare_after = ctx.now() + _REPLACE_AGAIN_S
         if attempt_result.cause is attempts.FailureCause.INPUT_GONE:
             # The silent endpoint may have read them; no other one can.
--- a/tests/test_paused_process.py
+++ b/tests/test_paused_process.py
@@ -15,9 +15,12 @@
     KEY,
     World,
     answer,
+    events,
     read_status,
     route_document,
     status,
+    stream,
+    stream_route_document,
 )
 from store_hosts import Host as SharingHost
 from test_advisories import Host as AdvisoryHost
@@ -29,6 +32,8 @@
 from chervilarch import (
     advisory_messages,
     clocks,
+    exchanges,
+    http_client,
     prompt_blocks,
     resumption,
     stage_coordination,
@@ -242,6 +247,34 @@
     assert not sent
 
 
+@pytest.mark.parametrize("is_stream", [False, True])
+def test_an_endpoint_is_not_blamed_for_a_pause_while_it_was_connected_to(
+    world, sent, is_stream
+):
+    reply = stream(events(1, 2)) if is_stream else answer()
+    world.endpoint("e1", lh.answer_with(reply, sent))
+    start = world.ctrl.client.start
+
+    def fail_over_a_pause(exchange, on_done, *args):
+        world.ctrl.client.start = start
+        transfer = http_client.Transfer(world.ctrl.client, exchange, on_done)
+        failure = exchanges.TransferFailure(
+            exchanges.FailureKind.TIMED_OUT, "no connection in time", False
+        )
+
+        def resume():
+            world.loop.resumed_at = world.loop.now()
+            on_done(failure)
+
+        world.loop.call_soon(resume)
+        return transfer
+
+    world.ctrl.client.start = fail_over_a_pause
+    world.start((stream_route_document if is_stream else route_document)())
+    assert status(world.fetch(KEY)) == 200
+    assert len(sent) == 1
+
+
 def test_a_prompt_that_was_blocked_in_a_pause_is_not_sent(serving, sent):
     exchange = serving.ctrl.advisories
     exchange._peers = lambda: [stage_coordination.Peer("n2", UNUSED_ADDRESS)]
