--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -101,6 +101,7 @@
             version=table.version,
             was=self.table.version if self.table else None,
             routes=len(table.routes()),
+            caller_limits=table.caller_limits._asdict(),
         )
         self.table = table
         self.applied_at = self._loop.now()
