Avoid endpoints that send replies without end

What callers saw: requests went on being sent to an endpoint whose replies have no end; each was lost (502) after 16 MB had been read, and sound answers beside it took up to 0.6 s.

Cause: such a reply was one ordinary failure. Three in a row ejected the endpoint for 2 to 4 s, and when all endpoints of a pool are ejected any of them is used.

Change: a reply that this side breaks off as no end is in sight has a failure kind and cause of its own, endless. libcurl reports CURLE_TOO_LARGE for one long header line or too many; interim heads come as a general receive error, so the lines of a reply have a bound here, just below libcurl's. An event over its bound counts too, and a body without a length that gave way for lack of room. If all endpoints of a pool are closed in this way, requests are refused or wait as for a pause, by the same code.

Two tests create Placement with the new argument.

--- a/chervilarch/attempts.py
+++ b/chervilarch/attempts.py
@@ -29,6 +29,9 @@
     LOST = "lost"
     # The time ran out; bytes may have been sent.
     LATE = "late"
+    # The reply was broken off by this host, as no end was in sight; the request
+    # may have run.
+    ENDLESS = "endless"
     # The reply belongs to another attempt or request.
     NOT_OWN = "not own"
     # A stage's result that the attempt needs is no longer stored.
@@ -146,6 +149,8 @@
         return FailureCause.NOT_SENT
     if failure.kind is exchanges.FailureKind.TIMED_OUT:
         return FailureCause.LATE
+    if failure.kind is exchanges.FailureKind.ENDLESS:
+        return FailureCause.ENDLESS
     return FailureCause.LOST
 
 
--- a/chervilarch/endpoint_lease.py
+++ b/chervilarch/endpoint_lease.py
@@ -32,12 +32,11 @@
         requirements: what the call needs of the endpoint.
         tried: ids of endpoints that aren't to be chosen.
         may_wait: whether to wait for a permit if all endpoints need one, or for
-            the end of a pause that all ask for.
+            the first one if all are closed: paused, avoided or on trial.
 
     Returns:
         The lease, a refusal if the prompt was blocked since its admission or no
-        endpoint has a permit or ends its pause in time, or None if there is no
-        endpoint.
+        endpoint has a permit or opens in time, or None if there is no endpoint.
     """
     # The list of endpoints may be older than a pause of the process.
     yield ctx.ctrl.resumption.confirmed()
@@ -109,7 +108,7 @@
     tried: set[str],
     may_wait: bool,
 ) -> tasks.Coroutine[placement.Lease | outcomes.NotRun | None]:
-    """Chooses an endpoint; if all are paused, waits for the first if it may."""
+    """Chooses an endpoint; if all are closed, waits for the first if it may."""
     while True:
         chosen = ctx.ctrl.placement.pick(requirements, tried)
         if chosen is not None:
@@ -118,7 +117,7 @@
         if not pause_s:
             return None
         if not may_wait or pause_s > longest_wait_s(ctx, 0.0):
-            return refusal(pause_s)
+            return closed_refusal(ctx, requirements.pool, pause_s)
         yield tasks.sleep(ctx.ctrl.loop, pause_s)
 
 
@@ -145,6 +144,20 @@
     )
 
 
+def closed_refusal(
+    ctx: contexts.RoutedContext, pool: str, wait_s: float
+) -> outcomes.NotRun:
+    """Returns the outcome of a request whose endpoints are closed for long."""
+    if not ctx.ctrl.placement.is_any_avoided(pool):
+        return refusal(wait_s)
+    return outcomes.NotRun(
+        outcomes.Reason.NO_ENDPOINT,
+        "all endpoints of the pool are avoided after replies without end",
+        "send the request again after the time given",
+        wait_s,
+    )
+
+
 def blocked_outcome(
     ctx: contexts.RoutedContext, block: prompt_blocks.PromptBlock
 ) -> outcomes.NotRun:
--- a/chervilarch/exchanges.py
+++ b/chervilarch/exchanges.py
@@ -16,6 +16,8 @@
     TIMED_OUT = "timed_out"
     BROKEN = "broken"
     TOO_LARGE = "too_large"
+    # No end of the reply was in sight when this side broke it off.
+    ENDLESS = "endless"
     CANCELLED = "cancelled"
 
 
--- a/chervilarch/final_call.py
+++ b/chervilarch/final_call.py
@@ -112,6 +112,9 @@
         ctx.req.possible_runs += 1
         ctx.ctrl.answered_routes.add(ctx.req.route.name)
         ctx.ctrl.placement.finish(lease, attempt_result.head.status < 500)
+        ctx.ctrl.avoided.record_answer(
+            lease.slot.endpoint, lease.slot.started_at
+        )
         if attempt_result.head.status < 400:
             guard.record_answer(lease, attempt_result.head.ends_at_close)
         guard.record_end(lease, None)
@@ -132,6 +135,8 @@
             ctx.ctrl.placement.finish_late(lease)
         else:
             ctx.ctrl.placement.abandon(lease)
+    elif attempt_result.cause is attempts.FailureCause.ENDLESS:
+        ctx.ctrl.placement.finish_endless(lease)
     else:
         ctx.ctrl.placement.finish(lease, False)
     state_log.log_decision(
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -8,6 +8,7 @@
 
 from chervilarch import (
     advisories,
+    avoidances,
     budgets,
     caller_wait,
     endpoint_limits,
@@ -273,12 +274,15 @@
     )
     for follower in (configuration.topic_follower, endpoints.topic_follower):
         resuming.add_check(functools.partial(_is_confirmed, follower))
-    own_placement = placement.Placement(cfg.data_centre, loop.clock, rng)
+    avoided = avoidances.Avoidances(loop.clock, rng, meters.count_avoidance)
+    own_placement = placement.Placement(
+        cfg.data_centre, loop.clock, rng, avoided
+    )
     # Load of the final calls of all stage graphs that run here, also of remote
     # runs, which run for other hosts. `own_placement` has only the calls that
     # this host sends.
     coordinator_placement = placement.Placement(
-        cfg.data_centre, loop.clock, rng
+        cfg.data_centre, loop.clock, rng, avoided
     )
     stage_budgets = budgets.PoolBudgets(
         cfg.bounds.retry_share,
@@ -353,6 +357,7 @@
     endpoints.add_listener(runner.set_endpoints)
     endpoints.add_listener(guard.set_endpoints)
     endpoints.add_listener(limits.set_endpoints)
+    endpoints.add_listener(avoided.set_endpoints)
     return RoutedControllers(
         loop=loop,
         client=client,
@@ -370,6 +375,7 @@
         advisories=exchange,
         prompt_guard=guard,
         limits=limits,
+        avoided=avoided,
         permits=request_permits,
         resumption=resuming,
         stop_admission=stop_admission.StopAdmission(gateways.has_neighbour),
--- a/chervilarch/http_client.py
+++ b/chervilarch/http_client.py
@@ -50,6 +50,8 @@
         self.head = reply_head.ReplyHead()
         # Why this side broke the transfer off, or "".
         self.fault = ""
+        # Whether it did so as no end of the reply was in sight.
+        self.is_endless = False
         # Whether the reply is left unread for lack of room.
         self.waits_for_room = False
         self._body = bytearray()
@@ -125,15 +127,19 @@
         if self.waits_for_room:
             return pycurl.WRITEFUNC_PAUSE
         if grant is byte_room.Grant.REFUSED:
-            self.fault = self.fault or (
-                f"the reply is over {self._client.room.bounds.largest} bytes"
-            )
+            if not self.fault:
+                self.is_endless = True
+                largest = self._client.room.bounds.largest
+                self.fault = f"the reply is over {largest} bytes"
             return 0
         self._body += chunk
         return len(chunk)
 
-    def give_up(self) -> None:
+    def give_up(self, now: float) -> None:
         """Drops the body for lack of room."""
+        holder = self._holder
+        is_silent = not self.waits_for_room and holder.is_silent(now)
+        self.is_endless = not is_silent and not holder.expected_size
         self.fault = f"the reply had to give way, at {len(self._body)} bytes"
         self._body = bytearray()
 
@@ -235,7 +241,7 @@
             self._deliver()
 
     def _give_up(self, transfer: Transfer) -> None:
-        transfer.give_up()
+        transfer.give_up(self._loop.now())
         self.end_broken_off_soon(transfer)
 
     def end_broken_off_soon(self, transfer: Transfer) -> None:
@@ -250,7 +256,7 @@
             transfer.fault,
             reply_head.was_sent(transfer.curl),
         )
-        self._end(transfer, failure)
+        self._end(transfer, _with_kind(transfer, failure))
 
     def release(self, transfer: Transfer) -> None:
         """Removes a transfer; closes the connection of an unfinished one."""
@@ -336,7 +342,7 @@
                     transfer.head,
                     transfer.take_body(),
                 )
-                self._end(transfer, result)
+                self._end(transfer, _with_kind(transfer, result))
 
     def _end(
         self, transfer: Transfer, result: exchanges.TransferResult
@@ -350,6 +356,15 @@
             transfer.drop_body()
 
 
+def _with_kind(
+    transfer: Transfer, result: exchanges.TransferResult
+) -> exchanges.TransferResult:
+    """Returns the result with the kind of failure that this side knows."""
+    if transfer.is_endless and isinstance(result, exchanges.TransferFailure):
+        return result._replace(kind=exchanges.FailureKind.ENDLESS)
+    return result
+
+
 def _configure(curl: pycurl.Curl, transfer: Transfer) -> None:
     exchange = transfer.exchange
     curl.setopt(pycurl.URL, exchange.url)
--- a/chervilarch/placement.py
+++ b/chervilarch/placement.py
@@ -1,12 +1,14 @@
 """Chooses the endpoint of a request's final call."""
 
 import itertools
+import math
 import random
 import zlib
 from collections.abc import Iterable
 from typing import NamedTuple
 
 from chervilarch import (
+    avoidances,
     choice,
     clocks,
     endpoint_list,
@@ -24,6 +26,10 @@
 _RUNNING_UNITS = 0.2
 # Factor on the expected time of a suspected endpoint.
 _SUSPICION_FACTOR = 4.0
+# A call of an endpoint on trial is expected to end within this many times its
+# expected time plus this extra time; else the next one waits longer.
+_TRIAL_RATIO = 2.0
+_TRIAL_EXTRA_S = 0.05
 
 
 class Requirements(NamedTuple):
@@ -72,11 +78,16 @@
     """
 
     def __init__(
-        self, data_centre: str, clock: clocks.Clock, rng: random.Random
+        self,
+        data_centre: str,
+        clock: clocks.Clock,
+        rng: random.Random,
+        avoided: avoidances.Avoidances,
     ):
         self._data_centre = data_centre
         self._clock = clock
         self._rng = rng
+        self._avoided = avoided
         self._slot_numbers = itertools.count()
         self._pools: dict[str, dict[str, endpoint_state.Endpoint]] = {}
         self._listings: dict[str, endpoint_list.Listing] = {}
@@ -135,58 +146,101 @@
         )
 
     def pause_s(self, pool: str, tried: set[str]) -> float:
-        """Returns when the first paused endpoint of a pool may be used.
+        """Returns when the first closed endpoint of a pool may be used.
+
+        Endpoints are closed while they are paused, avoided or tried by another
+        request.
 
         Args:
             pool: the pool.
             tried: ids of endpoints that aren't to be counted.
 
         Returns:
-            Seconds until then, 0.0 if no other endpoint is paused.
+            Seconds until then, 0.0 if no other endpoint is closed.
         """
         now = self._clock.monotonic()
-        return min(
-            (
-                self._paused[run] - now
-                for run in self._runs(pool)
-                if run.key not in tried and self._is_paused(run, now)
-            ),
-            default=0.0,
-        )
-
-    def _runs(self, pool: str) -> list[endpoint_state.EndpointRun]:
-        return [
-            _run_of(name, endpoint)
+        waits_s = [
+            self._closed_s(name, endpoint, now)
             for name, endpoint in self._pools.get(pool, {}).items()
+            if name not in tried
         ]
+        return min(filter(None, waits_s), default=0.0)
+
+    def is_any_avoided(self, pool: str) -> bool:
+        """Returns whether an endpoint of a pool is avoided or on trial."""
+        return any(
+            self._avoided.trial_since(_run_of(name, endpoint)) < math.inf
+            for name, endpoint in self._pools.get(pool, {}).items()
+        )
 
-    def _is_paused(self, run: endpoint_state.EndpointRun, now: float) -> bool:
-        """Returns whether an endpoint is paused; forgets a pause that ended."""
+    def _closed_s(
+        self, name: str, endpoint: endpoint_state.Endpoint, now: float
+    ) -> float:
+        """Returns how long an endpoint gets no requests, 0.0 if it may."""
+        run = _run_of(name, endpoint)
+        if not self._paused_s(run, now) and not self._avoided.is_any():
+            return 0.0
+        return max(
+            self._paused_s(run, now), self._avoided.wait_s(run)
+        ) or self._trial_s(run, endpoint, now)
+
+    def _paused_s(self, run: endpoint_state.EndpointRun, now: float) -> float:
+        """Returns how long an endpoint is paused; forgets ended pauses."""
         if run not in self._paused:
-            return False
+            return 0.0
         if self._paused[run] > now:
-            return True
+            return self._paused[run] - now
         del self._paused[run]
-        return False
+        return 0.0
+
+    def _trial_s(
+        self,
+        run: endpoint_state.EndpointRun,
+        endpoint: endpoint_state.Endpoint,
+        now: float,
+    ) -> float:
+        """Returns how long a request probably tries an endpoint on trial."""
+        since = self._avoided.trial_since(run)
+        ends = [
+            slot.started_at + _TRIAL_RATIO * slot.expected_s + _TRIAL_EXTRA_S
+            for slot in endpoint.slots.values()
+            if slot.started_at > since and not slot.has_answered
+        ]
+        if not ends:
+            return 0.0
+        if max(ends) > now:
+            return max(ends) - now
+        return avoidances.FIRST_AVOIDANCE_S
 
     def wait_s(self, run: endpoint_state.EndpointRun) -> float:
-        """Returns how long an endpoint is still deferred or paused."""
+        """Returns how long an endpoint is deferred, paused or avoided."""
         until = max(
             times.get(run, float("-inf"))
             for times in (self._deferred, self._paused)
         )
-        return max(0.0, until - self._clock.monotonic())
+        return max(
+            0.0, until - self._clock.monotonic(), self._avoided.wait_s(run)
+        )
 
     def shortest_wait_s(self, pool: str) -> float:
-        """Returns how long all open endpoints are deferred or paused."""
+        """Returns how long all open endpoints are deferred or closed."""
         now = self._clock.monotonic()
-        if not self._is_any_deferred(now) and not self._paused:
+        if (
+            not self._is_any_deferred(now)
+            and not self._paused
+            and not self._avoided.is_any()
+        ):
             return 0.0
+        endpoints = self._pools.get(pool, {})
+        is_any_open = any(e.is_open(now) for e in endpoints.values())
         return min(
             (
-                self.wait_s(_run_of(name, endpoint))
-                for name, endpoint in self._pools.get(pool, {}).items()
-                if endpoint.is_open(now)
+                max(
+                    self.wait_s(_run_of(name, endpoint)),
+                    self._closed_s(name, endpoint, now),
+                )
+                for name, endpoint in endpoints.items()
+                if endpoint.is_open(now) or not is_any_open
             ),
             default=0.0,
         )
@@ -197,8 +251,7 @@
         candidates = {
             name: endpoint
             for name, endpoint in self._pools.get(requirements.pool, {}).items()
-            if name not in tried
-            and not self._is_paused(_run_of(name, endpoint), now)
+            if name not in tried and not self._closed_s(name, endpoint, now)
         }
         # If all endpoints are ejected, any of them is better than none.
         usable = {
@@ -303,6 +356,14 @@
 
     def finish_unreachable(self, lease: Lease) -> None:
         """Releases the slot of a call whose endpoint was unreachable."""
+        self._finish_ejected(lease)
+
+    def finish_endless(self, lease: Lease) -> None:
+        """Releases the slot of a call whose reply had no end in sight."""
+        self._finish_ejected(lease)
+        self._avoided.record_endless(lease.slot.endpoint, lease.slot.started_at)
+
+    def _finish_ejected(self, lease: Lease) -> None:
         endpoint = self._release(lease)
         if endpoint is not None:
             now = self._clock.monotonic()
--- a/chervilarch/reply_head.py
+++ b/chervilarch/reply_head.py
@@ -4,6 +4,12 @@
 
 from chervilarch import exchanges
 
+# All lines of one reply together: interim heads, its head and trailers. Below
+# libcurl's own bound, whose error doesn't tell what it is about.
+MAX_HEAD_BYTES = 256 * 1024
+# CURLE_TOO_LARGE, which pycurl doesn't name: a header line, or their number, is
+# over libcurl's bound.
+_E_TOO_LARGE = 100
 _FAILURE_KINDS = {
     pycurl.E_COULDNT_CONNECT: exchanges.FailureKind.REFUSED,
     pycurl.E_OPERATION_TIMEDOUT: exchanges.FailureKind.TIMED_OUT,
@@ -28,6 +34,7 @@
             takes a reply that ends before it for complete.
         is_ambiguous: whether the head names two ways to find the end of the
             body. libcurl refuses the other heads with a doubtful end by itself.
+        is_overlong: whether the lines are over their bound.
     """
 
     def __init__(self) -> None:
@@ -35,11 +42,17 @@
         self.headers: list[tuple[str, str]] = []
         self.is_complete = False
         self.is_ambiguous = False
+        self.is_overlong = False
+        self._size = 0
         self._partial_status = 0
         self._partial_headers: list[tuple[str, str]] = []
 
     def on_line(self, line: bytes) -> int | None:
         """Parses one line; called by libcurl, which gives up at a 0."""
+        self._size += len(line)
+        if self._size > MAX_HEAD_BYTES:
+            self.is_overlong = True
+            return 0
         if self.is_complete:
             return None
         text = line.decode("latin-1").strip()
@@ -109,6 +122,9 @@
     kind = _FAILURE_KINDS.get(code, exchanges.FailureKind.BROKEN)
     if head.is_ambiguous:
         kind = exchanges.FailureKind.BROKEN
+    if head.is_overlong or code == _E_TOO_LARGE:
+        kind = exchanges.FailureKind.ENDLESS
+        text = "the head of the reply is too long"
     return exchanges.TransferFailure(kind, text, was_sent(curl))
 
 
--- a/chervilarch/routed_context.py
+++ b/chervilarch/routed_context.py
@@ -4,6 +4,7 @@
 
 from chervilarch import (
     advisories,
+    avoidances,
     budgets,
     caller_wait,
     endpoint_limits,
@@ -47,6 +48,7 @@
     advisories: advisories.AdvisoryExchange
     prompt_guard: prompt_guard.PromptGuard
     limits: endpoint_limits.EndpointLimits
+    avoided: avoidances.Avoidances
     permits: permits.Permits
     resumption: resumption.Resumption
     stop_admission: stop_admission.StopAdmission
--- a/chervilarch/routed_filters.py
+++ b/chervilarch/routed_filters.py
@@ -139,11 +139,11 @@
 def refuse_over_limits(
     ctx: RoutedContext, call_next: NextFilter
 ) -> tasks.Coroutine[outcomes.Outcome]:
-    """Refuses requests that would wait too long for an endpoint's limit."""
+    """Refuses requests that would wait too long for an endpoint to open."""
     pool = ctx.req.route.pool_for(ctx.req.id)
     wait_s = ctx.ctrl.placement.shortest_wait_s(pool)
     if wait_s > endpoint_lease.longest_wait_s(ctx, 0.0):
-        return endpoint_lease.refusal(wait_s)
+        return endpoint_lease.closed_refusal(ctx, pool, wait_s)
     return (yield from call_next())
 
 
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -600,7 +600,7 @@
         complete = self._splitter.feed(chunk)
         if self._splitter.is_overlong():
             return attempts.Failure(
-                attempts.FailureCause.FAILED, "an event is too long"
+                attempts.FailureCause.ENDLESS, "an event is too long"
             )
         return complete
 
--- a/chervilarch/telemetry.py
+++ b/chervilarch/telemetry.py
@@ -34,6 +34,11 @@
         self._prompt_blocks = self._counter(
             "prompt_blocks", "Blocks of prompts that crash engines", []
         )
+        self._avoidances = self._counter(
+            "avoidances",
+            "Times that an endpoint was avoided after a reply without end",
+            [],
+        )
         self._dropped_lines = self._counter(
             "log_lines_left_out", "Log lines beyond the bound", ["event"]
         )
@@ -67,6 +72,10 @@
         """Counts a block of prompts that became known to this host."""
         self._prompt_blocks.inc()
 
+    def count_avoidance(self) -> None:
+        """Counts that an endpoint is avoided on this host."""
+        self._avoidances.inc()
+
     def set_memory(self, private_bytes: int, reply_bytes: int) -> None:
         """Sets the memory of the process and the bytes kept of replies."""
         self._memory.labels("process").set(private_bytes)
--- a/tests/loop_helpers.py
+++ b/tests/loop_helpers.py
@@ -1,6 +1,7 @@
 """Helpers of the gateway's tests: loops, fakes and raw sockets."""
 
 import contextlib
+import random
 import selectors
 import socket
 import threading
@@ -8,6 +9,7 @@
 from collections.abc import Callable
 
 from chervilarch import (
+    avoidances,
     clocks,
     endpoint_list,
     hosts,
@@ -28,6 +30,11 @@
     return loops.Loop(clock), clock
 
 
+def new_avoidances(clock: clocks.Clock) -> avoidances.Avoidances:
+    """Returns avoidances of no endpoint."""
+    return avoidances.Avoidances(clock, random.Random(1), lambda: None)
+
+
 def run_until(loop: loops.Loop, condition: Callable[[], bool]) -> None:
     """Runs the loop until a condition holds."""
     give_up_at = time.monotonic() + TIMEOUT_S
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -279,7 +279,9 @@
 
 def placement_of(*listings):
     _, clock = lh.new_loop()
-    place = placement.Placement("dc1", clock, random.Random(1))
+    place = placement.Placement(
+        "dc1", clock, random.Random(1), lh.new_avoidances(clock)
+    )
     place.set_endpoints({"p": {item.entry.name: item for item in listings}})
     return place, clock
 
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -188,7 +188,9 @@
 def env():
     loop, clock = lh.new_loop()
     runner = FakeRunner()
-    engines = placement.Placement("dc1", clock, random.Random(1))
+    engines = placement.Placement(
+        "dc1", clock, random.Random(1), lh.new_avoidances(clock)
+    )
     listed = {name: lh.listing(name, "s") for name in ("e8", "e9")}
     engines.set_endpoints({"s": listed})
     yield (
