Tell all hosts of endpoints that send replies without end

What callers saw: an endpoint that one host avoided got requests, and retries, of every other host until each had read a reply without end itself.

Cause: what a host learned of such an endpoint stayed on it.

Evidence: with two gateways on real sockets, one of which has seen a reply without end, requests of the other were sent there: 502, or 200 once the test's endpoint had sent its 256 MB and closed; and its retry of a declined request gave 502, as it went there.

Change: an endless reply is an advisory: endpoint, incarnation, how many repetitions came before, and its age. It goes to all live hosts at once, twice, then by the exchange, and to hosts that start. Hosts compute the time from it themselves, up to 24 s, and end it at different times, so that the first trial tells the others. A repetition counts only if it is one more than what is known and enough time has passed, so that a replayed item prolongs nothing; false items that build on each other take an endpoint away for at most 32 s before this host tries it. Sound answers that this host gets count more than what others say. Hosts of the release before ignore the new field of the datagram.

The interval in which an endpoint that answers soundly isn't avoided again now begins at the end of the last avoidance, not at its reply: after a long avoidance it had passed already.

The sample of datagrams in test_foreign_records has such an item too.

--- a/chervilarch/advisory_messages.py
+++ b/chervilarch/advisory_messages.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from chervilarch import (
+    avoidances,
     crash_evidence,
     crash_reports,
     endpoint_limits,
@@ -20,7 +21,11 @@
 # Added to each name for its pointer and padding.
 _NAME_OVERHEAD_BYTES = 4
 
-Advisory = crash_evidence.Item | endpoint_limits.EndpointLimit
+Advisory = (
+    crash_evidence.Item
+    | endpoint_limits.EndpointLimit
+    | avoidances.EndlessReply
+)
 
 
 class AdvisoryMessage(NamedTuple):
@@ -123,6 +128,12 @@
         slot.incarnation = limit.incarnation
         slot.perSecond = limit.per_s
         slot.ageMs = _to_ms(now - limit.seen_at)
+    replies = _of_type(message, avoidances.EndlessReply)
+    for slot, reply in _slots(msg, "endless", replies):
+        slot.endpoint = reply.endpoint
+        slot.incarnation = reply.incarnation
+        slot.repeats = reply.repeats
+        slot.ageMs = _to_ms(now - reply.seen_at)
     return messages.seal(key, msg.to_bytes_packed())
 
 
@@ -178,7 +189,16 @@
             for slot in msg.limits
             if endpoint_limits.is_limit(slot.perSecond)
         )
-        items = (*blocks, *answers, *crashes, *limits)
+        replies = (
+            avoidances.EndlessReply(
+                slot.endpoint,
+                slot.incarnation,
+                slot.repeats,
+                now - slot.ageMs / _MS_PER_S,
+            )
+            for slot in msg.endless
+        )
+        items = (*blocks, *answers, *crashes, *limits, *replies)
         return AdvisoryMessage(items, msg.wantsAll)
     except messages.DECODING_ERRORS as exc:
         return messages.BadFrame(f"malformed advisories: {exc}")
--- a/chervilarch/avoidances.py
+++ b/chervilarch/avoidances.py
@@ -23,7 +23,10 @@
 # endpoint can tell the others: up to this share of its time later.
 _SPREAD_SHARE = 0.5
 MAX_AVOIDANCE_S = FIRST_AVOIDANCE_S * 2**MAX_REPEATS * (1 + _SPREAD_SHARE)
-# A run that has answered since is avoided again no sooner than this.
+# Another host's repetition is believed after this share of the time.
+_PASSED_SHARE = 0.5
+# A run that has answered since is avoided again no sooner than this after the
+# end of its avoidance.
 MIN_INTERVAL_S = 10.0
 # What is known of a run is forgotten this long after its avoidance.
 MEMORY_S = 60.0
@@ -57,6 +60,9 @@
         self.until = until
         # Whether a request sent after the reply got a sound answer.
         self.is_answered = False
+        # Whether it got one before too, and none of its own requests showed a
+        # repetition since.
+        self.was_answered = False
 
     def is_avoided(self, now: float) -> bool:
         """Returns whether the run gets no requests."""
@@ -64,7 +70,7 @@
 
     def may_begin_anew(self, seen_at: float) -> bool:
         """Returns whether a run that has answered may be avoided again."""
-        return seen_at - self.reply.seen_at >= MIN_INTERVAL_S
+        return seen_at - self.until >= MIN_INTERVAL_S
 
 
 class Avoidances:
@@ -169,9 +175,10 @@
 
     def items(self, now: float, max_age_s: float) -> list[EndlessReply]:
         """Returns what other hosts should know."""
+        findings = filter(None, map(self._find, list(self._findings)))
         return [
             finding.reply
-            for finding in self._findings.values()
+            for finding in findings
             if not finding.is_answered
             and now - finding.reply.seen_at <= max_age_s
         ]
@@ -196,9 +203,9 @@
             if finding.is_answered:
                 if not finding.may_begin_anew(reply.seen_at):
                     return
-                # What this host saw itself counts more.
                 reply = reply._replace(repeats=0)
-            elif reply.repeats <= finding.reply.repeats:
+            # The sound answers that this host got count more.
+            elif finding.was_answered or not _may_follow(finding.reply, reply):
                 return
         if reply.seen_at + _avoidance_s(reply) + MEMORY_S > now:
             self._avoid(run, reply, is_own=False)
@@ -209,8 +216,9 @@
         now = self._clock.monotonic()
         spread = 1.0 + _SPREAD_SHARE * self._rng.random()
         until = reply.seen_at + spread * _avoidance_s(reply)
-        self._findings.pop(run, None)
-        self._findings[run] = _Finding(reply, until)
+        before = self._findings.pop(run, None)
+        finding = self._findings[run] = _Finding(reply, until)
+        finding.was_answered = before is not None and before.is_answered
         if len(self._findings) > _MAX_RUNS:
             del self._findings[next(iter(self._findings))]
         if until <= now:
@@ -240,5 +248,18 @@
     return FIRST_AVOIDANCE_S * 2**reply.repeats
 
 
+def _may_follow(known: EndlessReply, reply: EndlessReply) -> bool:
+    """Returns whether a reply is a repetition that another host may have seen.
+
+    It comes after the avoidances between; hosts may see the known one at
+    different times.
+    """
+    passed_s = _avoidance_s(reply) - _avoidance_s(known)
+    return (
+        reply.repeats > known.repeats
+        and reply.seen_at - known.seen_at >= _PASSED_SHARE * passed_s
+    )
+
+
 def _ignore(replies: list[EndlessReply]) -> None:
     pass
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -343,6 +343,8 @@
     resuming.add_check(lambda resumed_at: exchange.has_answer())
     exchange.add_source(limits)
     limits.publish = exchange.publish
+    exchange.add_source(avoided)
+    avoided.publish = exchange.publish
     request_permits = permits.Permits(
         loop,
         fleet.peer(own, fleet.PeerPort.PERMITS),
--- a/chervilarch/peer.capnp
+++ b/chervilarch/peer.capnp
@@ -208,6 +208,14 @@
   ageMs @3 :Int64;
 }
 
+# A reply of an endpoint that was broken off, as no end was in sight.
+struct EndlessReply {
+  endpoint @0 :Text;
+  incarnation @1 :UInt64;
+  repeats @2 :UInt8;
+  ageMs @3 :Int64;
+}
+
 # What a host learned about endpoints and prompts.
 struct Advisories {
   wantsAll @0 :Bool;
@@ -215,6 +223,7 @@
   starts @2 :List(PartStart);
   blocks @3 :List(PromptBlock);
   limits @4 :List(EndpointLimit);
+  endless @5 :List(EndlessReply);
 }
 
 # A request for a permit to send a request to an endpoint with a limit, and the
--- a/tests/test_foreign_records.py
+++ b/tests/test_foreign_records.py
@@ -9,6 +9,7 @@
 from chervilarch import (
     addresses,
     advisory_messages,
+    avoidances,
     block_records,
     crash_reports,
     decoding,
@@ -548,6 +549,7 @@
     block = prompt_blocks.PromptBlock(frozenset("ab"), 1, True, 1.0, 2.0, 2.0)
     crash = crash_reports.CrashReport("e", 1, 1.0, {frozenset("a"): 0.5})
     limit = endpoint_limits.EndpointLimit("e", 1, 2.0, 1.0)
+    endless = avoidances.EndlessReply("e", 1, 2, 1.0)
     graph = stage_graph.StageGraph(
         "id", "k", 1, 2.0, 3.0, (stage_graph.StageSpec("p", (), 2, 9),), "dc1"
     )
@@ -600,7 +602,9 @@
             messages.SCHEMA.Advisories,
             advisory_messages.encode(
                 KEY,
-                advisory_messages.AdvisoryMessage((block, crash, limit)),
+                advisory_messages.AdvisoryMessage(
+                    (block, crash, limit, endless)
+                ),
                 3.0,
             ),
             lambda frame: advisory_messages.decode(KEY, frame, 3.0),
