Avoid workers whose replies to calls for pieces have no end

What callers saw: stage calls went on to a worker whose replies have no end; each cost the coordinator 16 MB of reading, and its jobs a retry.

Cause: such a reply was one failed call, after which the worker backs off for 0.4 to 4 s; then it got as many calls at a time as any. What other hosts had seen of it wasn't looked at.

Change: calls for pieces record replies without end and sound ones as final calls do, so all hosts hear of them. An avoided worker gets no calls and isn't asked to free results; then it gets one call at a time until one is answered.

The fake call of test_piece_runner can fail with another kind, and its runner gets the new argument.

--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -300,6 +300,7 @@
         endpoints.mark_ended,
         endpoints.mark_leaving,
         limits,
+        avoided,
     )
     runner.confirmed = resuming.confirmed
     key = fleet.deployment_key(cfg.deployment)
--- a/chervilarch/piece_calls.py
+++ b/chervilarch/piece_calls.py
@@ -108,6 +108,9 @@
         if all(reply.handle for reply in replies):
             self._batch.worker.record_time(elapsed_s / self._batch.nominal_s)
         self._runner.meters.observe_stage_call(self._pool, elapsed_s)
+        self._runner.avoided.record_answer(
+            self._batch.worker.run(), self._sent_at
+        )
         return replies
 
     def _parse_head(
@@ -146,6 +149,11 @@
             self._queue.back_off_full(worker, now)
         else:
             worker.record_failure(now)
+        if (
+            isinstance(result, exchanges.TransferFailure)
+            and result.kind is exchanges.FailureKind.ENDLESS
+        ):
+            self._runner.avoided.record_endless(worker.run(), self._sent_at)
         state_log.log_decision(
             "pieces failed",
             is_problem=True,
--- a/chervilarch/piece_queue.py
+++ b/chervilarch/piece_queue.py
@@ -52,6 +52,10 @@
         # When the worker's limit on requests, or a pause that it asked for,
         # allows the next call.
         self.paced_until = float("-inf")
+        # Until when it is avoided after a reply without end, and whether it
+        # then gets one call at a time.
+        self.avoided_until = float("-inf")
+        self.is_on_trial = False
         self.failures = 0
         self.full_count = 0
         # Set by a failed or overdue call, cleared by one that is in time.
@@ -67,7 +71,11 @@
 
     def unavailable_until(self) -> float:
         """Returns the monotonic time from which it may get calls."""
-        return max(self.backoff_until, self.paced_until)
+        return max(self.backoff_until, self.paced_until, self.avoided_until)
+
+    def has_slot(self, max_calls: int) -> bool:
+        """Returns whether it takes another call beside those that run."""
+        return self.calls < (1 if self.is_on_trial else max_calls)
 
     def add_result(self, handle: str, size: int, until: float) -> None:
         """Counts a result's memory until a monotonic time."""
@@ -224,7 +232,7 @@
         available = [
             worker
             for worker in self._usable(now)
-            if worker.calls < self.profile.max_calls
+            if worker.has_slot(self.profile.max_calls)
         ]
         if not available:
             return None
@@ -274,7 +282,7 @@
     def _cost_s(self, pending: PendingJob, worker: Worker, now: float) -> float:
         """Returns the time to a job's results plus a cost of remote bytes."""
         count = min(len(pending.queued_pieces), self.profile.batch)
-        is_free = worker.calls < self.profile.max_calls
+        is_free = worker.has_slot(self.profile.max_calls)
         wait_s = 0.0 if is_free else max(0.0, worker.free_at - now)
         call_s = worker.slowness * self.call_s(count)
         local_bytes = pending.local_bytes(worker.listing.entry.data_centre)
@@ -368,7 +376,7 @@
         """
         started = [p for p in self._jobs if p.queued_pieces and p.is_started()]
         has_slot = any(
-            worker.calls < self.profile.max_calls
+            worker.has_slot(self.profile.max_calls)
             for worker in self._usable(now)
         )
         if len(started) < 2 or not has_slot:
--- a/chervilarch/piece_runner.py
+++ b/chervilarch/piece_runner.py
@@ -1,10 +1,12 @@
 """Runs the piece queues of all pools: sends calls, retries and hedges."""
 
 import collections
+import math
 from collections.abc import Callable
 from concurrent.futures import Future
 
 from chervilarch import (
+    avoidances,
     budgets,
     endpoint_limits,
     endpoint_list,
@@ -45,6 +47,7 @@
         on_endpoint_removed: Callable[[str, int], None],
         on_endpoint_leaving: Callable[[str, int], None],
         limits: endpoint_limits.EndpointLimits,
+        avoided: avoidances.Avoidances,
     ):
         self.loop = loop
         self.client = client
@@ -54,6 +57,7 @@
         self.on_endpoint_removed = on_endpoint_removed
         self.on_endpoint_leaving = on_endpoint_leaving
         self.limits = limits
+        self.avoided = avoided
         self._queues: dict[str, piece_queue.PieceQueue] = {}
         self._listed: dict[str, dict[str, endpoint_list.Listing]] = {}
         self._to_free: dict[str, list[str]] = collections.defaultdict(list)
@@ -98,7 +102,11 @@
         if queue is None or not queue.workers:
             pending.end(pieces.JobFailure(pieces.NO_ENDPOINT))
             return pending
-        next_call_at = min(w.paced_until for w in queue.workers.values())
+        self._apply_avoidances(queue)
+        next_call_at = min(
+            max(worker.paced_until, worker.avoided_until)
+            for worker in queue.workers.values()
+        )
         if max(now, next_call_at) + queue.call_s(1) > job.deadline_at:
             pending.end(pieces.JobFailure(pieces.PAST_DEADLINE))
             return pending
@@ -130,15 +138,16 @@
     def free(self, results: list[pieces.PieceResult]) -> None:
         """Frees results that are no longer needed.
 
-        A worker that limits its requests or asked for a pause isn't asked to:
-        its results expire.
+        A worker that limits its requests, asked for a pause or is avoided isn't
+        asked to: its results expire.
         """
         now = self.loop.now()
         for result in results:
             queue = self._queues.get(result.pool)
             worker = queue.workers.get(result.endpoint) if queue else None
             if worker is not None and (
-                self.limits.per_s(worker.run()) or worker.paced_until > now
+                self.limits.per_s(worker.run())
+                or max(worker.paced_until, worker.avoided_until) > now
             ):
                 continue
             self._to_free[result.address].append(result.handle)
@@ -148,6 +157,15 @@
             self._is_freeing = True
             self.loop.call_later(_FREE_PERIOD_S, self._send_frees)
 
+    def _apply_avoidances(self, queue: piece_queue.PieceQueue) -> None:
+        """Tells the workers of a queue which of them are avoided."""
+        now = self.loop.now()
+        for worker in queue.workers.values():
+            run = worker.run()
+            wait_s = self.avoided.wait_s(run)
+            worker.avoided_until = now + wait_s if wait_s else -math.inf
+            worker.is_on_trial = self.avoided.trial_since(run) < math.inf
+
     def pace(self, worker: piece_queue.Worker) -> None:
         """Delays the next call of a worker that limits its requests.
 
@@ -247,6 +265,7 @@
         if not confirmed.done():
             self._hold(pool, confirmed)
             return
+        self._apply_avoidances(queue)
         while True:
             batch = queue.next_batch(now)
             if batch is None:
--- a/tests/test_avoided_endpoints.py
+++ b/tests/test_avoided_endpoints.py
@@ -9,9 +9,11 @@
     read_status,
     route_document,
     status,
+    stream,
     stream_route_document,
 )
 from test_endless_replies import CASES, EndlessServer
+from test_gateway_stages import PIECES, StageServer
 
 from chervilarch import avoidances, endpoint_state, http_client
 
@@ -205,6 +207,25 @@
     assert {read_status(world, caller) for caller in callers} == {200}
 
 
+# Failed: the worker was never avoided.
+def test_pieces_are_made_elsewhere_than_at_a_worker_without_end(world, faulty):
+    worker = faulty(*ENDLESS["body"])
+    sound = StageServer()
+    world.endpoint("m1", worker.serve, pool="p1")
+    world.endpoint("m2", sound.serve, pool="p1")
+    world.endpoint("e1", lh.answer_with(stream(events(1, 2))))
+    stages = [{"service": "p1", "after": [], "bytes": 100}]
+    services = [{"name": "s1"}, {"name": "p1", "pieces": PIECES}]
+    world.start(stream_route_document(stages=stages), services=services)
+    headers = (KEY, ("Pieces", "1"), ("Piece-Key", "pk"))
+    lh.run_until(world.loop, lambda: world.fetch(*headers) and worker.requests)
+    run = _RUN._replace(key="m1")
+    lh.run_until(world.loop, lambda: world.ctrl.avoided.wait_s(run))
+    while world.ctrl.avoided.wait_s(run):
+        assert events(1, 2) in world.fetch(*headers)
+    assert len(worker.requests) == 1
+
+
 def test_a_new_run_of_an_avoided_endpoint_gets_requests(world, faulty):
     endpoint = faulty(*ENDLESS["body"])
     world.endpoint("e1", endpoint.serve)
--- a/tests/test_piece_runner.py
+++ b/tests/test_piece_runner.py
@@ -6,6 +6,7 @@
 import pytest
 
 from chervilarch import (
+    avoidances,
     budgets,
     endpoint_limits,
     exchanges,
@@ -38,8 +39,7 @@
     def succeed(self):
         self.reply(*({"handle": f"h{item['piece']}"} for item in self.items()))
 
-    def fail(self):
-        kind = exchanges.FailureKind.BROKEN
+    def fail(self, kind=exchanges.FailureKind.BROKEN):
         self.on_done(exchanges.TransferFailure(kind, "cut", True))
 
 
@@ -74,6 +74,7 @@
             lambda name, incarnation: None,
             lambda name, incarnation: self.leaving.append((name, incarnation)),
             endpoint_limits.EndpointLimits(self.loop),
+            lh.new_avoidances(self.clock),
         )
         self.runner.set_pools({"p": routing_table.Pool("p", WORKER_PROFILE)})
         self.runner.set_endpoints(
@@ -94,6 +95,11 @@
     return World()
 
 
+def name_of(call):
+    """Returns the id of the worker that a call was sent to."""
+    return call.exchange.headers[1].removeprefix("Expect-Instance: ")
+
+
 def test_results_are_in_the_order_of_the_pieces(world):
     pending = world.submit(3)
     world.client.started[0].succeed()
@@ -141,6 +147,79 @@
     assert world.client.freed == []
 
 
+def fail_without_end(world, call):
+    """Breaks a call off some time after it was sent."""
+    lh.advance(world.loop, world.clock, 0.1)
+    call.fail(exchanges.FailureKind.ENDLESS)
+
+
+# Failed: the worker was called again after 0.4 s.
+def test_a_worker_whose_reply_has_no_end_gets_no_calls_for_a_while(world):
+    world.runner.set_endpoints({"p": {"e1": lh.listing("e1")}})
+    world.submit(1)
+    fail_without_end(world, world.client.started[0])
+    lh.advance(world.loop, world.clock, avoidances.FIRST_AVOIDANCE_S - 0.1)
+    assert len(world.client.started) == 1
+    lh.advance(world.loop, world.clock, 0.7)
+    assert len(world.client.started) == 2
+    fail_without_end(world, world.client.started[1])
+    lh.advance(world.loop, world.clock, 2 * avoidances.FIRST_AVOIDANCE_S - 0.1)
+    assert len(world.client.started) == 2
+
+
+# Failed: the worker got as many calls at a time as any.
+def test_a_worker_whose_reply_had_no_end_gets_one_call_until_it_answers(world):
+    world.runner.set_endpoints({"p": {"e1": lh.listing("e1")}})
+    profile = WORKER_PROFILE._replace(batch=1, max_calls=3)
+    world.runner.set_pools({"p": routing_table.Pool("p", profile)})
+    world.submit(1)
+    fail_without_end(world, world.client.started[0])
+    for _ in range(5):
+        world.submit(1)
+    lh.advance(world.loop, world.clock, 1.6)
+    assert len(world.client.started) == 2
+    world.client.started[1].succeed()
+    assert len(world.client.started) == 5
+
+
+# Failed: the coordinator called it.
+def test_a_worker_that_another_host_saw_sending_without_end_is_not_called(
+    world,
+):
+    reply = avoidances.EndlessReply("e1", 1, 0, world.loop.now())
+    world.runner.avoided.merge([reply])
+    for _ in range(4):
+        world.submit(1)
+    lh.advance(world.loop, world.clock, 0.5)
+    assert {name_of(call) for call in world.client.started} == {"e2"}
+
+
+def test_a_job_is_refused_at_once_if_all_workers_are_avoided_for_longer(world):
+    for name in ("e1", "e2"):
+        reply = avoidances.EndlessReply(name, 1, 4, world.loop.now())
+        world.runner.avoided.merge([reply])
+    assert world.submit(1).future.done()
+    assert not world.client.started
+
+
+def test_pieces_whose_reply_has_no_end_are_made_by_another_worker(world):
+    pending = world.submit(1)
+    first = world.client.started[0]
+    fail_without_end(world, first)
+    second = world.client.started[1]
+    assert name_of(first) != name_of(second)
+    second.succeed()
+    assert len(pending.future.result()) == 1
+
+
+# A broken or garbled answer is an ordinary failure.
+@pytest.mark.parametrize("kind", ["broken", "timed_out", "too_large"])
+def test_a_worker_that_fails_otherwise_is_not_avoided(world, kind):
+    world.submit(1)
+    world.client.started[0].fail(exchanges.FailureKind(kind))
+    assert not world.runner.avoided.is_any()
+
+
 def test_pieces_of_a_broken_call_are_retried(world):
     pending = world.submit()
     world.client.started[0].fail()
