--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -8,6 +8,7 @@
 
 from chervilarch import (
     advisories,
+    avoidances,
     budgets,
     byte_room,
     caller_wait,
@@ -284,12 +285,15 @@
     )
     for follower in (configuration.topic_follower, endpoints.topic_follower):
         resuming.add_check(functools.partial(_is_confirmed, follower))
-    own_placement = placement.Placement(cfg.data_centre, loop.clock, rng)
+    avoided = avoidances.Avoidances(loop.clock, rng, meters.count_avoidance)
+    own_placement = placement.Placement(
+        cfg.data_centre, loop.clock, rng, avoided
+    )
     # Load of the final calls of all stage graphs that run here, also of remote
     # runs, which run for other hosts. `own_placement` has only the calls that
     # this host sends.
     coordinator_placement = placement.Placement(
-        cfg.data_centre, loop.clock, rng
+        cfg.data_centre, loop.clock, rng, avoided
     )
     stage_budgets = budgets.PoolBudgets(
         cfg.bounds.retry_share,
@@ -307,6 +311,7 @@
         endpoints.mark_ended,
         endpoints.mark_leaving,
         limits,
+        avoided,
     )
     runner.confirmed = resuming.confirmed
     key = fleet.deployment_key(cfg.deployment)
@@ -350,6 +355,8 @@
     resuming.add_check(lambda resumed_at: exchange.has_answer())
     exchange.add_source(limits)
     limits.publish = exchange.publish
+    exchange.add_source(avoided)
+    avoided.publish = exchange.publish
     request_permits = permits.Permits(
         loop,
         fleet.peer(own, fleet.PeerPort.PERMITS),
@@ -364,6 +371,7 @@
     endpoints.add_listener(runner.set_endpoints)
     endpoints.add_listener(guard.set_endpoints)
     endpoints.add_listener(limits.set_endpoints)
+    endpoints.add_listener(avoided.set_endpoints)
     return RoutedControllers(
         loop=loop,
         client=client,
@@ -381,6 +389,7 @@
         advisories=exchange,
         prompt_guard=guard,
         limits=limits,
+        avoided=avoided,
         permits=request_permits,
         resumption=resuming,
         stop_admission=stop_admission.StopAdmission(gateways.has_neighbour),
