Free a request of the router once it has ended

What callers saw: a router's memory grows with the bodies of requests that have ended, until the garbage collector comes.

Cause: werkzeug.Request stored itself in the environment that it refers to, with the body that it had read: up to 4 MiB twice for each request.

Change: the environment doesn't refer to the request.

--- a/chervilarch/server.py
+++ b/chervilarch/server.py
@@ -87,7 +87,8 @@
     ) -> Iterable[bytes]:
         url_adapter = _URL_MAP.bind_to_environ(environ)
         route_name, values = url_adapter.match()
-        req = werkzeug.Request(environ)
+        # Without a reference back, the body is freed with the request.
+        req = werkzeug.Request(environ, populate_request=False)
         if route_name == "run":
             run_handler = _PipelineRunHandler(self, environ, start_response)
             return run_handler.run(req, values["name"])
