--- a/tests/test_freed_router_requests.py
+++ b/tests/test_freed_router_requests.py
@@ -128,6 +128,13 @@
     assert world.fetch("encode", headers=["Deadline-Ms: 300"])[0] == 504
 
 
+def play_left(world, case):
+    world.endpoint("generate", rw.streaming(0, 2, False, case.stop))
+    with world.send("generate", stream=True) as conn:
+        conn.recv(65536)
+    case.stop.set()
+
+
 def play_whole_stream(world, case):
     world.endpoint("generate", rw.streaming(0, 4))
     for stream in (False, True):
