Bound the steps of all explanations together

What callers saw: nothing yet; a router's memory could grow to about 300 MB by the explanations of requests that waited for a slot.

Cause: each of the last 5,000 requests kept up to 200 steps of about 300 bytes, and a request that waits for a slot beside a failed endpoint adds one each 20 ms.

Evidence: test_requests_of_many_steps_do_not_add_up_without_a_bound failed before (1,000,000 steps); 306 bytes a step by tracemalloc.

Change: at 100,000 steps the oldest requests are dropped. As many requests of few steps are kept as before.

--- a/chervilarch/explanations.py
+++ b/chervilarch/explanations.py
@@ -2,12 +2,15 @@
 
 import collections
 import threading
+from collections.abc import Callable
 from typing import Any, TypedDict
 
 from chervilarch import clocks
 
 MAX_REQUESTS = 5000
 MAX_STEPS = 200
+# Bounds the memory of all traces: a step takes about half a kilobyte.
+MAX_TOTAL_STEPS = 100_000
 
 
 class Step(TypedDict):
@@ -25,6 +28,7 @@
         account: name of the account, "" while unknown.
         ending_filter: filter whose outcome ended a request that got no answer,
             "" for none.
+        on_step: called after each step.
     """
 
     def __init__(self, request_id: str, clock: clocks.Clock):
@@ -34,12 +38,15 @@
         self._clock = clock
         self._start = clock.monotonic()
         self._steps: list[tuple[float, str, dict[str, Any]]] = []
+        self.on_step: Callable[[Trace], None] | None = None
 
     def add_step(self, step: str, **detail: Any) -> None:
         """Adds a step, unless the trace is full."""
         if len(self._steps) < MAX_STEPS:
             at_s = self._clock.monotonic() - self._start
             self._steps.append((at_s, step, detail))
+            if self.on_step is not None:
+                self.on_step(self)
 
     def steps(self) -> list[Step]:
         """Returns the steps, oldest first."""
@@ -50,20 +57,39 @@
 
 
 class Explanations:
-    """The traces of the last `MAX_REQUESTS` requests."""
+    """The traces of the last requests.
+
+    There are at most `MAX_REQUESTS`, with `MAX_TOTAL_STEPS` steps.
+    """
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._traces: collections.OrderedDict[str, Trace] = (
             collections.OrderedDict()
         )
+        self._step_counts: collections.Counter[str] = collections.Counter()
+        self._total_steps = 0
 
     def add(self, trace: Trace) -> None:
-        """Adds a trace; when full, the oldest one is dropped."""
+        """Adds a trace; when full, the oldest ones are dropped."""
         with self._lock:
             self._traces[trace.request_id] = trace
             if len(self._traces) > MAX_REQUESTS:
-                self._traces.popitem(last=False)
+                self._drop_oldest()
+        trace.on_step = self._count_step
+
+    def _count_step(self, trace: Trace) -> None:
+        with self._lock:
+            if trace.request_id not in self._traces:
+                return
+            self._step_counts[trace.request_id] += 1
+            self._total_steps += 1
+            while self._total_steps > MAX_TOTAL_STEPS:
+                self._drop_oldest()
+
+    def _drop_oldest(self) -> None:
+        request_id, _ = self._traces.popitem(last=False)
+        self._total_steps -= self._step_counts.pop(request_id, 0)
 
     def find(self, request_id: str, account: str | None) -> Trace | None:
         """Returns a request's trace, or None if there is none.
