Record an endless reply in a test only once both endpoints are listed

test_a_retry_is_not_sent_to_an_endpoint_that_sends_without_end failed in about half of its runs beside others: it waited for the second endpoint to be read from the store, up to 0.8 s, while the avoidance of 1 s ran out. Cause by its log: requests refused until the trial began.

--- a/tests/test_avoided_endpoints.py
+++ b/tests/test_avoided_endpoints.py
@@ -160,7 +160,6 @@
 ):
     endpoint = faulty(*ENDLESS["body"])
     world.endpoint("e1", endpoint.serve)
-    world.start(route_document(max_attempts=3))
     seen = []
 
     def decline(conn):
@@ -168,8 +167,11 @@
         conn.sendall(answer(503, b"", stamp="", extra="Not-Executed: 1\r\n"))
 
     world.endpoint("e2", decline)
+    world.start(route_document(max_attempts=3))
+    lh.run_until(world.loop, lambda: len(world.ctrl.placement._listings) == 2)
     world.ctrl.avoided.record_endless(_RUN, world.loop.now())
-    lh.run_until(world.loop, lambda: world.fetch(KEY, deadline_ms=500) and seen)
+    assert status(world.fetch(KEY, deadline_ms=500)) == 503
+    assert seen
     assert not endpoint.requests
 
 
