Leave the output of an endpoint's reply undecoded in the router

What callers saw: nothing yet; a router's memory could grow by many times the bound on replies.

Cause: each reply was decoded whole before its attempt id was looked at. Nested empty lists take some 30 times the memory of their bytes once decoded, and each of the threads may hold one.

Change: only the attempt id and, of errors, the text are decoded; the output passes as JSON text, in one line, to the next stage and the caller. Two checks of the decoder are left out by that: UTF-8, which is checked now, and the range of numbers, so an output like 1e999 reaches the caller as the endpoint wrote it. What is recorded in the log (up to 16 KiB) is decoded first: a record that others can't decode would hide its page. The caller gets what was recorded.

--- a/chervilarch/attempts.py
+++ b/chervilarch/attempts.py
@@ -13,6 +13,7 @@
 # Of an endpoint's error text, which explanations, records of the log and
 # callers' answers hold, this much is kept.
 MAX_DETAIL_CHARS = 500
+_ABSENT = msgspec.Raw()
 
 
 class FailureCause(enum.Enum):
@@ -38,8 +39,24 @@
     INPUT_GONE = "input gone"
 
 
+class _ReplyBody(msgspec.Struct):
+    """An endpoint's reply, whose parts stay undecoded.
+
+    Decoded, nested lists take many times the memory of their bytes.
+    """
+
+    attempt_id: msgspec.Raw = _ABSENT
+    output: msgspec.Raw = _ABSENT
+    error: msgspec.Raw = _ABSENT
+    ran: msgspec.Raw = _ABSENT
+
+
 class Success(NamedTuple):
-    """A complete answer that belongs to the attempt."""
+    """A complete answer that belongs to the attempt.
+
+    Attributes:
+        output: text of a stream, or JSON as `msgspec.Raw`.
+    """
 
     output: Any
 
@@ -120,23 +137,23 @@
             transfer_failure_cause(result),
             f"{result.kind.value}: {result.detail}",
         )
-    try:
-        reply = msgspec.json.decode(result.body, type=dict)
-    except decoding.ERRORS as exc:
+    reply = decoding.attempt(_decode_body, result.body)
+    if isinstance(reply, decoding.Unreadable):
         return Failure(
-            FailureCause.FAILED, f"status {result.status}, not JSON: {exc}"
+            FailureCause.FAILED,
+            f"status {result.status}, not JSON: {reply.reason}",
         )
-    if reply.get("attempt_id") != attempt_id:
+    if _text_of(reply.attempt_id) != attempt_id:
         return Failure(FailureCause.NOT_OWN, "the reply names another attempt")
     if result.status == _HTTP_OK:
-        if "output" not in reply:
+        if reply.output is _ABSENT:
             return Failure(FailureCause.FAILED, "the reply has no output")
-        return Success(reply["output"])
-    detail = f"status {result.status}"
-    if isinstance(reply.get("error"), str):
-        detail = reply["error"][:MAX_DETAIL_CHARS]
-    if reply.get("ran") is False:
-        leaving = reply.get("error") == "leaving"
+        return Success(reply.output)
+    error = _text_of(reply.error)
+    detail = f"status {result.status}" if error is None else error
+    detail = detail[:MAX_DETAIL_CHARS]
+    if memoryview(reply.ran) == b"false":
+        leaving = error == "leaving"
         return Failure(
             FailureCause.LEAVING if leaving else FailureCause.DECLINED, detail
         )
@@ -145,6 +162,29 @@
     return Failure(FailureCause.FAILED, detail)
 
 
+def _decode_body(body: bytes) -> _ReplyBody:
+    """Decodes a reply.
+
+    Raises:
+        one of `decoding.ERRORS`: it isn't a JSON object in UTF-8.
+    """
+    if not body.isascii():
+        # What stays undecoded isn't checked by the decoder.
+        body.decode()
+    reply = msgspec.json.decode(body, type=_ReplyBody)
+    if reply.output is not _ABSENT:
+        # A line of its own, which an event needs, and apart from the body.
+        reply.output = msgspec.Raw(msgspec.json.format(reply.output, indent=-1))
+    return reply
+
+
+def _text_of(field: msgspec.Raw) -> str | None:
+    """Returns a field's text, None if it holds none."""
+    if memoryview(field)[:1] != b'"':
+        return None
+    return msgspec.json.decode(field)
+
+
 def transfer_failure_cause(failure: exchanges.TransferFailure) -> FailureCause:
     """Returns the cause of an attempt's failure, given its failed transfer."""
     if not failure.sent:
--- a/chervilarch/idempotency.py
+++ b/chervilarch/idempotency.py
@@ -2,7 +2,14 @@
 
 import msgspec
 
-from chervilarch import calls, calls_controller, controllers, outcomes, records
+from chervilarch import (
+    calls,
+    calls_controller,
+    controllers,
+    decoding,
+    outcomes,
+    records,
+)
 from chervilarch import request as requests
 from chervilarch.outcomes import Reason
 
@@ -97,7 +104,8 @@
         return outcome
     name, output = _outcome_to_record(outcome)
     ctrl.calls.record_result(call, claim.claim_id, name, output)
-    return outcome
+    # Later requests with the key get the recorded one.
+    return outcomes.Answer(output) if name == "answer" else outcome
 
 
 def _finish_after_fault(
@@ -116,10 +124,14 @@
 def _outcome_to_record(outcome: outcomes.Outcome):
     """Returns the outcome's name and the output to record for other hosts."""
     if isinstance(outcome, outcomes.Answer):
-        size = len(msgspec.json.encode(outcome.output))
-        if size > MAX_RECORDED_BYTES:
+        data = msgspec.json.encode(outcome.output)
+        if len(data) > MAX_RECORDED_BYTES:
             return "answer_not_kept", None
-        return "answer", outcome.output
+        output = decoding.attempt(msgspec.json.decode, data)
+        if isinstance(output, decoding.Unreadable):
+            # Other hosts couldn't read the page of the log with it.
+            return "answer_not_kept", None
+        return "answer", output
     return outcomes.outcome_name(outcome), outcome.detail
 
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -1,8 +1,10 @@
 """Only complete answers of the attempt itself count; outcomes map to HTTP."""
 
 import json
+import tracemalloc
 import types
 
+import msgspec
 import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
@@ -12,6 +14,7 @@
     call_stage,
     event_stream,
     exchanges,
+    idempotency,
     outcomes,
     tokens,
 )
@@ -201,6 +204,63 @@
     assert attempts.classify(result, "a").detail == detail
 
 
+def classify_output(output):
+    body = b'{"attempt_id": "a", "output": %s}' % output
+    return attempts.classify(exchanges.Reply(200, {}, body, 0.0), "a")
+
+
+@pytest.mark.parametrize("own", [True, False])
+def test_nested_json_of_an_endpoint_takes_little_more_than_its_bytes(own):
+    output = b"[" + b"[]," * 2**20 + b"[]]"
+    body = b'{"attempt_id": "%s", "output": %s}' % (
+        b"a" if own else b"b",
+        output,
+    )
+    result = exchanges.Reply(200, {}, body, 0.0)
+    tracemalloc.start()
+    try:
+        attempt_result = attempts.classify(result, "a")
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert isinstance(attempt_result, attempts.Success) is own
+    assert peak_bytes < 3 * len(body)
+
+
+@pytest.mark.parametrize(
+    ("output", "compact"),
+    [
+        (b'{"a":\n [1, 2.50 ]\r\n}', b'{"a":[1,2.50]}'),
+        (b'"a\\nb"', b'"a\\nb"'),
+        ('"\u00e9"'.encode(), '"\u00e9"'.encode()),
+        (b"null", b"null"),
+    ],
+)
+def test_an_output_is_passed_on_as_it_is_in_one_line(output, compact):
+    attempt_result = classify_output(output)
+    assert msgspec.json.encode(attempt_result.output) == compact
+
+
+@pytest.mark.parametrize(
+    "output", [b'"\xff"', b"[1,}", b"nul", b'"\\ud800abcdefgh"', b"[" * 5000]
+)
+def test_an_output_that_is_not_json_is_a_failure(output):
+    assert classify_output(output).cause is attempts.FailureCause.FAILED
+
+
+@pytest.mark.parametrize(
+    ("output", "recorded"),
+    [
+        (b'{"a": [1]}', ("answer", {"a": [1]})),
+        (b"1e999", ("answer_not_kept", None)),
+        (b'"%s"' % (b"x" * 20_000), ("answer_not_kept", None)),
+    ],
+)
+def test_only_answers_that_other_hosts_can_read_are_recorded(output, recorded):
+    answer = outcomes.Answer(classify_output(output).output)
+    assert idempotency._outcome_to_record(answer) == recorded
+
+
 OUTCOMES = [
     (outcomes.Rejected(Reason.BAD_REQUEST, "d", "r"), 400, False),
     (outcomes.NotRun(Reason.OVERLOADED, "d", "r"), 503, True),
