--- a/chervilarch/final_call.py
+++ b/chervilarch/final_call.py
@@ -36,6 +36,11 @@
 _HEDGE_EXTRA_S = 0.05
 
 
+_OUT_OF_TIME = attempts.Failure(
+    attempts.FailureCause.LATE, "no reply before the deadline"
+)
+
+
 class Success(NamedTuple):
     """A complete, stamped reply to this request."""
 
@@ -105,13 +110,24 @@
     ctx: contexts.RoutedContext,
     lease: placement.Lease,
     attempt_result: Success | attempts.Failure,
+    tried: set[str],
 ) -> None:
-    """Counts an ended attempt and ends its lease of the endpoint."""
+    """Counts an ended attempt and ends its lease of the endpoint.
+
+    Args:
+        ctx: the request.
+        lease: lease of the attempt's endpoint.
+        attempt_result: how the attempt ended.
+        tried: ids of the endpoints that the request isn't sent to again.
+    """
     guard = ctx.ctrl.prompt_guard
     if isinstance(attempt_result, Success):
         ctx.req.possible_runs += 1
         ctx.ctrl.answered_routes.add(ctx.req.route.name)
         ctx.ctrl.placement.finish(lease, attempt_result.head.status < 500)
+        ctx.ctrl.avoided.record_answer(
+            lease.slot.endpoint, lease.slot.started_at
+        )
         if attempt_result.head.status < 400:
             guard.record_answer(lease, attempt_result.head.ends_at_close)
         guard.record_end(lease, None)
@@ -119,7 +135,12 @@
     ctx.req.possible_runs += not attempt_result.certainly_not_run()
     entry = lease.listing.entry
     if attempt_result.cause is attempts.FailureCause.NOT_SENT:
-        ctx.ctrl.placement.finish_unreachable(lease)
+        if ctx.ctrl.loop.resumed_at > lease.slot.started_at:
+            # The time for the connection ran out in a pause of this process.
+            ctx.ctrl.placement.abandon(lease)
+            tried.discard(entry.name)
+        else:
+            ctx.ctrl.placement.finish_unreachable(lease)
     elif attempt_result.cause is attempts.FailureCause.LEAVING:
         ctx.ctrl.endpoints.mark_ended(entry.name, entry.incarnation)
         ctx.ctrl.placement.abandon(lease)
@@ -132,6 +153,8 @@
             ctx.ctrl.placement.finish_late(lease)
         else:
             ctx.ctrl.placement.abandon(lease)
+    elif attempt_result.cause is attempts.FailureCause.ENDLESS:
+        ctx.ctrl.placement.finish_endless(lease)
     else:
         ctx.ctrl.placement.finish(lease, False)
     state_log.log_decision(
@@ -250,7 +273,7 @@
             for attempt in [a for a in self._running if a.future.done()]:
                 self._running.remove(attempt)
                 attempt_result = attempt.future.result()
-                finish_attempt(ctx, attempt.lease, attempt_result)
+                finish_attempt(ctx, attempt.lease, attempt_result, self._tried)
                 if isinstance(
                     attempt_result, Success
                 ) and not self._is_retryable_error(attempt_result):
@@ -360,14 +383,18 @@
         """Abandons the attempts that are no longer needed.
 
         Their endpoints become suspects: another attempt answered first, or the
-        request ended (at its deadline, or because the caller left or this host
-        stops) before they answered.
+        request ended (because the caller left or this host stops) before they
+        answered. One whose time has run out is late, also if the request's
+        timer ran before libcurl's.
         """
         for attempt in self._running:
             # Cancelling a call that may run only once can't undo it, so it is
             # left to end by itself.
             if self._ctx.req.is_retryable():
                 attempt.transfer.cancel()
+            if self._ctx.remaining_s() <= RETURN_MARGIN_S:
+                finish_attempt(self._ctx, attempt.lease, _OUT_OF_TIME)
+                continue
             self._ctx.ctrl.placement.abandon(attempt.lease, is_suspect=True)
             self._ctx.ctrl.prompt_guard.record_end(attempt.lease, None)
 
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -8,8 +8,11 @@
 
 from chervilarch import (
     advisories,
+    avoidances,
     budgets,
+    byte_room,
     caller_wait,
+    descriptors,
     endpoint_limits,
     environment,
     fleet,
@@ -20,6 +23,7 @@
     http_client,
     http_server,
     membership,
+    memory_limits,
     pages,
     permits,
     piece_runner,
@@ -82,14 +86,21 @@
         self._loop = loops.Loop(env.clock)
         self._meters = meters
         self._serving_state = serving.ServingState()
-        client = http_client.Client(self._loop)
+        bounds = memory_limits.room_bounds(cfg.memory_mb)
+        client = http_client.Client(self._loop, bounds)
         store_client = platform_store.StoreClient(client, cfg.store_address)
         self._ctrl = build_controllers(
             cfg, self._loop, meters, client, store_client
         )
         self._handler = serving.CallerHandler(self._ctrl, self._serving_state)
+        self._max_connections = descriptors.max_caller_connections()
         self._caller_server = http_server.Server(
-            self._loop, cfg.caller_address, self._handler
+            self._loop,
+            cfg.caller_address,
+            self._handler,
+            answer_room=client.room,
+            body_room=byte_room.Room(bounds),
+            max_connections=self._max_connections,
         )
         self._ready_server = http_server.Server(
             self._loop, cfg.ready_address, pages.PageHandler(self._ready_page)
@@ -116,6 +127,7 @@
             host=self._cfg.host,
             data_centre=self._cfg.data_centre,
             callers=self._cfg.caller_address,
+            max_connections=self._max_connections,
         )
         self._poll()
         self._loop.call_every(_POLL_INTERVAL_S, self._poll)
@@ -273,12 +285,15 @@
     )
     for follower in (configuration.topic_follower, endpoints.topic_follower):
         resuming.add_check(functools.partial(_is_confirmed, follower))
-    own_placement = placement.Placement(cfg.data_centre, loop.clock, rng)
+    avoided = avoidances.Avoidances(loop.clock, rng, meters.count_avoidance)
+    own_placement = placement.Placement(
+        cfg.data_centre, loop.clock, rng, avoided
+    )
     # Load of the final calls of all stage graphs that run here, also of remote
     # runs, which run for other hosts. `own_placement` has only the calls that
     # this host sends.
     coordinator_placement = placement.Placement(
-        cfg.data_centre, loop.clock, rng
+        cfg.data_centre, loop.clock, rng, avoided
     )
     stage_budgets = budgets.PoolBudgets(
         cfg.bounds.retry_share,
@@ -296,6 +311,7 @@
         endpoints.mark_ended,
         endpoints.mark_leaving,
         limits,
+        avoided,
     )
     runner.confirmed = resuming.confirmed
     key = fleet.deployment_key(cfg.deployment)
@@ -339,6 +355,8 @@
     resuming.add_check(lambda resumed_at: exchange.has_answer())
     exchange.add_source(limits)
     limits.publish = exchange.publish
+    exchange.add_source(avoided)
+    avoided.publish = exchange.publish
     request_permits = permits.Permits(
         loop,
         fleet.peer(own, fleet.PeerPort.PERMITS),
@@ -353,6 +371,7 @@
     endpoints.add_listener(runner.set_endpoints)
     endpoints.add_listener(guard.set_endpoints)
     endpoints.add_listener(limits.set_endpoints)
+    endpoints.add_listener(avoided.set_endpoints)
     return RoutedControllers(
         loop=loop,
         client=client,
@@ -370,6 +389,7 @@
         advisories=exchange,
         prompt_guard=guard,
         limits=limits,
+        avoided=avoided,
         permits=request_permits,
         resumption=resuming,
         stop_admission=stop_admission.StopAdmission(gateways.has_neighbour),
--- a/chervilarch/http_client.py
+++ b/chervilarch/http_client.py
@@ -23,6 +23,8 @@
     largest=MAX_REPLY_BYTES,
     small=16 * 1024 * 1024,
 )
+# What else of a reply has arrived waits for the next turn of the loop.
+TURN_BYTES = 64 * 1024
 # While transfers wait for room, this often it is looked whether they wait for a
 # silent one.
 _ROOM_CHECK_INTERVAL_S = 0.25
@@ -50,8 +52,15 @@
         self.head = reply_head.ReplyHead()
         # Why this side broke the transfer off, or "".
         self.fault = ""
+        # Whether it did so as no end of the reply was in sight.
+        self.is_endless = False
         # Whether the reply is left unread for lack of room.
         self.waits_for_room = False
+        # Whether the receiver of `on_data` asked to stop reading.
+        self.is_paused = False
+        # Bytes that were handled in this turn of the loop.
+        self._turn = 0
+        self._turn_bytes = 0
         self._body = bytearray()
         self._holder: byte_room.Holder | None = None
         self.is_body_kept = False
@@ -62,10 +71,12 @@
 
     def pause(self) -> None:
         """Stops reading the reply until `resume`."""
+        self.is_paused = True
         self._set_pause(pycurl.PAUSE_RECV)
 
     def resume(self) -> None:
         """Resumes reading the reply."""
+        self.is_paused = False
         self._set_pause(pycurl.PAUSE_CONT)
 
     def _set_pause(self, state: int) -> None:
@@ -90,6 +101,32 @@
         """Returns the size of the body so far."""
         return len(self._body)
 
+    def hold(self, size: int) -> bool:
+        """Counts what the receiver of `on_data` keeps of the body now.
+
+        Small parts need no room. A holder that has to give way ends the
+        transfer.
+
+        Args:
+            size: in bytes.
+
+        Returns:
+            Whether there is room for it.
+        """
+        if size <= byte_room.SMALL_BYTES:
+            if self._holder is not None:
+                self.close_holder()
+            return True
+        if self._holder is None:
+            self._holder = self._client.open_holder(self)
+            self._holder.expected_size = 0
+        missing = size - self._holder.size
+        if missing < 0:
+            self._client.room.set_size(self._holder, size)
+            return True
+        grant = self._client.take_room(self._holder, missing)
+        return grant is byte_room.Grant.TAKEN
+
     def keep_body(self) -> None:
         """Counts the body as kept after `on_done` too, until `drop_body`."""
         self.is_body_kept = True
@@ -115,6 +152,9 @@
 
     def on_body_chunk(self, chunk: bytes) -> int:
         """Stores a chunk of the body; called by libcurl."""
+        if not self._has_turn(len(chunk)):
+            self._client.resume_next_turn(self)
+            return pycurl.WRITEFUNC_PAUSE
         if self.on_data is not None and self.head.status == 200:
             self._client.queue_chunk(self, chunk)
             return len(chunk)
@@ -125,15 +165,28 @@
         if self.waits_for_room:
             return pycurl.WRITEFUNC_PAUSE
         if grant is byte_room.Grant.REFUSED:
-            self.fault = self.fault or (
-                f"the reply is over {self._client.room.bounds.largest} bytes"
-            )
+            if not self.fault:
+                self.is_endless = True
+                largest = self._client.room.bounds.largest
+                self.fault = f"the reply is over {largest} bytes"
             return 0
         self._body += chunk
         return len(chunk)
 
-    def give_up(self) -> None:
+    def _has_turn(self, size: int) -> bool:
+        """Returns whether this turn of the loop handles so many more bytes."""
+        if self._turn != self._client.turn():
+            self._turn, self._turn_bytes = self._client.turn(), 0
+        if self._turn_bytes and self._turn_bytes + size > TURN_BYTES:
+            return False
+        self._turn_bytes += size
+        return True
+
+    def give_up(self, now: float) -> None:
         """Drops the body for lack of room."""
+        holder = self._holder
+        is_silent = not self.waits_for_room and holder.is_silent(now)
+        self.is_endless = not is_silent and not holder.expected_size
         self.fault = f"the reply had to give way, at {len(self._body)} bytes"
         self._body = bytearray()
 
@@ -158,7 +211,10 @@
         self._multi.setopt(pycurl.M_MAXCONNECTS, _MAX_IDLE_CONNECTIONS)
         self._running: dict[pycurl.Curl, Transfer] = {}
         self._spare_handles: list[pycurl.Curl] = []
-        self._queued_chunks: list[tuple[Transfer, bytes]] = []
+        self._queued_chunks: dict[Transfer, list[bytes]] = {}
+        # Had their part of a turn.
+        self._next_turn: list[Transfer] = []
+        self._next_turn_after = 0
 
     def start(
         self,
@@ -195,7 +251,32 @@
 
     def queue_chunk(self, transfer: Transfer, chunk: bytes) -> None:
         """Queues a chunk for `on_data` until libcurl may be called again."""
-        self._queued_chunks.append((transfer, chunk))
+        self._queued_chunks.setdefault(transfer, []).append(chunk)
+
+    def turn(self) -> int:
+        """Returns the number of the loop's turn."""
+        return self._loop.turns
+
+    def resume_next_turn(self, transfer: Transfer) -> None:
+        """Reads on a reply in the next turn of the loop."""
+        if not self._next_turn:
+            self._loop.call_soon(self._begin_turn)
+        self._next_turn.append(transfer)
+        self._next_turn_after = self._loop.turns
+
+    def _begin_turn(self) -> None:
+        """Reads on the replies that had their part of the turn before."""
+        if self._loop.turns <= self._next_turn_after:
+            self._loop.call_soon(self._begin_turn)
+            return
+        if not self._next_turn:
+            return  # The client was closed.
+        transfers, self._next_turn = self._next_turn, []
+        for transfer in transfers:
+            if transfer.curl is not None and not transfer.is_paused:
+                transfer.resume()
+        self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+        self._deliver()
 
     def open_holder(self, transfer: Transfer) -> byte_room.Holder:
         """Returns a holder of room for the body of a transfer."""
@@ -235,7 +316,7 @@
             self._deliver()
 
     def _give_up(self, transfer: Transfer) -> None:
-        transfer.give_up()
+        transfer.give_up(self._loop.now())
         self.end_broken_off_soon(transfer)
 
     def end_broken_off_soon(self, transfer: Transfer) -> None:
@@ -250,7 +331,7 @@
             transfer.fault,
             reply_head.was_sent(transfer.curl),
         )
-        self._end(transfer, failure)
+        self._end(transfer, _with_kind(transfer, failure))
 
     def release(self, transfer: Transfer) -> None:
         """Removes a transfer; closes the connection of an unfinished one."""
@@ -268,6 +349,7 @@
 
     def close(self) -> None:
         """Cancels all transfers and closes the client."""
+        self._next_turn.clear()
         for transfer in list(self._running.values()):
             self.release(transfer)
         self._multi.close()
@@ -313,10 +395,10 @@
 
     def _deliver(self) -> None:
         """Runs the callbacks for what the last call of libcurl received."""
-        queued_chunks, self._queued_chunks = self._queued_chunks, []
-        for transfer, chunk in queued_chunks:
+        queued_chunks, self._queued_chunks = self._queued_chunks, {}
+        for transfer, chunks in queued_chunks.items():
             if transfer.curl is not None:
-                guards.call(transfer.on_data, chunk)
+                guards.call(transfer.on_data, b"".join(chunks))
         ended = []
         queued = 1
         while queued:
@@ -336,7 +418,7 @@
                     transfer.head,
                     transfer.take_body(),
                 )
-                self._end(transfer, result)
+                self._end(transfer, _with_kind(transfer, result))
 
     def _end(
         self, transfer: Transfer, result: exchanges.TransferResult
@@ -350,6 +432,15 @@
             transfer.drop_body()
 
 
+def _with_kind(
+    transfer: Transfer, result: exchanges.TransferResult
+) -> exchanges.TransferResult:
+    """Returns the result with the kind of failure that this side knows."""
+    if transfer.is_endless and isinstance(result, exchanges.TransferFailure):
+        return result._replace(kind=exchanges.FailureKind.ENDLESS)
+    return result
+
+
 def _configure(curl: pycurl.Curl, transfer: Transfer) -> None:
     exchange = transfer.exchange
     curl.setopt(pycurl.URL, exchange.url)
--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -5,6 +5,8 @@
 """
 
 import enum
+import errno
+import heapq
 import http
 import selectors
 import socket
@@ -13,11 +15,17 @@
 
 import h11
 
+from chervilarch import byte_room, request_framing, state_log, write_buffer
 from chervilarch import loop as loops
-from chervilarch import request_framing, state_log
 
 _RECV_BYTES = 64 * 1024
 _BACKLOG = 1024
+# Idle connections that are closed at a time to make room for new ones.
+_MAX_CLOSED_FOR_ROOM = 32
+# Without room, connections wait this long in the listener's queue until it is
+# looked again.
+_ACCEPT_RETRY_S = 0.1
+_NO_DESCRIPTOR_ERRORS = (errno.EMFILE, errno.ENFILE)
 # A sender pauses while more bytes than this wait for a slow caller.
 WRITE_HIGH_BYTES = 256 * 1024
 # With this many pipelined bytes read, the rest is left in the kernel.
@@ -36,9 +44,20 @@
 # A request of which bytes wait unread at its time limit may be read for this
 # long in addition: more may wait in the caller's kernel.
 LATE_READ_S = 0.5
+# A request that gets no room for its body within this time is refused. Callers
+# give up on a host that hasn't read their request after a second.
+ROOM_WAIT_S = 0.5
+# Retry-After of such a refusal, in seconds.
+ROOM_RETRY_S = 0.5
+# A body of which fewer bytes arrive within `byte_room.MAX_SILENCE_S` may be
+# refused while others wait for room.
+_LEAST_PROGRESS_BYTES = 64 * 1024
+_ROOM_CHECK_INTERVAL_S = 0.25
+_UNBOUNDED = byte_room.Bounds(2**62, 2**62, 2**62)
 
 # Doesn't say whether the request ran.
 _FAULT_STATUS = 502
+_BODYLESS = frozenset((204, 304))
 
 _REASON_PHRASES = {
     status.value: status.phrase.encode() for status in http.HTTPStatus
@@ -57,6 +76,7 @@
     ANSWERED = "its last answer was sent"
     IDLE = "no request came in time"
     STOPPING = "this host stops"
+    NO_ROOM = "a new connection needs its place"
     OUT_OF_STEP = "the request or the answer wasn't whole"
 
 
@@ -143,7 +163,7 @@
         """Sends a complete answer."""
         length = ("Content-Length", str(len(body)))
         self.send_head(status, [*headers, length])
-        if body:
+        if body and self._conn.allows_body(status):
             self.send_body(body)
         self.finish()
 
@@ -193,6 +213,9 @@
         address: str,
         handler: Handler,
         build_rejection: Callable[[int, str], Rejection] = _empty_rejection,
+        answer_room: byte_room.Room | None = None,
+        body_room: byte_room.Room | None = None,
+        max_connections: int | None = None,
     ):
         """Binds the address.
 
@@ -202,11 +225,20 @@
             handler: serves the requests.
             build_rejection: returns the answer to a request that can't be read,
                 by its status and a description of the fault.
+            answer_room: counts the bytes of answers that callers haven't read.
+            body_room: bounds the bodies of requests, from before they are read
+                until they are answered; unbounded by default.
+            max_connections: bound on open connections, None for none. At the
+                bound the longest idle ones are closed for new ones; if none is
+                idle, new ones wait in the listener's queue.
 
         Raises:
             OSError: the address can't be bound.
         """
         self.loop = loop
+        self.answer_room = answer_room or byte_room.Room(_UNBOUNDED)
+        self.body_room = body_room or byte_room.Room(_UNBOUNDED)
+        self._room_timer: loops.Timer | None = None
         self.handler = handler
         self.build_rejection = build_rejection
         host, port = address.rsplit(":", 1)
@@ -217,6 +249,7 @@
         self._listener.setblocking(False)
         self.port = self._listener.getsockname()[1]
         self._connections: set[_Connection] = set()
+        self._max_connections = max_connections
         loop.watch(self._listener, selectors.EVENT_READ, self._accept)
 
     def stop_accepting(self) -> None:
@@ -225,6 +258,7 @@
         Connections that wait in the listener's queue are accepted first: the
         kernel would reset them.
         """
+        self._max_connections = None
         self._accept(selectors.EVENT_READ)
         self.loop.unwatch(self._listener)
         self._listener.close()
@@ -232,13 +266,26 @@
     def close_idle(self) -> None:
         """Closes the connections that serve no request and have none sent."""
         for conn in list(self._connections):
-            conn.close_if_idle()
+            conn.close_if_idle(CloseReason.STOPPING)
 
     def refuse_unread(self) -> None:
         """Refuses the requests that haven't been sent completely."""
         for conn in list(self._connections):
             conn.refuse_if_reading()
 
+    def check_room(self) -> None:
+        """Makes bodies that don't arrive give way while others wait."""
+        if self._room_timer is None:
+            self._room_timer = self.loop.call_later(
+                _ROOM_CHECK_INTERVAL_S, self._check_room
+            )
+
+    def _check_room(self) -> None:
+        self._room_timer = None
+        if self.body_room.is_awaited():
+            self.body_room.check(self.loop.now())
+            self.check_room()
+
     def remove(self, conn: "_Connection") -> None:
         """Removes a closed connection."""
         self._connections.discard(conn)
@@ -257,14 +304,61 @@
         return any(conn.is_serving() for conn in self._connections)
 
     def _accept(self, events: int) -> None:
-        while True:
+        # Whether a further connection waits shows in the next turn.
+        is_waiting = True
+        while self._is_below_bound() or (is_waiting and self._close_for_room()):
             try:
                 sock, peer = self._listener.accept()
-            except OSError:
-                return  # No connection waits, or it was reset meanwhile.
+            except OSError as exc:
+                # No connection waits, it was reset meanwhile, or the process
+                # can't open another.
+                if exc.errno not in _NO_DESCRIPTOR_ERRORS:
+                    return
+                if not self._close_for_room():
+                    break
+                continue
+            is_waiting = False
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self._connections.add(_Connection(self, sock, peer[0]))
+        if is_waiting:
+            self._pause_accepting()
+
+    def _is_below_bound(self) -> bool:
+        return (
+            self._max_connections is None
+            or len(self._connections) < self._max_connections
+        )
+
+    def _close_for_room(self) -> bool:
+        """Closes the longest idle connections; returns whether it closed any.
+
+        The others have a request that is being read, served or answered.
+        """
+        open_before = len(self._connections)
+        for conn in heapq.nsmallest(
+            _MAX_CLOSED_FOR_ROOM,
+            (conn for conn in self._connections if conn.is_idle()),
+            key=lambda conn: conn.idle_since,
+        ):
+            conn.close_if_idle(CloseReason.NO_ROOM)
+        closed = open_before - len(self._connections)
+        state_log.log_decision(
+            "connections at the bound",
+            is_problem=True,
+            connections=open_before,
+            idle_closed=closed,
+        )
+        return closed > 0
+
+    def _pause_accepting(self) -> None:
+        """Leaves new connections in the listener's queue for a moment."""
+        self.loop.unwatch(self._listener)
+        self.loop.call_later(_ACCEPT_RETRY_S, self._resume_accepting)
+
+    def _resume_accepting(self) -> None:
+        if self._listener.fileno() >= 0:
+            self.loop.watch(self._listener, selectors.EVENT_READ, self._accept)
 
 
 class _Connection:
@@ -276,7 +370,7 @@
         self._sock = sock
         self._peer = peer
         self._opened_at = self._loop.now()
-        self._idle_since = self._opened_at
+        self.idle_since = self._opened_at
         self._has_served = False
         self._limits = server.handler.limits()
         self._codec_header_bytes = self._limits.header_bytes
@@ -287,9 +381,17 @@
         self._is_late = False
         self._responder: Responder | None = None
         self._on_disconnect: Callable[[], None] | None = None
-        self._out = bytearray()
+        self._out = write_buffer.WriteBuffer()
+        self._unsent_holder: byte_room.Holder | None = None
+        self._body_holder: byte_room.Holder | None = None
+        # Bytes of the body for which there is no room yet.
+        self._unplaced_bytes = 0
+        self._progress_bytes = 0
+        # Set while the body waits for room, and left unread.
+        self._room_timer: loops.Timer | None = None
         self._closing = False
         self._closed = False
+        self._has_read_all = False
         self._pipelined_bytes = 0
         self.on_flushed: Callable[[], None] | None = None
         self.taken_at = self._opened_at
@@ -316,7 +418,7 @@
         """Returns whether a request waits for the end of its answer."""
         return self._responder is not None
 
-    def close_if_idle(self) -> None:
+    def close_if_idle(self, reason: CloseReason) -> None:
         """Closes the connection unless a request was sent or may come soon."""
         age_s = self._loop.now() - self._opened_at
         if not self._has_served and age_s < FIRST_REQUEST_WAIT_S:
@@ -325,7 +427,7 @@
             # A request may wait in the kernel; closing would reset it.
             self._receive()
         if self.is_idle():
-            self.close(CloseReason.STOPPING)
+            self.close(reason)
 
     def refuse_if_reading(self) -> None:
         """Refuses a request of which only a part has been read."""
@@ -344,13 +446,17 @@
             headers = [*headers, ("Connection", "close")]
         return _response_head(status, headers)
 
+    def allows_body(self, status: int) -> bool:
+        """Returns whether the answer to the current request has a body."""
+        return status not in _BODYLESS and self._head.method != b"HEAD"
+
     def send_event(self, event: h11.Event) -> None:
         """Queues an event of the answer."""
         if self._closed:
             return
         data = self._codec.send(event)
         if data:
-            self._out += data
+            self._out.append(data)
             self._flush()
 
     def finish(self) -> None:
@@ -358,6 +464,7 @@
         if self._closed:
             return
         self.send_event(h11.EndOfMessage())
+        self._close_body_holder()
         self._responder = None
         self._on_disconnect = None
         self._head = None
@@ -386,6 +493,8 @@
         self._log_close(reason)
         self._closed = True
         self._out.clear()
+        self._count_unsent()
+        self._close_body_holder()
         self._timer.cancel()
         self._loop.unwatch(self._sock)
         self._sock.close()
@@ -414,7 +523,9 @@
 
     def _watch(self) -> None:
         events = 0
-        if self._pipelined_bytes < _MAX_PIPELINED_BYTES:
+        is_full = self._pipelined_bytes >= _MAX_PIPELINED_BYTES
+        waits = is_full or self._room_timer is not None
+        if not (waits or self._has_read_all):
             events |= selectors.EVENT_READ
         if self._out:
             events |= selectors.EVENT_WRITE
@@ -439,7 +550,7 @@
             self.close(CloseReason.CALLER_RESET)
             return False
         if not data:
-            self.close(CloseReason.CALLER_CLOSED)
+            self._end_reading()
             return False
         if self._closing:
             return True
@@ -454,6 +565,20 @@
             self._parse()
         return True
 
+    def _end_reading(self) -> None:
+        """Closes the connection after the rest of an answer that has ended.
+
+        The caller sends no more. That it reads no more either shows only when
+        bytes are sent to it.
+        """
+        if self._responder is not None or not self._out:
+            self.close(CloseReason.CALLER_CLOSED)
+            return
+        self._closing = True
+        self._has_read_all = True
+        self._set_timer(UNREAD_TIMEOUT_S)
+        self._watch()
+
     def _start_reading(self) -> None:
         """Begins to read a request, with the limits in force."""
         self._limits = self._server.handler.limits()
@@ -472,6 +597,8 @@
         """Reads events from the codec until a request is complete."""
         if self._closed or self._responder is not None or self._closing:
             return
+        if self._room_timer is not None:
+            return
         self._pipelined_bytes = 0
         if self._codec.trailing_data[0] and not self._first_byte_at:
             self._start_reading()
@@ -497,16 +624,14 @@
             event = self._codec.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
-            if not self._handle_event(event):
+            if not self._handle_event(event) or self._room_timer is not None:
                 return
 
     def _handle_event(self, event: h11.Event) -> bool:
         if isinstance(event, h11.Request):
             self._begin_request(event)
         elif isinstance(event, h11.Data):
-            self._body += event.data
-            if len(self._body) > self._limits.body_bytes:
-                self._reject_body()
+            self._add_body(event.data)
         elif isinstance(event, h11.EndOfMessage):
             self._serve()
         elif isinstance(event, h11.ConnectionClosed):
@@ -533,18 +658,111 @@
         if body_timeout_s is None:
             body_timeout_s = limits.idle_timeout_s
         self._set_timer(body_timeout_s)
+        length = request_framing.declared_length(head)
+        if length or request_framing.is_chunked(head):
+            self._open_body_holder(length)
+        if self._place_body(length):
+            self._invite_body()
+
+    def _open_body_holder(self, length: int) -> None:
+        self._body_holder = self._server.body_room.open(
+            self._peer,
+            self._loop.now(),
+            # The room calls back while it is being used.
+            lambda: self._loop.call_soon(self._read_on),
+            lambda: self._loop.call_soon(self._give_up_body),
+        )
+        self._body_holder.expected_size = length
+        self._progress_bytes = 0
+
+    def _invite_body(self) -> None:
+        """Lets a caller send its body that waits for that."""
         if self._codec.they_are_waiting_for_100_continue:
-            self._out += self._codec.send(
-                h11.InformationalResponse(status_code=100, headers=[])
+            self._out.append(
+                self._codec.send(
+                    h11.InformationalResponse(status_code=100, headers=[])
+                )
             )
             self._flush()
 
+    def _add_body(self, data: bytes) -> None:
+        """Adds a part of the body."""
+        self._body += data
+        if len(self._body) > self._limits.body_bytes:
+            self._reject_body()
+            return
+        holder = self._body_holder
+        self._progress_bytes += len(data)
+        if self._progress_bytes >= _LEAST_PROGRESS_BYTES:
+            self._progress_bytes = 0
+            holder.progressed_at = self._loop.now()
+        if not holder.expected_size:
+            self._place_body(len(data))
+
+    def _place_body(self, size: int) -> bool:
+        """Gets room for bytes of the body; without it the rest isn't read."""
+        if self._body_holder is None:
+            return True
+        self._unplaced_bytes += size
+        room = self._server.body_room
+        grant = room.take(
+            self._body_holder, self._unplaced_bytes, self._loop.now()
+        )
+        if grant is byte_room.Grant.WAIT:
+            if self._room_timer is None:
+                self._room_timer = self._loop.call_later(
+                    ROOM_WAIT_S, self._refuse_for_room
+                )
+                self._server.check_room()
+            return False
+        self._stop_waiting_for_room()
+        if grant is byte_room.Grant.REFUSED:
+            self._reject(413, "the body is larger than this host can keep")
+            return False
+        self._unplaced_bytes = 0
+        return True
+
+    def _stop_waiting_for_room(self) -> None:
+        if self._room_timer is not None:
+            self._room_timer.cancel()
+            self._room_timer = None
+
+    def _read_on(self) -> None:
+        """Reads on if there is room for the body now."""
+        if self._closed or self._closing or self._room_timer is None:
+            return
+        if self._place_body(0):
+            if not self._body:
+                self._invite_body()
+            self._parse()
+
+    def _refuse_for_room(self) -> None:
+        self._room_timer = None
+        self._reject(
+            503,
+            "this host has no room for the body",
+            [("Retry-After", str(ROOM_RETRY_S))],
+        )
+
+    def _give_up_body(self) -> None:
+        if not (self._closed or self._closing or self._responder):
+            self._reject(408, "the body had to give way to others")
+
+    def _close_body_holder(self) -> None:
+        holder, self._body_holder = self._body_holder, None
+        self._stop_waiting_for_room()
+        self._unplaced_bytes = 0
+        if holder is not None:
+            self._server.body_room.close(holder)
+
     def _reject_body(self) -> None:
         self._reject(413, f"the body is over {self._limits.body_bytes} bytes")
 
     def _serve(self) -> None:
         self._timer.cancel()
         self._has_served = True
+        if self._body_holder is not None:
+            self._body_holder.on_evicted = None
         head = self._head
         self._responder = Responder(self)
         req = Request(
@@ -589,11 +807,15 @@
                 ("Connection", "close"),
                 *extra_headers,
             ]
-            self._out += self._codec.send(_response_head(status, headers))
+            self._out.append(self._codec.send(_response_head(status, headers)))
             if rejection.body:
-                self._out += self._codec.send(h11.Data(data=rejection.body))
-            self._out += self._codec.send(h11.EndOfMessage())
+                self._out.append(
+                    self._codec.send(h11.Data(data=rejection.body))
+                )
+            self._out.append(self._codec.send(h11.EndOfMessage()))
         self._closing = True
+        self._body.clear()
+        self._close_body_holder()
         self._set_timer(UNREAD_TIMEOUT_S)
         self._flush()
 
@@ -601,16 +823,16 @@
         unsent_before = len(self._out)
         while self._out:
             try:
-                sent = self._sock.send(self._out)
+                self._out.write_to(self._sock)
             except BlockingIOError:
                 break
             except OSError:
                 self.close(CloseReason.CALLER_RESET)
                 return
-            del self._out[:sent]
             self.taken_at = self._loop.now()
         if self._closed:
             return
+        self._count_unsent()
         if self._closing and not self._out:
             self._finish_close()
             return
@@ -623,6 +845,21 @@
         if callback is not None:
             callback()
 
+    def _count_unsent(self) -> None:
+        """Counts the unsent bytes in the server's room."""
+        unsent = len(self._out)
+        room = self._server.answer_room
+        if self._unsent_holder is None:
+            if not unsent:
+                return
+            self._unsent_holder = room.open(
+                self._peer, self._loop.now(), _do_nothing
+            )
+        room.set_size(self._unsent_holder, unsent)
+        if not unsent:
+            room.close(self._unsent_holder)
+            self._unsent_holder = None
+
     def _finish_close(self) -> None:
         # Closing a socket with unread bytes sends a reset, which could drop the
         # answer on its way; so only the write side is closed at first.
@@ -645,7 +882,7 @@
         )
 
     def _set_answered_timer(self) -> None:
-        self._idle_since = self._loop.now()
+        self.idle_since = self._loop.now()
         self._set_timer(
             UNREAD_TIMEOUT_S if self._out else self._limits.idle_timeout_s
         )
@@ -663,7 +900,7 @@
                 return
             # A configuration may have raised the limit meanwhile.
             self._limits = self._server.handler.limits()
-            idle_s = self._loop.now() - self._idle_since
+            idle_s = self._loop.now() - self.idle_since
             if idle_s < self._limits.idle_timeout_s:
                 self._set_timer(self._limits.idle_timeout_s - idle_s)
                 return
@@ -691,6 +928,10 @@
         self._reject(408, "the request wasn't sent in time")
 
 
+def _do_nothing() -> None:
+    pass
+
+
 def _create_codec(header_bytes: int) -> h11.Connection:
     return h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
 
