Bound the lines of a reply's head

Callers saw: sound requests that take 0.06 s wait up to 0.7 s beside a faulty endpoint whose head never ends. Cause: libcurl allows 5000 header lines and 300 kB, and interim heads (status 1xx) without end; each line costs a call of Python, so that one transfer could take thousands in one call of libcurl.

A reply's head, with interim heads and trailers, may have 256 lines and 64 KiB now; more breaks the transfer off, as a fault of the endpoint.

--- a/chervilarch/reply_head.py
+++ b/chervilarch/reply_head.py
@@ -9,6 +9,9 @@
     pycurl.E_OPERATION_TIMEDOUT: exchanges.FailureKind.TIMED_OUT,
     pycurl.E_WRITE_ERROR: exchanges.FailureKind.TOO_LARGE,
 }
+# Bounds on all lines of a reply's head, interim heads and trailers.
+MAX_LINES = 256
+MAX_LINE_BYTES = 64 * 1024
 _FIRST_FINAL_STATUS = 200
 _STATUS_DIGITS = 3
 _MAX_LENGTH_DIGITS = 18
@@ -28,6 +31,7 @@
             takes a reply that ends before it for complete.
         is_ambiguous: whether the head names two ways to find the end of the
             body. libcurl refuses the other heads with a doubtful end by itself.
+        is_overlong: whether the lines are over their bounds.
     """
 
     def __init__(self) -> None:
@@ -35,11 +39,19 @@
         self.headers: list[tuple[str, str]] = []
         self.is_complete = False
         self.is_ambiguous = False
+        self.is_overlong = False
+        self._lines = 0
+        self._line_bytes = 0
         self._partial_status = 0
         self._partial_headers: list[tuple[str, str]] = []
 
     def on_line(self, line: bytes) -> int | None:
         """Parses one line; called by libcurl, which gives up at a 0."""
+        self._lines += 1
+        self._line_bytes += len(line)
+        if self._lines > MAX_LINES or self._line_bytes > MAX_LINE_BYTES:
+            self.is_overlong = True
+            return 0
         if self.is_complete:
             return None
         text = line.decode("latin-1").strip()
@@ -109,6 +121,8 @@
     kind = _FAILURE_KINDS.get(code, exchanges.FailureKind.BROKEN)
     if head.is_ambiguous:
         kind = exchanges.FailureKind.BROKEN
+    if head.is_overlong:
+        text = f"the head is over {MAX_LINES} lines or {MAX_LINE_BYTES} bytes"
     return exchanges.TransferFailure(kind, text, was_sent(curl))
 
 
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -22,6 +22,7 @@
     event_stream,
     exchanges,
     http_client,
+    reply_head,
 )
 from chervilarch import loop as loops
 
@@ -295,3 +296,51 @@
     for caller in callers:
         caller.close()
     lh.run_until(world.loop, lambda: not room.size)
+
+
+@pytest.mark.parametrize(
+    ("start", "line"),
+    [
+        (_HEAD, b"X: y\r\n"),
+        (_HEAD, b"X: %s\r\n" % (b"y" * 8000)),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        (_HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n", b"X: y\r\n"),
+    ],
+)
+def test_few_lines_of_an_endless_head_are_handled(start, line, monkeypatch):
+    lines = []
+    on_line = reply_head.ReplyHead.on_line
+
+    def count(head, text):
+        lines.append(text)
+        return on_line(head, text)
+
+    monkeypatch.setattr(reply_head.ReplyHead, "on_line", count)
+    loop = loops.Loop(clocks.SystemClock())
+    client = http_client.Client(loop)
+    server = lh.RawServer(lh.answer_with(start + line * 10_000))
+    exchange = exchanges.Exchange(
+        "GET", f"http://{server.address}/", timeout_s=60.0, fresh=True
+    )
+    fut = client.call(exchange)
+    lh.run_until(loop, fut.done)
+    assert fut.result().detail.startswith("the head is over")
+    assert len(lines) <= 257
+    assert sum(map(len, lines)) <= 80 * 1024
+
+
+def test_a_head_of_two_hundred_lines_is_read():
+    loop = loops.Loop(clocks.SystemClock())
+    client = http_client.Client(loop)
+    lines = b"X: y\r\n" * 200
+    server = lh.RawServer(
+        lh.answer_with(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + lines + b"\r\n"
+        )
+    )
+    exchange = exchanges.Exchange(
+        "GET", f"http://{server.address}/", timeout_s=60.0, fresh=True
+    )
+    fut = client.call(exchange)
+    lh.run_until(loop, fut.done)
+    assert fut.result().status == 200
