--- a/chervilarch/reply_head.py
+++ b/chervilarch/reply_head.py
@@ -4,9 +4,6 @@
 
 from chervilarch import exchanges
 
-# All lines of one reply together: interim heads, its head and trailers. Below
-# libcurl's own bound, whose error doesn't tell what it is about.
-MAX_HEAD_BYTES = 256 * 1024
 # CURLE_TOO_LARGE, which pycurl doesn't name: a header line, or their number, is
 # over libcurl's bound.
 _E_TOO_LARGE = 100
@@ -15,6 +12,10 @@
     pycurl.E_OPERATION_TIMEDOUT: exchanges.FailureKind.TIMED_OUT,
     pycurl.E_WRITE_ERROR: exchanges.FailureKind.TOO_LARGE,
 }
+# Bounds on all lines of a reply: its head, interim heads and trailers. They are
+# below libcurl's own, whose error doesn't tell what it is about.
+MAX_LINES = 256
+MAX_LINE_BYTES = 64 * 1024
 _FIRST_FINAL_STATUS = 200
 _STATUS_DIGITS = 3
 _MAX_LENGTH_DIGITS = 18
@@ -34,7 +35,7 @@
             takes a reply that ends before it for complete.
         is_ambiguous: whether the head names two ways to find the end of the
             body. libcurl refuses the other heads with a doubtful end by itself.
-        is_overlong: whether the lines are over their bound.
+        is_overlong: whether the lines are over their bounds.
     """
 
     def __init__(self) -> None:
@@ -43,14 +44,16 @@
         self.is_complete = False
         self.is_ambiguous = False
         self.is_overlong = False
-        self._size = 0
+        self._lines = 0
+        self._line_bytes = 0
         self._partial_status = 0
         self._partial_headers: list[tuple[str, str]] = []
 
     def on_line(self, line: bytes) -> int | None:
         """Parses one line; called by libcurl, which gives up at a 0."""
-        self._size += len(line)
-        if self._size > MAX_HEAD_BYTES:
+        self._lines += 1
+        self._line_bytes += len(line)
+        if self._lines > MAX_LINES or self._line_bytes > MAX_LINE_BYTES:
             self.is_overlong = True
             return 0
         if self.is_complete:
@@ -124,7 +127,7 @@
         kind = exchanges.FailureKind.BROKEN
     if head.is_overlong or code == _E_TOO_LARGE:
         kind = exchanges.FailureKind.ENDLESS
-        text = "the head of the reply is too long"
+        text = f"the head is over {MAX_LINES} lines or {MAX_LINE_BYTES} bytes"
     return exchanges.TransferFailure(kind, text, was_sent(curl))
 
 
