Close idle connections for room only if a connection waits

At the bound on callers' connections each accept closed up to 32 idle ones, though no further connection waited: callers' next requests crossed the close.

Cause: after an accept that reached the bound the loop made room before it knew of another connection. Room is made now only when the listener is readable.

--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -273,7 +273,11 @@
         return any(conn.is_serving() for conn in self._connections)
 
     def _accept(self, events: int) -> None:
-        while self._is_below_bound() or self._close_for_room():
+        if not (self._is_below_bound() or self._close_for_room()):
+            self._pause_accepting()
+            return
+        # At the bound, one that still waits gets room in the next turn.
+        while self._is_below_bound():
             try:
                 sock, peer = self._listener.accept()
             except OSError as exc:
@@ -281,13 +285,13 @@
                 # can't open another.
                 if exc.errno not in _NO_DESCRIPTOR_ERRORS:
                     return
-                if not self._close_for_room():
-                    break
-                continue
+                if self._close_for_room():
+                    continue
+                self._pause_accepting()
+                return
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self._connections.add(_Connection(self, sock, peer[0]))
-        self._pause_accepting()
 
     def _is_below_bound(self) -> bool:
         return (
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -159,6 +159,7 @@
     finish(bounded, first, 0)
     third = serve(bounded, "/x/3")
     assert lh.receive(loop, second, lambda data: data) == b"<EOF>"
+    lh.run_pending(loop, 100)
     assert server.connection_count() == 2
     first.sendall(get("/x/4"))
     lh.run_until(loop, lambda: len(handler.begun) == 4)
