Read on for as long as a refused caller sends its body

A caller that sends its whole body before it reads (most blocking clients) could lose the refusal (413, 408, 503) and see only a reset: a whole request with neither an answer nor a refusal.

Cause: one second after the answer the connection was closed, whatever was still coming in, and a close with unread bytes resets it, which drops an answer on its way. It is closed now once nothing has come for a second, after 5 s at most. What comes is dropped; a request on such a connection is never begun.

Test: a_refusal_reaches_a_caller_that_sends_its_body_first failed before (the connection was closed while its caller sent) and passes now; a_refused_caller_ that_never_stops_is_disconnected holds the bound, and passed before too.

--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -41,6 +41,10 @@
 # A caller that takes no byte of a finished answer for this long is
 # disconnected.
 UNREAD_TIMEOUT_S = 15.0
+# After its last answer a connection is read, and what comes is dropped, until
+# nothing came for the first of these times; for the second at most.
+_LINGER_S = 1.0
+_MAX_LINGER_S = 5.0
 # A request of which bytes wait unread at its time limit may be read for this
 # long in addition: more may wait in the caller's kernel.
 LATE_READ_S = 0.5
@@ -354,6 +358,7 @@
         self._closing = False
         self._closed = False
         self._has_read_all = False
+        self._linger_until = float("-inf")
         self._pipelined_bytes = 0
         self.on_flushed: Callable[[], None] | None = None
         self.taken_at = self._opened_at
@@ -508,6 +513,8 @@
             self._end_reading()
             return False
         if self._closing:
+            if self._loop.now() < self._linger_until:
+                self._set_timer(_LINGER_S)
             return True
         if self._responder is not None:
             self._pipelined_bytes += len(data)
@@ -711,8 +718,9 @@
         except OSError:
             self.close(CloseReason.CALLER_RESET)
             return
-        # Closes after this time even if the caller keeps its side open.
-        self._set_timer(1.0)
+        # Closes then even if the caller keeps its side open.
+        self._linger_until = self._loop.now() + _MAX_LINGER_S - _LINGER_S
+        self._set_timer(_LINGER_S)
         self._loop.watch(self._sock, selectors.EVENT_READ, self._on_ready)
 
     def _is_answered(self) -> bool:
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -202,3 +202,40 @@
     assert len(calls) == 1
     monkeypatch.setattr(server, "_listener", listener)
     lh.advance_until(loop, clock, lambda: handler.begun)
+
+
+def refuse_body(serving):
+    """Has a request refused by the length that it names."""
+    loop, _, _, server = serving
+    length = http_server.DEFAULT_BODY_BYTES + 1
+    head = f"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: {length}\r\n\r\n"
+    conn = lh.connect(server.port)
+    conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    conn.sendall(head.encode())
+    lh.run_until(loop, server.connection_count)
+    lh.run_pending(loop)
+    return conn
+
+
+def test_a_refusal_reaches_a_caller_that_sends_its_body_first(serving):
+    loop, clock, _, server = serving
+    conn = refuse_body(serving)
+    for _ in range(4):
+        conn.sendall(b"a" * 1000)
+        lh.advance(loop, clock, 0.9)
+        # To close it now would reset it, and drop the answer on its way.
+        assert server.connection_count() == 1
+    received = lh.receive(loop, conn, lambda data: b"<EOF>" in data)
+    assert received.startswith(b"HTTP/1.1 413")
+    clock.advance(1.0)
+    lh.run_until(loop, lambda: not server.connection_count())
+
+
+def test_a_refused_caller_that_never_stops_is_disconnected(serving):
+    loop, clock, _, server = serving
+    conn = refuse_body(serving)
+    for _ in range(10):
+        if server.connection_count():
+            conn.sendall(b"a" * 1000)
+            lh.advance(loop, clock, 0.6)
+    assert not server.connection_count()
