--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -41,6 +41,10 @@
 # A caller that takes no byte of a finished answer for this long is
 # disconnected.
 UNREAD_TIMEOUT_S = 15.0
+# After its last answer a connection is read, and what comes is dropped, until
+# nothing came for the first of these times; for the second at most.
+_LINGER_S = 1.0
+_MAX_LINGER_S = 5.0
 # A request of which bytes wait unread at its time limit may be read for this
 # long in addition: more may wait in the caller's kernel.
 LATE_READ_S = 0.5
@@ -304,9 +308,11 @@
         return any(conn.is_serving() for conn in self._connections)
 
     def _accept(self, events: int) -> None:
-        # Whether a further connection waits shows in the next turn.
-        is_waiting = True
-        while self._is_below_bound() or (is_waiting and self._close_for_room()):
+        if not (self._is_below_bound() or self._close_for_room()):
+            self._pause_accepting()
+            return
+        # At the bound, one that still waits gets room in the next turn.
+        while self._is_below_bound():
             try:
                 sock, peer = self._listener.accept()
             except OSError as exc:
@@ -314,15 +320,13 @@
                 # can't open another.
                 if exc.errno not in _NO_DESCRIPTOR_ERRORS:
                     return
-                if not self._close_for_room():
-                    break
-                continue
-            is_waiting = False
+                if self._close_for_room():
+                    continue
+                self._pause_accepting()
+                return
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self._connections.add(_Connection(self, sock, peer[0]))
-        if is_waiting:
-            self._pause_accepting()
 
     def _is_below_bound(self) -> bool:
         return (
@@ -392,6 +396,7 @@
         self._closing = False
         self._closed = False
         self._has_read_all = False
+        self._linger_until = float("-inf")
         self._pipelined_bytes = 0
         self.on_flushed: Callable[[], None] | None = None
         self.taken_at = self._opened_at
@@ -553,6 +558,8 @@
             self._end_reading()
             return False
         if self._closing:
+            if self._loop.now() < self._linger_until:
+                self._set_timer(_LINGER_S)
             return True
         if self._responder is not None:
             self._pipelined_bytes += len(data)
@@ -868,8 +875,9 @@
         except OSError:
             self.close(CloseReason.CALLER_RESET)
             return
-        # Closes after this time even if the caller keeps its side open.
-        self._set_timer(1.0)
+        # Closes then even if the caller keeps its side open.
+        self._linger_until = self._loop.now() + _MAX_LINGER_S - _LINGER_S
+        self._set_timer(_LINGER_S)
         self._loop.watch(self._sock, selectors.EVENT_READ, self._on_ready)
 
     def _is_answered(self) -> bool:
