Don't let avoidances end within tests that don't wait for it

Change: tests that don't wait for the end of an avoidance set a long one; the wait for an avoidance's end has more time. Nothing that they assert changed, but the one on pieces sends five requests within the avoidance in place of as many as fit.

--- a/tests/test_avoided_endpoints.py
+++ b/tests/test_avoided_endpoints.py
@@ -90,6 +90,12 @@
         endpoint.stop()
 
 
+@pytest.fixture
+def long_avoidance(monkeypatch):
+    """Lets no avoidance end within a test."""
+    monkeypatch.setattr(avoidances, "FIRST_AVOIDANCE_S", 60.0)
+
+
 def retry_after_s(received):
     head = received.partition(b"\r\n\r\n")[0].lower()
     return float(head.partition(b"retry-after: ")[2].split(b"\r\n")[0])
@@ -104,7 +110,7 @@
 # Failed: the endpoint got every request, until three in a row had failed.
 @pytest.mark.parametrize("case", ENDLESS)
 def test_an_endpoint_that_sends_without_end_gets_no_more_requests(
-    world, faulty, case
+    world, faulty, long_avoidance, case
 ):
     endpoint = faulty(*ENDLESS[case])
     world.endpoint("e1", endpoint.serve)
@@ -120,7 +126,7 @@
 
 # Failed: an event over its bound counted as an ordinary failure.
 def test_an_endpoint_that_sends_an_event_without_end_gets_no_more_requests(
-    world, faulty
+    world, faulty, long_avoidance
 ):
     start = _HEAD + b"\r\n" + events(1, 2)
     endpoint = faulty(start, _BLOCK)
@@ -143,7 +149,7 @@
 
 
 def test_other_endpoints_take_the_requests_of_one_that_sends_without_end(
-    world, faulty
+    world, faulty, long_avoidance
 ):
     endpoint = faulty(*ENDLESS["body"])
     world.endpoint("e1", endpoint.serve)
@@ -156,7 +162,7 @@
 
 
 def test_a_retry_is_not_sent_to_an_endpoint_that_sends_without_end(
-    world, faulty
+    world, faulty, long_avoidance
 ):
     endpoint = faulty(*ENDLESS["body"])
     world.endpoint("e1", endpoint.serve)
@@ -176,10 +182,10 @@
 def test_a_request_with_time_waits_for_the_end_of_an_avoidance(world, faulty):
     endpoint = faulty(*ENDLESS["body"])
     world.endpoint("e1", endpoint.serve)
-    world.start(once_document(target_latency_ms=2500))
+    world.start(once_document(target_latency_ms=8000, timeout_ms=9000))
     world.fetch(KEY)
     endpoint.is_faulty = False
-    callers = [world.send(KEY) for _ in range(_CALLERS)]
+    callers = [world.send(KEY, deadline_ms=9000) for _ in range(_CALLERS)]
     assert {read_status(world, caller) for caller in callers} == {200}
 
 
@@ -208,7 +214,9 @@
 
 
 # Failed: the worker was never avoided.
-def test_pieces_are_made_elsewhere_than_at_a_worker_without_end(world, faulty):
+def test_pieces_are_made_elsewhere_than_at_a_worker_without_end(
+    world, faulty, long_avoidance
+):
     worker = faulty(*ENDLESS["body"])
     sound = StageServer()
     world.endpoint("m1", worker.serve, pool="p1")
@@ -221,7 +229,7 @@
     lh.run_until(world.loop, lambda: world.fetch(*headers) and worker.requests)
     run = _RUN._replace(key="m1")
     lh.run_until(world.loop, lambda: world.ctrl.avoided.wait_s(run))
-    while world.ctrl.avoided.wait_s(run):
+    for _ in range(5):
         assert events(1, 2) in world.fetch(*headers)
     assert len(worker.requests) == 1
 
--- a/tests/test_shared_avoidances.py
+++ b/tests/test_shared_avoidances.py
@@ -207,8 +207,10 @@
 
 
 @pytest.fixture
-def two_worlds(world):
+def two_worlds(world, monkeypatch):
     """Two gateways that hear of each other's findings."""
+    # No avoidance ends within a test.
+    monkeypatch.setattr(avoidances, "FIRST_AVOIDANCE_S", 60.0)
     other = gateway_world.World()
     for own, heard in ((world, other), (other, world)):
         peer = Peer("peer", heard.ctrl.advisories._socket.address)
