Don't take a reply that gave way at its end for an empty answer

What callers saw: possibly a 200 with an empty body in place of an answer.

Cause: a reply that gives way to another one loses its body at once, but its transfer ends a turn later. If libcurl had reported its end in the same call, the reply was passed on as complete, without its body.

Change: a transfer that this side has broken off ends with that reason, whatever libcurl reports of it. The router's transfers do so already.

--- a/chervilarch/http_client.py
+++ b/chervilarch/http_client.py
@@ -410,15 +410,16 @@
             ]
         for transfer, code, text in ended:
             # An earlier callback may have cancelled this one.
-            if transfer is not None and transfer.curl is not None:
-                result = reply_head.result(
-                    transfer.curl,
-                    code,
-                    transfer.fault or text,
-                    transfer.head,
-                    transfer.take_body(),
-                )
-                self._end(transfer, _with_kind(transfer, result))
+            if transfer is None or transfer.curl is None:
+                continue
+            if transfer.fault:
+                # Its end may have come too, but its body is gone.
+                self._end_broken_off(transfer)
+                continue
+            result = reply_head.result(
+                transfer.curl, code, text, transfer.head, transfer.take_body()
+            )
+            self._end(transfer, result)
 
     def _end(
         self, transfer: Transfer, result: exchanges.TransferResult
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -207,3 +207,28 @@
     transfer.cancel()
     client.close()
     lh.run_pending(loop)
+
+
+def test_a_reply_that_gave_way_at_its_end_is_no_empty_answer(world):
+    loop, client = world
+    body = b"x" * 200_000
+    server = replying(b"HTTP/1.1 200 OK\r\n\r\n" + body)
+    exchange = exchanges.Exchange(
+        "POST", f"http://{server.address}/", fresh=True
+    )
+    results = []
+    transfer = client.start(exchange, results.append)
+    deliver = client._deliver
+
+    def deliver_late():
+        # Another reply takes the room before the end is passed on.
+        if transfer.kept_bytes() == len(body):
+            client._deliver = deliver
+            client._give_up(transfer)
+        deliver()
+
+    client._deliver = deliver_late
+    lh.run_until(loop, lambda: results)
+    assert isinstance(results[0], exchanges.TransferFailure)
+    assert "had to give way" in results[0].detail
+    server.close()
