Read a bounded number of datagrams in one turn of the loop

What callers saw: a host of the gateway that serves nobody while datagrams arrive as fast as it reads them, from a faulty peer or from a stranger.

Cause: the socket between hosts read until none waited, in one turn.

Evidence: both cases of test_datagrams_without_end_do_not_hold_up_the_loop failed before.

Change: 64 datagrams a turn; what waited during a pause is dropped up to more than the socket's buffer holds.

--- a/chervilarch/peer_socket.py
+++ b/chervilarch/peer_socket.py
@@ -17,6 +17,10 @@
 
 # The largest payload of a UDP datagram over IPv4.
 _MAX_UDP_PAYLOAD_BYTES = 65507
+# Further datagrams wait for the next turn of the loop.
+_DATAGRAMS_A_TURN = 64
+# More than fit the socket's buffer.
+_MAX_WAITING_DATAGRAMS = 64 * 1024
 
 
 class PeerSocket:
@@ -71,8 +75,9 @@
         self._socket.close()
 
     def _drop_waiting(self, paused_s: float) -> None:
-        while self._receive_frame() is not None:
-            pass
+        for _ in range(_MAX_WAITING_DATAGRAMS):
+            if self._receive_frame() is None:
+                return
 
     def _receive_frame(self) -> tuple[bytes, tuple] | None:
         """Returns the next datagram and its sender, None if none waits."""
@@ -82,7 +87,10 @@
             return None
 
     def _receive(self, events: int) -> None:
-        while (received := self._receive_frame()) is not None:
+        for _ in range(_DATAGRAMS_A_TURN):
+            received = self._receive_frame()
+            if received is None:
+                return
             frame, source = received
             message = decoding.attempt(self._decode, frame)
             if isinstance(message, decoding.Unreadable):
