Bound the bodies of all callers of a router together

What callers saw: nothing yet; callers that send large bodies at the same time could take a router out of memory, and with it the requests of all others.

Cause: a body is bounded, but neither the number of connections that send one nor that of the requests that wait for a thread.

Evidence: test_the_bodies_of_all_callers_share_a_bound_on_memory fails without the room: the third body is served.

Change: the router uses the server's room for bodies, as the gateway does: 128 MiB, and 16 MiB for small ones beyond it. A body of the largest size allowed always fits.

--- a/chervilarch/router.py
+++ b/chervilarch/router.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Sequence
 
 from chervilarch import (
+    byte_room,
     controllers,
     drain,
     environment,
@@ -22,6 +23,9 @@
 from chervilarch.exits import ExitStatus
 
 MAX_HEADER_BYTES = 32 * 1024
+# Bound on the bodies of all requests that are read, wait or are served.
+_BODY_ROOM_BYTES = 128 * 1024 * 1024
+_SMALL_BODY_ROOM_BYTES = 16 * 1024 * 1024
 _HEADER_TIMEOUT_S = 10.0
 _IDLE_TIMEOUT_S = 10.0
 _SHUTDOWN_TIMEOUT_S = 5.0
@@ -167,6 +171,13 @@
         is_draining,
         server.build_rejection,
         server.build_cut_off(),
+        byte_room.Room(
+            byte_room.Bounds(
+                _BODY_ROOM_BYTES,
+                cfg.bounds.max_body_bytes,
+                _SMALL_BODY_ROOM_BYTES,
+            )
+        ),
     )
 
 
--- a/chervilarch/wsgi_server.py
+++ b/chervilarch/wsgi_server.py
@@ -15,7 +15,7 @@
 
 import h11
 
-from chervilarch import http_server, state_log
+from chervilarch import byte_room, http_server, state_log
 from chervilarch import loop as loops
 
 # A request ends if its caller takes no byte for this long.
@@ -42,6 +42,7 @@
         is_closing: Callable[[], bool],
         build_rejection: Callable[[int, str], http_server.Rejection],
         cut_off_answer: tuple[int, http_server.Rejection] = _CUT_OFF_ANSWER,
+        body_room: byte_room.Room | None = None,
     ):
         """Binds the address.
 
@@ -54,6 +55,7 @@
             is_closing: whether connections close after the current response.
             build_rejection: returns the answer to a request that can't be read.
             cut_off_answer: status and answer of a request that a stop cuts off.
+            body_room: bounds the bodies of requests; unbounded by default.
 
         Raises:
             OSError: the address can't be bound.
@@ -64,7 +66,7 @@
         self._has_cut_off = False
         handler = _Handler(loop, app, self._pool, limits, is_closing)
         self._server = http_server.Server(
-            loop, address, handler, build_rejection
+            loop, address, handler, build_rejection, body_room=body_room
         )
         self._thread = threading.Thread(
             target=loop.run, name="server", daemon=True
--- a/tests/test_wsgi_server.py
+++ b/tests/test_wsgi_server.py
@@ -7,7 +7,7 @@
 import loop_helpers as lh
 import pytest
 
-from chervilarch import clocks, http_server, wsgi_server
+from chervilarch import byte_room, clocks, http_server, wsgi_server
 from chervilarch import loop as loops
 
 _GET = b"GET /%s HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -16,7 +16,7 @@
 class World:
     """A running server whose application a test supplies."""
 
-    def __init__(self):
+    def __init__(self, body_room=None):
         self.app = None
         self.is_draining = threading.Event()
         self.server = wsgi_server.WsgiServer(
@@ -27,6 +27,7 @@
             http_server.Limits(),
             self.is_draining.is_set,
             lambda status, detail: http_server.Rejection([], detail.encode()),
+            body_room=body_room,
         )
         self.server.start()
 
@@ -148,6 +149,47 @@
     assert sum(written) == total
 
 
+def post(world, size):
+    address = ("127.0.0.1", world.server.port)
+    conn = socket.create_connection(address, lh.TIMEOUT_S)
+    conn.sendall(
+        b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % size
+    )
+    conn.sendall(b"b" * size)
+    return conn
+
+
+def test_the_bodies_of_all_callers_share_a_bound_on_memory(monkeypatch):
+    monkeypatch.setattr(http_server, "ROOM_WAIT_S", 0.05)
+    kib = 1024
+    room = byte_room.Room(byte_room.Bounds(300 * kib, 200 * kib, 100 * kib))
+    world = World(room)
+    begun, may_end = threading.Semaphore(0), threading.Event()
+
+    def app(environ, start):
+        if len(environ["wsgi.input"].read()) > 100 * kib:
+            begun.release()
+            may_end.wait(lh.TIMEOUT_S)
+        start("200 OK", [("Content-Length", "6")])
+        return [b"served"]
+
+    world.app = app
+    served = [post(world, 190 * kib) for _ in range(2)]
+    for _ in range(2):
+        assert begun.acquire(timeout=lh.TIMEOUT_S)
+    with post(world, 190 * kib) as conn:
+        assert conn.recv(65536).startswith(b"HTTP/1.1 503")
+    with post(world, 10 * kib) as conn:
+        assert conn.recv(65536).startswith(b"HTTP/1.1 200")
+    assert room.size <= 300 * kib + 200 * kib
+    may_end.set()
+    for conn in served:
+        with conn:
+            assert conn.recv(65536).startswith(b"HTTP/1.1 200")
+    world.server.stop(0.0)
+    assert not room.size
+
+
 def test_a_stop_answers_requests_that_were_just_accepted():
     world = World()
     begun, may_end = threading.Semaphore(0), threading.Event()
