Bound what a turn of the loop reads of all replies together

A turn reads 1 MiB of all replies together now, beyond one chunk of each, so that a reply with little data is read in any case. Replies that had their part are postponed in a queue; a turn goes on with the first sixteen. The decision is a module without I/O, read_quota. A second quota for the callers' side isn't needed: what the callers of streams get is what was read, and their sockets read 64 KiB a turn.

--- a/chervilarch/http_client.py
+++ b/chervilarch/http_client.py
@@ -6,13 +6,21 @@
 next one.
 """
 
+import collections
 import selectors
 from collections.abc import Callable
 from concurrent.futures import Future
 
 import pycurl
 
-from chervilarch import byte_room, exchanges, guards, reply_head, tasks
+from chervilarch import (
+    byte_room,
+    exchanges,
+    guards,
+    read_quota,
+    reply_head,
+    tasks,
+)
 from chervilarch import loop as loops
 
 CONNECT_TIMEOUT_S = 0.5
@@ -23,8 +31,6 @@
     largest=MAX_REPLY_BYTES,
     small=16 * 1024 * 1024,
 )
-# What else of a reply has arrived waits for the next turn of the loop.
-TURN_BYTES = 64 * 1024
 # While transfers wait for room, this often it is looked whether they wait for a
 # silent one.
 _ROOM_CHECK_INTERVAL_S = 0.25
@@ -33,6 +39,8 @@
 _CONNECTION_MAX_IDLE_S = 3
 _MS_PER_S = 1000
 _MAX_SPARE_HANDLES = 64
+# Postponed replies that go on in one turn of the loop.
+_MAX_RESUMED = read_quota.TURN_BYTES // read_quota.READER_BYTES
 
 
 class Transfer:
@@ -56,9 +64,7 @@
         self.waits_for_room = False
         # Whether the receiver of `on_data` asked to stop reading.
         self.is_paused = False
-        # Bytes that were handled in this turn of the loop.
-        self._turn = 0
-        self._turn_bytes = 0
+        self.reader = read_quota.Reader()
         self._body = bytearray()
         self._holder: byte_room.Holder | None = None
         self.is_body_kept = False
@@ -150,8 +156,7 @@
 
     def on_body_chunk(self, chunk: bytes) -> int:
         """Stores a chunk of the body; called by libcurl."""
-        if not self._has_turn(len(chunk)):
-            self._client.resume_next_turn(self)
+        if not self._client.may_read(self, len(chunk)):
             return pycurl.WRITEFUNC_PAUSE
         if self.on_data is not None and self.head.status == 200:
             self._client.queue_chunk(self, chunk)
@@ -170,15 +175,6 @@
         self._body += chunk
         return len(chunk)
 
-    def _has_turn(self, size: int) -> bool:
-        """Returns whether this turn of the loop handles so many more bytes."""
-        if self._turn != self._client.turn():
-            self._turn, self._turn_bytes = self._client.turn(), 0
-        if self._turn_bytes and self._turn_bytes + size > TURN_BYTES:
-            return False
-        self._turn_bytes += size
-        return True
-
     def give_up(self) -> None:
         """Drops the body for lack of room."""
         self.fault = f"the reply had to give way, at {len(self._body)} bytes"
@@ -206,9 +202,11 @@
         self._running: dict[pycurl.Curl, Transfer] = {}
         self._spare_handles: list[pycurl.Curl] = []
         self._queued_chunks: dict[Transfer, list[bytes]] = {}
-        # Had their part of a turn.
-        self._next_turn: list[Transfer] = []
-        self._next_turn_after = 0
+        self._quota = read_quota.ReadQuota()
+        # Had their part of a turn, in the order in which they go on.
+        self._postponed: collections.deque[Transfer] = collections.deque()
+        self._postponed_in_turn = 0
+        self._is_reading_due = False
 
     def start(
         self,
@@ -247,28 +245,35 @@
         """Queues a chunk for `on_data` until libcurl may be called again."""
         self._queued_chunks.setdefault(transfer, []).append(chunk)
 
-    def turn(self) -> int:
-        """Returns the number of the loop's turn."""
-        return self._loop.turns
-
-    def resume_next_turn(self, transfer: Transfer) -> None:
-        """Reads on a reply in the next turn of the loop."""
-        if not self._next_turn:
-            self._loop.call_soon(self._begin_turn)
-        self._next_turn.append(transfer)
-        self._next_turn_after = self._loop.turns
-
-    def _begin_turn(self) -> None:
-        """Reads on the replies that had their part of the turn before."""
-        if self._loop.turns <= self._next_turn_after:
-            self._loop.call_soon(self._begin_turn)
+    def may_read(self, transfer: Transfer, size: int) -> bool:
+        """Returns whether a chunk is read now, and else postpones it."""
+        if self._quota.take(transfer.reader, size, self._loop.turns):
+            return True
+        self._postponed.append(transfer)
+        self._read_postponed_later()
+        return False
+
+    def _read_postponed_later(self) -> None:
+        if not self._is_reading_due:
+            self._is_reading_due = True
+            self._postponed_in_turn = self._loop.turns
+            self._loop.call_soon(self._read_postponed)
+
+    def _read_postponed(self) -> None:
+        """Reads on replies that had their part of an earlier turn."""
+        self._is_reading_due = False
+        if self._loop.turns == self._postponed_in_turn:
+            self._read_postponed_later()
+            return
+        if not self._running:
+            self._postponed.clear()
             return
-        if not self._next_turn:
-            return  # The client was closed.
-        transfers, self._next_turn = self._next_turn, []
-        for transfer in transfers:
-            if transfer.curl is not None and not transfer.is_paused:
+        for _ in range(min(len(self._postponed), _MAX_RESUMED)):
+            transfer = self._postponed.popleft()
+            if not transfer.is_paused:
                 transfer.resume()
+        if self._postponed:
+            self._read_postponed_later()
         self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
         self._deliver()
 
@@ -343,7 +348,6 @@
 
     def close(self) -> None:
         """Cancels all transfers and closes the client."""
-        self._next_turn.clear()
         for transfer in list(self._running.values()):
             self.release(transfer)
         self._multi.close()
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -203,7 +203,7 @@
     transfer = client.start(
         bulk_exchange(), lambda result: None, lambda chunk: None
     )
-    lh.run_until(loop, lambda: client._next_turn)
+    lh.run_until(loop, lambda: client._postponed)
     transfer.cancel()
     client.close()
     lh.run_pending(loop)
