Pass on events whose lines end with CRLF

Found by reading, no run on a platform shows it: only "\n\n" ended an event of a relayed stream, so that callers of an endpoint that ends its lines with CRLF, which server-sent events allow, get nothing of a stream until it ends, and then a failure ("the stream ended within an event").

The splitter looks for both ends now.

Evidence: the four cases of test_events_whose_lines_end_with_crlf_are_passed_on fail on the code before, pass after.

--- a/chervilarch/event_stream.py
+++ b/chervilarch/event_stream.py
@@ -8,6 +8,8 @@
 # Bounds the comments and blank lines between two events.
 MAX_IDLE_BYTES = 64 * 1024
 _EVENT_END = b"\n\n"
+# Lines may end with CRLF too.
+_EVENT_ENDS = (_EVENT_END, b"\n\r\n")
 _FIELD = re.compile(rb"^[^:\r\n]", re.MULTILINE)
 
 
@@ -66,6 +68,12 @@
     return Event(name, b"\n".join(data))
 
 
+def _end_of_events(data: bytes | bytearray, start: int) -> int:
+    """Returns where the last event ends, 0 if none does after `start`."""
+    found = [(data.rfind(end, start), len(end)) for end in _EVENT_ENDS]
+    return max((at + size for at, size in found if at >= 0), default=0)
+
+
 class Complete(NamedTuple):
     """Bytes of a stream that can be passed on.
 
@@ -106,10 +114,9 @@
     def feed(self, chunk: bytes) -> Complete:
         """Returns what a chunk completes."""
         # The end may have begun in the chunk before.
-        start = max(0, len(self._partial) - 1)
+        start = max(0, len(self._partial) - 2)
         self._partial += chunk
-        end = self._partial.rfind(_EVENT_END, start)
-        end = end + len(_EVENT_END) if end >= 0 else 0
+        end = _end_of_events(self._partial, start)
         self._find_field()
         has_event = 0 <= self._field_at < end
         self._has_event = self._has_event or has_event
@@ -162,7 +169,7 @@
             has ended within an event.
         """
         rest = bytes(self._partial)
-        line = rest.rpartition(_EVENT_END)[2].strip()
+        line = rest[_end_of_events(rest, 0) :].strip()
         is_within = self._field_at >= 0 or bool(line)
         self._begin()
         return None if is_within else rest
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -108,3 +108,14 @@
         splitter.feed(b"data: x\n\n")
     splitter.feed(b"data: " + b"x" * event_stream.MAX_EVENT_BYTES)
     assert splitter.fault() == "an event is too long"
+
+
+@pytest.mark.parametrize("size", [1, 2, 3, 100])
+def test_events_whose_lines_end_with_crlf_are_passed_on(size):
+    data = b": a\r\n\r\n" + b"id: 1\r\ndata: b\r\n\r\n" + b": c\r\n\r\n"
+    splitter = event_stream.EventSplitter()
+    parts = [data[i : i + size] for i in range(0, len(data), size)]
+    passed = feed_all(splitter, *parts)
+    assert b"".join(part for part, _ in passed) == data
+    assert sum(has_event for _, has_event in passed) == 1
+    assert splitter.last_id == "1" and splitter.end_attempt() == b""
