--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -268,9 +268,9 @@
 
     start = world.ctrl.client.start
 
-    def start_with_more_time(exchange, *args):
+    def start_with_more_time(exchange, *args, **kwargs):
         more_s = exchange.timeout_s + 1.0
-        return start(exchange._replace(timeout_s=more_s), *args)
+        return start(exchange._replace(timeout_s=more_s), *args, **kwargs)
 
     monkeypatch.setattr(world.ctrl.client, "start", start_with_more_time)
     world.endpoint("e1", answer_unless_slow)
