Don't let a second host give permits beside a slow one

Cause: a host that didn't reply within 60 ms was replaced for 1.5 s by the next in rank, while it went on giving permits to itself and to those that it reached; each of the two kept to the limit on its own.

Change: a host is replaced only when it counts as dead. One that has replied to nothing for 0.4 s isn't asked for 1.5 s; those that it doesn't answer use parts of the limit that are their own, 0.6 of it together, and begin at different times. So a slow host and the others stay within one and a half times the limit.

--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -363,6 +363,7 @@
         functools.partial(gateways.peers, fleet.PeerPort.PERMITS),
         key,
         limits,
+        rng,
     )
     guard = prompt_guard.PromptGuard(loop, exchange, meters, rng, store_client)
     configuration.add_listener(lambda table: runner.set_pools(table.pools))
--- a/chervilarch/permits.py
+++ b/chervilarch/permits.py
@@ -4,10 +4,15 @@
 keep to its limit and each gets what it needs. Which host that is follows from a
 hash over the live ones; it isn't agreed on. While two hosts give permits, as
 after a cut, the endpoint may get up to twice its limit.
+
+A host that gives permits may be slow, and goes on giving them to itself and to
+those that it reaches. So nobody replaces it before it counts as dead: a host
+that gets no reply of it uses a part of the limit that is its own.
 """
 
 import collections
 import enum
+import random
 import zlib
 from collections.abc import Callable
 from concurrent.futures import Future
@@ -25,8 +30,12 @@
 # a few milliseconds.
 _RESEND_S = 0.02
 _MAX_SENDS = 3
-# A host that didn't reply isn't asked again for this time.
+# A host that hasn't replied for the first of these times isn't asked for the
+# second.
+_SILENCE_S = 0.4
 _AVOID_S = 1.5
+# Part of a limit that hosts use without permits, all together.
+_OWN_SHARE = 0.6
 # Assumed wait for the next permit if the host that gives them is silent.
 _SILENT_WAIT_S = 0.1
 # Replies that are kept to answer a repeated request in the same way.
@@ -61,14 +70,21 @@
 
 
 class Schedule:
-    """The times at which an endpoint may get its requests."""
+    """The times at which an endpoint may get its requests.
+
+    Attributes:
+        burst: requests beyond an even pace that it may get at once.
+    """
 
-    def __init__(self) -> None:
-        self._next_at = float("-inf")
+    def __init__(
+        self, burst: float = _BURST, first_at: float = float("-inf")
+    ) -> None:
+        self._burst = burst
+        self._next_at = first_at
 
     def reserve(self, per_s: float, max_wait_s: float, now: float) -> Permit:
         """Reserves the next free time unless it is too late."""
-        earliest = self._next_at - (_BURST - 1.0) / per_s
+        earliest = self._next_at - (self._burst - 1.0) / per_s
         wait_s = max(0.0, earliest - now)
         if wait_s > max_wait_s:
             return Permit(False, wait_s)
@@ -86,6 +102,7 @@
         live_peers: Callable[[], list[Peer]],
         key: bytes,
         limits: endpoint_limits.EndpointLimits,
+        rng: random.Random,
     ):
         """Binds the socket.
 
@@ -95,6 +112,7 @@
             live_peers: returns the live hosts with the addresses of theirs.
             key: seals datagrams.
             limits: the limits in force.
+            rng: spreads the requests of hosts that get no replies.
 
         Raises:
             OSError: the address can't be bound.
@@ -104,10 +122,17 @@
         self._live_peers = live_peers
         self._key = key
         self._limits = limits
+        self._rng = rng
         self._is_leaving = False
         self._last_number = int(loop.clock.wall() * _MS_PER_S) << 20
         self._pending: dict[int, Future[Permit]] = {}
         self._avoided_until: dict[str, float] = {}
+        # When hosts were first sent something to which none of their replies
+        # has come yet.
+        self._unanswered_since: dict[str, float] = {}
+        self._own_shares: collections.OrderedDict[EndpointRun, Schedule] = (
+            collections.OrderedDict()
+        )
         self._schedules: collections.OrderedDict[EndpointRun, Schedule] = (
             collections.OrderedDict()
         )
@@ -138,6 +163,8 @@
         giver = self._giver(run)
         if giver is None:
             return tasks.done(self._reserve(run, per_s, max_wait_s))
+        if self._avoided_until.get(giver.name, 0.0) > self._loop.now():
+            return tasks.done(self._reserve_own_share(run, per_s, max_wait_s))
         self._last_number += 1
         message = _Message(
             _Kind.REQUEST, self._last_number, run, per_s, max_wait_s
@@ -149,12 +176,7 @@
 
     def _giver(self, run: EndpointRun) -> Peer | None:
         """Returns the host that gives a run's permits, None if this one."""
-        now = self._loop.now()
-        hosts = [
-            peer
-            for peer in self._live_peers()
-            if self._avoided_until.get(peer.name, now) <= now
-        ]
+        hosts = list(self._live_peers())
         if not self._is_leaving or not hosts:
             hosts.append(self._own)
         giver = max(hosts, key=lambda peer: _rank(run, peer))
@@ -167,9 +189,12 @@
         now = self._loop.now()
         if sends > _MAX_SENDS:
             del self._pending[message.number]
-            self._avoided_until[giver.name] = now + _AVOID_S
+            if now - self._unanswered_since.get(giver.name, now) > _SILENCE_S:
+                del self._unanswered_since[giver.name]
+                self._avoided_until[giver.name] = now + _AVOID_S
             tasks.resolve(fut, Permit(False, _SILENT_WAIT_S))
             return
+        self._unanswered_since.setdefault(giver.name, now)
         self._socket.send(giver.address, _encode(self._key, message))
         self._loop.call_later(
             _RESEND_S, lambda: self._ask(giver, message, sends + 1)
@@ -179,22 +204,41 @@
         self, run: EndpointRun, per_s: float, max_wait_s: float
     ) -> Permit:
         schedule = self._schedules.pop(run, None) or Schedule()
-        self._schedules[run] = schedule
-        if len(self._schedules) > _MAX_RUNS:
-            self._schedules.popitem(last=False)
+        _keep(self._schedules, run, schedule)
         return schedule.reserve(per_s, max_wait_s, self._loop.now())
 
+    def _reserve_own_share(
+        self, run: EndpointRun, per_s: float, max_wait_s: float
+    ) -> Permit:
+        """Reserves a time within the part of a limit that is this host's."""
+        now = self._loop.now()
+        share_per_s = _OWN_SHARE * per_s / (1 + len(self._live_peers()))
+        schedule = self._own_shares.pop(run, None)
+        if schedule is None:
+            # Hosts begin at different times.
+            first_at = now + self._rng.random() / share_per_s
+            schedule = Schedule(1.0, first_at)
+        _keep(self._own_shares, run, schedule)
+        return schedule.reserve(share_per_s, max_wait_s, now)
+
     def _handle(self, message: _Message, source: tuple) -> None:
         if message.kind is _Kind.REQUEST:
             self._socket.send(
                 source, _encode(self._key, self._reply(message, source))
             )
             return
+        self._record_reply(source)
         fut = self._pending.pop(message.number, None)
         if fut is not None:
             is_granted = message.kind is _Kind.GRANTED
             tasks.resolve(fut, Permit(is_granted, message.wait_s))
 
+    def _record_reply(self, source: tuple) -> None:
+        """Records that a host replies."""
+        for peer in self._live_peers():
+            if peer.address == source:
+                self._unanswered_since.pop(peer.name, None)
+
     def _reply(self, message: _Message, source: tuple) -> _Message:
         known = self._replies.get((source, message.number))
         if known is not None:
@@ -212,6 +256,17 @@
         return reply
 
 
+def _keep(
+    schedules: "collections.OrderedDict[EndpointRun, Schedule]",
+    run: EndpointRun,
+    schedule: Schedule,
+) -> None:
+    """Keeps a schedule as the last one used; forgets the first of too many."""
+    schedules[run] = schedule
+    if len(schedules) > _MAX_RUNS:
+        schedules.popitem(last=False)
+
+
 def _rank(run: EndpointRun, peer: Peer) -> tuple[int, str]:
     return zlib.crc32(f"{run.key} {peer.name}".encode()), peer.name
 
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -1,5 +1,7 @@
 """Requests to endpoints that name how many they take a second."""
 
+import random
+
 import loop_helpers as lh
 import pytest
 from gateway_world import (
@@ -115,6 +117,8 @@
             lambda: self.peers(hosts),
             _SEAL_KEY,
             self.limits,
+            random.Random(name),
+
         )
         hosts.append(self)
 
@@ -200,6 +204,19 @@
     assert most_in_window(times) <= allowed_requests(_WINDOW_S)
 
 
+@pytest.mark.parametrize("delay_s", [0.05, 0.1, 0.3, 0.6, 2.0])
+@pytest.mark.parametrize("per_s", [_LIMIT_PER_S, 20.0])
+def test_a_slow_host_is_not_given_permits_beside(fleet, delay_s, per_s):
+    loop, _, hosts = fleet
+    giver = max(hosts, key=lambda host: permits._rank(_RUN, host.own))
+    handle = giver.permits._socket._on_message
+    giver.permits._socket._on_message = lambda *args: loop.call_later(
+        delay_s, lambda: handle(*args)
+    )
+    times = run_load(fleet, 20.0, per_s=per_s)
+    assert most_in_window(times) <= allowed_requests(_WINDOW_S, per_s)
+
+
 def test_each_side_of_a_cut_keeps_to_a_limit(fleet):
     _, _, hosts = fleet
     for host in hosts[:3]:
