--- a/chervilarch/final_call.py
+++ b/chervilarch/final_call.py
@@ -393,7 +393,9 @@
             if self._ctx.req.is_retryable():
                 attempt.transfer.cancel()
             if self._ctx.remaining_s() <= RETURN_MARGIN_S:
-                finish_attempt(self._ctx, attempt.lease, _OUT_OF_TIME)
+                finish_attempt(
+                    self._ctx, attempt.lease, _OUT_OF_TIME, self._tried
+                )
                 continue
             self._ctx.ctrl.placement.abandon(attempt.lease, is_suspect=True)
             self._ctx.ctrl.prompt_guard.record_end(attempt.lease, None)
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -118,7 +118,6 @@
             _SEAL_KEY,
             self.limits,
             random.Random(name),
-
         )
         hosts.append(self)
 
