Drop a transfer's request and callbacks when it is released

Cause: the callback of a buffered call's transfer refers to the transfer, which kept the callback after calling it, with the exchange (the request's body) and what it had read of a reply that was cancelled. Only the interpreter's oldest generation of garbage collection frees such a cycle.

Why it works: the transfer is released once in every way of its end, and it drops its callbacks, its exchange and its body there. Its head stays, which is read after its end.

--- a/chervilarch/http_client.py
+++ b/chervilarch/http_client.py
@@ -43,8 +43,11 @@
         on_done: Callable[[exchanges.TransferResult], None],
     ):
         self._client = client
-        self.exchange = exchange
-        self.on_done = on_done
+        # These are None once it has ended.
+        self.exchange: exchanges.Exchange | None = exchange
+        self.on_done: Callable[[exchanges.TransferResult], None] | None = (
+            on_done
+        )
         self.on_data: Callable[[bytes], None] | None = None
         self.curl: pycurl.Curl | None = None
         self.head = reply_head.ReplyHead()
@@ -132,6 +135,11 @@
         self._body += chunk
         return len(chunk)
 
+    def drop_references(self) -> None:
+        """Drops what only a running transfer needs, also its callbacks."""
+        self.exchange = self.on_done = self.on_data = None
+        self._body = bytearray()
+
     def give_up(self) -> None:
         """Drops the body for lack of room."""
         self.fault = f"the reply had to give way, at {len(self._body)} bytes"
@@ -259,6 +267,7 @@
             return
         del self._running[curl]
         transfer.close_holder()
+        transfer.drop_references()
         self._multi.remove_handle(curl)
         if len(self._spare_handles) < _MAX_SPARE_HANDLES:
             curl.reset()
@@ -343,9 +352,10 @@
     ) -> None:
         """Passes a result on, and keeps room for its body meanwhile."""
         is_kept = transfer.is_body_kept
+        on_done = transfer.on_done
         transfer.keep_body()
         self.release(transfer)
-        guards.call(transfer.on_done, result)
+        guards.call(on_done, result)
         if not is_kept or not isinstance(result, exchanges.Reply):
             transfer.drop_body()
 
