Free a connection that is closed while it serves a request

What callers saw: nothing by itself; the connection of a caller that left, or whose answer was broken off, stayed in memory with its request until the garbage collector ran.

Cause: the connection refers to the responder of the request that it serves, which refers to the connection; only the end of an answer, not a close, broke that cycle.

Why it works: a close is the other way in which a connection ends its request, and it now drops the same as `finish` does.

--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -390,9 +390,12 @@
         self._loop.unwatch(self._sock)
         self._sock.close()
         self._server.remove(self)
+        responder, self._responder = self._responder, None
         on_disconnect, self._on_disconnect = self._on_disconnect, None
         self.on_flushed = None
-        if on_disconnect is not None and not self._responder.ended:
+        self._head = None
+        self._body = bytearray()
+        if on_disconnect is not None and not responder.ended:
             on_disconnect()
 
     def _log_close(self, reason: CloseReason) -> None:
--- a/tests/test_freed_requests.py
+++ b/tests/test_freed_requests.py
@@ -9,6 +9,7 @@
 import types
 
 import gateway_world as gw
+import h11
 import loop_helpers as lh
 import pytest
 from test_silent_engines import SilentEngine, first_of
@@ -57,6 +58,15 @@
         exchanges.TransferFailure,
         http_client.Transfer,
     ),
+    "connections": (
+        h11.Connection,
+        h11.Data,
+        h11.Request,
+        h11.Response,
+        http_server.Request,
+        http_server.Responder,
+        http_server._Connection,
+    ),
 }
 # Waits for threads and for timers that are due; a deadline is far beyond it.
 _WAIT_S = 3.0
