--- a/chervilarch/piece_runner.py
+++ b/chervilarch/piece_runner.py
@@ -3,7 +3,6 @@
 import collections
 import math
 from collections.abc import Callable
-from concurrent.futures import Future
 
 from chervilarch import (
     avoidances,
@@ -22,6 +21,7 @@
     telemetry,
 )
 from chervilarch import loop as loops
+from chervilarch.futures import Future
 
 # A job fails when more calls than this have failed.
 _MAX_ERRORS = 3
