Show why a gateway doesn't start in the measure of floods

One of 25 starts timed out after 20 s beside other runs, and its log was gone with its folder. Ports are now free for datagrams too, and a gateway that has ended shows its log.

--- a/bench/byte_floods.py
+++ b/bench/byte_floods.py
@@ -6,6 +6,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import itertools
 import json
 import os
@@ -301,22 +302,19 @@
 
 
 def _free_ports(count: int) -> int:
-    """Returns the first of some consecutive ports that are free."""
+    """Returns the first of some consecutive ports free for TCP and UDP."""
     while True:
-        socks = []
-        try:
+        with contextlib.ExitStack() as stack:
             first = 0
-            for number in range(count):
-                sock = socket.socket()
-                socks.append(sock)
-                sock.bind(("127.0.0.1", first and first + number))
-                first = first or sock.getsockname()[1]
+            try:
+                for number in range(count):
+                    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                        sock = stack.enter_context(socket.socket(type=kind))
+                        sock.bind(("127.0.0.1", first and first + number))
+                        first = first or sock.getsockname()[1]
+            except (OSError, OverflowError):
+                continue  # One of the ports is in use.
             return first
-        except OSError:
-            continue  # One of the ports is in use.
-        finally:
-            for sock in socks:
-                sock.close()
 
 
 class _Gateway:
@@ -350,7 +348,8 @@
             settings["memory_mb"] = memory
         path = folder / "gateway.json"
         path.write_text(json.dumps(settings))
-        with (folder / "gateway.log").open("wb") as log:
+        self._log = folder / "gateway.log"
+        with self._log.open("wb") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "chervilarch.gateway_main"],
                 env={**os.environ, "CHERVILARCH_SETTINGS": str(path)},
@@ -363,10 +362,13 @@
         """Waits until the gateway has its configuration.
 
         Raises:
+            RuntimeError: it has ended.
             TimeoutError: it doesn't become ready.
         """
         async with asyncio.timeout(_START_TIMEOUT_S):
             while True:
+                if self._process.poll() is not None:
+                    raise RuntimeError(self._log.read_text())
                 try:
                     reader, writer = await asyncio.open_connection(
                         "127.0.0.1", self._ready_port
