Keep the holders of a room in the order in which they came

test_the_peer_that_holds_most_gives_way_to_others failed once in three runs of the whole suite and in one of eight of its file: of messages of the same size the room gave up any, by the order of a set, and the test expected the first.

--- a/chervilarch/byte_room.py
+++ b/chervilarch/byte_room.py
@@ -94,7 +94,8 @@
     def __init__(self, bounds: Bounds):
         self.bounds = bounds
         self.size = 0
-        self._holders: set[Holder] = set()
+        # In the order in which they came.
+        self._holders: dict[Holder, None] = {}
         self._small_size = 0
         self._peers: dict[str, int] = {}
         # Those that wait, in the order in which they began to.
@@ -119,7 +120,7 @@
                 can't. Neither may call the room.
         """
         holder = Holder(peer, on_room, on_evicted, now)
-        self._holders.add(holder)
+        self._holders[holder] = None
         return holder
 
     def take(self, holder: Holder, size: int, now: float) -> Grant:
@@ -152,7 +153,7 @@
         """Removes a holder and returns its room."""
         if holder not in self._holders:
             return
-        self._holders.remove(holder)
+        del self._holders[holder]
         self._waiting.pop(holder, None)
         if self._leader is holder:
             self._leader = None
