--- a/chervilarch/event_stream.py
+++ b/chervilarch/event_stream.py
@@ -74,6 +74,11 @@
     return max((at + size for at, size in found if at >= 0), default=0)
 
 
+def _is_whole(chunk: bytes) -> bool:
+    """Returns whether a chunk begins with a field and ends with an event."""
+    return chunk[:1] not in b":\r\n" and chunk.endswith(_EVENT_ENDS)
+
+
 class Complete(NamedTuple):
     """Bytes of a stream that can be passed on.
 
@@ -113,28 +118,33 @@
 
     def feed(self, chunk: bytes) -> Complete:
         """Returns what a chunk completes."""
+        if not self._partial and _is_whole(chunk):
+            return self._complete_events(chunk)
         # The end may have begun in the chunk before.
         start = max(0, len(self._partial) - 2)
         self._partial += chunk
         end = _end_of_events(self._partial, start)
         self._find_field()
         has_event = 0 <= self._field_at < end
-        self._has_event = self._has_event or has_event
-        if not end or not self._has_event:
+        if not end or not (has_event or self._has_event):
             return Complete(b"", False)
         data = bytes(self._partial[:end])
         del self._partial[:end]
         if has_event:
-            self._take_id(data)
-            self._idle_bytes = 0
             self._field_at = -1
             self._searched_bytes = 0
             self._find_field()
-        else:
-            self._idle_bytes += end
-            self._field_at = max(-1, self._field_at - end)
-            self._searched_bytes -= end
-        return Complete(data, has_event)
+            return self._complete_events(data)
+        self._idle_bytes += end
+        self._field_at = max(-1, self._field_at - end)
+        self._searched_bytes -= end
+        return Complete(data, False)
+
+    def _complete_events(self, data: bytes) -> Complete:
+        self._has_event = True
+        self._idle_bytes = 0
+        self._take_id(data)
+        return Complete(data, True)
 
     def _find_field(self) -> None:
         if self._field_at >= 0:
