--- a/chervilarch/attempts.py
+++ b/chervilarch/attempts.py
@@ -151,7 +151,10 @@
     if result.status == _HTTP_OK:
         if reply.output is _ABSENT:
             return Failure(FailureCause.FAILED, "the reply has no output")
-        return Success(reply.output)
+        # One line, which an event needs, and apart from the rest of the body.
+        return Success(
+            msgspec.Raw(msgspec.json.format(reply.output, indent=-1))
+        )
     error = _text_of(reply.error)
     detail = f"status {result.status}" if error is None else error
     detail = detail[:MAX_DETAIL_CHARS]
@@ -174,11 +177,7 @@
     if not body.isascii():
         # What stays undecoded isn't checked by the decoder.
         body.decode()
-    reply = msgspec.json.decode(body, type=_ReplyBody)
-    if reply.output is not _ABSENT:
-        # A line of its own, which an event needs, and apart from the body.
-        reply.output = msgspec.Raw(msgspec.json.format(reply.output, indent=-1))
-    return reply
+    return msgspec.json.decode(body, type=_ReplyBody)
 
 
 def _text_of(field: msgspec.Raw) -> str | None:
