Free a stage graph and its remote run at their end

What callers saw: nothing by itself; the graphs of requests with stages stayed in the memory of the coordinator, and of hosts that submitted them, with their tasks and pieces until the garbage collector ran.

Cause: a scheduled graph and its runner referred to each other; a remote run was part of the callbacks of its own graph; a deferred graph that was cancelled or handed over never ended, so that what waited for it stayed; the timer for a job's deadline kept the job until then.

Mend: a graph drops its task and runner when it ends; a reply looks its remote run up by its key; a deferred graph that is stopped ends as failed, as a running one does; the timer keeps the pool's name only.

The cases now count all kinds of objects at once: with a run for each kind the file took three minutes.

--- a/chervilarch/piece_runner.py
+++ b/chervilarch/piece_runner.py
@@ -104,8 +104,9 @@
             return pending
         self._budgets.earn(job.pool)
         queue.add(pending)
-        self.loop.call_at(job.deadline_at, lambda: self.dispatch(job.pool))
-        self.dispatch(job.pool)
+        pool = job.pool
+        self.loop.call_at(job.deadline_at, lambda: self.dispatch(pool))
+        self.dispatch(pool)
         return pending
 
     def cancel(self, pending: pieces.PendingJob) -> None:
--- a/chervilarch/stage_coordination.py
+++ b/chervilarch/stage_coordination.py
@@ -323,19 +323,16 @@
                 self._scheduler.run(message.graph), self._loop.now()
             )
             self._remote_runs[key] = remote
-            remote.run.on_results_changed = lambda: self._reply(
-                remote, source, message.number
-            )
+            remote.run.on_results_changed = lambda: self._reply(*key)
             if not remote.run.future.done():
-                remote.run.future.add_done_callback(
-                    lambda _: self._reply(remote, source, message.number)
-                )
+                remote.run.future.add_done_callback(lambda _: self._reply(*key))
         remote.last_heard_at = self._loop.now()
-        self._reply(remote, source, message.number)
+        self._reply(*key)
 
-    def _reply(self, remote: _RemoteRun, source: tuple, number: int) -> None:
+    def _reply(self, source: tuple, number: int) -> None:
         """Sends a run's outcome, or its progress while it runs."""
-        if (source, number) not in self._remote_runs:
+        remote = self._remote_runs.get((source, number))
+        if remote is None:
             return
         if not remote.run.future.done():
             accepted = StageMessage(
--- a/chervilarch/stage_scheduler.py
+++ b/chervilarch/stage_scheduler.py
@@ -28,7 +28,11 @@
 
 
 class ScheduledGraph:
-    """A submitted graph; its future gets `GraphResult` or `JobFailure`."""
+    """A submitted graph; its future gets `GraphResult` or `JobFailure`.
+
+    Attributes:
+        task: runs it with `graph_runner`; both are None unless it runs.
+    """
 
     def __init__(self, graph: stage_graph.StageGraph):
         self.graph = graph
@@ -97,6 +101,7 @@
         if run in self._deferred:
             self._deferred.remove(run)
             self._free_completed(run.graph)
+            tasks.resolve(run.future, pieces.JobFailure(pieces.FAILED))
         if run.task is not None:
             run.task.cancel()
 
@@ -104,6 +109,7 @@
         """Stops a graph that another host takes over with its results."""
         if run in self._deferred:
             self._deferred.remove(run)
+            tasks.resolve(run.future, pieces.JobFailure(pieces.FAILED))
         if run.graph_runner is not None:
             run.graph_runner.is_handed_over = True
             run.task.cancel()
@@ -174,6 +180,7 @@
         run: ScheduledGraph,
         outcome: "stage_graph.Results | pieces.JobFailure | None",
     ) -> None:
+        run.task = run.graph_runner = None
         if outcome is None:
             outcome = pieces.JobFailure(pieces.FAILED)
         if not isinstance(outcome, pieces.JobFailure):
--- a/tests/test_freed_requests.py
+++ b/tests/test_freed_requests.py
@@ -2,7 +2,9 @@
 
 import collections
 import gc
+import itertools
 import logging
+import random
 import socket
 import struct
 import threading
@@ -12,6 +14,8 @@
 import h11
 import loop_helpers as lh
 import pytest
+import test_gateway_stages as gateway_stages
+import test_stages
 from test_silent_engines import SilentEngine, first_of
 
 from chervilarch import (
@@ -21,53 +25,64 @@
     http_client,
     http_server,
     outcomes,
+    piece_calls,
+    pieces,
     placement,
     routed,
     routed_context,
     serving,
+    stage_coordination,
+    stage_graph,
+    stage_inputs,
+    stage_scheduler,
+    store,
     stream_call,
     tasks,
 )
 
-# What must be gone, by the part that creates it.
-GROUPS = {
-    "requests": (
-        outcomes.Answer,
-        outcomes.NotRun,
-        outcomes.Rejected,
-        outcomes.TooLate,
-        outcomes.Unknown,
-        routed.RoutedRequest,
-        routed_context.RoutedContext,
-        serving._CallerRequest,
-        types.TracebackType,
-    ),
-    "tasks": (tasks.Future, tasks.Mailbox, tasks.Task, types.GeneratorType),
-    "calls": (
-        attempts.Failure,
-        final_call.BufferedCall,
-        final_call.RunningAttempt,
-        final_call.Success,
-        placement.Lease,
-        stream_call.StreamCall,
-        stream_call._Attempt,
-    ),
-    "transfers": (
-        exchanges.Exchange,
-        exchanges.Reply,
-        exchanges.TransferFailure,
-        http_client.Transfer,
-    ),
-    "connections": (
-        h11.Connection,
-        h11.Data,
-        h11.Request,
-        h11.Response,
-        http_server.Request,
-        http_server.Responder,
-        http_server._Connection,
-    ),
-}
+# What must be gone.
+KINDS = (
+    attempts.Failure,
+    exchanges.Exchange,
+    exchanges.Reply,
+    exchanges.TransferFailure,
+    final_call.BufferedCall,
+    final_call.RunningAttempt,
+    final_call.Success,
+    h11.Connection,
+    h11.Data,
+    h11.Request,
+    h11.Response,
+    http_client.Transfer,
+    http_server.Request,
+    http_server.Responder,
+    http_server._Connection,
+    outcomes.Answer,
+    outcomes.NotRun,
+    outcomes.Rejected,
+    outcomes.TooLate,
+    outcomes.Unknown,
+    piece_calls.PieceCall,
+    pieces.Job,
+    pieces.PendingJob,
+    placement.Lease,
+    routed.RoutedRequest,
+    routed_context.RoutedContext,
+    serving._CallerRequest,
+    stage_coordination.Submission,
+    stage_coordination._RemoteRun,
+    stage_graph.GraphRunner,
+    stage_graph.StageGraph,
+    stage_inputs.StageInputs,
+    stage_scheduler.ScheduledGraph,
+    stream_call.StreamCall,
+    stream_call._Attempt,
+    tasks.Future,
+    tasks.Mailbox,
+    tasks.Task,
+    types.GeneratorType,
+    types.TracebackType,
+)
 # Waits for threads and for timers that are due; a deadline is far beyond it.
 _WAIT_S = 3.0
 _DEADLINE_MS = 50_000
@@ -77,20 +92,15 @@
 _MANY_EVENTS = b"data: %s\n\n" % (b"x" * 1000) * 8000
 
 
-def live(kinds):
+def live():
     """Returns how many objects of some types exist, reachable or not."""
     return collections.Counter(
         getattr(obj, "__qualname__", type(obj).__name__)
         for obj in gc.get_objects()
-        if isinstance(obj, kinds)
+        if isinstance(obj, KINDS)
     )
 
 
-@pytest.fixture(params=GROUPS)
-def kinds(request):
-    return GROUPS[request.param]
-
-
 @pytest.fixture
 def no_collector(monkeypatch):
     """Leaves what is in reference cycles where it is."""
@@ -103,13 +113,13 @@
 
 
 @pytest.fixture
-def kept(kinds, no_collector, monkeypatch):
+def kept(no_collector, monkeypatch):
     """Returns what begins a count and returns how to end it."""
 
     def begin(loop):
         lh.run_pending(loop, 20)
         gc.collect()
-        before = live(kinds)
+        before = live()
 
         def assert_nothing():
             monkeypatch.setattr(lh, "TIMEOUT_S", _WAIT_S)
@@ -117,7 +127,7 @@
 
             def is_freed():
                 left.clear()
-                left.update(live(kinds) - before)
+                left.update(live() - before)
                 return not left
 
             try:
@@ -645,6 +655,111 @@
     yield
 
 
+class Stages:
+    """Workers of a route with two stages."""
+
+    def __init__(self, scene):
+        self.first = gateway_stages.StageServer()
+        self.second = gateway_stages.StageServer()
+        self._scene = scene
+
+    def start(self, first=None):
+        """Starts the workers; those of the first stage may be others."""
+        scene = self._scene
+        scene.world.endpoint("m1", first or self.first.serve, pool="p1")
+        scene.world.endpoint("m2", self.second.serve, pool="p2")
+        pools = ({"name": "p1"}, {"name": "p2"})
+        services = [
+            {"name": "s1"},
+            *({**pool, "pieces": gateway_stages.PIECES} for pool in pools),
+        ]
+        stages = [
+            {"service": "p1", "after": [], "bytes": 100},
+            {"service": "p2", "after": [0], "bytes": 100},
+        ]
+        start = scene.world.start
+        scene.world.start = lambda route: start(
+            {**route, "stages": stages}, services=services
+        )
+
+
+_PIECES = (("Pieces", "2,1"), ("Piece-Key", "pk"))
+
+
+@case("safe", "resumable")
+def stages_and_an_answer(scene):
+    Stages(scene).start()
+    scene.endpoints(scene.whole)
+    yield
+    assert gw.status(scene.fetch(*_PIECES)) == 200
+    yield
+
+
+@case("safe", "resumable")
+def stages_without_a_worker(scene):
+    Stages(scene).start()
+    scene.world.store.write(store.Topic.ENDPOINTS, "m1", b"")
+    scene.endpoints(scene.whole)
+    yield
+    assert gw.status(scene.fetch(*_PIECES)) == 503
+    yield
+
+
+@case("safe", "resumable")
+def a_caller_that_leaves_while_its_stages_run(scene):
+    Stages(scene).start(scene.hang)
+    scene.endpoints(scene.whole)
+    yield
+    conn = scene.send(*_PIECES)
+    scene.await_call()
+    conn.close()
+    scene.await_end()
+    scene.go_on.set()
+    yield
+
+
+@case("safe", "resumable")
+def a_stop_while_stages_run(scene):
+    Stages(scene).start(scene.hang)
+    scene.endpoints(scene.whole)
+    yield
+    conn = scene.send(("Connection", "close"), *_PIECES)
+    scene.await_call()
+    scene.world.handler.cut_off()
+    lh.receive(scene.loop, conn, lambda data: b"<EOF>" in data)
+    conn.close()
+    scene.go_on.set()
+    yield
+
+
+@case("resumable")
+def stages_that_run_again(scene):
+    Stages(scene).start()
+    gone = gw.answer(409, b"", stamp="", extra="Not-Executed: 1\r\n")
+    scene.endpoints(lh.answer_with(gone), scene.whole)
+    yield
+    assert gw.status(scene.fetch(*_PIECES)) == 200
+    yield
+
+
+@case("safe")
+def a_piece_call_that_fails(scene):
+    stages = Stages(scene)
+    seen = []
+
+    def fail_once(conn):
+        if seen:
+            stages.first.serve(conn)
+        else:
+            seen.append(lh.read_request(conn))
+
+    stages.start(fail_once)
+    scene.endpoints(scene.whole)
+    yield
+    assert gw.status(scene.fetch(*_PIECES)) == 200
+    yield
+
+
 @pytest.mark.parametrize("name", CASES)
 def test_an_ended_request_leaves_nothing(world, kept, name, monkeypatch):
     scenario, kind = CASES[name]
@@ -654,3 +769,134 @@
     next(steps)
     assert_nothing()
     next(steps, None)
+
+
+class StageHost:
+    """A host that may coordinate; the test completes its pieces."""
+
+    def __init__(self, loop, clock, name):
+        self.peers = []
+        self.runner = test_stages.FakeRunner()
+        engines = placement.Placement("dc1", clock, random.Random(1))
+        self.coordinator = stage_coordination.StageCoordinator(
+            loop,
+            stage_scheduler.StageScheduler(loop, self.runner, engines),
+            stage_coordination.Peer(name, ("127.0.0.1", 0)),
+            lambda: self.peers,
+            b"k" * 16,
+        )
+        address = self.coordinator._socket.address
+        self.peer = stage_coordination.Peer(name, address)
+
+    def complete(self):
+        """Completes the piece of its only graph, and forgets it."""
+        self.runner.complete(0)
+        self.runner.jobs.clear()
+
+
+class StageHosts:
+    """Two hosts; the first is the coordinator."""
+
+    def __init__(self):
+        self.loop, self.clock = lh.new_loop()
+        hosts = [StageHost(self.loop, self.clock, n) for n in ("n1", "n2")]
+        hosts.sort(
+            key=lambda h: stage_coordination.election_priority(h.peer),
+            reverse=True,
+        )
+        self.first, self.second = hosts
+        self.first.peers = [self.second.peer]
+        self.second.peers = [self.first.peer]
+
+    def submit(self, host, is_deferred=False):
+        """Submits a graph of one piece; waits until it runs or is deferred."""
+        self.first.runner.queues["p"].upcoming = 40 if is_deferred else 0
+        now = self.loop.now()
+        submission = host.coordinator.submit(
+            test_stages.build_graph(
+                test_stages.spec("p"),
+                objective_at=now + 1.0,
+                deadline_at=now + 60.0,
+            )
+        )
+        scheduler = self.first.coordinator._scheduler
+        lh.run_until(
+            self.loop, lambda: self.first.runner.jobs or scheduler._deferred
+        )
+        return submission
+
+    def advance(self, seconds):
+        lh.advance(self.loop, self.clock, seconds)
+
+
+def results_arrive(hosts, host):
+    submission = hosts.submit(host)
+    hosts.first.complete()
+    lh.run_until(hosts.loop, submission.future.done)
+
+
+def its_submitter_cancels(hosts, host):
+    host.coordinator.cancel(hosts.submit(host))
+    hosts.advance(0.1)
+    hosts.first.runner.jobs.clear()
+
+
+def its_submitter_cancels_while_it_is_deferred(hosts, host):
+    host.coordinator.cancel(hosts.submit(host, is_deferred=True))
+    hosts.advance(0.1)
+
+
+def it_is_refused_after_a_deferral(hosts, host):
+    submission = hosts.submit(host, is_deferred=True)
+    hosts.advance(0.5)
+    assert submission.future.done()
+
+
+def its_coordinator_changes(hosts, host):
+    submission = hosts.submit(host)
+    hosts.first.coordinator.leave()
+    hosts.second.peers = []
+    hosts.first.peers = [hosts.second.peer._replace(milli_cores=1)]
+    lh.run_until(
+        hosts.loop, lambda: hosts.advance(0.1) or hosts.second.runner.jobs
+    )
+    hosts.second.complete()
+    lh.run_until(
+        hosts.loop, lambda: hosts.advance(0.1) or submission.future.done()
+    )
+    hosts.first.runner.jobs.clear()
+
+
+def its_submitter_is_silent(hosts, host):
+    submission = hosts.submit(host)
+    host.coordinator._forget(submission)
+    host.coordinator._local_submissions.clear()
+    hosts.advance(3.0)
+    hosts.first.runner.jobs.clear()
+
+
+ENDS = [
+    results_arrive,
+    its_submitter_cancels,
+    its_submitter_cancels_while_it_is_deferred,
+    it_is_refused_after_a_deferral,
+    its_coordinator_changes,
+]
+
+
+@pytest.mark.parametrize(
+    ("end", "submitter"),
+    [
+        *itertools.product(ENDS, ["first", "second"]),
+        (its_submitter_is_silent, "second"),
+    ],
+)
+def test_an_ended_graph_leaves_nothing_at_any_host(kept, end, submitter):
+    hosts = StageHosts()
+    host = getattr(hosts, submitter)
+    assert_nothing = kept(hosts.loop)
+    end(hosts, host)
+    assert_nothing()
+    for each in (hosts.first, hosts.second):
+        each.coordinator.close()
+    hosts.loop.close()
