Keep the body of a caller's request once while it is served

What callers saw: nothing by itself; a host held each request's body twice while it was served (8.7 to 9.0 MB for a body of 4.2 MB), which takes room from others near the process's limit.

Cause: the connection kept its buffer beside the copy that the request got.

The number of bytes that were read stays in the lines on closed connections.

--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -282,7 +282,9 @@
         self._codec_header_bytes = self._limits.header_bytes
         self._codec = _create_codec(self._codec_header_bytes)
         self._head: h11.Request | None = None
+        # Empty once it was passed on with its request.
         self._body = bytearray()
+        self._body_bytes = 0
         self._first_byte_at = 0.0
         self._is_late = False
         self._responder: Responder | None = None
@@ -361,7 +363,7 @@
         self._responder = None
         self._on_disconnect = None
         self._head = None
-        self._body.clear()
+        self._body_bytes = 0
         self._first_byte_at = 0.0
         if self._codec.our_state is h11.MUST_CLOSE:
             self._closing = True
@@ -408,7 +410,7 @@
             reason=reason.value,
             peer=self._peer,
             is_serving=self._responder is not None,
-            read_bytes=len(self._body),
+            read_bytes=self._body_bytes,
             unsent_bytes=len(self._out),
         )
 
@@ -505,6 +507,7 @@
             self._begin_request(event)
         elif isinstance(event, h11.Data):
             self._body += event.data
+            self._body_bytes = len(self._body)
             if len(self._body) > self._limits.body_bytes:
                 self._reject_body()
         elif isinstance(event, h11.EndOfMessage):
@@ -539,6 +542,11 @@
             )
             self._flush()
 
+    def _take_body(self) -> bytes:
+        """Returns the body, which isn't kept here any longer."""
+        body, self._body = bytes(self._body), bytearray()
+        return body
+
     def _reject_body(self) -> None:
         self._reject(413, f"the body is over {self._limits.body_bytes} bytes")
 
@@ -554,7 +562,7 @@
                 (name.decode("latin-1"), value.decode("latin-1"))
                 for name, value in head.headers
             ],
-            bytes(self._body),
+            self._take_body(),
             self._first_byte_at,
             self._peer,
         )
@@ -579,7 +587,7 @@
             status=status,
             detail=detail,
             peer=self._peer,
-            read_bytes=len(self._body),
+            read_bytes=self._body_bytes,
         )
         if self._codec.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             rejection = self._server.build_rejection(status, detail)
--- a/tests/test_freed_requests.py
+++ b/tests/test_freed_requests.py
@@ -1,6 +1,7 @@
 """Nothing of a request stays after its end, without the garbage collector."""
 
 import collections
+import contextlib
 import gc
 import itertools
 import logging
@@ -8,12 +9,15 @@
 import socket
 import struct
 import threading
+import tracemalloc
 import types
 
 import gateway_world as gw
 import h11
 import loop_helpers as lh
 import pytest
+import store_hosts
+import test_advisories
 import test_gateway_stages as gateway_stages
 import test_stages
 from test_silent_engines import SilentEngine, first_of
@@ -25,6 +29,7 @@
     http_client,
     http_server,
     outcomes,
+    pages,
     piece_calls,
     pieces,
     placement,
@@ -771,6 +776,31 @@
     next(steps, None)
 
 
+def test_the_body_of_a_request_exists_once_while_it_is_served(
+    world, no_collector, monkeypatch
+):
+    scene = Scene(world, "safe", monkeypatch)
+    body = b"b" * gw.CALLER_LIMITS["max_body_bytes"]
+
+    def read_all(conn):
+        left = len(body)
+        while chunk := conn.recv(65536):
+            left -= len(chunk)
+            if left <= 0:
+                scene.has_begun.set()
+
+    scene.endpoints(read_all)
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    conn = scene.send(body=body)
+    scene.await_call()
+    held = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    assert held < 1.5 * len(body)
+    conn.close()
+    scene.await_end()
+
+
 class StageHost:
     """A host that may coordinate; the test completes its pieces."""
 
@@ -900,3 +930,102 @@
     for each in (hosts.first, hosts.second):
         each.coordinator.close()
     hosts.loop.close()
+
+
+def read_the_store():
+    hosts = store_hosts.run_hosts(3, data_centres=1)
+    loop, clock, shared, members = next(hosts)
+
+    def run():
+        for host in members:
+            host.source.calls.clear()
+        while not any(host.reads() for host in members):
+            clock.advance(0.2)
+            lh.run_pending(loop)
+
+    yield run
+    next(hosts, None)
+
+
+def exchange_advisories():
+    loop, clock = lh.new_loop()
+    hosts = []
+    for name in ("h1", "h2"):
+        test_advisories.Host(loop, name, hosts, lh.FakeStore())
+
+    def run():
+        clock.advance(0.2)
+        lh.run_pending(loop)
+
+    yield run
+    for host in hosts:
+        host.exchange.close()
+    loop.close()
+
+
+def run_stages_elsewhere():
+    hosts = StageHosts()
+
+    def run():
+        results_arrive(hosts, hosts.second)
+        hosts.first.runner.freed.clear()
+        hosts.advance(0.1)
+
+    yield run
+    for host in (hosts.first, hosts.second):
+        host.coordinator.close()
+    hosts.loop.close()
+
+
+def show_pages():
+    loop, clock = lh.new_loop()
+    handler = pages.PageHandler(lambda _: (200, "text/plain", b"page"))
+    server = http_server.Server(loop, "127.0.0.1:0", handler)
+    kept = lh.connect(server.port)
+
+    def fetch(conn):
+        conn.sendall(b"GET /p HTTP/1.1\r\nHost: a\r\n\r\n")
+        received = bytearray()
+
+        def is_answered():
+            with contextlib.suppress(BlockingIOError):
+                received.extend(conn.recv(4096))
+            return received.endswith(b"page")
+
+        lh.run_until(loop, is_answered)
+
+    def run():
+        fetch(kept)
+        conn = lh.connect(server.port)
+        fetch(conn)
+        conn.close()
+        lh.run_until(loop, lambda: server.connection_count() == 1)
+        clock.advance(0.3)
+
+    yield run
+    kept.close()
+    server.stop_accepting()
+    loop.close()
+
+
+@pytest.mark.parametrize(
+    "work",
+    [
+        read_the_store,
+        exchange_advisories,
+        run_stages_elsewhere,
+        show_pages,
+    ],
+)
+def test_repeated_work_leaves_nothing(no_collector, work):
+    steps = work()
+    run = next(steps)
+    # Cancelled timers are freed when they would have been due.
+    for _ in range(100):
+        run()
+    before = len(gc.get_objects())
+    for _ in range(200):
+        run()
+    # Less than one object for each time.
+    assert len(gc.get_objects()) - before < 200
+    next(steps, None)
