Tell only those of the waiting messages that have room now

Cause: each close of a message, and each write to a slow caller, told all that wait to ask again, and each that asked compared all others to find the one that goes on. A message that trickles was never silent and kept its room.

Evidence: test_few_of_those_that_wait_are_told_of_free_room and test_a_message_that_trickles_is_given_up_for_others fail before.

Change: those that fit into the free room are told, in their order and once until they ask, and the one that goes on; that one is chosen among the first 32. Fewer than 64 KiB are no progress.

--- a/chervilarch/byte_room.py
+++ b/chervilarch/byte_room.py
@@ -8,6 +8,7 @@
 """
 
 import enum
+import itertools
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -15,6 +16,10 @@
 SMALL_BYTES = 64 * 1024
 # A holder without progress for this many seconds is given up if others wait.
 MAX_SILENCE_S = 2.0
+# Fewer bytes are no progress.
+LEAST_PROGRESS_BYTES = 64 * 1024
+# So many of those that wait are looked at for the one that goes on.
+_MAX_COMPARED = 32
 
 
 class Bounds(NamedTuple):
@@ -68,7 +73,17 @@
         # Part of `size` in the room for small messages.
         self.small_size = 0
         self.is_evicted = False
+        # Whether `on_room` was called since it asked.
+        self.is_told = False
         self.progressed_at = now
+        self._unrecorded_bytes = 0
+
+    def record_progress(self, size: int, now: float) -> None:
+        """Records bytes that have arrived."""
+        self._unrecorded_bytes += size
+        if self._unrecorded_bytes >= LEAST_PROGRESS_BYTES:
+            self._unrecorded_bytes = 0
+            self.progressed_at = now
 
     def is_silent(self, now: float) -> bool:
         """Returns whether it got room and has made no progress since."""
@@ -98,8 +113,10 @@
         self._holders: dict[Holder, None] = {}
         self._small_size = 0
         self._peers: dict[str, int] = {}
-        # Those that wait, in the order in which they began to.
-        self._waiting: dict[Holder, None] = {}
+        # Those that wait and what they ask for, in the order in which they
+        # began to; the small ones among them.
+        self._waiting: dict[Holder, int] = {}
+        self._waiting_small: dict[Holder, int] = {}
         # Goes on while others wait.
         self._leader: Holder | None = None
 
@@ -134,11 +151,14 @@
         end = max(holder.size + size, holder.expected_size)
         if end > self.bounds.largest or holder.is_evicted:
             return Grant.REFUSED
+        holder.is_told = False
         if not self._may_take(holder, size, now):
-            self._waiting.setdefault(holder)
+            self._waiting[holder] = size
+            if holder.is_small_with(size):
+                self._waiting_small[holder] = size
             return Grant.WAIT
-        self._waiting.pop(holder, None)
-        holder.progressed_at = now
+        self._stop_waiting(holder)
+        holder.record_progress(size, now)
         self._add(holder, size)
         return Grant.TAKEN
 
@@ -154,7 +174,7 @@
         if holder not in self._holders:
             return
         del self._holders[holder]
-        self._waiting.pop(holder, None)
+        self._stop_waiting(holder)
         if self._leader is holder:
             self._leader = None
         self._clear(holder)
@@ -189,7 +209,8 @@
             self._small_size += size
             return True
         if self._held_by(holder.peer) + size <= self._fair_part():
-            self._evict_from_largest(holder, size, now)
+            if self._evict_from_largest(holder, size, now):
+                self._wake()
             shared = self.bounds.shared + self._small_size
             if self.size + size <= shared:
                 return True
@@ -200,18 +221,22 @@
 
     def _may_lead(self, holder: Holder) -> bool:
         """Returns whether a holder is the one that goes on."""
-        if self.size <= self.bounds.shared + self._small_size:
-            # Nobody uses the room of the one that goes on.
-            self._leader = None
+        self._forget_leader_without_need()
         if self._leader is None:
+            compared = itertools.islice(self._waiting, _MAX_COMPARED)
             self._leader = min(
-                [*self._waiting, holder],
+                [*compared, holder],
                 key=lambda item: item.missing(self.bounds.largest),
             )
             if self._leader is not holder:
-                self._leader.on_room()
+                self._tell(self._leader)
         return self._leader is holder
 
+    def _forget_leader_without_need(self) -> None:
+        """Lets another holder go on if the room for that is free."""
+        if self.size <= self.bounds.shared + self._small_size:
+            self._leader = None
+
     def _fair_part(self) -> int:
         return self.bounds.shared // max(2, len(self._peers))
 
@@ -220,8 +245,13 @@
 
     def _evict_from_largest(
         self, asking: Holder, size: int, now: float
-    ) -> None:
-        """Evicts the largest holders of the peers that hold most."""
+    ) -> bool:
+        """Evicts the largest holders of the peers that hold most.
+
+        Returns:
+            Whether any was evicted.
+        """
+        has_evicted = False
         while self.size + size > self.bounds.shared + self._small_size:
             evictable = [
                 holder
@@ -231,10 +261,12 @@
                 and self._held_by(holder.peer) > self._fair_part()
             ]
             if not evictable:
-                return
+                break
             self._evict(
                 max(evictable, key=lambda h: (self._held_by(h.peer), h.size))
             )
+            has_evicted = True
+        return has_evicted
 
     def _may_evict(self, holder: Holder, now: float) -> bool:
         has_no_length = holder.on_evicted and not holder.expected_size
@@ -251,7 +283,7 @@
     def _evict(self, holder: Holder) -> None:
         on_evicted, holder.on_evicted = holder.on_evicted, None
         holder.is_evicted = True
-        self._waiting.pop(holder, None)
+        self._stop_waiting(holder)
         if self._leader is holder:
             self._leader = None
         self._clear(holder)
@@ -271,7 +303,32 @@
         else:
             self._peers.pop(holder.peer, None)
 
+    def _stop_waiting(self, holder: Holder) -> None:
+        self._waiting.pop(holder, None)
+        self._waiting_small.pop(holder, None)
+
     def _wake(self) -> None:
-        """Lets those that wait ask again."""
-        for holder in list(self._waiting):
+        """Tells those that wait and have room now, in their order."""
+        free = self.bounds.small - self._small_size
+        for holder, size in self._waiting_small.items():
+            free -= size
+            if free < 0:
+                break
+            self._tell(holder)
+        free = self.bounds.shared + self._small_size - self.size
+        for holder, size in self._waiting.items():
+            free -= size
+            if free < 0:
+                break
+            self._tell(holder)
+        self._forget_leader_without_need()
+        if self._leader in self._waiting:
+            self._tell(self._leader)
+        elif self._leader is None and self._waiting:
+            # It, or another one, goes on.
+            self._tell(next(iter(self._waiting)))
+
+    def _tell(self, holder: Holder) -> None:
+        if not holder.is_told:
+            holder.is_told = True
             holder.on_room()
--- a/tests/test_byte_room.py
+++ b/tests/test_byte_room.py
@@ -166,3 +166,42 @@
     message.close()
     message.close()
     assert not room.size and not room.is_awaited()
+
+
+@pytest.mark.parametrize("count", [10, 1000])
+def test_few_of_those_that_wait_are_told_of_free_room(count):
+    room = byte_room.Room(BOUNDS)
+    full = [Message(room, "full", 390 * _KB) for _ in range(4)]
+    for message in full:
+        message.fill()
+    waiting = [Message(room, "a", 300 * _KB) for _ in range(count)]
+    for message in waiting:
+        assert message.take(16 * _KB) is Grant.WAIT
+    for message in waiting:
+        message.calls.clear()
+    for _ in range(100):
+        room.set_size(full[0].holder, full[0].holder.size - 1)
+    told = sum(len(message.calls) for message in waiting)
+    assert told <= 100 * 100 // 16_000 + 3
+
+
+def test_a_message_that_trickles_is_given_up_for_others(room):
+    trickling = [Message(room, "a", 390 * _KB) for _ in range(5)]
+    for _ in range(30):
+        for message in trickling:
+            message.take(10 * _KB)
+    sound = Message(room, "b", 300 * _KB)
+    now = 0.0
+    while sound.holder.size < 300 * _KB:
+        now += 0.25
+        room.check(now)
+        for message in trickling:
+            message.take(1, now)
+        for _ in range(20):
+            sound.take(
+                16 * _KB if sound.holder.size < 288 * _KB else 12 * _KB, now
+            )
+            if sound.holder.size >= 300 * _KB:
+                break
+        assert now < 10.0
+    assert not sound.is_evicted
