Don't hold this host's lack of room against endpoints

Evidence: the two new tests of test_endless_replies fail before.

Change: a time-out while a reply waits for room has a cause of its own, which doesn't count against the endpoint. Only a reply without a length that is over its own bound is without end. A reply that waits for its turn isn't silent.

--- a/chervilarch/attempts.py
+++ b/chervilarch/attempts.py
@@ -36,6 +36,9 @@
     # The reply was broken off by this host, as no end was in sight; the request
     # may have run.
     ENDLESS = "endless"
+    # The time ran out while this host had no room for the reply; the request
+    # may have run.
+    NO_ROOM = "no room"
     # The reply belongs to another attempt or request.
     NOT_OWN = "not own"
     # A stage's result that the attempt needs is no longer stored.
@@ -195,6 +198,8 @@
         return FailureCause.LATE
     if failure.kind is exchanges.FailureKind.ENDLESS:
         return FailureCause.ENDLESS
+    if failure.kind is exchanges.FailureKind.NO_ROOM:
+        return FailureCause.NO_ROOM
     return FailureCause.LOST
 
 
--- a/chervilarch/exchanges.py
+++ b/chervilarch/exchanges.py
@@ -18,6 +18,8 @@
     TOO_LARGE = "too_large"
     # No end of the reply was in sight when this side broke it off.
     ENDLESS = "endless"
+    # The time ran out while this side left the reply unread for lack of room.
+    NO_ROOM = "no_room"
     CANCELLED = "cancelled"
 
 
--- a/chervilarch/final_call.py
+++ b/chervilarch/final_call.py
@@ -134,41 +134,54 @@
         return
     ctx.req.possible_runs += not attempt_result.certainly_not_run()
     entry = lease.listing.entry
-    if attempt_result.cause is attempts.FailureCause.NOT_SENT:
+    _end_lease(ctx, lease, attempt_result.cause, tried)
+    state_log.log_decision(
+        "attempt failed",
+        is_problem=True,
+        request_id=ctx.req.id,
+        endpoint=entry.name,
+        kind=attempt_result.cause.value,
+        has_begun=lease.slot.has_answered,
+        answered_ms=round(lease.slot.answered_s() * _MS_PER_S),
+        is_crash_evidence=guard.record_end(lease, attempt_result.cause),
+        detail=attempt_result.detail,
+        elapsed_ms=ctx.elapsed_ms(),
+    )
+
+
+def _end_lease(
+    ctx: contexts.RoutedContext,
+    lease: placement.Lease,
+    cause: attempts.FailureCause,
+    tried: set[str],
+) -> None:
+    """Releases the endpoint of a failed attempt and counts the failure."""
+    entry = lease.listing.entry
+    if cause is attempts.FailureCause.NOT_SENT:
         if ctx.ctrl.loop.resumed_at > lease.slot.started_at:
             # The time for the connection ran out in a pause of this process.
             ctx.ctrl.placement.abandon(lease)
             tried.discard(entry.name)
         else:
             ctx.ctrl.placement.finish_unreachable(lease)
-    elif attempt_result.cause is attempts.FailureCause.LEAVING:
+    elif cause is attempts.FailureCause.LEAVING:
         ctx.ctrl.endpoints.mark_ended(entry.name, entry.incarnation)
         ctx.ctrl.placement.abandon(lease)
-    elif attempt_result.cause is attempts.FailureCause.DECLINED:
+    elif cause is attempts.FailureCause.DECLINED:
         ctx.ctrl.placement.abandon(lease, is_suspect=True)
-    elif attempt_result.cause is attempts.FailureCause.LATE:
+    elif cause is attempts.FailureCause.LATE:
         # If nothing on this route was ever answered in time, the time-out is
         # no evidence against this endpoint.
         if ctx.req.route.name in ctx.ctrl.answered_routes:
             ctx.ctrl.placement.finish_late(lease)
         else:
             ctx.ctrl.placement.abandon(lease)
-    elif attempt_result.cause is attempts.FailureCause.ENDLESS:
+    elif cause is attempts.FailureCause.NO_ROOM:
+        ctx.ctrl.placement.abandon(lease)
+    elif cause is attempts.FailureCause.ENDLESS:
         ctx.ctrl.placement.finish_endless(lease)
     else:
         ctx.ctrl.placement.finish(lease, False)
-    state_log.log_decision(
-        "attempt failed",
-        is_problem=True,
-        request_id=ctx.req.id,
-        endpoint=entry.name,
-        kind=attempt_result.cause.value,
-        has_begun=lease.slot.has_answered,
-        answered_ms=round(lease.slot.answered_s() * _MS_PER_S),
-        is_crash_evidence=guard.record_end(lease, attempt_result.cause),
-        detail=attempt_result.detail,
-        elapsed_ms=ctx.elapsed_ms(),
-    )
 
 
 def may_crash_endpoint(
@@ -390,7 +403,8 @@
             # left to end by itself.
             if self._ctx.req.is_retryable():
                 attempt.transfer.cancel()
-            if self._ctx.remaining_s() <= RETURN_MARGIN_S:
+            is_out_of_time = self._ctx.remaining_s() <= RETURN_MARGIN_S
+            if is_out_of_time and not attempt.transfer.waits_for_room:
                 finish_attempt(
                     self._ctx, attempt.lease, _OUT_OF_TIME, self._tried
                 )
--- a/chervilarch/http_client.py
+++ b/chervilarch/http_client.py
@@ -174,7 +174,7 @@
             return pycurl.WRITEFUNC_PAUSE
         if grant is byte_room.Grant.REFUSED:
             if not self.fault:
-                self.is_endless = True
+                self.is_endless = not self._holder.expected_size
                 largest = self._client.room.bounds.largest
                 self.fault = f"the reply is over {largest} bytes"
             return 0
@@ -186,11 +186,13 @@
         self.exchange = self.on_done = self.on_data = None
         self._body = bytearray()
 
-    def give_up(self, now: float) -> None:
+    def record_arrival(self, now: float) -> None:
+        """Records that bytes have arrived which aren't read yet."""
+        if self._holder is not None:
+            self._holder.progressed_at = now
+
+    def give_up(self) -> None:
         """Drops the body for lack of room."""
-        holder = self._holder
-        is_silent = not self.waits_for_room and holder.is_silent(now)
-        self.is_endless = not is_silent and not holder.expected_size
         self.fault = f"the reply had to give way, at {len(self._body)} bytes"
         self._body = bytearray()
 
@@ -263,6 +265,7 @@
         """Returns whether a chunk is read now, and else postpones it."""
         if self._quota.take(transfer.reader, size, self._loop.turns):
             return True
+        transfer.record_arrival(self._loop.now())
         self._postponed.append(transfer)
         self._read_postponed_later()
         return False
@@ -329,7 +332,7 @@
             self._deliver()
 
     def _give_up(self, transfer: Transfer) -> None:
-        transfer.give_up(self._loop.now())
+        transfer.give_up()
         self.end_broken_off_soon(transfer)
 
     def end_broken_off_soon(self, transfer: Transfer) -> None:
@@ -432,7 +435,7 @@
             result = reply_head.result(
                 transfer.curl, code, text, transfer.head, transfer.take_body()
             )
-            self._end(transfer, result)
+            self._end(transfer, _with_kind(transfer, result))
 
     def _end(
         self, transfer: Transfer, result: exchanges.TransferResult
@@ -451,8 +454,13 @@
     transfer: Transfer, result: exchanges.TransferResult
 ) -> exchanges.TransferResult:
     """Returns the result with the kind of failure that this side knows."""
-    if transfer.is_endless and isinstance(result, exchanges.TransferFailure):
+    if not isinstance(result, exchanges.TransferFailure):
+        return result
+    if transfer.is_endless:
         return result._replace(kind=exchanges.FailureKind.ENDLESS)
+    is_late = result.kind is exchanges.FailureKind.TIMED_OUT
+    if is_late and transfer.waits_for_room:
+        return result._replace(kind=exchanges.FailureKind.NO_ROOM)
     return result
 
 
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -369,3 +369,40 @@
     fut = client.call(exchange)
     lh.run_until(loop, fut.done)
     assert fut.result().status == 200
+
+
+def test_a_wait_for_room_is_not_blamed_on_the_endpoint(world):
+    body = b"s" * (2 * 1024 * 1024)
+    world.endpoint("e1", lh.answer_with(answer(body=body)))
+    world.start(route_document(kind="non_idempotent", timeout_ms=600))
+    assert status(world.fetch(KEY)) == 200
+    room = world.ctrl.client.room
+    # Nobody gives way, and the one that goes on is complete.
+    holder = room.open("x", world.loop.now(), lambda: None)
+    room.set_size(holder, room.bounds.shared + room.bounds.largest)
+    assert status(world.fetch(KEY)) == 504
+    endpoint = world.ctrl.placement._pools["s1"]["e1"]
+    assert endpoint.failures == 0 and endpoint.suspicions == 0
+    room.close(holder)
+    assert status(world.fetch(KEY)) == 200
+
+
+def test_a_sound_answer_without_length_that_gave_way_is_no_flood(world):
+    body = b"s" * (3 * 1024 * 1024)
+    head = b"HTTP/1.1 200 OK\r\nRequest-Id: id1\r\nResponse-Stamp: s1\r\n\r\n"
+    world.endpoint("e1", lh.answer_with(head + body))
+    sound = b"t" * (4 * 1024 * 1024)
+    world.endpoint("e2", lh.answer_with(answer(body=sound)), pool="s2")
+    world.start(
+        route_document(kind="non_idempotent"),
+        route_document(
+            name="r2", path_prefix="/b/", service="s2", kind="non_idempotent"
+        ),
+    )
+    callers = [world.send(KEY) for _ in range(20)]
+    callers += [world.send(KEY, path="/b/1") for _ in range(4)]
+    for _ in range(300):
+        world.loop.run_once(0.01)
+    assert not world.ctrl.avoided.is_any()
+    for caller in callers:
+        caller.close()
