End a request once if its caller's reset shows as the answer is sent

Cause: sending the answer's head may find that the connection is reset; that ended the request as left by its caller, and the request then ended once more, so that the count of requests in flight went below zero. Since it also raised, as the connection had dropped the request's head.

Test: a_reset_that_shows_as_the_answer_is_sent_ends_its_request_once failed before.

--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -53,9 +53,6 @@
 ROOM_WAIT_S = 0.5
 # Retry-After of such a refusal, in seconds.
 ROOM_RETRY_S = 0.5
-# A body of which fewer bytes arrive within `byte_room.MAX_SILENCE_S` may be
-# refused while others wait for room.
-_LEAST_PROGRESS_BYTES = 64 * 1024
 _ROOM_CHECK_INTERVAL_S = 0.25
 _UNBOUNDED = byte_room.Bounds(2**62, 2**62, 2**62)
 
@@ -392,7 +389,6 @@
         self._body_holder: byte_room.Holder | None = None
         # Bytes of the body for which there is no room yet.
         self._unplaced_bytes = 0
-        self._progress_bytes = 0
         # Set while the body waits for room, and left unread.
         self._room_timer: loops.Timer | None = None
         self._closing = False
@@ -455,7 +451,9 @@
 
     def allows_body(self, status: int) -> bool:
         """Returns whether the answer to the current request has a body."""
-        return status not in _BODYLESS and self._head.method != b"HEAD"
+        head = self._head
+        is_head = head is not None and head.method == b"HEAD"
+        return status not in _BODYLESS and not is_head
 
     def send_event(self, event: h11.Event) -> None:
         """Queues an event of the answer."""
@@ -682,7 +680,6 @@
             lambda: self._loop.call_soon(self._give_up_body),
         )
         self._body_holder.expected_size = length
-        self._progress_bytes = 0
 
     def _invite_body(self) -> None:
         """Lets a caller send its body that waits for that."""
@@ -701,12 +698,9 @@
         if self._body_bytes > self._limits.body_bytes:
             self._reject_body()
             return
-        holder = self._body_holder
-        self._progress_bytes += len(data)
-        if self._progress_bytes >= _LEAST_PROGRESS_BYTES:
-            self._progress_bytes = 0
-            holder.progressed_at = self._loop.now()
-        if not holder.expected_size:
+        if self._body_holder.expected_size:
+            self._body_holder.record_progress(len(data), self._loop.now())
+        else:
             self._place_body(len(data))
 
     def _place_body(self, size: int) -> bool:
--- a/chervilarch/serving.py
+++ b/chervilarch/serving.py
@@ -206,6 +206,8 @@
             state_log.log_exception("answer not sent", exc)
             self._responder.fail()
             outcome = _OWN_FAULT
+        if self._is_ended:
+            return  # The caller had left, which showed when bytes were sent.
         name = outcomes.outcome_name(outcome)
         if isinstance(outcome, outcomes.Answer):
             status = outcome.output.head.status
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -7,7 +7,7 @@
 import pytest
 from gateway_world import KEY, answer, route_document, status
 
-from chervilarch import http_server
+from chervilarch import http_server, write_buffer
 
 
 class Handler:
@@ -239,3 +239,22 @@
             conn.sendall(b"a" * 1000)
             lh.advance(loop, clock, 0.6)
     assert not server.connection_count()
+
+
+def test_a_reset_that_shows_as_the_answer_is_sent_ends_its_request_once(
+    world, monkeypatch, caplog
+):
+    world.endpoint("e1", lh.answer_with(answer()))
+    world.start(route_document())
+    assert status(world.fetch(KEY)) == 200
+
+    def fail(buffer, sock):
+        raise ConnectionResetError
+
+    monkeypatch.setattr(write_buffer.WriteBuffer, "write_to", fail)
+    conn = world.send(KEY)
+    lh.run_until(world.loop, lambda: not world.server.connection_count())
+    lh.run_pending(world.loop)
+    conn.close()
+    assert world.serving_state.in_flight == 0
+    assert "answer not sent" not in caplog.messages
