Let the loop run between counts of what ended requests leave

The test of freed requests counted all objects after each turn of the loop, so that a running transfer of 1 MB took up to a second in it; beside other load a call that may run only once, which goes on after a stop, outlasted the wait (once in one run of the suite). What must be gone is as before.

--- a/tests/test_freed_requests.py
+++ b/tests/test_freed_requests.py
@@ -131,6 +131,8 @@
             left = collections.Counter()
 
             def is_freed():
+                # A count takes longer than many turns of the loop.
+                lh.run_pending(loop, 100)
                 left.clear()
                 left.update(live() - before)
                 return not left
