Don't take a message for silent for the time that it waited for room

Cause: the time of a message's last progress stayed while it waited for others, so that it could be given up as silent right after it had got room. Found by reading; test_a_message_is_not_silent_for_the_time_that_it_waited failed before.

--- a/chervilarch/byte_room.py
+++ b/chervilarch/byte_room.py
@@ -157,6 +157,9 @@
             if holder.is_small_with(size):
                 self._waiting_small[holder] = size
             return Grant.WAIT
+        if holder in self._waiting:
+            # The wait was for others.
+            holder.progressed_at = now
         self._stop_waiting(holder)
         holder.record_progress(size, now)
         self._add(holder, size)
--- a/tests/test_byte_room.py
+++ b/tests/test_byte_room.py
@@ -205,3 +205,21 @@
                 break
         assert now < 10.0
     assert not sound.is_evicted
+
+
+def test_a_message_is_not_silent_for_the_time_that_it_waited(room):
+    full = [Message(room, "a", 390 * _KB) for _ in range(4)]
+    for message in full:
+        message.fill()
+    waiting = Message(room, "b", 300 * _KB)
+    assert waiting.take(16 * _KB) is Grant.WAIT
+    late = byte_room.MAX_SILENCE_S + 1.0
+    for message in full:
+        message.holder.on_evicted = None
+    full[0].close()
+    assert waiting.take(16 * _KB, late) is Grant.TAKEN
+    others = [Message(room, "c", 390 * _KB) for _ in range(4)]
+    for message in others:
+        message.fill(now=late)
+    room.check(late)
+    assert not waiting.is_evicted
