Answer 408 to a chunked body that gave way while more of it came

Cause: the room refuses a message that gave way, and the refusal was taken for one of a body over the host's bound: 413, after which callers don't come again. Found by reading; test_a_chunked_body_that_gave_way_may_be_sent_again failed before, with 413.

--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -720,6 +720,9 @@
                 self._server.check_room()
             return False
         self._stop_waiting_for_room()
+        if self._body_holder.is_evicted:
+            self._give_up_body()
+            return False
         if grant is byte_room.Grant.REFUSED:
             self._reject(413, "the body is larger than this host can keep")
             return False
--- a/tests/test_request_room.py
+++ b/tests/test_request_room.py
@@ -165,6 +165,18 @@
     assert not server.body_room.size
 
 
+def test_a_chunked_body_that_gave_way_may_be_sent_again(world):
+    server = world[3]
+    chunk = b"%x\r\n%s\r\n" % (50 * _KB, b"c" * 50 * _KB)
+    start = b"POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    (caller,) = send_all(world, [start + chunk])
+    (holder,) = server.body_room._holders
+    caller.conn.sendall(chunk[:1000])
+    server.body_room._evict(holder)
+    answer = received(world, caller, lambda data: b"\r\n\r\n" in data)
+    assert b" 408 " in answer
+
+
 def test_a_caller_is_asked_for_its_body_only_when_there_is_room(world):
     handler = world[2]
     held = fill(world)
