Write more to slow callers each second

What callers saw (found by the review): a caller that read 64 KB/s without a pause lost the rest of its answer after 15.0 s, logged as "answer not read".

Cause: a socket becomes writable only once a third of its buffer is free; at that pace it takes longer than the time after which a caller counts as gone.

Change: while an answer waits for its caller, more of it is written each second, whether or not the socket is reported as writable.

--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -41,6 +41,9 @@
 # A caller that takes no byte of a finished answer for this long is
 # disconnected.
 UNREAD_TIMEOUT_S = 15.0
+# While an answer is being read, more of it is written this often, too: a socket
+# becomes writable only once a third of its buffer is free.
+_WRITE_INTERVAL_S = 1.0
 # After its last answer a connection is read, and what comes is dropped, until
 # nothing came for the first of these times; for the second at most.
 _LINGER_S = 1.0
@@ -386,6 +389,7 @@
         self._on_disconnect: Callable[[], None] | None = None
         self._out = write_buffer.WriteBuffer()
         self._unsent_holder: byte_room.Holder | None = None
+        self._write_timer: loops.Timer | None = None
         self._body_holder: byte_room.Holder | None = None
         # Bytes of the body for which there is no room yet.
         self._unplaced_bytes = 0
@@ -849,6 +853,10 @@
             self._finish_close()
             return
         self._watch()
+        if self._out and self._write_timer is None:
+            self._write_timer = self._loop.call_later(
+                _WRITE_INTERVAL_S, self._write_more
+            )
         if len(self._out) < unsent_before and self._is_answered():
             self._set_answered_timer()
         if self._out:
@@ -857,6 +865,11 @@
         if callback is not None:
             callback()
 
+    def _write_more(self) -> None:
+        self._write_timer = None
+        if self._out:
+            self._flush()
+
     def _count_unsent(self) -> None:
         """Counts the unsent bytes in the server's room."""
         unsent = len(self._out)
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -258,3 +258,19 @@
     conn.close()
     assert world.serving_state.in_flight == 0
     assert "answer not sent" not in caplog.messages
+
+
+def test_a_caller_that_reads_steadily_and_slowly_gets_its_whole_answer(serving):
+    loop, clock, handler, server = serving
+    conn = serve(serving, "/x/1")
+    body = b"x" * (16 << 20)
+    handler.begun[0][1].send(200, [], body)
+    lh.run_pending(loop, 50)
+    received = 0
+    # Slower than a third of the socket's buffer in the time-out.
+    for _ in range(2 * round(http_server.UNREAD_TIMEOUT_S)):
+        received += len(conn.recv(32 * 1024))
+        lh.advance(loop, clock, 1.0)
+    assert server.connection_count() == 1
+    rest = lh.receive(loop, conn, lambda data: received + len(data) > len(body))
+    assert rest.endswith(b"x")
