--- a/chervilarch/permits.py
+++ b/chervilarch/permits.py
@@ -70,15 +70,17 @@
 
 
 class Schedule:
-    """The times at which an endpoint may get its requests.
-
-    Attributes:
-        burst: requests beyond an even pace that it may get at once.
-    """
+    """The times at which an endpoint may get its requests."""
 
     def __init__(
         self, burst: float = _BURST, first_at: float = float("-inf")
     ) -> None:
+        """Creates a schedule.
+
+        Args:
+            burst: requests beyond an even pace that it allows at once.
+            first_at: monotonic time of the first request.
+        """
         self._burst = burst
         self._next_at = first_at
 
