Read optional bounds and regions from the settings

Cause: evacuations, cold endpoints and allowed regions need bounds and the regions of data centres, which only some deployments have. Measured: tests of the settings pass; nothing uses the values yet.

--- a/chervilarch/gateway_settings.py
+++ b/chervilarch/gateway_settings.py
@@ -20,6 +20,11 @@
         retry_share: retries allowed for each request, over all hosts.
         retry_fixed: further retries allowed in a window, over all hosts.
         retry_window_s: length of that window.
+        evacuate_s: longest time until an evacuated data centre gets no new
+            work; None if the deployment has no such bound.
+        cold_over: factor on the requests a second that a cold endpoint takes;
+            None for no bound.
+        cold_slack: requests in a second allowed in addition; None for no bound.
     """
 
     drain_s: float
@@ -28,6 +33,9 @@
     retry_share: float
     retry_fixed: float
     retry_window_s: float
+    evacuate_s: float | None = None
+    cold_over: float | None = None
+    cold_slack: float | None = None
 
 
 class GatewaySettings(NamedTuple):
@@ -50,6 +58,7 @@
         core_share: share of the time of `cores` that this host may use.
         memory_mb: memory at which the process is killed; 0 if unknown.
         bounds: bounds that the deployment requires.
+        regions: region of each data centre, as far as it is known.
     """
 
     host: str
@@ -66,6 +75,7 @@
     core_share: float
     memory_mb: float
     bounds: GatewayBounds
+    regions: dict[str, str] = {}
 
     def milli_cores(self) -> int:
         """Returns the usable cores in thousandths, 0 if unknown."""
@@ -90,12 +100,17 @@
         "cores": 0.0,
         "core_share": 1.0,
         "memory_mb": 0.0,
+        "regions": {},
     }
     fields = defaults | document
     fields = {name: fields[name] for name in GatewaySettings._fields}
     bounds = fields["bounds"]
     fields["bounds"] = GatewayBounds(
-        *(bounds[name] for name in GatewayBounds._fields)
+        **{
+            name: bounds[name]
+            for name in GatewayBounds._fields
+            if name in bounds
+        }
     )
     fields["seeds"] = tuple(fields["seeds"])
     fields["peer_ports"] = tuple(fields["peer_ports"])
--- a/chervilarch/schemas.py
+++ b/chervilarch/schemas.py
@@ -49,6 +49,7 @@
         "cores": _POSITIVE,
         "core_share": _POSITIVE,
         "memory_mb": _POSITIVE,
+        "regions": {"type": "object", "additionalProperties": _NAME},
         "bounds": {
             "type": "object",
             "required": [
--- a/tests/test_gateway_settings.py
+++ b/tests/test_gateway_settings.py
@@ -63,6 +63,9 @@
         ({"seeds": ["nowhere"]}, "seeds"),
         ({"cores": "two"}, "cores"),
         ({"bounds": {}}, "drain_s"),
+        ({"bounds": {**GOOD["bounds"], "evacuate_s": "soon"}}, "evacuate_s"),
+        ({"bounds": {**GOOD["bounds"], "cold_over": -1}}, "cold_over"),
+        ({"regions": {"dc1": 5}}, "regions"),
     ],
 )
 def test_bad_settings_name_the_field(tmp_path, change, message):
@@ -71,6 +74,22 @@
     assert message in err and str(tmp_path) in err
 
 
+def test_bounds_that_a_deployment_lacks_are_none(tmp_path):
+    cfg = gateway_settings.load(write(tmp_path, GOOD))
+    assert cfg.bounds[-3:] == (None, None, None) and cfg.regions == {}
+
+
+def test_reads_optional_bounds_and_regions(tmp_path):
+    bounds = {"evacuate_s": 5.0, "cold_over": 1.5, "cold_slack": 5}
+    document = {
+        **GOOD,
+        "bounds": {**GOOD["bounds"], **bounds},
+        "regions": {"dc1": "r1"},
+    }
+    cfg = gateway_settings.load(write(tmp_path, document))
+    assert cfg.bounds[-3:] == (5.0, 1.5, 5) and cfg.regions == {"dc1": "r1"}
+
+
 def test_milli_cores_is_the_usable_share_of_all_cores(tmp_path):
     path = write(tmp_path, {**GOOD, "cores": 3, "core_share": 0.5})
     assert gateway_settings.load(path).milli_cores() == 1500
