Add chervilarch-config, a check of the gateway's configuration

Cause: a configuration with a fault is noticed only in service. Gateways decode it and keep quiet: of two routes with the same host and prefix, two services with the same name or two accounts with the same key, the last one wins silently; splits without weights send everything to the first service; stages that wait for each other never run.

Change: `chervilarch-config check NEW [--against OLD] [--json]`. `config_faults` and `config_differences` are pure functions on a new type, `declared_config.Configuration`, which keeps what the routing table drops; `documents.decode_declared` builds it with the same types and conversions as the gateway. What the gateway decodes and serves is unchanged; the limits are now converted in a function that both decoders call. Errors exit with BAD_SHEET, files that can't be read with USAGE. API keys are never printed.

The whole suite was not run.

--- a/chervilarch/exits.py
+++ b/chervilarch/exits.py
@@ -10,8 +10,8 @@
     FAILED = 1
     USAGE = 2
     BAD_SETTINGS = 3
-    # Input of `chervilarch-plan` that is not valid: the operators' sheet, or a
-    # configuration.
+    # Input of `chervilarch-plan` or `chervilarch-config` that is not valid: the
+    # operators' sheet, or a configuration.
     BAD_SHEET = 4
     CONFLICT = 5
     UNAVAILABLE = 6
--- a/chervilarch/platform/documents.py
+++ b/chervilarch/platform/documents.py
@@ -10,6 +10,7 @@
 
 from chervilarch import (
     addresses,
+    declared_config,
     decoding,
     endpoint_list,
     hosts,
@@ -123,7 +124,6 @@
 
 def _decode_configuration(value: bytes) -> routing_table.RoutingTable:
     config = msgspec.json.decode(value, type=_Config)
-    limits = config.limits
     return routing_table.RoutingTable(
         config.version,
         [_build_route(route) for route in config.routes],
@@ -133,16 +133,42 @@
             for tenant in config.tenants or ()
             for key in tenant.api_keys
         },
-        routing_table.CallerLimits(
-            limits.max_header_bytes,
-            limits.max_body_bytes,
-            _seconds(limits.header_timeout_ms),
-            _seconds(limits.idle_timeout_ms),
-        ),
+        _build_limits(config.limits),
         config.tenants is not None,
     )
 
 
+def decode_declared(
+    value: bytes,
+) -> declared_config.Configuration | Unreadable:
+    """Returns all that a configuration record declares, for a check.
+
+    The routing table of the same record lacks what other entries replace:
+    routes with the same host and prefix, services with the same name, and keys
+    of several accounts. The last one wins.
+    """
+    return decoding.attempt(_decode_declared, value)
+
+
+def _decode_declared(value: bytes) -> declared_config.Configuration:
+    config = msgspec.json.decode(value, type=_Config)
+    accounts = None
+    if config.tenants is not None:
+        accounts = tuple(
+            declared_config.Account(
+                tenant.name, tuple(tenant.api_keys), tenant.priority
+            )
+            for tenant in config.tenants
+        )
+    return declared_config.Configuration(
+        config.version,
+        tuple(_build_route(route) for route in config.routes),
+        tuple(_build_pool(service) for service in config.services),
+        accounts,
+        _build_limits(config.limits),
+    )
+
+
 def decode_endpoint(
     server_id: str, value: bytes
 ) -> endpoint_list.Listing | Unreadable:
@@ -178,6 +204,15 @@
     return min(milliseconds, _MAX_TIME_MS) / _MS_PER_S
 
 
+def _build_limits(limits: _Limits) -> routing_table.CallerLimits:
+    return routing_table.CallerLimits(
+        limits.max_header_bytes,
+        limits.max_body_bytes,
+        _seconds(limits.header_timeout_ms),
+        _seconds(limits.idle_timeout_ms),
+    )
+
+
 def _build_route(route: _Route) -> routing_table.Route:
     weighted_pools = [
         (split.service, split.weight) for split in route.traffic_split
