Check limits and attempts too large for a float

Change: the text on a limit says that it is 0 or negative, not its value (which was in seconds for a field in milliseconds); the attempts are compared with the number that fit into the time-out.

--- a/chervilarch/config_faults.py
+++ b/chervilarch/config_faults.py
@@ -199,14 +199,16 @@
         return
     if route.objective_s < route.timeout_s:
         attempt_s = max(attempt_s, route.objective_s - stages_s)
-    needed_s = stages_s + route.max_attempts * attempt_s
-    if needed_s > route.timeout_s + _ROUNDING_S:
+    left_s = route.timeout_s - stages_s + _ROUNDING_S
+    fitting = math.floor(left_s / attempt_s)
+    if route.max_attempts > fitting:
+        after_stages = f" after {_seconds(stages_s)} of stages"
         yield _warning(
             "attempts-exceed-time-out",
             entry.place("max_attempts"),
-            f"{route.max_attempts} attempts of {_seconds(attempt_s)} "
-            f"{_after_stages(stages_s)}take {_seconds(needed_s)}, and the "
-            f"time-out is {_seconds(route.timeout_s)}",
+            f"the time-out {_seconds(route.timeout_s)} has room for {fitting} "
+            f"attempts of {_seconds(attempt_s)}"
+            f"{after_stages if stages_s else ''}, and more are allowed",
             "allow fewer attempts, or raise the time-out",
         )
 
@@ -423,10 +425,11 @@
     for field, value in limits._asdict().items():
         # A limit of 0 bytes on bodies still allows requests without one.
         if value < 0 or (value == 0 and field != "body_bytes"):
+            state = "negative" if value < 0 else "0"
             yield _error(
                 "limit-not-positive",
                 Place(Section.LIMITS, field=field),
-                f"the limit is {value:g}, so every request is refused",
+                f"the limit is {state}, so every request is refused",
                 "write a limit above 0",
             )
 
@@ -491,10 +494,6 @@
     )
 
 
-def _after_stages(stages_s: float) -> str:
-    return f"after {_seconds(stages_s)} of stages " if stages_s else ""
-
-
 def _seconds(value_s: float) -> str:
     return f"{value_s:.6g} s" if math.isfinite(value_s) else str(value_s)
 
--- a/tests/test_config_check.py
+++ b/tests/test_config_check.py
@@ -186,6 +186,11 @@
         {"routes[1].timeout_ms": 100, "routes[1].max_attempts": 2},
         "warning attempts-exceed-time-out $.routes[1].max_attempts",
     ),
+    # More than a float can hold.
+    (
+        {"routes[1].max_attempts": 10**400},
+        "warning attempts-exceed-time-out $.routes[1].max_attempts",
+    ),
     ({"routes[0].service": "x"}, "error pool-unknown $.routes[0].service"),
     ({"routes[0].service": ""}, "error pool-unknown $.routes[0].service"),
     (
@@ -235,6 +240,7 @@
         for path, value in (
             ("limits.max_header_bytes", 0),
             ("limits.max_body_bytes", -1),
+            ("limits.max_body_bytes", -(10**400)),
             ("limits.header_timeout_ms", 0),
             ("limits.idle_timeout_ms", -5),
         )
