Estimate attempts by their expected time, not the target

Cause: the warning attempts-exceed-time-out counted each attempt with all that the latency target leaves after the stages. A sound route (two attempts, target 3.018 s, time-out 5 s, stages 0.464 s) got the warning. The target bounds late answers; an attempt of a stream needs only the time to its first event, and retries usually follow quick failures.

Change: an attempt counts with FINAL_CALL_S, which the stage scheduler expects too, or with the target if that is shorter, and at least with MIN_CALL_S, below which no call is sent.

--- a/chervilarch/config_faults.py
+++ b/chervilarch/config_faults.py
@@ -7,7 +7,12 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from chervilarch import declared_config, routing_table, stage_graph
+from chervilarch import (
+    declared_config,
+    final_call,
+    routing_table,
+    stage_graph,
+)
 from chervilarch.declared_config import Finding, Place, Section, Severity
 
 # How msgspec names the place where a value has another type than expected.
@@ -185,29 +190,30 @@
 def _find_excess_attempts(entry: _RouteEntry) -> Iterator[Finding]:
     """Finds routes whose attempts don't fit into the time-out one by one.
 
-    Each attempt may take what the latency target leaves after the stages, or
-    the expected time of a final call if there is no target below the time-out.
-    It is no error: attempts that are refused end earlier, and hedges overlap.
+    Each attempt counts with the expected time to its first event, or with the
+    latency target if that is shorter. The target itself says nothing about the
+    usual attempt: it bounds late ones, and retries follow quick failures. It is
+    no error: attempts that are refused end earlier, and hedges overlap.
     """
     route = entry.route
     if route.max_attempts <= 1:
         return
     stages_s = _stages_s(entry) or 0.0
-    attempt_s = stage_graph.FINAL_CALL_S
-    if stages_s and stages_s + attempt_s > route.timeout_s + _ROUNDING_S:
+    left_s = route.timeout_s - stages_s + _ROUNDING_S
+    if stages_s and stage_graph.FINAL_CALL_S > left_s:
         # Not even one fits, which is reported as a fault of the stages.
         return
-    if route.objective_s < route.timeout_s:
-        attempt_s = max(attempt_s, route.objective_s - stages_s)
-    left_s = route.timeout_s - stages_s + _ROUNDING_S
-    fitting = math.floor(left_s / attempt_s)
+    attempt_s = max(
+        final_call.MIN_CALL_S, min(stage_graph.FINAL_CALL_S, route.objective_s)
+    )
+    fitting = left_s // attempt_s
     if route.max_attempts > fitting:
         after_stages = f" after {_seconds(stages_s)} of stages"
         yield _warning(
             "attempts-exceed-time-out",
             entry.place("max_attempts"),
-            f"the time-out {_seconds(route.timeout_s)} has room for {fitting} "
-            f"attempts of {_seconds(attempt_s)}"
+            f"the time-out {_seconds(route.timeout_s)} has room for "
+            f"{fitting:.0f} attempts of {_seconds(attempt_s)}"
             f"{after_stages if stages_s else ''}, and more are allowed",
             "allow fewer attempts, or raise the time-out",
         )
