Find time-outs below the shortest call, and keys with spaces

Cause: the check passed a time-out of 0.03 s and less, as from seconds written for milliseconds, although the gateway refuses every request that has no more time left. It passed keys with white space at an end, which never match, since the gateway strips the keys of callers; a key of white space alone was reported as one that callers without a key send, which they don't.

Change: time-out-not-positive becomes time-out-too-short, with the gateway's own bound; new error key-with-spaces.

Result: the four cases with the new codes failed before and pass; a time-out of 31 ms has no finding.

--- a/chervilarch/config_faults.py
+++ b/chervilarch/config_faults.py
@@ -21,6 +21,8 @@
 _DECODER_BYTE = re.compile(r"\(byte (\d+)\)$")
 # Sums of times that are written in decimals differ by rounding.
 _ROUNDING_S = 1e-9
+# A request with no more time than this is refused.
+_UNUSABLE_S = final_call.RETURN_MARGIN_S + final_call.MIN_CALL_S
 
 
 class _RouteEntry(NamedTuple):
@@ -157,12 +159,12 @@
 
 def _find_time_faults(entry: _RouteEntry) -> Iterator[Finding]:
     route = entry.route
-    if route.timeout_s <= 0:
+    if route.timeout_s <= _UNUSABLE_S:
         yield _error(
-            "time-out-not-positive",
+            "time-out-too-short",
             entry.place("timeout_s"),
-            f"the time-out is {_seconds(route.timeout_s)}, so every request "
-            "ends before it is sent",
+            f"the time-out is {_seconds(route.timeout_s)}, and no call is sent "
+            f"with {_seconds(_UNUSABLE_S)} or less left",
             "write a time-out above the latency target",
         )
         return
@@ -300,7 +302,7 @@
     """
     route = entry.route
     stages_s = _stages_s(entry)
-    if not route.stages or stages_s is None or route.timeout_s <= 0:
+    if not route.stages or stages_s is None or route.timeout_s <= _UNUSABLE_S:
         return
     needed_s = stages_s + stage_graph.FINAL_CALL_S
     cause = (
@@ -402,13 +404,21 @@
     account = accounts[index]
     for item, key in enumerate(account.keys):
         place = Place(Section.ACCOUNT, account.name, index, "keys", item)
-        if not key.strip():
+        if not key:
             yield _error(
                 "key-empty",
                 place,
                 "the key is empty, which callers without a key send too",
                 "write the key, or remove it",
             )
+        elif key != key.strip():
+            yield _error(
+                "key-with-spaces",
+                place,
+                "it never matches: it begins or ends with white space, which "
+                "is removed from the keys that callers send",
+                "remove the white space",
+            )
         if account.keys.index(key) != item:
             yield _warning(
                 "key-repeated",
--- a/tests/test_config_check.py
+++ b/tests/test_config_check.py
@@ -168,7 +168,12 @@
     ),
     (
         {"routes[1].timeout_ms": 0},
-        "error time-out-not-positive $.routes[1].timeout_ms",
+        "error time-out-too-short $.routes[1].timeout_ms",
+    ),
+    # Written in seconds: no call is sent with so little time left.
+    (
+        {"routes[1].timeout_ms": 30},
+        "error time-out-too-short $.routes[1].timeout_ms",
     ),
     ({TARGET: -1}, f"error target-negative $.{TARGET}"),
     ({TARGET: 801}, "error time-out-below-target $.routes[1].timeout_ms"),
@@ -231,6 +236,9 @@
         "error key-in-two-accounts $.tenants[0].api_keys[1]",
     ),
     ({KEYS: ["key-3", ""]}, "error key-empty $.tenants[1].api_keys[1]"),
+    # Spaces around the key that a caller sends are removed.
+    ({KEYS: ["key-3 "]}, "error key-with-spaces $.tenants[1].api_keys[0]"),
+    ({KEYS: ["key-3", " "]}, "error key-with-spaces $.tenants[1].api_keys[1]"),
     (
         {KEYS: ["key-3", "key-3"]},
         "warning key-repeated $.tenants[1].api_keys[1]",
@@ -264,6 +272,7 @@
         {"routes[1].path_prefix": "/"},
         {"routes[1].path_prefix": "/chat/", "routes[1].host": "b.example"},
         {TARGET: 800},
+        {"routes[1].timeout_ms": 31},
         {"routes[1].max_attempts": 4},
         {"routes[0].max_attempts": 37},
         # Targets bound late answers; most attempts take much less.
@@ -380,7 +389,7 @@
     assert status == ExitStatus.BAD_SHEET
     assert document["differences"] is None
     assert [(f["file"], f["code"]) for f in document["findings"]] == [
-        (str(new), "time-out-not-positive"),
+        (str(new), "time-out-too-short"),
         (str(old), "file-refused"),
     ]
 
