End quietly when nobody reads the output of chervilarch-config

Cause: behind a pipe whose reader has ended, as `head`, the command ended with a traceback and status 1. It did so too for a name that the terminal's encoding lacks (a sound configuration with a route 'bé' and an ASCII terminal).

Change: a closed pipe ends the output but not the check, whose status is kept; characters that can't be encoded are escaped.

--- a/chervilarch/config_command.py
+++ b/chervilarch/config_command.py
@@ -2,6 +2,7 @@
 
 import argparse
 import json
+import os
 import pathlib
 import sys
 from collections.abc import Sequence
@@ -23,17 +24,25 @@
 def main(argv: Sequence[str] | None = None) -> int:
     """Runs the command; returns its exit status."""
     args = config_args.build_parser().parse_args(argv)
+    # Names may hold characters that the terminal's encoding lacks.
+    sys.stdout.reconfigure(errors="backslashreplace")
     return run(args, environment.system_environment())
 
 
 def run(args: argparse.Namespace, env: environment.Environment) -> int:
     """Checks the file that the parsed arguments name, and prints the result."""
     report = _check(args.new, args.against)
-    if args.json:
-        document = config_report.to_document(report)
-        print(json.dumps(document, indent=2), file=env.stdout)
-    else:
-        _print_text(report, env)
+    try:
+        if args.json:
+            document = config_report.to_document(report)
+            print(json.dumps(document, indent=2), file=env.stdout)
+        else:
+            _print_text(report, env)
+        env.stdout.flush()
+    except BrokenPipeError:
+        # The reader, such as `head`, has ended. What is left in the buffer
+        # would raise the error again when Python flushes it at exit.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), env.stdout.fileno())
     if not all(checked.is_read for checked in report.files()):
         return ExitStatus.USAGE
     if report.count(Severity.ERROR):
--- a/tests/test_config_check.py
+++ b/tests/test_config_check.py
@@ -3,7 +3,10 @@
 import copy
 import io
 import json
+import os
 import re
+import subprocess
+import sys
 
 import pytest
 
@@ -577,3 +580,40 @@
     _, out, _ = check(*files, write(tmp_path, GOOD, "old.json"))
     assert "\\x1b]0;x" in out
     assert "\x1b" not in out and "\x07" not in out and "n" * 100 not in out
+
+
+def run_program(*arguments, stdout, **variables):
+    return subprocess.run(
+        [sys.executable, "-m", "chervilarch.config_command", "check"]
+        + [str(argument) for argument in arguments],
+        stdout=stdout,
+        stderr=subprocess.PIPE,
+        env={**os.environ, **variables},
+        check=False,
+    )
+
+
+@pytest.mark.parametrize("extra", [[], ["--json"]])
+def test_ends_quietly_when_its_output_is_not_read(tmp_path, extra):
+    """Guards against a traceback, or another status, behind `| head`."""
+    new = write(tmp_path, changed({"routes[1].timeout_ms": 0}))
+    reader, writer = os.pipe()
+    os.close(reader)
+    ended = run_program(new, *extra, stdout=writer)
+    os.close(writer)
+    assert (ended.returncode, ended.stderr) == (ExitStatus.BAD_SHEET, b"")
+
+
+def test_names_that_the_terminal_can_not_show_are_escaped(tmp_path):
+    """Guards against a failure on the names of a sound configuration."""
+    new = write(tmp_path, changed({"routes[1].name": "b\u00e9", KEYS: []}))
+    old = write(tmp_path, GOOD, "old.json")
+    ended = run_program(
+        old,
+        "--against",
+        new,
+        stdout=subprocess.PIPE,
+        PYTHONIOENCODING="ascii",
+    )
+    assert (ended.returncode, ended.stderr) == (ExitStatus.BAD_SHEET, b"")
+    assert b"removed route 'b\\xe9'" in ended.stdout
