Call services what the operators' file calls them

Cause: a finding read "$.services[1] (pool 'books')" and had the code pool-unknown, while its text and the summary said service; operators know no pools. "changed account needs_key" read like a field of one account.

--- a/chervilarch/config_differences.py
+++ b/chervilarch/config_differences.py
@@ -47,7 +47,7 @@
         differences += _compare_entries(section, old_entries, new_entries)
     if (old.accounts is None) != (new.accounts is None):
         # Without a list of accounts, callers need no key.
-        place = Place(Section.ACCOUNT, field="needs_key")
+        place = Place(Section.ACCOUNT, field="callers_need_keys")
         differences.append(
             Difference(
                 Change.CHANGED,
--- a/chervilarch/config_faults.py
+++ b/chervilarch/config_faults.py
@@ -268,7 +268,7 @@
         elif pool.worker_profile is None:
             name = declared_config.quote(stage.pool)
             yield _error(
-                "pool-runs-no-stages",
+                "service-runs-no-stages",
                 place,
                 f"service {name} doesn't say how it makes pieces, so the stage "
                 "never runs",
@@ -497,13 +497,13 @@
 def _unknown_pool(place: Place, name: str) -> Finding:
     if not name:
         return _error(
-            "pool-unknown",
+            "service-unknown",
             place,
             "no service is named",
             "name a service of the list of services",
         )
     return _error(
-        "pool-unknown",
+        "service-unknown",
         place,
         f"service {declared_config.quote(name)} doesn't exist",
         "add it to the list of services, or name another",
--- a/chervilarch/declared_config.py
+++ b/chervilarch/declared_config.py
@@ -42,7 +42,8 @@
     FILE = "file"
     VERSION = "version"
     ROUTE = "route"
-    POOL = "pool"
+    # Named as in the operators' file.
+    POOL = "service"
     ACCOUNT = "account"
     LIMITS = "limits"
 
