Find route prefixes that no request can have

Cause: prefixes with spaces or characters beyond ASCII passed the check, though the HTTP decoder refuses requests with them and the gateway compares paths as sent, without unescaping. A prefix with "#" was an error, though the decoder lets it through, so that it does match.

Change: one pattern of the prefixes that a request can have.

--- a/chervilarch/config_faults.py
+++ b/chervilarch/config_faults.py
@@ -19,6 +19,8 @@
 _DECODER_PATH = re.compile(r" - at `(\$[^`]*)`$")
 # How msgspec names the place where a document is no JSON.
 _DECODER_BYTE = re.compile(r"\(byte (\d+)\)$")
+# A path without "?" of characters that HTTP allows in a request.
+_MATCHABLE_PREFIX = re.compile(r"/(?:[!->@-~]*/)?")
 # Sums of times that are written in decimals differ by rounding.
 _ROUNDING_S = 1e-9
 # A request with no more time than this is refused.
@@ -134,7 +136,7 @@
     """Finds hosts and prefixes that no request can have.
 
     `RoutingTable.find` compares hosts without ports, and prefixes of a path
-    without its query that end with a slash.
+    without its query that end with a slash. Paths aren't unescaped.
     """
     route = entry.route
     if ":" in route.host:
@@ -146,14 +148,13 @@
             "write the host name alone",
         )
     prefix = route.path_prefix
-    is_whole = prefix.startswith("/") and prefix.endswith("/")
-    if not is_whole or "?" in prefix or "#" in prefix:
+    if not _MATCHABLE_PREFIX.fullmatch(prefix):
         yield _error(
             "route-prefix",
             entry.place("prefix"),
             f"it never matches: {declared_config.quote(prefix)} isn't a path "
-            "that begins and ends with a slash",
-            "write it as /name/, without a query",
+            "in ASCII that begins and ends with a slash",
+            "write it as /name/, without a query, and escaped as in a URL",
         )
 
 
--- a/tests/test_config_check.py
+++ b/tests/test_config_check.py
@@ -135,6 +135,9 @@
     ({"routes[1].host": "a:80"}, "error route-host $.{}"),
     ({PREFIX: "/book"}, "error route-prefix $.{}"),
     ({PREFIX: "/a?b=/"}, "error route-prefix $.{}"),
+    # Requests name paths in printable ASCII.
+    ({PREFIX: "/b\u00e9/"}, "error route-prefix $.{}"),
+    ({PREFIX: "/a b/"}, "error route-prefix $.{}"),
     ({TIME_OUT: 0}, "error time-out-too-short $.{}"),
     # Written in seconds: no call is sent with so little time left.
     ({TIME_OUT: 30}, "error time-out-too-short $.{}"),
@@ -206,6 +209,7 @@
         # The longest prefix decides, so each route has paths of its own.
         {PREFIX: "/chat/more/"},
         {PREFIX: "/"},
+        {PREFIX: "/a#b/"},
         {PREFIX: "/chat/", "routes[1].host": "b.example"},
         {TARGET: 800},
         {TIME_OUT: 31},
