--- a/chervilarch/config_faults.py
+++ b/chervilarch/config_faults.py
@@ -199,8 +199,6 @@
     no error: attempts that are refused end earlier, and hedges overlap.
     """
     route = entry.route
-    if route.max_attempts <= 1:
-        return
     stages_s = _stages_s(entry) or 0.0
     left_s = route.timeout_s - stages_s + _ROUNDING_S
     if stages_s and stage_graph.FINAL_CALL_S > left_s:
--- a/tests/test_config_check.py
+++ b/tests/test_config_check.py
@@ -159,6 +159,7 @@
         f"error service-runs-no-stages $.{STAGES}[1]",
     ),
     ({WEIGHTS[1]: -1}, f"error weight-negative $.{SPLIT}[1]"),
+    ({WEIGHTS[0]: 0, WEIGHTS[1]: -1}, f"error weight-negative $.{SPLIT}[1]"),
     (dict.fromkeys(WEIGHTS, 0), f"error split-sends-nothing $.{SPLIT}"),
     ({WEIGHTS[1]: 0}, f"warning weight-zero $.{SPLIT}[1]"),
     ({f"{STAGES}[1].after": [2]}, f"error stage-unknown $.{STAGES}[1]"),
