--- a/chervilarch/config_faults.py
+++ b/chervilarch/config_faults.py
@@ -7,15 +7,24 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from chervilarch import declared_config, routing_table, stage_graph
+from chervilarch import (
+    declared_config,
+    final_call,
+    routing_table,
+    stage_graph,
+)
 from chervilarch.declared_config import Finding, Place, Section, Severity
 
 # How msgspec names the place where a value has another type than expected.
 _DECODER_PATH = re.compile(r" - at `(\$[^`]*)`$")
 # How msgspec names the place where a document is no JSON.
 _DECODER_BYTE = re.compile(r"\(byte (\d+)\)$")
+# A path without "?" of characters that HTTP allows in a request.
+_MATCHABLE_PREFIX = re.compile(r"/(?:[!->@-~]*/)?")
 # Sums of times that are written in decimals differ by rounding.
 _ROUNDING_S = 1e-9
+# A request with no more time than this is refused.
+_UNUSABLE_S = final_call.RETURN_MARGIN_S + final_call.MIN_CALL_S
 
 
 class _RouteEntry(NamedTuple):
@@ -127,7 +136,7 @@
     """Finds hosts and prefixes that no request can have.
 
     `RoutingTable.find` compares hosts without ports, and prefixes of a path
-    without its query that end with a slash.
+    without its query that end with a slash. Paths aren't unescaped.
     """
     route = entry.route
     if ":" in route.host:
@@ -139,25 +148,24 @@
             "write the host name alone",
         )
     prefix = route.path_prefix
-    is_whole = prefix.startswith("/") and prefix.endswith("/")
-    if not is_whole or "?" in prefix or "#" in prefix:
+    if not _MATCHABLE_PREFIX.fullmatch(prefix):
         yield _error(
             "route-prefix",
             entry.place("prefix"),
             f"it never matches: {declared_config.quote(prefix)} isn't a path "
-            "that begins and ends with a slash",
-            "write it as /name/, without a query",
+            "in ASCII that begins and ends with a slash",
+            "write it as /name/, without a query, and escaped as in a URL",
         )
 
 
 def _find_time_faults(entry: _RouteEntry) -> Iterator[Finding]:
     route = entry.route
-    if route.timeout_s <= 0:
+    if route.timeout_s <= _UNUSABLE_S:
         yield _error(
-            "time-out-not-positive",
+            "time-out-too-short",
             entry.place("timeout_s"),
-            f"the time-out is {_seconds(route.timeout_s)}, so every request "
-            "ends before it is sent",
+            f"the time-out is {_seconds(route.timeout_s)}, and no call is sent "
+            f"with {_seconds(_UNUSABLE_S)} or less left",
             "write a time-out above the latency target",
         )
         return
@@ -185,28 +193,29 @@
 def _find_excess_attempts(entry: _RouteEntry) -> Iterator[Finding]:
     """Finds routes whose attempts don't fit into the time-out one by one.
 
-    Each attempt may take what the latency target leaves after the stages, or
-    the expected time of a final call if there is no target below the time-out.
-    It is no error: attempts that are refused end earlier, and hedges overlap.
+    Each attempt counts with the expected time to its first event, or with the
+    latency target if that is shorter. The target itself says nothing about the
+    usual attempt: it bounds late ones, and retries follow quick failures. It is
+    no error: attempts that are refused end earlier, and hedges overlap.
     """
     route = entry.route
-    if route.max_attempts <= 1:
-        return
     stages_s = _stages_s(entry) or 0.0
-    attempt_s = stage_graph.FINAL_CALL_S
-    if stages_s and stages_s + attempt_s > route.timeout_s + _ROUNDING_S:
+    left_s = route.timeout_s - stages_s + _ROUNDING_S
+    if stages_s and stage_graph.FINAL_CALL_S > left_s:
         # Not even one fits, which is reported as a fault of the stages.
         return
-    if route.objective_s < route.timeout_s:
-        attempt_s = max(attempt_s, route.objective_s - stages_s)
-    needed_s = stages_s + route.max_attempts * attempt_s
-    if needed_s > route.timeout_s + _ROUNDING_S:
+    attempt_s = max(
+        final_call.MIN_CALL_S, min(stage_graph.FINAL_CALL_S, route.objective_s)
+    )
+    fitting = left_s // attempt_s
+    if route.max_attempts > fitting:
+        after_stages = f" after {_seconds(stages_s)} of stages"
         yield _warning(
             "attempts-exceed-time-out",
             entry.place("max_attempts"),
-            f"{route.max_attempts} attempts of {_seconds(attempt_s)} "
-            f"{_after_stages(stages_s)}take {_seconds(needed_s)}, and the "
-            f"time-out is {_seconds(route.timeout_s)}",
+            f"the time-out {_seconds(route.timeout_s)} has room for "
+            f"{fitting:.0f} attempts of {_seconds(attempt_s)}"
+            f"{after_stages if stages_s else ''}, and more are allowed",
             "allow fewer attempts, or raise the time-out",
         )
 
@@ -258,7 +267,7 @@
         elif pool.worker_profile is None:
             name = declared_config.quote(stage.pool)
             yield _error(
-                "pool-runs-no-stages",
+                "service-runs-no-stages",
                 place,
                 f"service {name} doesn't say how it makes pieces, so the stage "
                 "never runs",
@@ -292,7 +301,7 @@
     """
     route = entry.route
     stages_s = _stages_s(entry)
-    if not route.stages or stages_s is None or route.timeout_s <= 0:
+    if not route.stages or stages_s is None or route.timeout_s <= _UNUSABLE_S:
         return
     needed_s = stages_s + stage_graph.FINAL_CALL_S
     cause = (
@@ -394,13 +403,21 @@
     account = accounts[index]
     for item, key in enumerate(account.keys):
         place = Place(Section.ACCOUNT, account.name, index, "keys", item)
-        if not key.strip():
+        if not key:
             yield _error(
                 "key-empty",
                 place,
                 "the key is empty, which callers without a key send too",
                 "write the key, or remove it",
             )
+        elif key != key.strip():
+            yield _error(
+                "key-with-spaces",
+                place,
+                "it never matches: it begins or ends with white space, which "
+                "is removed from the keys that callers send",
+                "remove the white space",
+            )
         if account.keys.index(key) != item:
             yield _warning(
                 "key-repeated",
@@ -423,10 +440,11 @@
     for field, value in limits._asdict().items():
         # A limit of 0 bytes on bodies still allows requests without one.
         if value < 0 or (value == 0 and field != "body_bytes"):
+            state = "negative" if value < 0 else "0"
             yield _error(
                 "limit-not-positive",
                 Place(Section.LIMITS, field=field),
-                f"the limit is {value:g}, so every request is refused",
+                f"the limit is {state}, so every request is refused",
                 "write a limit above 0",
             )
 
@@ -478,23 +496,19 @@
 def _unknown_pool(place: Place, name: str) -> Finding:
     if not name:
         return _error(
-            "pool-unknown",
+            "service-unknown",
             place,
             "no service is named",
             "name a service of the list of services",
         )
     return _error(
-        "pool-unknown",
+        "service-unknown",
         place,
         f"service {declared_config.quote(name)} doesn't exist",
         "add it to the list of services, or name another",
     )
 
 
-def _after_stages(stages_s: float) -> str:
-    return f"after {_seconds(stages_s)} of stages " if stages_s else ""
-
-
 def _seconds(value_s: float) -> str:
     return f"{value_s:.6g} s" if math.isfinite(value_s) else str(value_s)
 
