Give evacuated data centres no new work

Cause: operators need to empty a data centre: no request and no piece of a stage may go there until they end the evacuation. Change: records evacuate/ZONE of the configuration's topic are followed and shared between hosts with the configuration. scheduling/evacuation.py decides by position (era and offset) which hold, also after a restore of the store; evacuation_follower passes the remaining endpoints to both placements and the piece runner. Requests for a pool that is wholly evacuated are refused before any stage runs. Updates of builds without evacuations are read again from the store.

--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -4,6 +4,7 @@
 
 from chervilarch import (
     endpoint_list,
+    evacuation_follower,
     guards,
     hosts,
     routing_table,
@@ -12,6 +13,7 @@
     topic_follower,
 )
 from chervilarch import loop as loops
+from chervilarch.scheduling import evacuation
 
 # How soon the end of a grace time is tried again while the store is away.
 _EXPIRY_RETRY_S = 0.1
@@ -63,9 +65,16 @@
         self.topic_follower.on_snapshot = self._apply_snapshot
         self.topic_follower.on_change = self._apply_record
         self.topic_follower.beliefs = self._beliefs
-        self.topic_follower.on_beliefs = lambda beliefs: self._apply_snapshot(
-            beliefs.records
-        )
+        self.topic_follower.on_beliefs = self._apply_beliefs
+        self._evacuations: evacuation_follower.EvacuationFollower | None = None
+
+    def follow_evacuations(
+        self, evacuations: evacuation_follower.EvacuationFollower
+    ) -> None:
+        """Passes on the records of evacuations, which are in the same topic."""
+        self._evacuations = evacuations
+        evacuations.is_store_away = self.topic_follower.is_outdated
+        self.topic_follower.on_removed = evacuations.apply_removed
 
     def add_listener(
         self, listener: Callable[[routing_table.RoutingTable], None]
@@ -74,16 +83,48 @@
         self._listeners.append(listener)
 
     def _beliefs(self) -> store.Beliefs:
-        """Returns the record in force, which the store may have lost."""
-        return store.Beliefs((self._record,) if self._record else ())
+        """Returns what is in force, which the store may have lost."""
+        beliefs = store.Beliefs((self._record,) if self._record else ())
+        if self._evacuations is None:
+            return beliefs
+        evacuations = self._evacuations.beliefs()
+        return store.Beliefs(
+            beliefs.records + evacuations.records, evacuations.removed
+        )
+
+    def _apply_beliefs(self, beliefs: store.Beliefs) -> None:
+        if self._evacuations is not None:
+            position = self.topic_follower.state().position
+            guards.call(self._evacuations.apply_beliefs, beliefs, position)
+        self._apply_configurations(beliefs.records)
 
     def _apply_snapshot(
         self, records: Iterable[store.Record], is_copy: bool = False
     ) -> None:
+        records = list(records)
+        if self._evacuations is not None:
+            # Before the configuration, with which work begins.
+            guards.call(
+                self._evacuations.apply_snapshot,
+                records,
+                self.topic_follower.state().position,
+                evacuation.Origin.PEER
+                if self.topic_follower.is_peers_snapshot
+                else evacuation.Origin.NEWEST,
+            )
+        self._apply_configurations(records)
+
+    def _apply_configurations(self, records: Iterable[store.Record]) -> None:
         for record in records:
-            guards.call(self._apply_record, record)
+            guards.call(self._apply_configuration, record)
 
     def _apply_record(self, record: store.Record) -> bool:
+        if self._evacuations is not None and self._evacuations.owns(record.key):
+            guards.call(self._evacuations.apply_record, record)
+            return True
+        return self._apply_configuration(record)
+
+    def _apply_configuration(self, record: store.Record) -> bool:
         if record.key != self._key or not record.value:
             return False
         table = self._decode(record.value)
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -15,6 +15,7 @@
     descriptors,
     endpoint_limits,
     environment,
+    evacuation_follower,
     fleet,
     followers,
     gateway_args,
@@ -52,7 +53,7 @@
 # must get no new work.
 _LIST_READS_PER_BOUND = 2.5
 # Reads of the configuration within `config_s`, after which a new one must be in
-# force.
+# force, and within `evacuate_s`.
 _CONFIG_READS_PER_BOUND = 2.0
 # The balancer checks readiness once a second and removes a host after two
 # failed checks; until then it still opens connections.
@@ -274,8 +275,16 @@
         store_client,
         platform_store.CONFIGURATION_KEY,
         documents.decode_configuration,
-        cfg.bounds.config_s / _CONFIG_READS_PER_BOUND,
+        min(cfg.bounds.config_s, cfg.bounds.evacuate_s or cfg.bounds.config_s)
+        / _CONFIG_READS_PER_BOUND,
     )
+    evacuations = evacuation_follower.EvacuationFollower(
+        loop,
+        platform_store.EVACUATION_PREFIX,
+        documents.decode_evacuation,
+        meters,
+    )
+    configuration.follow_evacuations(evacuations)
     retry_budgets.set_hosts(_MIN_HOSTS)
     endpoints = followers.EndpointFollower(
         loop,
@@ -314,6 +323,7 @@
         avoided,
     )
     runner.confirmed = resuming.confirmed
+    runner.is_pool_evacuated = evacuations.is_pool_evacuated
     key = fleet.deployment_key(cfg.deployment)
     own = membership.Member(
         cfg.host,
@@ -367,9 +377,10 @@
     )
     guard = prompt_guard.PromptGuard(loop, exchange, meters, rng, store_client)
     configuration.add_listener(lambda table: runner.set_pools(table.pools))
-    endpoints.add_listener(own_placement.set_endpoints)
-    endpoints.add_listener(coordinator_placement.set_endpoints)
-    endpoints.add_listener(runner.set_endpoints)
+    evacuations.add_listener(own_placement.set_endpoints)
+    evacuations.add_listener(coordinator_placement.set_endpoints)
+    evacuations.add_listener(runner.set_endpoints)
+    endpoints.add_listener(evacuations.set_endpoints)
     endpoints.add_listener(guard.set_endpoints)
     endpoints.add_listener(limits.set_endpoints)
     endpoints.add_listener(avoided.set_endpoints)
@@ -379,6 +390,7 @@
         wire=http_wire,
         configuration=configuration,
         endpoints=endpoints,
+        evacuations=evacuations,
         placement=own_placement,
         stage_coordinator=stages,
         fleet=gateways,
--- a/chervilarch/peer.capnp
+++ b/chervilarch/peer.capnp
@@ -158,6 +158,9 @@
   # Only in a snapshot. Apart from the records, as older builds would take a run
   # among them for a live one.
   removed @6 :List(RemovedRun);
+  # Whether the sender passes on the evacuations of data centres, which builds
+  # without this field leave out of the configuration's records.
+  isComplete @7 :Bool;
 }
 
 # One datagram of topic updates.
--- a/chervilarch/piece_queue.py
+++ b/chervilarch/piece_queue.py
@@ -174,6 +174,10 @@
         """Returns the number of queued pieces."""
         return sum(len(pending.queued_pieces) for pending in self._jobs)
 
+    def waiting_jobs(self) -> list[PendingJob]:
+        """Returns the jobs with queued pieces."""
+        return [pending for pending in self._jobs if pending.queued_pieces]
+
     def call_s(self, count: int) -> float:
         """Returns the configured time of a call with `count` pieces."""
         return self.profile.call_overhead_s + count * self.profile.piece_s
--- a/chervilarch/piece_runner.py
+++ b/chervilarch/piece_runner.py
@@ -68,6 +68,8 @@
         # Resolves once the listed endpoints may be used.
         self.confirmed: Callable[[], Future] = _confirm_at_once
         self._held_pools: set[str] = set()
+        # Returns whether a pool has endpoints, all evacuated.
+        self.is_pool_evacuated: Callable[[str], bool] = _is_not_evacuated
 
     def set_pools(self, pools: dict[str, routing_table.Pool]) -> None:
         """Applies the pools of a configuration."""
@@ -262,6 +264,8 @@
             )
             pending.end(pieces.JobFailure(pieces.PAST_DEADLINE))
             self.free(completed)
+        if self.is_pool_evacuated(pool):
+            self._refuse_queued(pool, queue)
         confirmed = self.confirmed()
         if not confirmed.done():
             self._hold(pool, confirmed)
@@ -278,6 +282,22 @@
         if self.on_dispatched is not None:
             self.on_dispatched()
 
+    def _refuse_queued(self, pool: str, queue: piece_queue.PieceQueue) -> None:
+        """Fails the jobs that wait in a pool that is wholly evacuated."""
+        for pending in queue.waiting_jobs():
+            completed = pending.completed()
+            state_log.log_decision(
+                "pieces refused",
+                is_problem=True,
+                request_id=pending.job.request_id,
+                stage=pending.job.stage,
+                pool=pool,
+                made=len(completed),
+                reason="all endpoints of the pool are evacuated",
+            )
+            pending.end(pieces.JobFailure(pieces.NO_ENDPOINT))
+            self.free(completed)
+
     def _hold(self, pool: str, confirmed: Future) -> None:
         """Dispatches once the endpoints are confirmed."""
         if pool in self._held_pools:
@@ -322,6 +342,10 @@
         )
 
 
+def _is_not_evacuated(pool: str) -> bool:
+    return False
+
+
 def _confirm_at_once() -> Future:
     return tasks.done(None)
 
--- a/chervilarch/platform/documents.py
+++ b/chervilarch/platform/documents.py
@@ -170,6 +170,30 @@
     return endpoint_list.Listing(entry, server.sequence)
 
 
+def decode_evacuation(data_centre: str, value: bytes) -> str | Unreadable:
+    """Returns the data centre of an evacuation's record.
+
+    Args:
+        data_centre: its name in the record's key.
+        value: a JSON object, whose fields aren't used; empty if the evacuation
+            ends.
+    """
+    # Messages between hosts take no text that can't be encoded.
+    if not data_centre or not data_centre.isprintable():
+        return Unreadable("the key names no data centre")
+    if len(data_centre) > _MAX_NAME_CHARS:
+        return Unreadable(f"the name has over {_MAX_NAME_CHARS} characters")
+    if value:
+        fields = decoding.attempt(_decode_object, value)
+        if isinstance(fields, Unreadable):
+            return fields
+    return data_centre
+
+
+def _decode_object(value: bytes) -> dict:
+    return msgspec.json.decode(value, type=dict)
+
+
 def _decode_server(value: bytes) -> _Server:
     return msgspec.json.decode(value, type=_Server)
 
--- a/chervilarch/platform/store.py
+++ b/chervilarch/platform/store.py
@@ -25,6 +25,8 @@
 }
 # Key of the operators' record; other keys of that topic aren't for us.
 CONFIGURATION_KEY = "config"
+# Keys of the operators' evacuations in the same topic; the data centre follows.
+EVACUATION_PREFIX = "evacuate/"
 _ERA_HEADER = "store-era"
 # Eras are passed on as signed numbers of 64 bits.
 _MAX_ERA = 2**63 - 1
--- a/chervilarch/routed_context.py
+++ b/chervilarch/routed_context.py
@@ -8,6 +8,7 @@
     budgets,
     caller_wait,
     endpoint_limits,
+    evacuation_follower,
     fleet,
     followers,
     http_client,
@@ -37,6 +38,7 @@
     wire: routed.Wire
     configuration: followers.ConfigFollower
     endpoints: followers.EndpointFollower
+    evacuations: evacuation_follower.EvacuationFollower
     placement: placement.Placement
     stage_coordinator: stage_coordination.StageCoordinator
     fleet: fleet.Fleet
--- a/chervilarch/routed_filters.py
+++ b/chervilarch/routed_filters.py
@@ -24,6 +24,8 @@
 ]
 # Retry-After of a host without configuration; it expects one about then.
 _NO_CONFIGURATION_RETRY_S = 0.5
+# Retry-After while a whole pool is evacuated; nothing tells how long that is.
+_EVACUATED_RETRY_S = 1.0
 
 
 def check_configuration(
@@ -136,6 +138,27 @@
     return (yield from call_next())
 
 
+def refuse_evacuated_pools(
+    ctx: RoutedContext, call_next: NextFilter
+) -> tasks.Coroutine[outcomes.Outcome]:
+    """Refuses requests for pools that are wholly evacuated, before stages."""
+    route, counts = ctx.req.route, ctx.req.piece_counts
+    pools = [route.pool_for(ctx.req.id)] + [
+        stage.pool
+        for number, stage in enumerate(route.stages)
+        if number >= len(counts) or counts[number]
+    ]
+    for pool in pools:
+        if ctx.ctrl.evacuations.is_pool_evacuated(pool):
+            return outcomes.NotRun(
+                outcomes.Reason.NO_ENDPOINT,
+                f"all endpoints of pool {pool} are evacuated",
+                "send the request again when the evacuation has ended",
+                _EVACUATED_RETRY_S,
+            )
+    return (yield from call_next())
+
+
 def refuse_over_limits(
     ctx: RoutedContext, call_next: NextFilter
 ) -> tasks.Coroutine[outcomes.Outcome]:
@@ -185,6 +208,7 @@
     set_deadline,
     refuse_while_stopping,
     refuse_blocked_prompts,
+    refuse_evacuated_pools,
     refuse_over_limits,
     run_call,
 )
--- a/chervilarch/store.py
+++ b/chervilarch/store.py
@@ -131,7 +131,10 @@
             snapshot has records then: what the host holds true.
         era: the store's era of `first` and `end`; 0 before any restore, or if
             an older build sent the update.
-        removed: in a snapshot, as in `Beliefs`.
+        removed: in a snapshot, as in `Beliefs`. The configuration's tells ended
+            evacuations: the key, and the era and offset of the end.
+        is_complete: whether the sender passes on the records of all keys that
+            this build knows. Older builds leave out evacuations.
     """
 
     topic: Topic
@@ -141,6 +144,7 @@
     records: tuple[Record, ...] = ()
     era: int = 0
     removed: tuple[RemovedRun, ...] = ()
+    is_complete: bool = True
 
     @property
     def position(self) -> Position:
--- a/chervilarch/store_messages.py
+++ b/chervilarch/store_messages.py
@@ -12,6 +12,10 @@
 _MAX_VALUE_BYTES = 8 * 1024 * 1024
 
 
+# Topics of which this build passes on records that older builds leave out.
+_EXTENDED_TOPICS = (store.Topic.CONFIGURATION.value,)
+
+
 class StoreNews(NamedTuple):
     """What a datagram tells of the store.
 
@@ -35,6 +39,7 @@
         slot.first = update.first
         slot.end = update.end
         slot.era = update.era
+        slot.isComplete = update.is_complete
         run_slots = slot.init("removed", len(update.removed))
         for run_slot, run in zip(run_slots, update.removed, strict=True):
             run_slot.name = run.name
@@ -88,6 +93,7 @@
                     )
                     for run in slot.removed
                 ),
+                slot.isComplete or str(slot.topic) not in _EXTENDED_TOPICS,
             )
             for slot in msg.topics
         ]
--- a/chervilarch/telemetry.py
+++ b/chervilarch/telemetry.py
@@ -46,6 +46,12 @@
             "memory_bytes", "Private memory, and bytes kept of replies", ["of"]
         )
 
+        self._evacuated = self._gauge(
+            "evacuated_data_centres",
+            "Data centres that get no new work as operators ask for it",
+            [],
+        )
+
     def text(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
@@ -81,6 +87,10 @@
         self._memory.labels("process").set(private_bytes)
         self._memory.labels("replies").set(reply_bytes)
 
+    def set_evacuated_data_centres(self, count: int) -> None:
+        """Sets the number of evacuated data centres."""
+        self._evacuated.set(count)
+
     def count_dropped_lines(self, event: str, lines: int) -> None:
         """Counts log lines that were dropped."""
         self._dropped_lines.labels(event).inc(lines)
--- a/chervilarch/topic_follower.py
+++ b/chervilarch/topic_follower.py
@@ -46,6 +46,8 @@
             was found in time.
         has_joined: whether a live host has answered since the start or the last
             pause.
+        is_peers_snapshot: whether the snapshot that was passed last is another
+            host's, not the store's.
     """
 
     def __init__(
@@ -93,6 +95,7 @@
         self.read_at = float("-inf")
         self.may_serve = False
         self.has_joined = False
+        self.is_peers_snapshot = False
         # Gets all records, and whether the store has just been restored from
         # the copy that they are of.
         self.on_snapshot: Callable[[Iterable[store.Record], bool], None] = (
@@ -169,7 +172,10 @@
         # repeats what this host has read itself.
         if update.read_at > self.read_at - self._read_period_s / 2:
             self._peer_has_read = True
-        if update.first > self._position.offset:
+        has_gap = not update.is_complete and (
+            len(update.records) < update.end - update.first
+        )
+        if update.first > self._position.offset or has_gap:
             self._note_position(update.position)
             return
         if update.position == self._position and update.read_at <= self.read_at:
@@ -343,7 +349,9 @@
 
     def _merge(self, update: store.TopicUpdate) -> bool:
         """Merges a peer's snapshot; returns whether it went further."""
-        if self.has_read() and update.position <= self._position:
+        if self.has_read() and (
+            update.position <= self._position or not update.is_complete
+        ):
             self.on_beliefs(store.Beliefs(update.records, update.removed))
             return False
         self.read_at = max(self.read_at, update.read_at)
@@ -371,6 +379,7 @@
         """
         is_restored = self.has_read() and position.era > self._position.era
         self._position = position
+        self.is_peers_snapshot = removed is not None
         if is_restored:
             guards.call(self.on_restore)
         is_copy = is_restored and removed is None
