Test evacuations under restores, outages, pauses and starts

Cause: an evacuation has to hold on every host whatever happens to the store. Workers and endpoints that leave the list while calls run there keep their state, so that it counts again when an evacuation ends. The fake link of the tests named no era in answers that had waited, and answered them while it was cut off.

--- a/chervilarch/piece_queue.py
+++ b/chervilarch/piece_queue.py
@@ -147,6 +147,9 @@
         self.pool = pool
         self.profile = profile
         self.workers: dict[str, Worker] = {}
+        # Workers that get no new calls but still count: they run calls, hold
+        # results or asked for a pause, and may get work again.
+        self._former: dict[str, Worker] = {}
         # Number of pieces of admitted requests that will be queued later.
         self.upcoming = 0
         self._blocked_since: float | None = None
@@ -155,8 +158,9 @@
     def set_endpoints(self, listed: dict[str, endpoint_list.Listing]) -> None:
         """Replaces the endpoints; a restarted one loses its statistics."""
         kept = {}
+        known = self._former | self.workers
         for name, listing in listed.items():
-            worker = self.workers.get(name)
+            worker = known.pop(name, None)
             if worker is None or (
                 worker.listing.entry.incarnation != listing.entry.incarnation
             ):
@@ -164,6 +168,11 @@
             worker.listing = listing
             kept[name] = worker
         self.workers = kept
+        self._former = known
+
+    def find_worker(self, name: str) -> Worker | None:
+        """Returns a worker by id, also one that gets no new calls."""
+        return self.workers.get(name) or self._former.get(name)
 
     def add(self, pending: PendingJob) -> None:
         """Queues a job unless it is queued; its pieces may be requeued ones."""
@@ -215,6 +224,16 @@
         waiting = self.upcoming + self.backlog()
         return waiting > self.profile.batch * max(1, len(self.workers)) / 2
 
+    def forget_idle_workers(self, now: float) -> None:
+        """Forgets workers that get no new calls and no longer count."""
+        self._former = {
+            name: worker
+            for name, worker in self._former.items()
+            if worker.calls
+            or worker.used_bytes(now)
+            or worker.unavailable_until() > now
+        }
+
     def expire(self, now: float) -> list[PendingJob]:
         """Removes jobs that need no calls; returns those past deadline."""
         expired = [
--- a/chervilarch/piece_runner.py
+++ b/chervilarch/piece_runner.py
@@ -133,7 +133,7 @@
         now = self.loop.now()
         for result in results:
             queue = self._queues.get(result.pool)
-            worker = queue.workers.get(result.endpoint) if queue else None
+            worker = queue.find_worker(result.endpoint) if queue else None
             if worker is not None:
                 until = now + queue.profile.result_ttl_s
                 worker.add_result(result.handle, result_bytes, until)
@@ -147,7 +147,7 @@
         now = self.loop.now()
         for result in results:
             queue = self._queues.get(result.pool)
-            worker = queue.workers.get(result.endpoint) if queue else None
+            worker = queue.find_worker(result.endpoint) if queue else None
             if worker is not None and (
                 self.limits.per_s(worker.run())
                 or max(worker.paced_until, worker.avoided_until) > now
@@ -249,6 +249,7 @@
         """Fails jobs past their deadline, then sends calls to free workers."""
         queue = self._queues[pool]
         now = self.loop.now()
+        queue.forget_idle_workers(now)
         for pending in queue.expire(now):
             completed = pending.completed()
             state_log.log_decision(
--- a/chervilarch/placement.py
+++ b/chervilarch/placement.py
@@ -91,6 +91,11 @@
         self._slot_numbers = itertools.count()
         self._pools: dict[str, dict[str, endpoint_state.Endpoint]] = {}
         self._listings: dict[str, endpoint_list.Listing] = {}
+        # Endpoints that get no new calls while some of theirs go on; they may
+        # get work again.
+        self._former: dict[
+            endpoint_state.EndpointRun, endpoint_state.Endpoint
+        ] = {}
         # When endpoints that limit their requests take the next one.
         self._deferred: dict[endpoint_state.EndpointRun, float] = {}
         # Until when endpoints that asked for a pause get no requests.
@@ -102,23 +107,29 @@
         """Sets the endpoints that may get work, by pool and id."""
         pools: dict[str, dict[str, endpoint_state.Endpoint]] = {}
         self._listings = {}
-        runs = endpoint_list.runs(listed)
-        self._paused = {r: t for r, t in self._paused.items() if r in runs}
+        # An evacuated endpoint may return before its pause ends.
+        now = self._clock.monotonic()
+        self._paused = {r: t for r, t in self._paused.items() if t > now}
+        former = self._former | {
+            _run_of(name, endpoint): endpoint
+            for endpoints in self._pools.values()
+            for name, endpoint in endpoints.items()
+        }
         for pool, listings in listed.items():
-            old = self._pools.get(pool, {})
             kept = pools.setdefault(pool, {})
             for name, listing in listings.items():
                 self._listings[name] = listing
-                endpoint = old.get(name)
                 entry = listing.entry
-                if (
-                    endpoint is None
-                    or endpoint.incarnation != entry.incarnation
-                ):
+                run = endpoint_state.EndpointRun(name, entry.incarnation)
+                endpoint = former.get(run)
+                if endpoint is None or endpoint.pool != pool:
                     is_local = entry.data_centre == self._data_centre
                     endpoint = endpoint_state.Endpoint(entry, is_local)
+                else:
+                    del former[run]
                 kept[name] = endpoint
         self._pools = pools
+        self._former = {r: e for r, e in former.items() if e.slots}
 
     def affinity_data_centre(self, pool: str, shared: bytes) -> str:
         """Returns the data centre of the affinity endpoint, "" if unknown."""
@@ -386,9 +397,13 @@
 
     def _release(self, lease: Lease) -> endpoint_state.Endpoint | None:
         endpoint = self._endpoint(lease)
-        if endpoint is not None:
-            del endpoint.slots[lease.slot.number]
-            endpoint.units -= lease.slot.work.units
+        former = self._former.get(lease.slot.endpoint)
+        for holder in (endpoint, former):
+            if holder is not None and lease.slot.number in holder.slots:
+                del holder.slots[lease.slot.number]
+                holder.units -= lease.slot.work.units
+        if former is not None and not former.slots:
+            del self._former[lease.slot.endpoint]
         return endpoint
 
     def _log_ejection(
--- a/chervilarch/scheduling/evacuation.py
+++ b/chervilarch/scheduling/evacuation.py
@@ -70,7 +70,7 @@
     """
 
     data_centre: str
-    is_evacuated: bool
+    outcome: Outcome
     reason: str
     position: store.Position
 
--- a/tests/store_hosts.py
+++ b/tests/store_hosts.py
@@ -5,6 +5,7 @@
 import loop_helpers as lh
 
 from chervilarch import (
+    evacuation_follower,
     followers,
     hosts,
     http_client,
@@ -12,7 +13,9 @@
     store,
     store_sharing,
     tasks,
+    telemetry,
 )
+from chervilarch.platform import documents
 
 KEY = b"k" * 16
 PAUSE_S = 1.0
@@ -96,7 +99,10 @@
 
 
 class ConfigHost:
-    """A host that follows the configuration; it knows the other one."""
+    """A host that follows configuration and evacuations.
+
+    It knows the other one.
+    """
 
     def __init__(self, loop, name, source):
         self.source = source
@@ -107,6 +113,18 @@
             decode_table,
             PAUSE_S,
         )
+        self.evacuations = evacuation_follower.EvacuationFollower(
+            loop,
+            "evacuate/",
+            documents.decode_evacuation,
+            telemetry.Telemetry(),
+        )
+        self.configuration.follow_evacuations(self.evacuations)
+        self.usable = {}
+        self.evacuations.add_listener(self._set_usable)
+        self.evacuations.set_endpoints(
+            {"p": {f"e{n}": lh.listing(data_centre=f"dc{n}") for n in range(3)}}
+        )
         self.peers = []
         self.sharing = store_sharing.StoreSharing(
             loop,
@@ -121,6 +139,14 @@
         )
         self.peer = stage_coordination.Peer(name, self.sharing._socket.address)
 
+    def _set_usable(self, listed):
+        self.usable = listed
+
+    def work_in(self):
+        """Returns the data centres whose endpoints may get work."""
+        listings = self.usable["p"].values()
+        return {listing.entry.data_centre for listing in listings}
+
 
 class WaitingLink(lh.FakeStore):
     """A link whose reads wait for a record, as the store's long polls do."""
@@ -131,15 +157,17 @@
         self._waiting = []
 
     def read_changes(self, topic, offset, wait_s):
-        if len(self.log[topic]) > offset:
+        if self.error or len(self.log[topic]) > offset:
             return super().read_changes(topic, offset, wait_s)
         self.calls.append("changes")
         fut = tasks.Future()
         until = self._loop.now() + wait_s
 
         def check():
-            records = self.log[topic][offset:]
-            if records or self._loop.now() >= until:
+            records = self._in_era(self.log[topic][offset:])
+            if self.error:
+                tasks.resolve(fut, self.error)
+            elif records or self._loop.now() >= until:
                 self.eras.observe(self.era)
                 end = len(self.log[topic])
                 tasks.resolve(fut, store.RecordPage(records, end, 0, self.era))
