--- a/tests/test_evacuation_hosts.py
+++ b/tests/test_evacuation_hosts.py
@@ -14,6 +14,29 @@
 LEFT = {"dc0", "dc2"}
 
 
+# Bound from the store's acknowledgement, in present deployments.
+EVACUATE_S = 5.0
+
+
+class SlowLink(sh.WaitingLink):
+    """A link whose answers take almost as long as a read waits for them."""
+
+    def _delay(self, answer):
+        fut = sh.tasks.Future()
+        answer.add_done_callback(
+            lambda done: self._loop.call_later(
+                0.9, lambda: fut.set_result(done.result())
+            )
+        )
+        return fut
+
+    def read_newest(self, topic, after, timeout_s):
+        return self._delay(super().read_newest(topic, after, timeout_s))
+
+    def read_changes(self, topic, offset, wait_s):
+        return self._delay(super().read_changes(topic, offset, wait_s))
+
+
 class Fleet:
     """Two hosts with links of their own to one store."""
 
@@ -23,9 +46,9 @@
         self.store.write(CONFIG, "config", b"1 ")
         self.hosts = []
 
-    def start(self, name="n0", is_cut_off=False):
+    def start(self, name="n0", is_cut_off=False, make_link=sh.WaitingLink):
         """Starts a host that knows the others, and they it."""
-        link = sh.WaitingLink(self.loop, self.store)
+        link = make_link(self.loop, self.store)
         host = sh.ConfigHost(self.loop, name, link)
         if is_cut_off:
             link.error = store.StoreError("down")
@@ -86,6 +109,16 @@
     assert events(caplog, *names) == [names[0]] * 2 + [names[1]] * 2
 
 
+def test_an_evacuation_is_known_in_time_while_the_store_is_slow(fleet):
+    hosts = [
+        fleet.start(name, make_link=SlowLink) for name in ("n0", "n1", "n2")
+    ]
+    for value, expected in ((b"{}", LEFT), (b"", ALL)):
+        fleet.write(value=value)
+        fleet.pass_time(EVACUATE_S)
+        assert [host.work_in() for host in hosts] == [expected] * 3
+
+
 def test_a_host_without_the_store_hears_of_evacuations(fleet):
     fleet.start("n0")
     host = fleet.start("n1")
--- a/tests/test_paused_process.py
+++ b/tests/test_paused_process.py
@@ -149,9 +149,18 @@
     )
 
 
+def data_centre_is_evacuated(world, sent):
+    world.store.write(_CONFIGURATION, "evacuate/dc1", b"{}")
+
+
 CHANGES = pytest.mark.parametrize(
     ("change", "expected"),
-    [(drop_route, 404), (withdraw_key, 401), (endpoint_leaves, 503)],
+    [
+        (drop_route, 404),
+        (withdraw_key, 401),
+        (endpoint_leaves, 503),
+        (data_centre_is_evacuated, 503),
+    ],
 )
 
 
