Let the soak evacuate data centres

Cause: the bound of an evacuation has to hold beside all other faults. Change: a fault that evacuates a data centre for over 5 s, and a check that no request and no call for pieces reaches an endpoint there later than the bound, unless the store, the gateway or the endpoint's link was disturbed.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,6 +9,7 @@
 # Bounds of the settings that the soak's gateways get.
 DRAIN_S = 2.0
 CONFIG_S = 2.0
+EVACUATE_S = 5.0
 # This process reads its clock slightly after the event.
 _SLACK_S = 0.25
 # Least share of the requests sent after `recovery_due_at` that must be served.
@@ -37,6 +38,7 @@
         *_mixed_up(history),
         *_wrong_tenant(history),
         *_sent_to_leaving(history),
+        *_sent_to_evacuated(history),
         *_stale_configuration(history),
         *_sent_deadly_parts(history),
         *_over_limit(history),
@@ -102,6 +104,38 @@
                 )
 
 
+def _sent_to_evacuated(history: History):
+    """Finds work that was sent to an evacuated data centre after the bound."""
+    gateways = {
+        item.gateway for runs in history.runs.values() for item in runs
+    } | {item.gateway for item in history.work}
+    for evacuation in history.evacuations:
+        due_at = evacuation.began_at + EVACUATE_S
+        # No host may have read the record before an outage began.
+        if not history.is_undisturbed(
+            {"store"}, evacuation.began_at - SETTLING_S, due_at
+        ):
+            continue
+        for work in history.work:
+            if (
+                work.data_centre != evacuation.data_centre
+                or not due_at + _SLACK_S < work.arrived_at < evacuation.ended_at
+            ):
+                continue
+            targets = {work.gateway} if work.gateway else gateways
+            if history.is_undisturbed(
+                targets | {f"link {work.endpoint}"},
+                work.arrived_at - SETTLING_S,
+                work.arrived_at,
+            ):
+                late_s = work.arrived_at - evacuation.began_at
+                yield (
+                    f"{work.endpoint} got work of "
+                    f"{work.gateway or 'a coordinator'} {late_s:.2f} s after "
+                    f"the evacuation of {work.data_centre}"
+                )
+
+
 def _stale_configuration(history: History):
     """Finds requests of `look` run by a pool of an outdated configuration."""
     answers_by_id = {answer.request_id: answer for answer in history.answers}
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -175,7 +175,13 @@
         expected = req.headers.get("expect-instance", self.name)
         if expected != self.name:
             await answer.send(421, b"", {"Not-Executed": "1"})
-        elif self.mode == "declines":
+            return
+        if not req.path.endswith("stage-free"):
+            at, gateway = arrival
+            self._history.work.append(
+                records.Work(at, self.name, self._data_centre, gateway)
+            )
+        if self.mode == "declines":
             await answer.send(503, b"", {"Not-Executed": "1"})
         elif req.path.endswith("stage-run"):
             await self._run_batch(req, answer)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,11 +7,21 @@
 import signal
 import time
 
-from soak import callers, endpoints, gateways, link, records, store
+from soak import (
+    callers,
+    checks,
+    endpoints,
+    gateways,
+    link,
+    records,
+    store,
+)
 
 # Endpoints that each pool starts with.
 POOLS = {"desk": 2, "other": 2, "maker": 2, "engine": 3}
 _LINK_FAULTS = [mode for mode in link.Mode if mode is not link.Mode.HEALTHY]
+# Pause of an operator between attempts to write while the store is down.
+_WRITE_RETRY_S = 0.1
 _ENDPOINT_FAULTS = ["declines", "mute", "cut", "garbage", "late", "500"]
 
 
@@ -45,6 +55,7 @@
         self._replacing: set[asyncio.Task] = set()
         self._version = 0
         self._is_restoring = False
+        self._is_evacuating = False
         self._last_numbers = dict.fromkeys(POOLS, 0)
         # The option `--kinds` selects by parts of the methods' names.
         self._faults = [
@@ -66,6 +77,7 @@
             self._spread_deadly_part,
             self._write_unreadable,
             self._publish,
+            self._evacuate,
         ]
         if name_parts:
             self._faults = [
@@ -288,6 +300,30 @@
         await self.store_server.write(store.CONFIG_TOPIC, "config", data)
         self._history.lookup_pools.append((time.monotonic(), pool))
 
+    async def _evacuate(self, rng: random.Random) -> None:
+        """Evacuates a data centre for longer than gateways may take."""
+        if self._is_evacuating:
+            return
+        self._is_evacuating = True
+        data_centre = rng.choice("ab")
+        await self._write_evacuation(data_centre, b"{}")
+        began_at = time.monotonic()
+        await asyncio.sleep(checks.EVACUATE_S + 2 * _draw_duration_s(rng))
+        # What the deletion meets may have been sent after it.
+        ended_at = time.monotonic()
+        await self._write_evacuation(data_centre, b"")
+        self._history.evacuations.append(
+            records.Evacuation(data_centre, began_at, ended_at)
+        )
+        self._is_evacuating = False
+
+    async def _write_evacuation(self, data_centre: str, value: bytes) -> None:
+        while self.store_server.is_down:
+            await asyncio.sleep(_WRITE_RETRY_S)
+        await self.store_server.write(
+            store.CONFIG_TOPIC, f"evacuate/{data_centre}", value
+        )
+
 
 async def _repeat(fault, times: int, rng: random.Random) -> None:
     for _ in range(times):
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -70,6 +70,7 @@
             "bounds": {
                 "drain_s": checks.DRAIN_S,
                 "config_s": checks.CONFIG_S,
+                "evacuate_s": checks.EVACUATE_S,
                 "grace_s": _GRACE_S,
                 "retry_share": 0.2,
                 "retry_fixed": 50.0,
--- a/soak/records.py
+++ b/soak/records.py
@@ -80,6 +80,37 @@
     ended_at: float
 
 
+class Evacuation(NamedTuple):
+    """A time in which operators want no new work in a data centre.
+
+    Attributes:
+        data_centre: its name.
+        began_at: when the store had the record, in seconds of the soak's clock.
+        ended_at: when its deletion was begun.
+    """
+
+    data_centre: str
+    began_at: float
+    ended_at: float
+
+
+class Work(NamedTuple):
+    """A request or call for pieces that reached an endpoint it was meant for.
+
+    Attributes:
+        arrived_at: when, in seconds of the soak's clock.
+        endpoint: the endpoint's name.
+        data_centre: the endpoint's data centre.
+        gateway: the gateway that the caller sent the request to, "" for pieces,
+            which any gateway may send.
+    """
+
+    arrived_at: float
+    endpoint: str
+    data_centre: str
+    gateway: str
+
+
 class Disturbance(NamedTuple):
     """An interval in which guarantees with a time limit don't bind a target.
 
@@ -113,6 +144,8 @@
         crashes: for each such part, when engines crashed on it.
         limits: the limits that endpoints named.
         arrivals: time and gateway of the requests that reached each endpoint.
+        evacuations: the evacuations that have ended.
+        work: what reached the endpoints.
         violations: impossible events that a stand-in saw itself.
     """
 
@@ -128,6 +161,8 @@
         self.arrivals: dict[str, list[tuple[float, str]]] = (
             collections.defaultdict(list)
         )
+        self.evacuations: list[Evacuation] = []
+        self.work: list[Work] = []
         self.violations: list[str] = []
 
     def is_undisturbed(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -37,6 +37,9 @@
 LOOK = run(route="look", endpoint="desk-1")
 DEADLY = run(route="draft", prompt=("p1", "dead1", "own"))
 LIMIT = records.Limit("desk-1", 2.0, 5.0, 20.0)
+EVACUATION = records.Evacuation("a", 1.0, 20.0)
+WORK = records.Work(6.5, "desk-1", "a", "gw-0")
+PIECES = WORK._replace(endpoint="maker-1", gateway="")
 ARRIVALS = {"desk-1": [(10.0, "gw-0")] * 18}
 MOVED = [(1.0, "desk"), (5.0, "other")]
 
@@ -93,6 +96,14 @@
             build_history(limits=[LIMIT], arrivals=ARRIVALS),
             "desk-1 got 18 requests with a limit of 2.0",
         ),
+        (
+            build_history(evacuations=[EVACUATION], work=[WORK]),
+            "desk-1 got work of gw-0 5.50 s after the evacuation of a",
+        ),
+        (
+            build_history(evacuations=[EVACUATION], work=[PIECES]),
+            "maker-1 got work of a coordinator",
+        ),
         (build_history(violations=["gw-0 ended with 1"]), "gw-0 ended"),
     ],
 )
@@ -105,6 +116,24 @@
     "history",
     [
         build_history([run()], [answer()]),
+        build_history(
+            evacuations=[EVACUATION],
+            work=[
+                WORK._replace(arrived_at=6.2),
+                WORK._replace(arrived_at=20.1),
+                WORK._replace(data_centre="b"),
+            ],
+        ),
+        build_history(
+            evacuations=[EVACUATION],
+            work=[WORK, PIECES],
+            disturbances=[disturbance("gw-0", 3.0, 4.0)],
+        ),
+        build_history(
+            evacuations=[EVACUATION],
+            work=[WORK],
+            disturbances=[disturbance("store", 5.0, 5.5)],
+        ),
         build_history(
             [run(), run(endpoint="desk-2")][:1], [answer(status=502)]
         ),
