Ask another host after a restore if evacuations are known

Cause: a host that missed the end of an evacuation, or takes a new one for the copy's, learned better only at its next start or pause. Change: 1 and 3 s after a restore a host that knows of any evacuation merges what a live host holds true.

--- a/chervilarch/evacuation_follower.py
+++ b/chervilarch/evacuation_follower.py
@@ -86,6 +86,10 @@
             for listing in listings.values()
         )
 
+    def has_any(self) -> bool:
+        """Returns whether an evacuation, or an end of one, is known."""
+        return self._evacuations.has_any()
+
     def owns(self, key: str) -> bool:
         """Returns whether a key is that of an evacuation."""
         return key.startswith(self._prefix)
--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -17,6 +17,11 @@
 
 # How soon the end of a grace time is tried again while the store is away.
 _EXPIRY_RETRY_S = 0.1
+# When a host asks another one after a restore, in seconds. It may have missed
+# the end of an evacuation that the copy has, or have taken a new one for an old
+# one. By the first time, all hosts have noticed the restore; the second time
+# probably asks another host.
+_ASK_AFTER_RESTORE_S = (1.0, 3.0)
 # Messages between hosts have no room for higher numbers.
 _MAX_SENT = 2**63 - 1
 
@@ -75,6 +80,17 @@
         self._evacuations = evacuations
         evacuations.is_store_away = self.topic_follower.is_outdated
         self.topic_follower.on_removed = evacuations.apply_removed
+        self.topic_follower.on_restore = self._ask_after_restore
+
+    def _ask_after_restore(self) -> None:
+        """Asks other hosts what they know of evacuations, if there are any."""
+        # Looked at when the restored store's values have been applied.
+        for delay_s in _ASK_AFTER_RESTORE_S:
+            self._loop.call_later(delay_s, self._ask_of_evacuations)
+
+    def _ask_of_evacuations(self) -> None:
+        if self._evacuations.has_any():
+            self.topic_follower.ask_peer()
 
     def add_listener(
         self, listener: Callable[[routing_table.RoutingTable], None]
--- a/chervilarch/scheduling/evacuation.py
+++ b/chervilarch/scheduling/evacuation.py
@@ -153,6 +153,10 @@
             if entry.status is _Status.ENDED
         }
 
+    def has_any(self) -> bool:
+        """Returns whether an evacuation, or an end of one, is known."""
+        return bool(self._entries)
+
     def has_memory(self) -> bool:
         """Returns whether `expire` has something to look at."""
         return any(
--- a/chervilarch/topic_follower.py
+++ b/chervilarch/topic_follower.py
@@ -249,6 +249,10 @@
                 _LATE_JOIN_PERIOD_S if is_late else _JOIN_PERIOD_S,
             )
 
+    def ask_peer(self) -> None:
+        """Merges what a live host holds true, if one answers."""
+        tasks.Task(self._fetch_snapshot())
+
     def _wait_until_due(self) -> tasks.Coroutine[None]:
         """Waits until this host must read."""
         while not self._is_behind() and self._due_at() > self._loop.now():
--- a/tests/test_evacuation_hosts.py
+++ b/tests/test_evacuation_hosts.py
@@ -215,6 +215,57 @@
     lh.run_until(fleet.loop, lambda: host.work_in() == LEFT)
 
 
+def start_two_that_know_an_end(fleet):
+    hosts = [fleet.start("n0"), fleet.start("n1")]
+    for value in (b"{}", b""):
+        fleet.write(value=value)
+        fleet.pass_time()
+    return hosts
+
+
+def test_a_host_without_the_store_hears_of_a_new_evacuation(fleet):
+    """Its offset, given out again, is that of the one that ended."""
+    first, host = start_two_that_know_an_end(fleet)
+    host.source.error = store.StoreError("cut off")
+    fleet.store.restore(1, era=1)
+    fleet.pass_time()
+    fleet.write()
+    fleet.pass_time()
+    assert [first.work_in(), host.work_in()] == [LEFT, LEFT]
+
+
+def test_a_host_that_notices_a_restore_late_is_corrected(fleet):
+    """It takes the new evacuation for the one that ended."""
+    first, host = start_two_that_know_an_end(fleet)
+    for peers in (first.peers, host.peers):
+        peers.clear()
+    host.source.error = store.StoreError("cut off")
+    fleet.store.restore(1, era=1)
+    fleet.pass_time()
+    fleet.write()
+    fleet.pass_time()
+    assert [first.work_in(), host.work_in()] == [LEFT, ALL]
+    host.source.error = None
+    host.peers.append(first.peer)
+    fleet.pass_time(EVACUATE_S)
+    assert host.work_in() == LEFT
+
+
+def test_a_host_that_missed_an_end_hears_of_it_after_a_restore(fleet):
+    fleet.write()
+    first, host = fleet.start("n0"), fleet.start("n1")
+    for peers in (first.peers, host.peers):
+        peers.clear()
+    host.source.error = store.StoreError("cut off")
+    fleet.write(value=b"")
+    fleet.pass_time()
+    fleet.store.restore(2, era=1)
+    host.source.error = None
+    host.peers.append(first.peer)
+    fleet.pass_time(EVACUATE_S)
+    assert [first.work_in(), host.work_in()] == [ALL, ALL]
+
+
 ODD_VALUES = [
     b"null",
     b"[]",
