Mend tests of evacuations that mutations showed to be blind

Cause: five mutations weren't caught: the test's host read no newest values, so that it didn't notice when an unreadable record among them ended an evacuation or was logged again; a request whose pieces wait was also refused at its deadline; the grace of a host that had started later wasn't looked at. Change: the history is dropped as a record is written, which the tests' waiting link now answers as the store does; the refusal's reason is checked; so is the end of the grace on both hosts.

--- a/tests/store_hosts.py
+++ b/tests/store_hosts.py
@@ -167,6 +167,9 @@
             records = self._in_era(self.log[topic][offset:])
             if self.error:
                 tasks.resolve(fut, self.error)
+            elif offset < self.first.get(topic, 0):
+                dropped = store.StoreError("dropped", is_dropped=True)
+                tasks.resolve(fut, dropped)
             elif records or self._loop.now() >= until:
                 self.eras.observe(self.era)
                 end = len(self.log[topic])
--- a/tests/test_evacuated_endpoints.py
+++ b/tests/test_evacuated_endpoints.py
@@ -8,7 +8,6 @@
     KEY,
     answer,
     events,
-    read_status,
     route_document,
     status,
     stream,
@@ -182,10 +181,12 @@
     headers = (KEY, ("Pieces", "4"), ("Piece-Key", "pk"))
     running = world.send(*headers)
     lh.run_until(world.loop, lambda: worker.requests)
-    waiting = world.send(*headers)
+    waiting = world.send(*headers, ("Connection", "close"))
     lh.run_until(world.loop, lambda: world.serving_state.in_flight == 2)
     write(world, "dc1")
-    assert read_status(world, waiting) == 503
+    received = lh.receive(world.loop, waiting, lambda data: b"<EOF>" in data)
+    # Not one that had waited until its deadline.
+    assert status(received) == 503 and b'"no-endpoint"' in received
     worker.release()
     running.close()
 
--- a/tests/test_evacuation_hosts.py
+++ b/tests/test_evacuation_hosts.py
@@ -157,8 +157,8 @@
     fleet.pass_time()
     assert first.work_in() == LEFT
     assert fleet.start("n1", is_cut_off).work_in() == LEFT
-    fleet.pass_time(evacuation.GRACE_S + 2.0)
-    assert first.work_in() == ALL
+    fleet.pass_time(evacuation.GRACE_S + 4.0)
+    assert [host.work_in() for host in fleet.hosts] == [ALL, ALL]
 
 
 @pytest.mark.parametrize("is_cut_off", [False, True])
@@ -265,12 +265,15 @@
         assert host.work_in() == {"dc0", "dc1"}
         # An evacuation in force isn't ended by it, and it isn't logged again.
         fleet.write("evacuate/dc2", value)
-        fleet.store.first[CONFIG] = 9
         fleet.pass_time()
-        fleet.store.first[CONFIG] = 0
+        # The newest values are read, as the history was dropped.
+        reads = host.source.calls.count("newest")
+        fleet.store.first[CONFIG] = 9
+        fleet.write("config", b"3 ")
         fleet.pass_time()
+        assert host.source.calls.count("newest") > reads
     assert host.work_in() == {"dc0", "dc1"}
-    assert host.configuration.table.version == 2
+    assert host.configuration.table.version == 3
     assert len(events(caplog, "evacuation unreadable")) == 2
 
 
