Limit requests to endpoints that are cold

An endpoint that has just started takes only some requests a second, but every host found it idle and sent its next requests there. Each host now sends a cold endpoint no more than its share of half of the bound that the configuration and the settings give, without asking other hosts. Coordinators pace calls for pieces in the same way, with a third of that half each, and propose no cold engine while a warm one is left. Pools without a bound are served as before.

--- a/chervilarch/endpoint_lease.py
+++ b/chervilarch/endpoint_lease.py
@@ -2,6 +2,7 @@
 
 from chervilarch import (
     outcomes,
+    pieces,
     placement,
     prompt_blocks,
     state_log,
@@ -113,12 +114,20 @@
         chosen = ctx.ctrl.placement.pick(requirements, tried)
         if chosen is not None:
             return chosen
-        pause_s = ctx.ctrl.placement.pause_s(requirements.pool, tried)
-        if not pause_s:
+        open_s = ctx.ctrl.placement.pause_s(requirements.pool, tried)
+        if not open_s:
             return None
+        pause_s = open_s
+        if ctx.ctrl.placement.is_any_cold(requirements.pool):
+            ctx.ctrl.meters.count_cold_wait()
+            pause_s += ctx.ctrl.placement.queue_s(requirements.pool, tried)
         if not may_wait or pause_s > longest_wait_s(ctx, 0.0):
             return closed_refusal(ctx, requirements.pool, pause_s)
-        yield tasks.sleep(ctx.ctrl.loop, pause_s)
+        ctx.ctrl.placement.waiting[requirements.pool] += 1
+        try:
+            yield tasks.sleep(ctx.ctrl.loop, open_s)
+        finally:
+            ctx.ctrl.placement.waiting[requirements.pool] -= 1
 
 
 def longest_wait_s(ctx: contexts.RoutedContext, expected_s: float) -> float:
@@ -148,6 +157,15 @@
     ctx: contexts.RoutedContext, pool: str, wait_s: float
 ) -> outcomes.NotRun:
     """Returns the outcome of a request whose endpoints are closed for long."""
+    if ctx.ctrl.placement.is_any_cold(pool):
+        # Other hosts may have shares of other endpoints, so that it is of use
+        # to come back sooner than this host may send anything.
+        return outcomes.NotRun(
+            outcomes.Reason.ENDPOINT_LIMIT,
+            "all endpoints of the pool that may get requests have just started",
+            "send the request again after the time given",
+            min(wait_s, pieces.retry_after_s(max(0.0, ctx.remaining_s()))),
+        )
     if not ctx.ctrl.placement.is_any_avoided(pool):
         return refusal(wait_s)
     return outcomes.NotRun(
--- a/chervilarch/endpoint_list.py
+++ b/chervilarch/endpoint_list.py
@@ -26,10 +26,13 @@
     Attributes:
         entry: identity and address; `incarnation` is its start in Unix ms.
         sequence: increases with each record of one run.
+        cold_s: how much longer it was cold when it wrote the record, in
+            seconds; None if the record's figure can't be used.
     """
 
     entry: hosts.HostEntry
     sequence: int
+    cold_s: float | None = 0.0
 
 
 def check_start(listing: Listing, wall_s: float) -> Listing | Unreadable:
--- a/chervilarch/final_call.py
+++ b/chervilarch/final_call.py
@@ -415,6 +415,7 @@
 
 def record_send(ctx: contexts.RoutedContext, lease: placement.Lease) -> None:
     """Records and logs that a request was sent to an endpoint."""
+    ctx.ctrl.placement.record_send(lease)
     ctx.ctrl.prompt_guard.record_send(lease, ctx.req.prompt.shared_parts())
     entry = lease.listing.entry
     state_log.log_decision(
--- a/chervilarch/fleet.py
+++ b/chervilarch/fleet.py
@@ -3,6 +3,7 @@
 import enum
 import hashlib
 import random
+from typing import NamedTuple
 
 from chervilarch import (
     addresses,
@@ -38,6 +39,20 @@
     PERMITS = 4
 
 
+class KnownHosts(NamedTuple):
+    """The hosts that may be alive.
+
+    Attributes:
+        own: name of this host.
+        names: all of them, also those believed dead.
+        left: those of them that announced that they end.
+    """
+
+    own: str
+    names: frozenset[str]
+    left: frozenset[str]
+
+
 class Fleet:
     """The gateways of this deployment that are believed alive."""
 
@@ -68,6 +83,7 @@
         self._seeds = seeds
         value = f"{own.address} {own.data_centre}".encode()
         self._entry = host_entry.HostEntry(loop, source, own.name, value, rng)
+        self._has_read_list = False
         # The gateway doesn't export gossip's counters.
         self.gossip = gossip.GossipController(
             own, key, clock, metrics.Metrics(None), rng
@@ -115,6 +131,23 @@
         """
         return len(self.gossip.members())
 
+    def known_hosts(self) -> KnownHosts | None:
+        """Returns the hosts that may be alive, with this one.
+
+        Returns:
+            None as long as this host has heard of none and hasn't read the
+            store's list, so that it may be one of many.
+        """
+        members = self.gossip.members()
+        if len(members) <= 1 and not self._has_read_list:
+            return None
+        left = membership.Status.LEFT
+        return KnownHosts(
+            self._own.name,
+            frozenset(member.name for member in members),
+            frozenset(m.name for m in members if m.status is left),
+        )
+
     def _contact_seeds(self) -> None:
         """Contacts the seeds, as the store may be unavailable."""
         if self._alive_members():
@@ -140,6 +173,7 @@
                 yield tasks.sleep(self._loop, _RETRY_S)
                 continue
             self._add_listed_hosts(page)
+            self._has_read_list = True
             yield tasks.sleep(self._loop, _LIST_CHECK_PERIOD_S)
             while self._alive_members():
                 yield tasks.sleep(self._loop, _LIST_CHECK_PERIOD_S)
--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -12,6 +12,7 @@
     topic_follower,
 )
 from chervilarch import loop as loops
+from chervilarch.scheduling import cold_starts
 
 # How soon the end of a grace time is tried again while the store is away.
 _EXPIRY_RETRY_S = 0.1
@@ -157,7 +158,12 @@
         self._records: dict[str, store.Record] = {}
         self._unreadable: set[str] = set()
         # Content of each endpoint's last record, without its sequence.
-        self._last_content: dict[str, hosts.HostEntry | bytes] = {}
+        self._last_content: dict[str, tuple[hosts.HostEntry, bool] | bytes] = {}
+        # When the cold time ends of which the other hosts know.
+        self._cold_ends: dict[str, float] = {}
+        self._bad_cold_times: set[str] = set()
+        # Called with each record in force and the time of the read.
+        self.on_report: Callable[[endpoint_list.Listing, float], None] = _ignore
         self._changed = False
         self._listeners: list[Callable[[dict], None]] = []
         # Reads don't wait for a change.
@@ -205,6 +211,7 @@
         # The other hosts need the renewals of entries that the copy lacks, also
         # if nothing but their sequence has changed.
         self._last_content.clear()
+        self._cold_ends.clear()
 
     def _start_grace(self) -> None:
         self._endpoints.start_grace(self._loop.now())
@@ -291,12 +298,16 @@
         now = self._loop.now()
         if not value:
             self._last_content.pop(name, None)
+            self._cold_ends.pop(name, None)
+            self._bad_cold_times.discard(name)
             if self._endpoints.remove(name, now):
                 self._record_removal(name, "removed from the list")
             return True
         listing = self._read_listing(name, value)
         is_readable = isinstance(listing, endpoint_list.Listing)
-        content = listing.entry if is_readable else value
+        content = (
+            (listing.entry, bool(listing.cold_s)) if is_readable else value
+        )
         is_new = self._last_content.get(name) != content
         self._last_content[name] = content
         if not is_readable:
@@ -328,8 +339,39 @@
         believed = self._endpoints.find(name)
         if believed is not None and listing == believed:
             self._records[name] = record
+            is_new = self._is_colder(name, listing, now) or is_new
+            if listing.cold_s is not None:
+                self.on_report(listing, now)
         return is_new
 
+    def _is_colder(
+        self, name: str, listing: endpoint_list.Listing, now: float
+    ) -> bool:
+        """Returns whether an endpoint is cold for longer than others know.
+
+        The countdown of a known cold time is no news. An unusable figure is
+        logged once.
+        """
+        if listing.cold_s is None:
+            if name not in self._bad_cold_times:
+                self._bad_cold_times.add(name)
+                state_log.log_fault(
+                    "cold time of an endpoint ignored",
+                    endpoint=name,
+                    reason="not a number of milliseconds up to a day",
+                )
+            return False
+        self._bad_cold_times.discard(name)
+        if not listing.cold_s:
+            self._cold_ends.pop(name, None)
+            return False
+        end = now + listing.cold_s
+        known_end = self._cold_ends.get(name, float("-inf"))
+        if end <= known_end + cold_starts.NEWS_TOLERANCE_S:
+            return False
+        self._cold_ends[name] = end
+        return True
+
     def _read_listing(
         self, name: str, value: bytes
     ) -> "endpoint_list.Listing | tuple":
@@ -354,3 +396,7 @@
             by_pool.setdefault(listing.entry.pool, {})[name] = listing
         for listener in self._listeners:
             guards.call(listener, by_pool)
+
+
+def _ignore(listing: endpoint_list.Listing, now: float) -> None:
+    pass
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -12,6 +12,7 @@
     budgets,
     byte_room,
     caller_wait,
+    cold_endpoints,
     descriptors,
     endpoint_limits,
     environment,
@@ -47,6 +48,7 @@
 from chervilarch.platform import documents, wire
 from chervilarch.platform import store as platform_store
 from chervilarch.routed_context import RoutedControllers
+from chervilarch.scheduling import cold_starts
 
 # Reads of the endpoint list within `drain_s`, after which a leaving endpoint
 # must get no new work.
@@ -177,6 +179,9 @@
         """Handles signals and changes of readiness and of the known hosts."""
         self._handle_signals()
         self._ctrl.retry_budgets.set_hosts(self._ctrl.fleet.known_count())
+        cold_endpoints.set_hosts(
+            self._ctrl.cold, self._ctrl.fleet, self._loop.now()
+        )
         is_ready = not self.not_ready_reason()
         if is_ready != self._was_ready:
             self._was_ready = is_ready
@@ -286,14 +291,16 @@
     for follower in (configuration.topic_follower, endpoints.topic_follower):
         resuming.add_check(functools.partial(_is_confirmed, follower))
     avoided = avoidances.Avoidances(loop.clock, rng, meters.count_avoidance)
+    cold = cold_starts.ColdStarts(cold_endpoints.log_cold)
+    cold_endpoints.connect(cold, cfg.bounds, configuration, endpoints)
     own_placement = placement.Placement(
-        cfg.data_centre, loop.clock, rng, avoided
+        cfg.data_centre, loop.clock, rng, avoided, cold
     )
     # Load of the final calls of all stage graphs that run here, also of remote
     # runs, which run for other hosts. `own_placement` has only the calls that
     # this host sends.
     coordinator_placement = placement.Placement(
-        cfg.data_centre, loop.clock, rng, avoided
+        cfg.data_centre, loop.clock, rng, avoided, cold, only_proposes=True
     )
     stage_budgets = budgets.PoolBudgets(
         cfg.bounds.retry_share,
@@ -312,6 +319,7 @@
         endpoints.mark_leaving,
         limits,
         avoided,
+        cold,
     )
     runner.confirmed = resuming.confirmed
     key = fleet.deployment_key(cfg.deployment)
@@ -394,6 +402,7 @@
         permits=request_permits,
         resumption=resuming,
         stop_admission=stop_admission.StopAdmission(gateways.has_neighbour),
+        cold=cold,
     )
 
 
--- a/chervilarch/piece_calls.py
+++ b/chervilarch/piece_calls.py
@@ -148,7 +148,15 @@
         elif head is not None and head.did_not_run:
             self._queue.back_off_full(worker, now)
         else:
-            worker.record_failure(now)
+            backoff_s = worker.record_failure(now)
+            if (
+                isinstance(result, exchanges.TransferFailure)
+                and not result.sent
+                and self._loop.resumed_at <= self._sent_at
+            ):
+                self._runner.cold.note_unreachable(
+                    worker.run(), now + backoff_s
+                )
         if (
             isinstance(result, exchanges.TransferFailure)
             and result.kind is exchanges.FailureKind.ENDLESS
--- a/chervilarch/piece_queue.py
+++ b/chervilarch/piece_queue.py
@@ -55,6 +55,8 @@
         # Until when it is avoided after a reply without end, and whether it
         # then gets one call at a time.
         self.avoided_until = float("-inf")
+        # When it may get the next call while it is cold.
+        self.cold_until = float("-inf")
         self.is_on_trial = False
         self.failures = 0
         self.full_count = 0
@@ -71,7 +73,11 @@
 
     def unavailable_until(self) -> float:
         """Returns the monotonic time from which it may get calls."""
-        return max(self.backoff_until, self.paced_until, self.avoided_until)
+        return max(self.backoff_until, self.closed_until())
+
+    def closed_until(self) -> float:
+        """Returns from when it may get calls, apart from its failures."""
+        return max(self.paced_until, self.avoided_until, self.cold_until)
 
     def has_slot(self, max_calls: int) -> bool:
         """Returns whether it takes another call beside those that run."""
--- a/chervilarch/piece_runner.py
+++ b/chervilarch/piece_runner.py
@@ -9,6 +9,7 @@
     budgets,
     endpoint_limits,
     endpoint_list,
+    endpoint_state,
     exchanges,
     http_client,
     piece_calls,
@@ -22,6 +23,7 @@
 )
 from chervilarch import loop as loops
 from chervilarch.futures import Future
+from chervilarch.scheduling import cold_starts
 
 # A job fails when more calls than this have failed.
 _MAX_ERRORS = 3
@@ -48,7 +50,9 @@
         on_endpoint_leaving: Callable[[str, int], None],
         limits: endpoint_limits.EndpointLimits,
         avoided: avoidances.Avoidances,
+        cold: cold_starts.ColdStarts | None = None,
     ):
+        self.cold = cold or cold_starts.ColdStarts()
         self.loop = loop
         self.client = client
         self.wire = wire
@@ -102,10 +106,9 @@
         if queue is None or not queue.workers:
             pending.end(pieces.JobFailure(pieces.NO_ENDPOINT))
             return pending
-        self._apply_avoidances(queue)
+        self._apply_closures(queue)
         next_call_at = min(
-            max(worker.paced_until, worker.avoided_until)
-            for worker in queue.workers.values()
+            worker.closed_until() for worker in queue.workers.values()
         )
         if max(now, next_call_at) + queue.call_s(1) > job.deadline_at:
             pending.end(pieces.JobFailure(pieces.PAST_DEADLINE))
@@ -139,8 +142,8 @@
     def free(self, results: list[pieces.PieceResult]) -> None:
         """Frees results that are no longer needed.
 
-        A worker that limits its requests, asked for a pause or is avoided isn't
-        asked to: its results expire.
+        A worker that limits its requests, asked for a pause, is avoided or is
+        cold isn't asked to: its results expire.
         """
         now = self.loop.now()
         for result in results:
@@ -148,7 +151,8 @@
             worker = queue.workers.get(result.endpoint) if queue else None
             if worker is not None and (
                 self.limits.per_s(worker.run())
-                or max(worker.paced_until, worker.avoided_until) > now
+                or worker.closed_until() > now
+                or self.cold.is_cold(worker.run(), now)
             ):
                 continue
             self._to_free[result.address].append(result.handle)
@@ -158,21 +162,30 @@
             self._is_freeing = True
             self.loop.call_later(_FREE_PERIOD_S, self._send_frees)
 
-    def _apply_avoidances(self, queue: piece_queue.PieceQueue) -> None:
-        """Tells the workers of a queue which of them are avoided."""
+    def _apply_closures(self, queue: piece_queue.PieceQueue) -> None:
+        """Tells the workers of a queue which of them are avoided or cold."""
         now = self.loop.now()
         for worker in queue.workers.values():
             run = worker.run()
             wait_s = self.avoided.wait_s(run)
             worker.avoided_until = now + wait_s if wait_s else -math.inf
             worker.is_on_trial = self.avoided.trial_since(run) < math.inf
+            worker.cold_until = self._cold_until(run)
+
+    def _cold_until(self, run: endpoint_state.EndpointRun) -> float:
+        now = self.loop.now()
+        wait_s = self.cold.piece_wait_s(run, now)
+        return now + wait_s if wait_s else -math.inf
 
     def pace(self, worker: piece_queue.Worker) -> None:
-        """Delays the next call of a worker that limits its requests.
+        """Delays the next call of a worker that limits its requests or is cold.
 
         Only the coordinator calls workers, so it needs no permits.
         """
-        per_s = self.limits.per_s(worker.run())
+        run = worker.run()
+        self.cold.record_piece_send(run, self.loop.now())
+        worker.cold_until = self._cold_until(run)
+        per_s = self.limits.per_s(run)
         if per_s is not None:
             worker.paced_until = self.loop.now() + 1.0 / per_s
 
@@ -266,7 +279,7 @@
         if not confirmed.done():
             self._hold(pool, confirmed)
             return
-        self._apply_avoidances(queue)
+        self._apply_closures(queue)
         while True:
             batch = queue.next_batch(now)
             if batch is None:
--- a/chervilarch/placement.py
+++ b/chervilarch/placement.py
@@ -1,5 +1,6 @@
 """Chooses the endpoint of a request's final call."""
 
+import collections
 import itertools
 import math
 import random
@@ -16,6 +17,7 @@
     piece_queue,
     state_log,
 )
+from chervilarch.scheduling import cold_starts
 
 # Prompt tokens of one work unit at a model engine.
 TOKENS_PER_UNIT = 1000.0
@@ -30,6 +32,9 @@
 # expected time plus this extra time; else the next one waits longer.
 _TRIAL_RATIO = 2.0
 _TRIAL_EXTRA_S = 0.05
+# A request that is sent later than this after its lease counts at that time
+# too for a cold endpoint, which may have got others meanwhile.
+_LATE_SEND_S = 0.1
 
 
 class Requirements(NamedTuple):
@@ -83,11 +88,28 @@
         clock: clocks.Clock,
         rng: random.Random,
         avoided: avoidances.Avoidances,
+        cold: cold_starts.ColdStarts | None = None,
+        only_proposes: bool = False,
     ):
+        """Creates it without endpoints.
+
+        Args:
+            data_centre: this host's.
+            clock: tells the monotonic time.
+            rng: chooses among endpoints that are alike.
+            avoided: the endpoints that are avoided.
+            cold: the endpoints that are cold.
+            only_proposes: whether other hosts send the requests. These keep the
+                bound on requests to cold endpoints themselves.
+        """
+        self._cold = cold or cold_starts.ColdStarts()
+        self._only_proposes = only_proposes
         self._data_centre = data_centre
         self._clock = clock
         self._rng = rng
         self._avoided = avoided
+        # Requests that wait for an endpoint to open, by pool.
+        self.waiting: collections.Counter[str] = collections.Counter()
         self._slot_numbers = itertools.count()
         self._pools: dict[str, dict[str, endpoint_state.Endpoint]] = {}
         self._listings: dict[str, endpoint_list.Listing] = {}
@@ -148,8 +170,8 @@
     def pause_s(self, pool: str, tried: set[str]) -> float:
         """Returns when the first closed endpoint of a pool may be used.
 
-        Endpoints are closed while they are paused, avoided or tried by another
-        request.
+        Endpoints are closed while they are paused, avoided, tried by another
+        request, or cold and have got this host's share of requests.
 
         Args:
             pool: the pool.
@@ -173,15 +195,46 @@
             for name, endpoint in self._pools.get(pool, {}).items()
         )
 
+    def queue_s(self, pool: str, tried: set[str]) -> float:
+        """Returns how long requests that wait for cold endpoints take.
+
+        Each of these opens for a few requests only.
+
+        Args:
+            pool: the pool.
+            tried: ids of endpoints that aren't to be counted.
+        """
+        now = self._clock.monotonic()
+        per_window = sum(
+            self._cold.per_window(_run_of(name, endpoint), now)
+            for name, endpoint in self._pools.get(pool, {}).items()
+            if name not in tried
+        )
+        if not per_window:
+            return 0.0
+        return cold_starts.WINDOW_S * (self.waiting[pool] // per_window)
+
+    def is_any_cold(self, pool: str) -> bool:
+        """Returns whether this host may send a cold endpoint no request."""
+        now = self._clock.monotonic()
+        return any(
+            self._cold_s(_run_of(name, endpoint), now) > 0.0
+            for name, endpoint in self._pools.get(pool, {}).items()
+        )
+
+    def _cold_s(self, run: endpoint_state.EndpointRun, now: float) -> float:
+        return 0.0 if self._only_proposes else self._cold.wait_s(run, now)
+
     def _closed_s(
         self, name: str, endpoint: endpoint_state.Endpoint, now: float
     ) -> float:
         """Returns how long an endpoint gets no requests, 0.0 if it may."""
         run = _run_of(name, endpoint)
+        cold_s = self._cold_s(run, now)
         if not self._paused_s(run, now) and not self._avoided.is_any():
-            return 0.0
+            return cold_s
         return max(
-            self._paused_s(run, now), self._avoided.wait_s(run)
+            cold_s, self._paused_s(run, now), self._avoided.wait_s(run)
         ) or self._trial_s(run, endpoint, now)
 
     def _paused_s(self, run: endpoint_state.EndpointRun, now: float) -> float:
@@ -229,6 +282,7 @@
             not self._is_any_deferred(now)
             and not self._paused
             and not self._avoided.is_any()
+            and not self.is_any_cold(pool)
         ):
             return 0.0
         endpoints = self._pools.get(pool, {})
@@ -261,6 +315,8 @@
         } or candidates
         if not usable:
             return None
+        if self._only_proposes:
+            usable = self._warm(usable, now) or usable
         if self._is_any_deferred(now):
             usable = self._not_deferred(usable)
         preferred = usable.get(requirements.preferred)
@@ -288,8 +344,30 @@
         slot.expected_s = (endpoint.latency_s(now) or _DEFAULT_UNIT_S) * units
         endpoint.slots[slot.number] = slot
         endpoint.units += units
+        if not self._only_proposes:
+            self._cold.record_send(slot.endpoint, now)
         return Lease(self._listings[name], slot)
 
+    def _warm(
+        self, endpoints: dict[str, endpoint_state.Endpoint], now: float
+    ) -> dict[str, endpoint_state.Endpoint]:
+        """Returns the endpoints that aren't cold."""
+        return {
+            name: endpoint
+            for name, endpoint in endpoints.items()
+            if not self._cold.is_cold(_run_of(name, endpoint), now)
+        }
+
+    def record_send(self, lease: Lease) -> None:
+        """Records that a leased request is sent now.
+
+        A lease counts as a request to its endpoint. One that is used only later
+        counts again.
+        """
+        now = self._clock.monotonic()
+        if now - lease.slot.started_at > _LATE_SEND_S:
+            self._cold.record_send(lease.slot.endpoint, now)
+
     def _is_any_deferred(self, now: float) -> bool:
         """Returns whether any endpoint is deferred; forgets past times."""
         if self._deferred:
@@ -356,7 +434,13 @@
 
     def finish_unreachable(self, lease: Lease) -> None:
         """Releases the slot of a call whose endpoint was unreachable."""
+        endpoint = self._endpoint(lease)
         self._finish_ejected(lease)
+        if endpoint is not None:
+            self._cold.note_unreachable(
+                lease.slot.endpoint,
+                max(self._clock.monotonic(), endpoint.ejected_until),
+            )
 
     def finish_endless(self, lease: Lease) -> None:
         """Releases the slot of a call whose reply had no end in sight."""
--- a/chervilarch/platform/documents.py
+++ b/chervilarch/platform/documents.py
@@ -77,6 +77,8 @@
 class _Service(msgspec.Struct):
     name: str
     pieces: _Pieces | None = None
+    cold_start_s: float = 0
+    cold_per_s: float = 0
 
 
 class _Limits(msgspec.Struct):
@@ -104,12 +106,13 @@
     service: _Name
     address: str
     zone: _Name
-    # `slots` and `cold_remaining_ms` aren't used. They are declared so that a
-    # record in which another program wrote another type for them is refused.
+    # Not used. It is declared so that a record in which another program wrote
+    # another type for it is refused.
     slots: int
     state: str
     sequence: _Counter
-    cold_remaining_ms: float = 0
+    # Of any type: an endpoint with an unusable figure stays listed.
+    cold_remaining_ms: msgspec.Raw = msgspec.Raw(b"0")
     # Start time of the endpoint in Unix milliseconds.
     born: _Counter = 0
 
@@ -167,7 +170,21 @@
         _STATES[server.state],
         server.born,
     )
-    return endpoint_list.Listing(entry, server.sequence)
+    return endpoint_list.Listing(
+        entry, server.sequence, _read_cold_s(server.cold_remaining_ms)
+    )
+
+
+def _read_cold_s(figure: msgspec.Raw) -> float | None:
+    """Returns a remaining cold time in seconds, None if it isn't usable."""
+    value = decoding.attempt(_decode_number, figure)
+    if isinstance(value, Unreadable) or not 0.0 <= value <= _MAX_TIME_MS:
+        return None
+    return value / _MS_PER_S
+
+
+def _decode_number(value: bytes) -> float:
+    return msgspec.json.decode(value, type=float)
 
 
 def _decode_server(value: bytes) -> _Server:
@@ -225,4 +242,6 @@
             pieces.headroom_mb * _BYTES_PER_MB,
             pieces.handle_s,
         ),
+        max(0.0, min(service.cold_start_s, _MAX_TIME_MS / _MS_PER_S)),
+        max(0.0, service.cold_per_s),
     )
--- a/chervilarch/routed_context.py
+++ b/chervilarch/routed_context.py
@@ -24,6 +24,7 @@
     telemetry,
 )
 from chervilarch import loop as loops
+from chervilarch.scheduling import cold_starts
 
 
 class RoutedControllers(NamedTuple):
@@ -52,6 +53,7 @@
     permits: permits.Permits
     resumption: resumption.Resumption
     stop_admission: stop_admission.StopAdmission
+    cold: cold_starts.ColdStarts
 
 
 class RoutedContext:
--- a/chervilarch/routed_filters.py
+++ b/chervilarch/routed_filters.py
@@ -143,6 +143,8 @@
     pool = ctx.req.route.pool_for(ctx.req.id)
     wait_s = ctx.ctrl.placement.shortest_wait_s(pool)
     if wait_s > endpoint_lease.longest_wait_s(ctx, 0.0):
+        if ctx.ctrl.placement.is_any_cold(pool):
+            ctx.ctrl.meters.count_cold_wait()
         return endpoint_lease.closed_refusal(ctx, pool, wait_s)
     return (yield from call_next())
 
--- a/chervilarch/routing_table.py
+++ b/chervilarch/routing_table.py
@@ -54,10 +54,15 @@
     Attributes:
         name: the pool's name.
         worker_profile: set for pools that run stages.
+        cold_start_s: how long an endpoint is cold after a start.
+        cold_per_s: requests a second that a cold endpoint can take; 0.0 if
+            there is no bound.
     """
 
     name: str
     worker_profile: WorkerProfile | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class Route(NamedTuple):
--- a/chervilarch/telemetry.py
+++ b/chervilarch/telemetry.py
@@ -39,6 +39,11 @@
             "Times that an endpoint was avoided after a reply without end",
             [],
         )
+        self._cold_waits = self._counter(
+            "cold_endpoint_waits",
+            "Times that a request waited or was refused for cold endpoints",
+            [],
+        )
         self._dropped_lines = self._counter(
             "log_lines_left_out", "Log lines beyond the bound", ["event"]
         )
@@ -76,6 +81,10 @@
         """Counts that an endpoint is avoided on this host."""
         self._avoidances.inc()
 
+    def count_cold_wait(self) -> None:
+        """Counts that a request found all endpoints closed, some as cold."""
+        self._cold_waits.inc()
+
     def set_memory(self, private_bytes: int, reply_bytes: int) -> None:
         """Sets the memory of the process and the bytes kept of replies."""
         self._memory.labels("process").set(private_bytes)
