--- a/chervilarch/scheduling/cold_starts.py
+++ b/chervilarch/scheduling/cold_starts.py
@@ -169,6 +169,8 @@
         self._own = ""
         # When each known host was last named.
         self._hosts: dict[str, float] = {}
+        # Those that had left when they were last named.
+        self._left: frozenset[str] = frozenset()
         self._settled_at: float | None = None
         self._ranks: dict[Run, int] = {}
         self._calls = _SendLog()
@@ -203,13 +205,14 @@
             left: those of them that said that they end; they don't count for
                 longer than they are named.
         """
-        left = frozenset(left)
         known = {own, *names}
+        gone = (self._left - known) | frozenset(left)
+        self._left = frozenset(left)
         before = self._hosts.keys() | ()
         hosts = {
             name: at
             for name, at in self._hosts.items()
-            if name not in left and at + HOST_MEMORY_S > now
+            if name not in gone and at + HOST_MEMORY_S > now
         }
         hosts.update(dict.fromkeys(known, now))
         for name in list(hosts)[: max(0, len(hosts) - MAX_HOSTS)]:
