--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -31,7 +31,7 @@
 class World:
     """A gateway on loopback with a fake store and fake endpoints."""
 
-    def __init__(self, source=None):
+    def __init__(self, source=None, **settings):
         self.loop = loops.Loop(clocks.SystemClock())
         self.store = source or lh.FakeStore()
         self.servers = []
@@ -51,7 +51,7 @@
             1.0,
             0.0,
             BOUNDS,
-        )
+        )._replace(**settings)
         self.meters = telemetry.Telemetry()
         client = http_client.Client(self.loop)
         self.ctrl = gateway.build_controllers(
