Describe cold endpoints; test which hosts count

A host that starts uses no share before it knows the others; the tests follow a fleet whose store is away at first, and the gateway's periodic check.

--- a/chervilarch/endpoint_lease.py
+++ b/chervilarch/endpoint_lease.py
@@ -121,6 +121,14 @@
         if ctx.ctrl.placement.is_any_cold(requirements.pool):
             ctx.ctrl.meters.count_cold_wait()
             pause_s += ctx.ctrl.placement.queue_s(requirements.pool, tried)
+            state_log.log_decision(
+                "cold endpoints closed",
+                request_id=ctx.req.id,
+                pool=requirements.pool,
+                wait_ms=round(pause_s * 1000),
+                left_ms=round(ctx.remaining_s() * 1000),
+                waiting=ctx.ctrl.placement.waiting[requirements.pool],
+            )
         if not may_wait or pause_s > longest_wait_s(ctx, 0.0):
             return closed_refusal(ctx, requirements.pool, pause_s)
         ctx.ctrl.placement.waiting[requirements.pool] += 1
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -36,22 +36,7 @@
         self.store = source or lh.FakeStore()
         self.servers = []
         port = lh.free_ports(5)
-        cfg = gateway_settings.GatewaySettings(
-            "n1",
-            "dc1",
-            "127.0.0.1:0",
-            "127.0.0.1:0",
-            "127.0.0.1",
-            (port, port + 4),
-            0,
-            "127.0.0.1:1",
-            "test",
-            (),
-            0.0,
-            1.0,
-            0.0,
-            BOUNDS,
-        )._replace(**settings)
+        cfg = self.settings((port, port + 4))._replace(**settings)
         self.meters = telemetry.Telemetry()
         client = http_client.Client(self.loop)
         self.ctrl = gateway.build_controllers(
@@ -67,6 +52,25 @@
             body_room=byte_room.Room(memory_limits.room_bounds(0.0)),
         )
 
+    @staticmethod
+    def settings(peer_ports):
+        return gateway_settings.GatewaySettings(
+            "n1",
+            "dc1",
+            "127.0.0.1:0",
+            "127.0.0.1:0",
+            "127.0.0.1",
+            peer_ports,
+            0,
+            "127.0.0.1:1",
+            "test",
+            (),
+            0.0,
+            1.0,
+            0.0,
+            BOUNDS,
+        )
+
     def close(self):
         self.server.stop_accepting()
         self.ctrl.stage_coordinator.close()
--- a/tests/test_cold_endpoints.py
+++ b/tests/test_cold_endpoints.py
@@ -25,8 +25,18 @@
 from test_endpoint_pauses import retry_after_s
 from test_piece_runner import World as PieceWorld
 from test_piece_runner import name_of
-
-from chervilarch import endpoint_state, exchanges, placement
+from test_rewritten_records import start_fleet
+
+from chervilarch import (
+    cold_endpoints,
+    endpoint_state,
+    environment,
+    exchanges,
+    gateway,
+    placement,
+    store,
+    telemetry,
+)
 from chervilarch.platform import documents
 from chervilarch.scheduling import cold_starts
 
@@ -326,3 +336,46 @@
     )
     run = endpoint_state.EndpointRun(name_of(call), 1)
     assert world.runner.cold.is_cold(run, world.loop.now() + 20.0)
+
+
+def test_a_host_uses_no_share_before_it_knows_which_hosts_there_are():
+    loop, clock = lh.new_loop()
+    source = lh.FakeStore()
+    for number in range(2, 7):
+        address = f"127.0.0.1:{number}"
+        source.write(
+            store.Topic.ROUTERS, f"n{number}", address.encode() + b" d"
+        )
+    source.error = store.StoreError("away")
+    fleet = start_fleet(loop, clock, source)
+    cold = cold_starts.ColdStarts()
+    cold.set_pools({"p": _POOL})
+    run = endpoint_state.EndpointRun("e1", 1)
+    place = cold_starts.Place("p", "dc1")
+    cold.record_report(run, place, cold_starts.Report(1, 60.0), loop.now())
+    cold_endpoints.set_hosts(cold, fleet, loop.now())
+    assert fleet.known_hosts() is None
+    clock.advance(2 * cold_starts.SETTLE_S)
+    assert cold.wait_s(run, loop.now()) > 0.0
+    source.error = None
+    lh.advance_until(loop, clock, lambda: fleet.known_hosts() is not None)
+    assert fleet.known_hosts().names == {f"n{n}" for n in range(1, 7)}
+    cold_endpoints.set_hosts(cold, fleet, loop.now())
+    clock.advance(1.01 * cold_starts.SETTLE_S)
+    assert cold.wait_s(run, loop.now()) == 0.0
+    loop.close()
+
+
+def test_a_gateway_passes_on_the_hosts_that_it_knows():
+    first = lh.free_ports(5)
+    settings = gateway_world.World.settings((first, first + 4))
+    made = gateway.Gateway(
+        settings, environment.system_environment(), telemetry.Telemetry()
+    )
+    told = []
+    made._ctrl.cold.set_hosts = lambda own, *_: told.append(own)
+    made._ctrl.fleet._has_read_list = True
+    made._poll()
+    made._ctrl.fleet.stop = made._ctrl.fleet.gossip._socket.close
+    made._close()
+    assert told == ["n1"]
