Serve routes and accounts in their allowed regions only

Routes and tenants of the configuration may name regions; a request of theirs was sent to the least loaded endpoint anywhere. Final calls, retries, proposals of the coordinator and pieces of stages now go only to endpoints whose data centre lies in a region that both allow; one of an unknown region lies in none. Without an endpoint of each pool that it needs, a request is refused before any of its stages runs. A graph carries its regions to the coordinator, where no region at all is told apart from no restriction.

--- a/chervilarch/endpoint_lease.py
+++ b/chervilarch/endpoint_lease.py
@@ -114,13 +114,19 @@
         chosen = ctx.ctrl.placement.pick(requirements, tried)
         if chosen is not None:
             return chosen
-        open_s = ctx.ctrl.placement.pause_s(requirements.pool, tried)
+        open_s = ctx.ctrl.placement.pause_s(
+            requirements.pool, tried, requirements.regions
+        )
         if not open_s:
             return None
         pause_s = open_s
-        if ctx.ctrl.placement.is_any_cold(requirements.pool):
+        if ctx.ctrl.placement.is_any_cold(
+            requirements.pool, requirements.regions
+        ):
             ctx.ctrl.meters.count_cold_wait()
-            pause_s += ctx.ctrl.placement.queue_s(requirements.pool, tried)
+            pause_s += ctx.ctrl.placement.queue_s(
+                requirements.pool, tried, requirements.regions
+            )
             state_log.log_decision(
                 "cold endpoints closed",
                 request_id=ctx.req.id,
@@ -165,7 +171,7 @@
     ctx: contexts.RoutedContext, pool: str, wait_s: float
 ) -> outcomes.NotRun:
     """Returns the outcome of a request whose endpoints are closed for long."""
-    if ctx.ctrl.placement.is_any_cold(pool):
+    if ctx.ctrl.placement.is_any_cold(pool, ctx.req.regions):
         # Other hosts may have shares of other endpoints, so that it is of use
         # to come back sooner than this host may send anything.
         return outcomes.NotRun(
@@ -174,7 +180,7 @@
             "send the request again after the time given",
             min(wait_s, pieces.retry_after_s(max(0.0, ctx.remaining_s()))),
         )
-    if not ctx.ctrl.placement.is_any_avoided(pool):
+    if not ctx.ctrl.placement.is_any_avoided(pool, ctx.req.regions):
         return refusal(wait_s)
     return outcomes.NotRun(
         outcomes.Reason.NO_ENDPOINT,
--- a/chervilarch/final_call.py
+++ b/chervilarch/final_call.py
@@ -211,7 +211,8 @@
     if not ctx.req.possible_runs:
         pool = ctx.req.route.pool_for(ctx.req.id)
         retry_s = max(
-            DECLINED_RETRY_S, ctx.ctrl.placement.shortest_wait_s(pool)
+            DECLINED_RETRY_S,
+            ctx.ctrl.placement.shortest_wait_s(pool, ctx.req.regions),
         )
         if last is None:
             return outcomes.NotRun(
@@ -354,7 +355,9 @@
         """Sends an attempt if it can; may return why it can't."""
         ctx = self._ctx
         requirements = placement.Requirements(
-            self._pool, finish_by=ctx.req.deadline_at
+            self._pool,
+            finish_by=ctx.req.deadline_at,
+            regions=ctx.req.regions,
         )
         lease = yield from endpoint_lease.lease(
             ctx, requirements, self._tried, may_wait
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -48,7 +48,7 @@
 from chervilarch.platform import documents, wire
 from chervilarch.platform import store as platform_store
 from chervilarch.routed_context import RoutedControllers
-from chervilarch.scheduling import cold_starts
+from chervilarch.scheduling import cold_starts, homes
 
 # Reads of the endpoint list within `drain_s`, after which a leaving endpoint
 # must get no new work.
@@ -293,14 +293,21 @@
     avoided = avoidances.Avoidances(loop.clock, rng, meters.count_avoidance)
     cold = cold_starts.ColdStarts(cold_endpoints.log_cold)
     cold_endpoints.connect(cold, cfg.bounds, configuration, endpoints)
+    regions = homes.Regions(cfg.regions)
     own_placement = placement.Placement(
-        cfg.data_centre, loop.clock, rng, avoided, cold
+        cfg.data_centre, loop.clock, rng, avoided, cold, regions=regions
     )
     # Load of the final calls of all stage graphs that run here, also of remote
     # runs, which run for other hosts. `own_placement` has only the calls that
     # this host sends.
     coordinator_placement = placement.Placement(
-        cfg.data_centre, loop.clock, rng, avoided, cold, only_proposes=True
+        cfg.data_centre,
+        loop.clock,
+        rng,
+        avoided,
+        cold,
+        only_proposes=True,
+        regions=regions,
     )
     stage_budgets = budgets.PoolBudgets(
         cfg.bounds.retry_share,
@@ -320,6 +327,7 @@
         limits,
         avoided,
         cold,
+        regions,
     )
     runner.confirmed = resuming.confirmed
     key = fleet.deployment_key(cfg.deployment)
--- a/chervilarch/peer.capnp
+++ b/chervilarch/peer.capnp
@@ -94,6 +94,15 @@
   sharedTokens @9 :UInt32;
   ownTokens @10 :UInt32;
   isBegun @11 :Bool;
+  # Numbers that another change uses.
+  reserved12 @12 :Void;
+  reserved13 @13 :Void;
+  reserved14 @14 :Void;
+  reserved15 @15 :Void;
+  reserved16 @16 :Void;
+  # Whether only endpoints of `regions` may be used.
+  isRegional @17 :Bool;
+  regions @18 :List(Text);
 }
 
 struct StageMaker {
--- a/chervilarch/piece_queue.py
+++ b/chervilarch/piece_queue.py
@@ -11,6 +11,7 @@
 
 from chervilarch import endpoint_list, endpoint_state, pieces, routing_table
 from chervilarch.pieces import PendingJob, PieceResult
+from chervilarch.scheduling import homes
 
 # Weight of the newest call in an endpoint's moving average of slowness.
 _SLOWNESS_WEIGHT = 0.3
@@ -149,7 +150,20 @@
 class PieceQueue:
     """Pending jobs of one pool, and the workers that make their pieces."""
 
-    def __init__(self, pool: str, profile: routing_table.WorkerProfile):
+    def __init__(
+        self,
+        pool: str,
+        profile: routing_table.WorkerProfile,
+        regions: homes.Regions | None = None,
+    ):
+        """Creates the queue without workers.
+
+        Args:
+            pool: name of the pool.
+            profile: capacity of its workers.
+            regions: the regions of data centres.
+        """
+        self._regions = regions or homes.Regions({})
         self.pool = pool
         self.profile = profile
         self.workers: dict[str, Worker] = {}
@@ -184,13 +198,34 @@
         """Returns the configured time of a call with `count` pieces."""
         return self.profile.call_overhead_s + count * self.profile.piece_s
 
-    def wait_s(self, priority: int, target_at: float, now: float) -> float:
-        """Returns the estimated wait of a new job before its first call."""
-        usable = [
+    def allowed_workers(self, allowed: homes.Allowed) -> list[Worker]:
+        """Returns the workers in some regions, None for all."""
+        return [
             worker
             for worker in self.workers.values()
-            if worker.unavailable_until() <= now + _SHORT_BACKOFF_S
+            if self._is_allowed(worker, allowed)
         ]
+
+    def _is_allowed(self, worker: Worker, allowed: homes.Allowed) -> bool:
+        data_centre = worker.listing.entry.data_centre
+        return self._regions.allows(data_centre, allowed)
+
+    def wait_s(
+        self,
+        priority: int,
+        target_at: float,
+        now: float,
+        allowed: homes.Allowed = None,
+    ) -> float:
+        """Returns the estimated wait of a new job before its first call.
+
+        Args:
+            priority: rank of the job.
+            target_at: monotonic time at which it should end.
+            now: monotonic time.
+            allowed: regions whose workers may make its pieces, None for all.
+        """
+        usable = self._usable(now + _SHORT_BACKOFF_S, allowed)
         if not usable:
             return self.call_s(1)
         own_key = (
@@ -199,18 +234,27 @@
             priority,
             int(target_at / pieces.TARGET_BUCKET_S),
         )
-        ahead = self.upcoming + sum(
-            len(pending.queued_pieces)
-            for pending in self._jobs
-            if pending.sort_key(now)[:4] <= own_key
+        jobs = [p for p in self._jobs if p.sort_key(now)[:4] <= own_key]
+        ahead = self.upcoming + sum(len(p.queued_pieces) for p in jobs)
+        busy_s = min(max(0.0, w.free_at - now) for w in usable)
+        if allowed is None:
+            return busy_s + ahead / self._rate(usable)
+        # All jobs share all workers, those of the same regions share these.
+        all_usable = self._usable(now + _SHORT_BACKOFF_S)
+        alike = sum(
+            len(p.queued_pieces) for p in jobs if p.job.regions == allowed
         )
+        return busy_s + max(
+            ahead / self._rate(all_usable), alike / self._rate(usable)
+        )
+
+    def _rate(self, workers: list[Worker]) -> float:
+        """Returns the pieces a second that workers make."""
         batch = self.profile.batch
-        rate = sum(
+        return sum(
             batch * self.profile.max_calls / (w.slowness * self.call_s(batch))
-            for w in usable
+            for w in workers
         )
-        busy_s = min(max(0.0, w.free_at - now) for w in usable)
-        return busy_s + ahead / rate
 
     def is_backed_up(self) -> bool:
         """Returns whether over half a full batch for each worker waits."""
@@ -247,13 +291,11 @@
         }
         pool_free_memory = self._pool_free_memory(now)
         for pending in sorted(self._jobs, key=lambda p: p.sort_key(now)):
-            total_bytes = pending.result_bytes() * len(pending.queued_pieces)
             # A job started without memory for its last piece could deadlock
             # with other started jobs.
-            if (
-                not pending.queued_pieces
-                or not pending.is_started()
-                and total_bytes > pool_free_memory
+            if not pending.queued_pieces or not (
+                pending.is_started()
+                or self._has_memory(pending, pool_free_memory, now)
             ):
                 continue
             worker = self._choose_worker(pending, free_memory, now)
@@ -274,14 +316,20 @@
             free_memory: workers with a free slot and their free bytes.
             now: monotonic time in seconds.
         """
+        allowed = pending.job.regions
         fitting = [
-            w for w in free_memory if pending.result_bytes() <= free_memory[w]
+            w
+            for w in free_memory
+            if pending.result_bytes() <= free_memory[w]
+            and self._is_allowed(w, allowed)
         ]
         if not fitting:
             return None
         # Waiting for a better worker pays only while no other job needs the
         # free ones.
-        candidates = fitting if self.is_backed_up() else self._usable(now)
+        candidates = (
+            fitting if self.is_backed_up() else self._usable(now, allowed)
+        )
         best = min(candidates, key=lambda w: self._cost_s(pending, w, now))
         return best if best in fitting else None
 
@@ -321,10 +369,7 @@
             ):
                 continue
             is_new = pending is not first and not pending.is_started()
-            if (
-                is_new
-                and piece_bytes * len(pending.queued_pieces) > pool_free_memory
-            ):
+            if is_new and not self._has_memory(pending, pool_free_memory, now):
                 continue
             # This counts the need of a started job twice, which only keeps more
             # new jobs out of the call.
@@ -355,10 +400,14 @@
         While little work waits, a new job doesn't join a call to another data
         centre than that of its best worker.
         """
+        allowed = pending.job.regions
+        if not self._is_allowed(worker, allowed):
+            return False
         if self.is_backed_up() or pending.is_started():
             return True
         best = min(
-            self._usable(now), key=lambda w: self._cost_s(pending, w, now)
+            self._usable(now, allowed),
+            key=lambda w: self._cost_s(pending, w, now),
         )
         return best is worker or best.listing.entry.data_centre == (
             worker.listing.entry.data_centre
@@ -384,6 +433,7 @@
         has_slot = any(
             worker.has_slot(self.profile.max_calls)
             for worker in self._usable(now)
+            if any(self._is_allowed(worker, p.job.regions) for p in started)
         )
         if len(started) < 2 or not has_slot:
             self._blocked_since = None
@@ -396,16 +446,30 @@
         victim = max(started, key=lambda pending: pending.sort_key(now))
         return victim.restart()
 
-    def _usable(self, now: float) -> list[Worker]:
+    def _usable(
+        self, now: float, allowed: homes.Allowed = None
+    ) -> list[Worker]:
         return [
             worker
-            for worker in self.workers.values()
+            for worker in self.allowed_workers(allowed)
             if worker.unavailable_until() <= now
         ]
 
     def _free_memory(self, worker: Worker, now: float) -> float:
         return self.profile.result_memory_bytes - worker.used_bytes(now)
 
+    def _has_memory(
+        self, pending: PendingJob, pool_free_memory: float, now: float
+    ) -> bool:
+        """Returns whether all results of a job that starts have memory."""
+        needed_bytes = pending.result_bytes() * len(pending.queued_pieces)
+        if needed_bytes > pool_free_memory:
+            return False
+        if pending.job.regions is None:
+            return True
+        workers = self.allowed_workers(pending.job.regions)
+        return needed_bytes <= sum(self._free_memory(w, now) for w in workers)
+
     def _pool_free_memory(self, now: float) -> float:
         """Returns the free memory beyond the needs of started jobs."""
         needed_bytes = sum(
--- a/chervilarch/piece_runner.py
+++ b/chervilarch/piece_runner.py
@@ -23,7 +23,7 @@
 )
 from chervilarch import loop as loops
 from chervilarch.futures import Future
-from chervilarch.scheduling import cold_starts
+from chervilarch.scheduling import cold_starts, homes
 
 # A job fails when more calls than this have failed.
 _MAX_ERRORS = 3
@@ -51,7 +51,9 @@
         limits: endpoint_limits.EndpointLimits,
         avoided: avoidances.Avoidances,
         cold: cold_starts.ColdStarts | None = None,
+        regions: homes.Regions | None = None,
     ):
+        self._regions = regions
         self.cold = cold or cold_starts.ColdStarts()
         self.loop = loop
         self.client = client
@@ -80,7 +82,9 @@
                 continue
             queue = self._queues.get(name)
             if queue is None:
-                queue = piece_queue.PieceQueue(name, pool.worker_profile)
+                queue = piece_queue.PieceQueue(
+                    name, pool.worker_profile, self._regions
+                )
                 queue.set_endpoints(self._listed.get(name, {}))
                 self._queues[name] = queue
             queue.profile = pool.worker_profile
@@ -103,13 +107,12 @@
         now = self.loop.now()
         pending = pieces.PendingJob(job, now)
         queue = self._queues.get(job.pool)
-        if queue is None or not queue.workers:
+        workers = queue.allowed_workers(job.regions) if queue else []
+        if not workers:
             pending.end(pieces.JobFailure(pieces.NO_ENDPOINT))
             return pending
         self._apply_closures(queue)
-        next_call_at = min(
-            worker.closed_until() for worker in queue.workers.values()
-        )
+        next_call_at = min(worker.closed_until() for worker in workers)
         if max(now, next_call_at) + queue.call_s(1) > job.deadline_at:
             pending.end(pieces.JobFailure(pieces.PAST_DEADLINE))
             return pending
--- a/chervilarch/pieces.py
+++ b/chervilarch/pieces.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from chervilarch.futures import Future
+from chervilarch.scheduling import homes
 
 # The configuration gives approximate sizes of results. Estimates add this
 # margin, and grow each time an endpoint lacks the memory for a job's result.
@@ -78,6 +79,7 @@
         result_bytes: approximate size of one result.
         transfer_bytes: bytes that each piece transfers from or to a
             data centre unless it is made there, "" for an unknown one.
+        regions: regions whose workers may make the pieces, None for all.
     """
 
     request_id: str
@@ -91,6 +93,7 @@
     priority: int
     result_bytes: int = 0
     transfer_bytes: tuple[tuple[str, int], ...] = ()
+    regions: homes.Allowed = None
 
 
 SortKey = tuple[bool, bool, int, int, int]
--- a/chervilarch/placement.py
+++ b/chervilarch/placement.py
@@ -17,7 +17,7 @@
     piece_queue,
     state_log,
 )
-from chervilarch.scheduling import cold_starts
+from chervilarch.scheduling import cold_starts, homes
 
 # Prompt tokens of one work unit at a model engine.
 TOKENS_PER_UNIT = 1000.0
@@ -50,6 +50,7 @@
         input_bytes: bytes of its inputs by data centre.
         preferred: id of the endpoint that the coordinator proposes, "" for
             none; it is chosen if it is usable and not suspected.
+        regions: regions whose endpoints may be chosen, None for all.
     """
 
     pool: str
@@ -60,6 +61,7 @@
     finish_by: float = float("inf")
     input_bytes: dict[str, int] = {}
     preferred: str = ""
+    regions: homes.Allowed = None
 
 
 class Lease(NamedTuple):
@@ -90,6 +92,7 @@
         avoided: avoidances.Avoidances,
         cold: cold_starts.ColdStarts | None = None,
         only_proposes: bool = False,
+        regions: homes.Regions | None = None,
     ):
         """Creates it without endpoints.
 
@@ -101,7 +104,9 @@
             cold: the endpoints that are cold.
             only_proposes: whether other hosts send the requests. These keep the
                 bound on requests to cold endpoints themselves.
+            regions: the regions of data centres.
         """
+        self._regions = regions or homes.Regions({})
         self._cold = cold or cold_starts.ColdStarts()
         self._only_proposes = only_proposes
         self._data_centre = data_centre
@@ -142,9 +147,28 @@
                 kept[name] = endpoint
         self._pools = pools
 
-    def affinity_data_centre(self, pool: str, shared: bytes) -> str:
+    def has_endpoint(self, pool: str, regions: homes.Allowed) -> bool:
+        """Returns whether a pool has an endpoint in the allowed regions."""
+        return bool(self._endpoints(pool, regions))
+
+    def _endpoints(
+        self, pool: str, regions: homes.Allowed
+    ) -> dict[str, endpoint_state.Endpoint]:
+        """Returns the endpoints of a pool in the allowed regions."""
+        endpoints = self._pools.get(pool, {})
+        if regions is None:
+            return endpoints
+        return {
+            name: endpoint
+            for name, endpoint in endpoints.items()
+            if self._regions.allows(endpoint.data_centre, regions)
+        }
+
+    def affinity_data_centre(
+        self, pool: str, shared: bytes, regions: homes.Allowed = None
+    ) -> str:
         """Returns the data centre of the affinity endpoint, "" if unknown."""
-        endpoints = self._pools.get(pool)
+        endpoints = self._endpoints(pool, regions)
         if not endpoints:
             return ""
         return endpoints[_affinity_endpoint(endpoints, shared)].data_centre
@@ -167,7 +191,9 @@
             pause_ms=round(1000 * (until - self._clock.monotonic())),
         )
 
-    def pause_s(self, pool: str, tried: set[str]) -> float:
+    def pause_s(
+        self, pool: str, tried: set[str], regions: homes.Allowed = None
+    ) -> float:
         """Returns when the first closed endpoint of a pool may be used.
 
         Endpoints are closed while they are paused, avoided, tried by another
@@ -176,6 +202,7 @@
         Args:
             pool: the pool.
             tried: ids of endpoints that aren't to be counted.
+            regions: regions whose endpoints are counted.
 
         Returns:
             Seconds until then, 0.0 if no other endpoint is closed.
@@ -183,19 +210,21 @@
         now = self._clock.monotonic()
         waits_s = [
             self._closed_s(name, endpoint, now)
-            for name, endpoint in self._pools.get(pool, {}).items()
+            for name, endpoint in self._endpoints(pool, regions).items()
             if name not in tried
         ]
         return min(filter(None, waits_s), default=0.0)
 
-    def is_any_avoided(self, pool: str) -> bool:
+    def is_any_avoided(self, pool: str, regions: homes.Allowed = None) -> bool:
         """Returns whether an endpoint of a pool is avoided or on trial."""
         return any(
             self._avoided.trial_since(_run_of(name, endpoint)) < math.inf
-            for name, endpoint in self._pools.get(pool, {}).items()
+            for name, endpoint in self._endpoints(pool, regions).items()
         )
 
-    def queue_s(self, pool: str, tried: set[str]) -> float:
+    def queue_s(
+        self, pool: str, tried: set[str], regions: homes.Allowed = None
+    ) -> float:
         """Returns how long requests that wait for cold endpoints take.
 
         Each of these opens for a few requests only.
@@ -203,23 +232,25 @@
         Args:
             pool: the pool.
             tried: ids of endpoints that aren't to be counted.
+            regions: regions whose endpoints are counted. All requests that wait
+                for the pool are taken to wait for these.
         """
         now = self._clock.monotonic()
         per_window = sum(
             self._cold.per_window(_run_of(name, endpoint), now)
-            for name, endpoint in self._pools.get(pool, {}).items()
+            for name, endpoint in self._endpoints(pool, regions).items()
             if name not in tried
         )
         if not per_window:
             return 0.0
         return cold_starts.WINDOW_S * (self.waiting[pool] // per_window)
 
-    def is_any_cold(self, pool: str) -> bool:
+    def is_any_cold(self, pool: str, regions: homes.Allowed = None) -> bool:
         """Returns whether this host may send a cold endpoint no request."""
         now = self._clock.monotonic()
         return any(
             self._cold_s(_run_of(name, endpoint), now) > 0.0
-            for name, endpoint in self._pools.get(pool, {}).items()
+            for name, endpoint in self._endpoints(pool, regions).items()
         )
 
     def _cold_s(self, run: endpoint_state.EndpointRun, now: float) -> float:
@@ -275,17 +306,19 @@
             0.0, until - self._clock.monotonic(), self._avoided.wait_s(run)
         )
 
-    def shortest_wait_s(self, pool: str) -> float:
+    def shortest_wait_s(
+        self, pool: str, regions: homes.Allowed = None
+    ) -> float:
         """Returns how long all open endpoints are deferred or closed."""
         now = self._clock.monotonic()
         if (
             not self._is_any_deferred(now)
             and not self._paused
             and not self._avoided.is_any()
-            and not self.is_any_cold(pool)
+            and not self.is_any_cold(pool, regions)
         ):
             return 0.0
-        endpoints = self._pools.get(pool, {})
+        endpoints = self._endpoints(pool, regions)
         is_any_open = any(e.is_open(now) for e in endpoints.values())
         return min(
             (
@@ -304,7 +337,9 @@
         now = self._clock.monotonic()
         candidates = {
             name: endpoint
-            for name, endpoint in self._pools.get(requirements.pool, {}).items()
+            for name, endpoint in self._endpoints(
+                requirements.pool, requirements.regions
+            ).items()
             if name not in tried and not self._closed_s(name, endpoint, now)
         }
         # If all endpoints are ejected, any of them is better than none.
--- a/chervilarch/platform/documents.py
+++ b/chervilarch/platform/documents.py
@@ -62,6 +62,7 @@
     sticky: bool = False
     resumable: bool = False
     gap_aim_ms: float = 0
+    allowed_regions: list[_Name] | None = None
 
 
 class _Pieces(msgspec.Struct):
@@ -92,6 +93,7 @@
     name: str
     api_keys: list[str] = []
     priority: _Priority | None = None
+    allowed_regions: list[_Name] | None = None
 
 
 class _Config(msgspec.Struct):
@@ -132,7 +134,11 @@
         [_build_route(route) for route in config.routes],
         {service.name: _build_pool(service) for service in config.services},
         {
-            key: routing_table.Account(tenant.name, tenant.priority)
+            key: routing_table.Account(
+                tenant.name,
+                tenant.priority,
+                frozenset(tenant.allowed_regions or ()),
+            )
             for tenant in config.tenants or ()
             for key in tenant.api_keys
         },
@@ -225,6 +231,7 @@
         ),
         needs_key=not route.auth_exempt,
         is_prompt=route.sticky,
+        allowed_regions=frozenset(route.allowed_regions or ()),
     )
 
 
--- a/chervilarch/routed.py
+++ b/chervilarch/routed.py
@@ -15,6 +15,7 @@
     prompt_blocks,
     routing_table,
 )
+from chervilarch.scheduling import homes
 
 _MS_PER_S = 1000
 
@@ -52,7 +53,7 @@
 class RoutedRequest:
     """One request as the caller sent it; a retry by the caller is a new one.
 
-    The filters set account, route, priority, deadline and objective.
+    The filters set account, route, regions, priority, deadline and objective.
     """
 
     def __init__(
@@ -99,6 +100,7 @@
         # The block of prompts that this request tests, if any.
         self.tested_block: prompt_blocks.PromptBlock | None = None
         self.route: routing_table.Route | None = None
+        self.regions: homes.Allowed = None
         self.priority = 0
         self.deadline_at = float("inf")
         self.objective_at = float("inf")
--- a/chervilarch/routed_filters.py
+++ b/chervilarch/routed_filters.py
@@ -4,6 +4,7 @@
 after it.
 """
 
+import itertools
 from collections.abc import Callable
 
 from chervilarch import (
@@ -17,6 +18,7 @@
     tasks,
 )
 from chervilarch.routed_context import RoutedContext
+from chervilarch.scheduling import homes
 
 NextFilter = Callable[[], tasks.Coroutine[outcomes.Outcome]]
 Filter = Callable[
@@ -112,6 +114,49 @@
     return (yield from call_next())
 
 
+def refuse_outside_regions(
+    ctx: RoutedContext, call_next: NextFilter
+) -> tasks.Coroutine[outcomes.Outcome]:
+    """Refuses requests that no endpoint in their allowed regions can serve.
+
+    A key counts for this also on a route that needs none.
+    """
+    req = ctx.req
+    account = req.account or ctx.table.account_of_key(req.api_key)
+    req.regions = homes.allowed_regions(req.route, account)
+    if req.regions is None:
+        return (yield from call_next())
+    # A missing count of pieces means 1.
+    counts = itertools.chain(req.piece_counts, itertools.repeat(1))
+    pools = [
+        req.route.pool_for(req.id),
+        *(s.pool for s, n in zip(req.route.stages, counts, strict=False) if n),
+    ]
+    lacking = [
+        pool
+        for pool in pools
+        if not ctx.ctrl.placement.has_endpoint(pool, req.regions)
+    ]
+    if not lacking:
+        return (yield from call_next())
+    ctx.ctrl.meters.count_region_refusal()
+    state_log.log_decision(
+        "no endpoint in allowed regions",
+        is_problem=True,
+        request_id=req.id,
+        pools=lacking,
+        regions=sorted(req.regions),
+        endpoints_age_s=round(
+            ctx.now() - ctx.ctrl.endpoints.topic_follower.read_at, 1
+        ),
+    )
+    return outcomes.NotRun(
+        outcomes.Reason.NO_ENDPOINT,
+        "the allowed regions have no endpoint of a pool that is needed",
+        "send the request again after the time given",
+    )
+
+
 def refuse_while_stopping(
     ctx: RoutedContext, call_next: NextFilter
 ) -> tasks.Coroutine[outcomes.Outcome]:
@@ -141,9 +186,9 @@
 ) -> tasks.Coroutine[outcomes.Outcome]:
     """Refuses requests that would wait too long for an endpoint to open."""
     pool = ctx.req.route.pool_for(ctx.req.id)
-    wait_s = ctx.ctrl.placement.shortest_wait_s(pool)
+    wait_s = ctx.ctrl.placement.shortest_wait_s(pool, ctx.req.regions)
     if wait_s > endpoint_lease.longest_wait_s(ctx, 0.0):
-        if ctx.ctrl.placement.is_any_cold(pool):
+        if ctx.ctrl.placement.is_any_cold(pool, ctx.req.regions):
             ctx.ctrl.meters.count_cold_wait()
         return endpoint_lease.closed_refusal(ctx, pool, wait_s)
     return (yield from call_next())
@@ -185,6 +230,7 @@
     find_route,
     identify_account,
     set_deadline,
+    refuse_outside_regions,
     refuse_while_stopping,
     refuse_blocked_prompts,
     refuse_over_limits,
--- a/chervilarch/routing_table.py
+++ b/chervilarch/routing_table.py
@@ -87,6 +87,7 @@
         stages: the stages before the final call.
         needs_key: whether callers must send an account's key.
         is_prompt: whether requests carry a prompt for a model engine.
+        allowed_regions: regions whose endpoints may be used; empty for all.
     """
 
     name: str
@@ -103,6 +104,7 @@
     stages: tuple[Stage, ...] = ()
     needs_key: bool = True
     is_prompt: bool = False
+    allowed_regions: frozenset[str] = frozenset()
 
     def pool_for(self, request_id: str) -> str:
         """Returns the pool of a request, by its id and the weights."""
@@ -118,10 +120,17 @@
 
 
 class Account(NamedTuple):
-    """An account; its priority, if set, overrides the route's."""
+    """An account.
+
+    Attributes:
+        name: the account's name.
+        priority: if set, overrides the route's.
+        allowed_regions: regions whose endpoints may be used; empty for all.
+    """
 
     name: str
     priority: int | None = None
+    allowed_regions: frozenset[str] = frozenset()
 
 
 class CallerLimits(NamedTuple):
--- a/chervilarch/stage_graph.py
+++ b/chervilarch/stage_graph.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from chervilarch import piece_runner, pieces, routing_table, state_log, tasks
+from chervilarch.scheduling import homes
 
 # Expected time from the final call to its first event, in seconds. Stages
 # should end this long before the objective.
@@ -78,6 +79,7 @@
         completed: results of stages that another host had made.
         is_partly_answered: whether the caller has part of the answer already; a
             refusal would cut the answer off.
+        regions: regions whose endpoints may be used, None for all.
     """
 
     request_id: str
@@ -90,6 +92,7 @@
     prompt: PromptSize = PromptSize()
     completed: "StageResults" = ()
     is_partly_answered: bool = False
+    regions: homes.Allowed = None
 
     def active_stages(self) -> list[int]:
         """Returns the stages that aren't skipped."""
@@ -257,6 +260,7 @@
             graph.priority,
             stage.result_bytes,
             self._transfer_bytes(number, input_stages),
+            graph.regions,
         )
         self._remove_upcoming(number)
         self._running[number] = self._runner.submit(job)
--- a/chervilarch/stage_inputs.py
+++ b/chervilarch/stage_inputs.py
@@ -92,9 +92,12 @@
                 for number, stage in enumerate(req.route.stages)
             ),
             self._ctx.ctrl.placement.affinity_data_centre(
-                req.route.pool_for(req.id), req.prompt.shared_name()
+                req.route.pool_for(req.id),
+                req.prompt.shared_name(),
+                req.regions,
             ),
             self._prompt(),
+            regions=req.regions,
         )
 
     def _prompt(self) -> stage_graph.PromptSize:
--- a/chervilarch/stage_messages.py
+++ b/chervilarch/stage_messages.py
@@ -110,6 +110,9 @@
     slot.isBegun = graph.is_partly_answered
     slot.objectiveMs = int((graph.objective_at - now) * _MS_PER_S)
     slot.deadlineMs = int((graph.deadline_at - now) * _MS_PER_S)
+    if graph.regions is not None:
+        slot.isRegional = True
+        slot.regions = sorted(graph.regions)
     stages = slot.init("stages", len(graph.stages))
     for target, stage in zip(stages, graph.stages, strict=True):
         target.pool = stage.pool
@@ -139,6 +142,7 @@
             slot.ownTokens,
         ),
         is_partly_answered=slot.isBegun,
+        regions=frozenset(slot.regions) if slot.isRegional else None,
     )
 
 
--- a/chervilarch/stage_scheduler.py
+++ b/chervilarch/stage_scheduler.py
@@ -145,7 +145,9 @@
             )
             # The wait counts from now, not from the end of the inputs: work
             # that waits now is done by the time a later stage starts.
-            wait_s = queue.wait_s(graph.priority, graph.objective_at, now)
+            wait_s = queue.wait_s(
+                graph.priority, graph.objective_at, now, graph.regions
+            )
             ends_s[number] = max(starts_s, wait_s) + stage_graph.stage_call_s(
                 self._piece_runner, stage
             )
@@ -210,6 +212,7 @@
                 prompt.own_tokens,
                 graph.deadline_at,
                 stage_graph.result_bytes_by_data_centre(graph.stages, results),
+                regions=graph.regions,
             ),
             set(),
         )
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -309,6 +309,7 @@
             input_bytes=inputs.result_bytes_by_data_centre(),
             preferred=inputs.proposed_engine,
             finish_by=self._ctx.req.deadline_at,
+            regions=self._ctx.req.regions,
         )
 
     def _drop_expired_inputs(self) -> None:
--- a/chervilarch/telemetry.py
+++ b/chervilarch/telemetry.py
@@ -44,6 +44,11 @@
             "Times that a request waited or was refused for cold endpoints",
             [],
         )
+        self._region_refusals = self._counter(
+            "region_refusals",
+            "Requests without an endpoint in their allowed regions",
+            [],
+        )
         self._dropped_lines = self._counter(
             "log_lines_left_out", "Log lines beyond the bound", ["event"]
         )
@@ -85,6 +90,10 @@
         """Counts that a request found all endpoints closed, some as cold."""
         self._cold_waits.inc()
 
+    def count_region_refusal(self) -> None:
+        """Counts a request without an endpoint in its allowed regions."""
+        self._region_refusals.inc()
+
     def set_memory(self, private_bytes: int, reply_bytes: int) -> None:
         """Sets the memory of the process and the bytes kept of replies."""
         self._memory.labels("process").set(private_bytes)
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -25,6 +25,7 @@
     "idle_timeout_ms": 15000,
 }
 BOUNDS = gateway_settings.GatewayBounds(2.0, 2.0, 8.0, 0.2, 56.0, 10.0)
+TENANTS = ({"name": "t1", "api_keys": ["k1"]},)
 KEY = ("Authorization", "Bearer k1")
 
 
@@ -99,7 +100,7 @@
         )
         return server
 
-    def start(self, *routes, services=({"name": "s1"},), tenants=True):
+    def start(self, *routes, services=({"name": "s1"},), tenants=TENANTS):
         config = {
             "version": 1,
             "routes": list(routes),
@@ -107,7 +108,7 @@
             "limits": CALLER_LIMITS,
         }
         if tenants:
-            config["tenants"] = [{"name": "t1", "api_keys": ["k1"]}]
+            config["tenants"] = list(tenants)
         self.store.write(
             store.Topic.CONFIGURATION, "config", json.dumps(config).encode()
         )
