--- a/tests/test_allowed_regions.py
+++ b/tests/test_allowed_regions.py
@@ -24,6 +24,7 @@
 )
 from test_gateway_stages import PIECES, StageServer
 from test_piece_runner import WORKER_PROFILE
+from test_stages import FakeRunner
 
 from chervilarch import (
     messages,
@@ -33,12 +34,14 @@
     routing_table,
     stage_graph,
     stage_messages,
+    stage_scheduler,
 )
 from chervilarch.decoding import Unreadable
 from chervilarch.platform import documents
 from chervilarch.scheduling import homes
 
-_BY_DATA_CENTRE = {"dc1": "eu", "dc2": "us", "dc4": "eu"}
+# The gateway is in dc1, whose endpoints it prefers.
+_BY_DATA_CENTRE = {"dc1": "eu", "dc2": "us", "dc4": "us"}
 _REGIONS = homes.Regions(_BY_DATA_CENTRE)
 _SEAL_KEY = b"k" * 16
 _EU = frozenset({"eu"})
@@ -131,14 +134,14 @@
 ):
     seen = start_endpoints(world, reply, e1="dc1", e2="dc2", e3="dc3", e4="dc4")
     if restricts == "route":
-        world.start(route(allowed_regions=["eu"]))
+        world.start(route(allowed_regions=["us"]))
     else:
         is_exempt = restricts == "exempt route"
-        world.start(route(auth_exempt=is_exempt), tenants=tenants(["eu"]))
+        world.start(route(auth_exempt=is_exempt), tenants=tenants(["us"]))
     for _ in range(_REQUESTS):
         assert status(world.fetch(KEY)) == 200
-    assert not seen["e2"] and not seen["e3"]
-    assert len(seen["e1"]) + len(seen["e4"]) == _REQUESTS
+    assert not seen["e1"] and not seen["e3"]
+    assert len(seen["e2"]) + len(seen["e4"]) == _REQUESTS
 
 
 def test_a_declined_request_is_not_tried_again_elsewhere(world):
@@ -180,10 +183,10 @@
     """Starts a route with two stages; returns their workers by name."""
     workers = {}
     for name, pool, data_centre in (
-        ("m1", "p1", "dc1"),
-        ("m2", "p1", "dc2"),
+        ("m1", "p1", "dc2"),
+        ("m2", "p1", "dc1"),
         ("m3", "p2", second_data_centre),
-        ("m4", "p2", "dc2"),
+        ("m4", "p2", "dc1"),
     ):
         workers[name] = StageServer()
         world.endpoint(name, workers[name].serve, pool=pool, zone=data_centre)
@@ -197,14 +200,14 @@
         {"name": "p2", "pieces": PIECES},
     ]
     world.start(
-        stream_route_document(stages=stages, allowed_regions=["eu"]),
+        stream_route_document(stages=stages, allowed_regions=["us"]),
         services=services,
     )
     return workers
 
 
 def test_pieces_of_stages_are_made_in_allowed_regions(world):
-    seen = start_endpoints(world, stream(events(1, 2)), e1="dc4", e2="dc2")
+    seen = start_endpoints(world, stream(events(1, 2)), e1="dc4", e2="dc1")
     workers = start_stages(world, "dc4")
     for _ in range(3):
         received = world.fetch(KEY, ("Pieces", "6,6"), ("Piece-Key", "pk"))
@@ -215,7 +218,7 @@
 
 
 def test_no_stage_runs_if_a_later_one_has_no_worker_in_the_regions(world):
-    seen = start_endpoints(world, stream(events(1, 2)), e1="dc1")
+    seen = start_endpoints(world, stream(events(1, 2)), e1="dc2")
     workers = start_stages(world, "dc3")
     received = world.fetch(KEY, ("Pieces", "1,1"), ("Piece-Key", "pk"))
     assert status(received) == 503
@@ -260,6 +263,28 @@
     assert made.affinity_data_centre("p", b"x", _EU) == "dc1"
 
 
+def test_the_coordinator_proposes_an_engine_in_the_regions():
+    loop, _ = lh.new_loop()
+    runner = FakeRunner()
+    made = engines(e1="dc1", e2="dc2")
+    scheduler = stage_scheduler.StageScheduler(loop, runner, made)
+    stage = stage_graph.StageSpec("p", (), 1, 10)
+    prompt = stage_graph.PromptSize("p", b"x", 10, 10)
+    now = loop.now()
+    for _ in range(6):
+        run = scheduler.run(
+            graph(_EU)._replace(
+                stages=(stage,),
+                prompt=prompt,
+                objective_at=now + 50.0,
+                deadline_at=now + 60.0,
+            )
+        )
+        runner.complete(0)
+        assert run.future.result().proposed_engine == "e1"
+    loop.close()
+
+
 def graph(regions):
     return stage_graph.StageGraph("r1", "k", 0, 1.0, 2.0, (), regions=regions)
 
@@ -351,8 +376,10 @@
 def test_jobs_that_wait_for_workers_of_their_regions_are_not_deadlocked():
     queue = queue_of(e1="dc1", e2="dc2")
     waiting = [job(f"r{n}", _EU, count=2) for n in range(2)]
-    for pending in waiting:
-        pending.pop_piece()
+    for number, pending in enumerate(waiting):
+        made = pieces.PieceResult(f"h{number}", "e1", "x", "dc1", "p")
+        pending.add_result(pending.pop_piece(), made)
+        pending.record_call_end(0)
         queue.add(pending)
     queue.workers["e1"].calls = WORKER_PROFILE.max_calls
     for step in range(10):
