Pass on a record of an endpoint that was unreachable

Only one host reads the store, and a record that says nothing new isn't passed on. So the others treated an endpoint that they hadn't reached as cold for `cold_start_s`, though its record had been written again. The reading host now passes one such record on.

--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -162,8 +162,9 @@
         # When the cold time ends of which the other hosts know.
         self._cold_ends: dict[str, float] = {}
         self._bad_cold_times: set[str] = set()
-        # Called with each record in force and the time of the read.
-        self.on_report: Callable[[endpoint_list.Listing, float], None] = _ignore
+        # Called with each record in force and the time of the read; returns
+        # whether other hosts must get it.
+        self.on_report: Callable[[endpoint_list.Listing, float], bool] = _ignore
         self._changed = False
         self._listeners: list[Callable[[dict], None]] = []
         # Reads don't wait for a change.
@@ -341,7 +342,7 @@
             self._records[name] = record
             is_new = self._is_colder(name, listing, now) or is_new
             if listing.cold_s is not None:
-                self.on_report(listing, now)
+                is_new = self.on_report(listing, now) or is_new
         return is_new
 
     def _is_colder(
@@ -398,5 +399,5 @@
             guards.call(listener, by_pool)
 
 
-def _ignore(listing: endpoint_list.Listing, now: float) -> None:
-    pass
+def _ignore(listing: endpoint_list.Listing, now: float) -> bool:
+    return False
--- a/chervilarch/scheduling/cold_starts.py
+++ b/chervilarch/scheduling/cold_starts.py
@@ -43,6 +43,10 @@
 # An endpoint writes its record about every 1.2 s, so one that is read this long
 # after an endpoint was tried again was written since it was unreachable.
 _RECORD_PERIOD_S = 1.5
+# The host that reads the store passes such a record on, once, so that the other
+# hosts read it too. They noticed at other times and try again up to 4 s later,
+# the longest ejection.
+_SHARE_DELAY_S = _RECORD_PERIOD_S + 4.0
 _MAX_WARM_UPS = 1024
 
 
@@ -164,6 +168,8 @@
         self._reports: dict[Run, _Reported] = {}
         # When runs that were unreachable are tried again.
         self._retries: dict[Run, float] = {}
+        # The same, until a record was passed on to other hosts.
+        self._unshared: dict[Run, float] = {}
         # When data centres were last put to use again.
         self._warm_ups: dict[str, float] = {}
         self._own = ""
@@ -181,6 +187,7 @@
         self._places = dict(places)
         self._reports = _only(self._reports, places)
         self._retries = _only(self._retries, places)
+        self._unshared = _only(self._unshared, places)
         self._ranks = _only(self._ranks, places)
         self._calls.keep(places)
         self._piece_calls.keep(places)
@@ -227,12 +234,16 @@
 
     def record_report(
         self, run: Run, place: Place, report: Report, now: float
-    ) -> None:
-        """Applies a record of a run, read now."""
+    ) -> bool:
+        """Applies a record of a run, read now.
+
+        Returns:
+            Whether other hosts may need it, as the run was unreachable.
+        """
         self._places.setdefault(run, place)
         known = self._reports.get(run, _NO_REPORT)
         if report.sequence <= known.sequence:
-            return
+            return False
         retry_at = self._retries.get(run)
         if retry_at is not None and now >= retry_at + _RECORD_PERIOD_S:
             del self._retries[run]
@@ -242,6 +253,10 @@
         self._reports[run] = _Reported(report.sequence, until)
         if until > now and known.until <= now:
             self._notify(run, "its record says so", report.remaining_s, now)
+        if now < self._unshared.get(run, now + 1.0) + _SHARE_DELAY_S:
+            return False
+        del self._unshared[run]
+        return True
 
     def note_unreachable(self, run: Run, until: float) -> None:
         """Records that a run couldn't be reached; it may have restarted.
@@ -251,9 +266,12 @@
             until: when it is tried again.
         """
         was_cold = self.is_cold(run, until)
-        self._retries[run] = max(until, self._retries.get(run, until))
         bound = self._bound(run)
-        if bound is not None and bound.cold_start_s and not was_cold:
+        if bound is None:
+            return
+        self._retries[run] = max(until, self._retries.get(run, until))
+        self._unshared[run] = self._retries[run]
+        if bound.cold_start_s and not was_cold:
             self._notify(run, "it was unreachable", bound.cold_start_s, until)
 
     def begin_warm_up(self, data_centre: str, now: float) -> None:
