--- a/chervilarch/declared_config.py
+++ b/chervilarch/declared_config.py
@@ -16,6 +16,7 @@
     name: str
     keys: tuple[str, ...] = ()
     priority: int | None = None
+    allowed_regions: tuple[str, ...] = ()
 
 
 class Configuration(NamedTuple):
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -12,6 +12,7 @@
     budgets,
     byte_room,
     caller_wait,
+    cold_endpoints,
     descriptors,
     endpoint_limits,
     environment,
@@ -48,6 +49,7 @@
 from chervilarch.platform import documents, wire
 from chervilarch.platform import store as platform_store
 from chervilarch.routed_context import RoutedControllers
+from chervilarch.scheduling import cold_starts, homes
 
 # Reads of the endpoint list within `drain_s`, after which a leaving endpoint
 # must get no new work.
@@ -178,6 +180,9 @@
         """Handles signals and changes of readiness and of the known hosts."""
         self._handle_signals()
         self._ctrl.retry_budgets.set_hosts(self._ctrl.fleet.known_count())
+        cold_endpoints.set_hosts(
+            self._ctrl.cold, self._ctrl.fleet, self._loop.now()
+        )
         is_ready = not self.not_ready_reason()
         if is_ready != self._was_ready:
             self._was_ready = is_ready
@@ -295,14 +300,27 @@
     for follower in (configuration.topic_follower, endpoints.topic_follower):
         resuming.add_check(functools.partial(_is_confirmed, follower))
     avoided = avoidances.Avoidances(loop.clock, rng, meters.count_avoidance)
+    cold = cold_starts.ColdStarts(cold_endpoints.log_cold)
+    cold_endpoints.connect(cold, cfg.bounds, configuration, endpoints)
+    # Evacuated endpoints may have become cold meanwhile.
+    evacuations.on_ended = lambda data_centre: cold.begin_warm_up(
+        data_centre, loop.now()
+    )
+    regions = homes.Regions(cfg.regions)
     own_placement = placement.Placement(
-        cfg.data_centre, loop.clock, rng, avoided
+        cfg.data_centre, loop.clock, rng, avoided, cold, regions=regions
     )
     # Load of the final calls of all stage graphs that run here, also of remote
     # runs, which run for other hosts. `own_placement` has only the calls that
     # this host sends.
     coordinator_placement = placement.Placement(
-        cfg.data_centre, loop.clock, rng, avoided
+        cfg.data_centre,
+        loop.clock,
+        rng,
+        avoided,
+        cold,
+        only_proposes=True,
+        regions=regions,
     )
     stage_budgets = budgets.PoolBudgets(
         cfg.bounds.retry_share,
@@ -321,6 +339,8 @@
         endpoints.mark_leaving,
         limits,
         avoided,
+        cold,
+        regions,
     )
     runner.confirmed = resuming.confirmed
     runner.is_pool_evacuated = evacuations.is_pool_evacuated
@@ -406,6 +426,7 @@
         permits=request_permits,
         resumption=resuming,
         stop_admission=stop_admission.StopAdmission(gateways.has_neighbour),
+        cold=cold,
     )
 
 
--- a/chervilarch/placement.py
+++ b/chervilarch/placement.py
@@ -1,5 +1,6 @@
 """Chooses the endpoint of a request's final call."""
 
+import collections
 import itertools
 import math
 import random
@@ -16,6 +17,7 @@
     piece_queue,
     state_log,
 )
+from chervilarch.scheduling import cold_starts, homes
 
 # Prompt tokens of one work unit at a model engine.
 TOKENS_PER_UNIT = 1000.0
@@ -30,6 +32,9 @@
 # expected time plus this extra time; else the next one waits longer.
 _TRIAL_RATIO = 2.0
 _TRIAL_EXTRA_S = 0.05
+# A request that is sent later than this after its lease counts at that time
+# too for a cold endpoint, which may have got others meanwhile.
+_LATE_SEND_S = 0.1
 
 
 class Requirements(NamedTuple):
@@ -45,6 +50,7 @@
         input_bytes: bytes of its inputs by data centre.
         preferred: id of the endpoint that the coordinator proposes, "" for
             none; it is chosen if it is usable and not suspected.
+        regions: regions whose endpoints may be chosen, None for all.
     """
 
     pool: str
@@ -55,6 +61,7 @@
     finish_by: float = float("inf")
     input_bytes: dict[str, int] = {}
     preferred: str = ""
+    regions: homes.Allowed = None
 
 
 class Lease(NamedTuple):
@@ -83,11 +90,31 @@
         clock: clocks.Clock,
         rng: random.Random,
         avoided: avoidances.Avoidances,
+        cold: cold_starts.ColdStarts | None = None,
+        only_proposes: bool = False,
+        regions: homes.Regions | None = None,
     ):
+        """Creates it without endpoints.
+
+        Args:
+            data_centre: this host's.
+            clock: tells the monotonic time.
+            rng: chooses among endpoints that are alike.
+            avoided: the endpoints that are avoided.
+            cold: the endpoints that are cold.
+            only_proposes: whether other hosts send the requests. These keep the
+                bound on requests to cold endpoints themselves.
+            regions: the regions of data centres.
+        """
+        self._regions = regions or homes.Regions({})
+        self._cold = cold or cold_starts.ColdStarts()
+        self._only_proposes = only_proposes
         self._data_centre = data_centre
         self._clock = clock
         self._rng = rng
         self._avoided = avoided
+        # Requests that wait for an endpoint to open, by pool.
+        self.waiting: collections.Counter[str] = collections.Counter()
         self._slot_numbers = itertools.count()
         self._pools: dict[str, dict[str, endpoint_state.Endpoint]] = {}
         self._listings: dict[str, endpoint_list.Listing] = {}
@@ -131,9 +158,28 @@
         self._pools = pools
         self._former = {r: e for r, e in former.items() if e.slots}
 
-    def affinity_data_centre(self, pool: str, shared: bytes) -> str:
+    def has_endpoint(self, pool: str, regions: homes.Allowed) -> bool:
+        """Returns whether a pool has an endpoint in the allowed regions."""
+        return bool(self._endpoints(pool, regions))
+
+    def _endpoints(
+        self, pool: str, regions: homes.Allowed
+    ) -> dict[str, endpoint_state.Endpoint]:
+        """Returns the endpoints of a pool in the allowed regions."""
+        endpoints = self._pools.get(pool, {})
+        if regions is None:
+            return endpoints
+        return {
+            name: endpoint
+            for name, endpoint in endpoints.items()
+            if self._regions.allows(endpoint.data_centre, regions)
+        }
+
+    def affinity_data_centre(
+        self, pool: str, shared: bytes, regions: homes.Allowed = None
+    ) -> str:
         """Returns the data centre of the affinity endpoint, "" if unknown."""
-        endpoints = self._pools.get(pool)
+        endpoints = self._endpoints(pool, regions)
         if not endpoints:
             return ""
         return endpoints[_affinity_endpoint(endpoints, shared)].data_centre
@@ -156,15 +202,18 @@
             pause_ms=round(1000 * (until - self._clock.monotonic())),
         )
 
-    def pause_s(self, pool: str, tried: set[str]) -> float:
+    def pause_s(
+        self, pool: str, tried: set[str], regions: homes.Allowed = None
+    ) -> float:
         """Returns when the first closed endpoint of a pool may be used.
 
-        Endpoints are closed while they are paused, avoided or tried by another
-        request.
+        Endpoints are closed while they are paused, avoided, tried by another
+        request, or cold and have got this host's share of requests.
 
         Args:
             pool: the pool.
             tried: ids of endpoints that aren't to be counted.
+            regions: regions whose endpoints are counted.
 
         Returns:
             Seconds until then, 0.0 if no other endpoint is closed.
@@ -172,27 +221,62 @@
         now = self._clock.monotonic()
         waits_s = [
             self._closed_s(name, endpoint, now)
-            for name, endpoint in self._pools.get(pool, {}).items()
+            for name, endpoint in self._endpoints(pool, regions).items()
             if name not in tried
         ]
         return min(filter(None, waits_s), default=0.0)
 
-    def is_any_avoided(self, pool: str) -> bool:
+    def is_any_avoided(self, pool: str, regions: homes.Allowed = None) -> bool:
         """Returns whether an endpoint of a pool is avoided or on trial."""
         return any(
             self._avoided.trial_since(_run_of(name, endpoint)) < math.inf
-            for name, endpoint in self._pools.get(pool, {}).items()
+            for name, endpoint in self._endpoints(pool, regions).items()
+        )
+
+    def queue_s(
+        self, pool: str, tried: set[str], regions: homes.Allowed = None
+    ) -> float:
+        """Returns how long requests that wait for cold endpoints take.
+
+        Each of these opens for a few requests only.
+
+        Args:
+            pool: the pool.
+            tried: ids of endpoints that aren't to be counted.
+            regions: regions whose endpoints are counted. All requests that wait
+                for the pool are taken to wait for these.
+        """
+        now = self._clock.monotonic()
+        per_window = sum(
+            self._cold.per_window(_run_of(name, endpoint), now)
+            for name, endpoint in self._endpoints(pool, regions).items()
+            if name not in tried
+        )
+        if not per_window:
+            return 0.0
+        return cold_starts.WINDOW_S * (self.waiting[pool] // per_window)
+
+    def is_any_cold(self, pool: str, regions: homes.Allowed = None) -> bool:
+        """Returns whether this host may send a cold endpoint no request."""
+        now = self._clock.monotonic()
+        return any(
+            self._cold_s(_run_of(name, endpoint), now) > 0.0
+            for name, endpoint in self._endpoints(pool, regions).items()
         )
 
+    def _cold_s(self, run: endpoint_state.EndpointRun, now: float) -> float:
+        return 0.0 if self._only_proposes else self._cold.wait_s(run, now)
+
     def _closed_s(
         self, name: str, endpoint: endpoint_state.Endpoint, now: float
     ) -> float:
         """Returns how long an endpoint gets no requests, 0.0 if it may."""
         run = _run_of(name, endpoint)
+        cold_s = self._cold_s(run, now)
         if not self._paused_s(run, now) and not self._avoided.is_any():
-            return 0.0
+            return cold_s
         return max(
-            self._paused_s(run, now), self._avoided.wait_s(run)
+            cold_s, self._paused_s(run, now), self._avoided.wait_s(run)
         ) or self._trial_s(run, endpoint, now)
 
     def _paused_s(self, run: endpoint_state.EndpointRun, now: float) -> float:
@@ -233,16 +317,19 @@
             0.0, until - self._clock.monotonic(), self._avoided.wait_s(run)
         )
 
-    def shortest_wait_s(self, pool: str) -> float:
+    def shortest_wait_s(
+        self, pool: str, regions: homes.Allowed = None
+    ) -> float:
         """Returns how long all open endpoints are deferred or closed."""
         now = self._clock.monotonic()
         if (
             not self._is_any_deferred(now)
             and not self._paused
             and not self._avoided.is_any()
+            and not self.is_any_cold(pool, regions)
         ):
             return 0.0
-        endpoints = self._pools.get(pool, {})
+        endpoints = self._endpoints(pool, regions)
         is_any_open = any(e.is_open(now) for e in endpoints.values())
         return min(
             (
@@ -261,7 +348,9 @@
         now = self._clock.monotonic()
         candidates = {
             name: endpoint
-            for name, endpoint in self._pools.get(requirements.pool, {}).items()
+            for name, endpoint in self._endpoints(
+                requirements.pool, requirements.regions
+            ).items()
             if name not in tried and not self._closed_s(name, endpoint, now)
         }
         # If all endpoints are ejected, any of them is better than none.
@@ -272,6 +361,8 @@
         } or candidates
         if not usable:
             return None
+        if self._only_proposes:
+            usable = self._warm(usable, now) or usable
         if self._is_any_deferred(now):
             usable = self._not_deferred(usable)
         preferred = usable.get(requirements.preferred)
@@ -299,8 +390,30 @@
         slot.expected_s = (endpoint.latency_s(now) or _DEFAULT_UNIT_S) * units
         endpoint.slots[slot.number] = slot
         endpoint.units += units
+        if not self._only_proposes:
+            self._cold.record_send(slot.endpoint, now)
         return Lease(self._listings[name], slot)
 
+    def _warm(
+        self, endpoints: dict[str, endpoint_state.Endpoint], now: float
+    ) -> dict[str, endpoint_state.Endpoint]:
+        """Returns the endpoints that aren't cold."""
+        return {
+            name: endpoint
+            for name, endpoint in endpoints.items()
+            if not self._cold.is_cold(_run_of(name, endpoint), now)
+        }
+
+    def record_send(self, lease: Lease) -> None:
+        """Records that a leased request is sent now.
+
+        A lease counts as a request to its endpoint. One that is used only later
+        counts again.
+        """
+        now = self._clock.monotonic()
+        if now - lease.slot.started_at > _LATE_SEND_S:
+            self._cold.record_send(lease.slot.endpoint, now)
+
     def _is_any_deferred(self, now: float) -> bool:
         """Returns whether any endpoint is deferred; forgets past times."""
         if self._deferred:
@@ -367,7 +480,13 @@
 
     def finish_unreachable(self, lease: Lease) -> None:
         """Releases the slot of a call whose endpoint was unreachable."""
+        endpoint = self._endpoint(lease)
         self._finish_ejected(lease)
+        if endpoint is not None:
+            self._cold.note_unreachable(
+                lease.slot.endpoint,
+                max(self._clock.monotonic(), endpoint.ejected_until),
+            )
 
     def finish_endless(self, lease: Lease) -> None:
         """Releases the slot of a call whose reply had no end in sight."""
--- a/chervilarch/platform/documents.py
+++ b/chervilarch/platform/documents.py
@@ -63,6 +63,7 @@
     sticky: bool = False
     resumable: bool = False
     gap_aim_ms: float = 0
+    allowed_regions: list[_Name] | None = None
 
 
 class _Pieces(msgspec.Struct):
@@ -78,6 +79,8 @@
 class _Service(msgspec.Struct):
     name: str
     pieces: _Pieces | None = None
+    cold_start_s: float = 0
+    cold_per_s: float = 0
 
 
 class _Limits(msgspec.Struct):
@@ -91,6 +94,7 @@
     name: str
     api_keys: list[str] = []
     priority: _Priority | None = None
+    allowed_regions: list[_Name] | None = None
 
 
 class _Config(msgspec.Struct):
@@ -105,12 +109,13 @@
     service: _Name
     address: str
     zone: _Name
-    # `slots` and `cold_remaining_ms` aren't used. They are declared so that a
-    # record in which another program wrote another type for them is refused.
+    # Not used. It is declared so that a record in which another program wrote
+    # another type for it is refused.
     slots: int
     state: str
     sequence: _Counter
-    cold_remaining_ms: float = 0
+    # Of any type: an endpoint with an unusable figure stays listed.
+    cold_remaining_ms: msgspec.Raw = msgspec.Raw(b"0")
     # Start time of the endpoint in Unix milliseconds.
     born: _Counter = 0
 
@@ -129,7 +134,11 @@
         [_build_route(route) for route in config.routes],
         {service.name: _build_pool(service) for service in config.services},
         {
-            key: routing_table.Account(tenant.name, tenant.priority)
+            key: routing_table.Account(
+                tenant.name,
+                tenant.priority,
+                frozenset(tenant.allowed_regions or ()),
+            )
             for tenant in config.tenants or ()
             for key in tenant.api_keys
         },
@@ -156,7 +165,10 @@
     if config.tenants is not None:
         accounts = tuple(
             declared_config.Account(
-                tenant.name, tuple(tenant.api_keys), tenant.priority
+                tenant.name,
+                tuple(tenant.api_keys),
+                tenant.priority,
+                tuple(tenant.allowed_regions or ()),
             )
             for tenant in config.tenants
         )
@@ -193,7 +205,21 @@
         _STATES[server.state],
         server.born,
     )
-    return endpoint_list.Listing(entry, server.sequence)
+    return endpoint_list.Listing(
+        entry, server.sequence, _read_cold_s(server.cold_remaining_ms)
+    )
+
+
+def _read_cold_s(figure: msgspec.Raw) -> float | None:
+    """Returns a remaining cold time in seconds, None if it isn't usable."""
+    value = decoding.attempt(_decode_number, figure)
+    if isinstance(value, Unreadable) or not 0.0 <= value <= _MAX_TIME_MS:
+        return None
+    return value / _MS_PER_S
+
+
+def _decode_number(value: bytes) -> float:
+    return msgspec.json.decode(value, type=float)
 
 
 def decode_evacuation(data_centre: str, value: bytes) -> str | Unreadable:
@@ -267,6 +293,7 @@
         ),
         needs_key=not route.auth_exempt,
         is_prompt=route.sticky,
+        allowed_regions=frozenset(route.allowed_regions or ()),
     )
 
 
@@ -284,4 +311,6 @@
             pieces.headroom_mb * _BYTES_PER_MB,
             pieces.handle_s,
         ),
+        max(0.0, min(service.cold_start_s, _MAX_TIME_MS / _MS_PER_S)),
+        max(0.0, service.cold_per_s),
     )
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -25,33 +25,19 @@
     "idle_timeout_ms": 15000,
 }
 BOUNDS = gateway_settings.GatewayBounds(2.0, 2.0, 8.0, 0.2, 56.0, 10.0)
+TENANTS = ({"name": "t1", "api_keys": ["k1"]},)
 KEY = ("Authorization", "Bearer k1")
 
 
 class World:
     """A gateway on loopback with a fake store and fake endpoints."""
 
-    def __init__(self, source=None):
+    def __init__(self, source=None, **settings):
         self.loop = loops.Loop(clocks.SystemClock())
         self.store = source or lh.FakeStore()
         self.servers = []
         port = lh.free_ports(5)
-        cfg = gateway_settings.GatewaySettings(
-            "n1",
-            "dc1",
-            "127.0.0.1:0",
-            "127.0.0.1:0",
-            "127.0.0.1",
-            (port, port + 4),
-            0,
-            "127.0.0.1:1",
-            "test",
-            (),
-            0.0,
-            1.0,
-            0.0,
-            BOUNDS,
-        )
+        cfg = self.settings((port, port + 4))._replace(**settings)
         self.meters = telemetry.Telemetry()
         client = http_client.Client(self.loop)
         self.ctrl = gateway.build_controllers(
@@ -67,6 +53,25 @@
             body_room=byte_room.Room(memory_limits.room_bounds(0.0)),
         )
 
+    @staticmethod
+    def settings(peer_ports):
+        return gateway_settings.GatewaySettings(
+            "n1",
+            "dc1",
+            "127.0.0.1:0",
+            "127.0.0.1:0",
+            "127.0.0.1",
+            peer_ports,
+            0,
+            "127.0.0.1:1",
+            "test",
+            (),
+            0.0,
+            1.0,
+            0.0,
+            BOUNDS,
+        )
+
     def close(self):
         self.server.stop_accepting()
         self.ctrl.stage_coordinator.close()
@@ -95,7 +100,7 @@
         )
         return server
 
-    def start(self, *routes, services=({"name": "s1"},), tenants=True):
+    def start(self, *routes, services=({"name": "s1"},), tenants=TENANTS):
         config = {
             "version": 1,
             "routes": list(routes),
@@ -103,7 +108,7 @@
             "limits": CALLER_LIMITS,
         }
         if tenants:
-            config["tenants"] = [{"name": "t1", "api_keys": ["k1"]}]
+            config["tenants"] = list(tenants)
         self.store.write(
             store.Topic.CONFIGURATION, "config", json.dumps(config).encode()
         )
