Read replies on while callers read slowly

Cause: a stream whose caller didn't read left its endpoint unread at 256 kB, and large replies waited without end for the room that unread answers held; endpoints abort replies that are left unread for some seconds. Joined pieces of a write buffer stay near 64 KiB, as a growing array is copied. Counter slow_callers, gauge memory_bytes{of=unread}.

--- a/chervilarch/byte_room.py
+++ b/chervilarch/byte_room.py
@@ -55,6 +55,8 @@
         size: bytes that it holds.
         expected_size: size of the whole message, 0 if it isn't known.
         is_evicted: whether it had to give its room back.
+        waits_since: monotonic time in seconds since which it waits, None if it
+            doesn't.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         self.is_evicted = False
         # Whether `on_room` was called since it asked.
         self.is_told = False
+        self.waits_since: float | None = None
         self.progressed_at = now
         self._unrecorded_bytes = 0
 
@@ -104,10 +107,12 @@
     Attributes:
         bounds: its sizes.
         size: bytes that are held.
+        on_wait: called whenever a holder has to wait; mustn't call the room.
     """
 
     def __init__(self, bounds: Bounds):
         self.bounds = bounds
+        self.on_wait: Callable[[], None] = _do_nothing
         self.size = 0
         # In the order in which they came.
         self._holders: dict[Holder, None] = {}
@@ -156,6 +161,9 @@
             self._waiting[holder] = size
             if holder.is_small_with(size):
                 self._waiting_small[holder] = size
+            if holder.waits_since is None:
+                holder.waits_since = now
+            self.on_wait()
             return Grant.WAIT
         if holder in self._waiting:
             # The wait was for others.
@@ -187,6 +195,17 @@
         """Returns whether any holder waits."""
         return bool(self._waiting)
 
+    def waits(self) -> list[tuple[int, float]]:
+        """Returns what each waiting holder needs and since when it waits.
+
+        The need is what is missing of a message of known length, in bytes, and
+        otherwise what it asks for.
+        """
+        return [
+            (max(size, holder.expected_size - holder.size), holder.waits_since)
+            for holder, size in self._waiting.items()
+        ]
+
     def check(self, now: float) -> None:
         """Gives up the largest of the silent holders if others wait."""
         if not self._waiting:
@@ -307,6 +326,7 @@
             self._peers.pop(holder.peer, None)
 
     def _stop_waiting(self, holder: Holder) -> None:
+        holder.waits_since = None
         self._waiting.pop(holder, None)
         self._waiting_small.pop(holder, None)
 
@@ -335,3 +355,7 @@
         if not holder.is_told:
             holder.is_told = True
             holder.on_room()
+
+
+def _do_nothing() -> None:
+    pass
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -101,6 +101,7 @@
             answer_room=client.room,
             body_room=byte_room.Room(bounds),
             max_connections=self._max_connections,
+            count_slow_caller=meters.count_slow_caller,
         )
         self._ready_server = http_server.Server(
             self._loop, cfg.ready_address, pages.PageHandler(self._ready_page)
@@ -191,10 +192,12 @@
     def _check_memory(self) -> None:
         size = process_memory.private_bytes()
         reply_bytes = self._ctrl.client.room.size
-        self._meters.set_memory(size, reply_bytes)
+        unread_bytes = self._caller_server.unsent.size()
+        self._meters.set_memory(size, reply_bytes, unread_bytes)
         self._memory_peak.observe(
             size,
             reply_bytes=reply_bytes,
+            unread_bytes=unread_bytes,
             connections=self._caller_server.connection_count(),
             in_flight=self._serving_state.in_flight,
         )
--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -15,8 +15,15 @@
 
 import h11
 
-from chervilarch import byte_room, request_framing, state_log, write_buffer
+from chervilarch import (
+    byte_room,
+    request_framing,
+    state_log,
+    unsent_answers,
+    write_buffer,
+)
 from chervilarch import loop as loops
+from chervilarch.futures import Future
 
 _RECV_BYTES = 64 * 1024
 _BACKLOG = 1024
@@ -77,6 +84,7 @@
     CALLER_RESET = "the caller reset it"
     ANSWER_BROKEN = "the answer was broken off"
     ANSWER_UNREAD = "the caller didn't read the answer"
+    ANSWER_GAVE_WAY = "the caller was too slow for the room of its answer"
     ANSWERED = "its last answer was sent"
     IDLE = "no request came in time"
     STOPPING = "this host stops"
@@ -188,6 +196,10 @@
         """Returns how many bytes are yet to be written to the socket."""
         return self._conn.unsent_bytes()
 
+    def growth(self) -> Future | None:
+        """Returns when more of the answer may be sent; None for at once."""
+        return self._conn.growth()
+
     def taken_at(self) -> float:
         """Returns when the caller last took bytes, in monotonic seconds."""
         return self._conn.taken_at
@@ -220,6 +232,7 @@
         answer_room: byte_room.Room | None = None,
         body_room: byte_room.Room | None = None,
         max_connections: int | None = None,
+        count_slow_caller: Callable[[str], None] | None = None,
     ):
         """Binds the address.
 
@@ -235,12 +248,17 @@
             max_connections: bound on open connections, None for none. At the
                 bound the longest idle ones are closed for new ones; if none is
                 idle, new ones wait in the listener's queue.
+            count_slow_caller: counts what slow callers cause, by its name.
 
         Raises:
             OSError: the address can't be bound.
         """
         self.loop = loop
-        self.answer_room = answer_room or byte_room.Room(_UNBOUNDED)
+        self.unsent = unsent_answers.UnsentAnswers(
+            loop,
+            answer_room or byte_room.Room(_UNBOUNDED),
+            count_slow_caller or _ignore,
+        )
         self.body_room = body_room or byte_room.Room(_UNBOUNDED)
         self._room_timer: loops.Timer | None = None
         self.handler = handler
@@ -372,7 +390,7 @@
         self._server = server
         self._loop = server.loop
         self._sock = sock
-        self._peer = peer
+        self.peer = peer
         self._opened_at = self._loop.now()
         self.idle_since = self._opened_at
         self._has_served = False
@@ -388,7 +406,6 @@
         self._responder: Responder | None = None
         self._on_disconnect: Callable[[], None] | None = None
         self._out = write_buffer.WriteBuffer()
-        self._unsent_holder: byte_room.Holder | None = None
         self._write_timer: loops.Timer | None = None
         self._body_holder: byte_room.Holder | None = None
         # Bytes of the body for which there is no room yet.
@@ -502,7 +519,7 @@
         self._log_close(reason)
         self._closed = True
         self._out.clear()
-        self._count_unsent()
+        self._server.unsent.remove(self)
         self._close_body_holder()
         self._timer.cancel()
         self._loop.unwatch(self._sock)
@@ -524,7 +541,7 @@
             "connection closed",
             is_problem=True,
             reason=reason.value,
-            peer=self._peer,
+            peer=self.peer,
             is_serving=self._responder is not None,
             read_bytes=self._body_bytes,
             unsent_bytes=len(self._out),
@@ -677,7 +694,7 @@
 
     def _open_body_holder(self, length: int) -> None:
         self._body_holder = self._server.body_room.open(
-            self._peer,
+            self.peer,
             self._loop.now(),
             # The room calls back while it is being used.
             lambda: self._loop.call_soon(self._read_on),
@@ -790,7 +807,7 @@
             ],
             self._take_body(),
             self._first_byte_at,
-            self._peer,
+            self.peer,
         )
         responder = self._responder
         try:
@@ -812,7 +829,7 @@
             is_problem=True,
             status=status,
             detail=detail,
-            peer=self._peer,
+            peer=self.peer,
             read_bytes=self._body_bytes,
         )
         if self._codec.our_state in (h11.IDLE, h11.SEND_RESPONSE):
@@ -837,9 +854,10 @@
 
     def _flush(self) -> None:
         unsent_before = len(self._out)
+        taken = 0
         while self._out:
             try:
-                self._out.write_to(self._sock)
+                taken += self._out.write_to(self._sock)
             except BlockingIOError:
                 break
             except OSError:
@@ -848,14 +866,14 @@
             self.taken_at = self._loop.now()
         if self._closed:
             return
-        self._count_unsent()
+        self._server.unsent.update(self, len(self._out), taken)
         if self._closing and not self._out:
             self._finish_close()
             return
         self._watch()
         if self._out and self._write_timer is None:
             self._write_timer = self._loop.call_later(
-                _WRITE_INTERVAL_S, self._write_more
+                _WRITE_INTERVAL_S, self._write_later
             )
         if len(self._out) < unsent_before and self._is_answered():
             self._set_answered_timer()
@@ -865,25 +883,25 @@
         if callback is not None:
             callback()
 
-    def _write_more(self) -> None:
+    def _write_later(self) -> None:
         self._write_timer = None
+        self.write_more()
+
+    def write_more(self) -> None:
+        """Writes what the socket takes now."""
         if self._out:
             self._flush()
 
-    def _count_unsent(self) -> None:
-        """Counts the unsent bytes in the server's room."""
-        unsent = len(self._out)
-        room = self._server.answer_room
-        if self._unsent_holder is None:
-            if not unsent:
-                return
-            self._unsent_holder = room.open(
-                self._peer, self._loop.now(), _do_nothing
-            )
-        room.set_size(self._unsent_holder, unsent)
-        if not unsent:
-            room.close(self._unsent_holder)
-            self._unsent_holder = None
+    def growth(self) -> Future | None:
+        """Returns when more of the answer may be sent; None for at once."""
+        return self._server.unsent.growth(self)
+
+    def give_way(self) -> None:
+        """Breaks off an answer whose caller is too slow."""
+        if self._head is not None and self._head.http_version < b"1.1":
+            # The end of the connection may be the end of its answer.
+            unsent_answers.reset_on_close(self._sock)
+        self.close(CloseReason.ANSWER_GAVE_WAY)
 
     def _finish_close(self) -> None:
         # Closing a socket with unread bytes sends a reset, which could drop the
@@ -954,7 +972,7 @@
         self._reject(408, "the request wasn't sent in time")
 
 
-def _do_nothing() -> None:
+def _ignore(event: str) -> None:
     pass
 
 
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -23,8 +23,6 @@
     tasks,
 )
 from chervilarch import routed_context as contexts
-from chervilarch.futures import Future
-from chervilarch.http_server import WRITE_HIGH_BYTES
 
 # A stream that can resume elsewhere counts as stalled when its first event
 # takes this many times its expected time, or half the route's objective if that
@@ -430,19 +428,14 @@
             if not complete.data:
                 continue
             ctx.responder.send_body(complete.data)
-            if ctx.responder.buffered() > WRITE_HIGH_BYTES:
+            growth = ctx.responder.growth()
+            if growth is not None:
                 transfer.pause()
-                yield self._writable()
+                yield growth
                 transfer.resume()
                 # The endpoint wasn't read meanwhile.
                 last_event_at = ctx.now()
 
-    def _writable(self) -> Future:
-        """Returns a future that resolves once the caller has read all."""
-        writable: Future = Future()
-        self._ctx.responder.on_writable(lambda: tasks.resolve(writable, None))
-        return writable
-
     def _await_item(
         self, lease: placement.Lease, mailbox: tasks.Mailbox, stalled_at: float
     ) -> tasks.Coroutine[bool]:
--- a/chervilarch/telemetry.py
+++ b/chervilarch/telemetry.py
@@ -43,7 +43,16 @@
             "log_lines_left_out", "Log lines beyond the bound", ["event"]
         )
         self._memory = self._gauge(
-            "memory_bytes", "Private memory, and bytes kept of replies", ["of"]
+            "memory_bytes",
+            "Private memory, bytes kept of replies, and those of them that"
+            " callers haven't read",
+            ["of"],
+        )
+        self._slow_callers = self._counter(
+            "slow_callers",
+            "Answers whose reply was left unread or that were ended because"
+            " their callers read too slowly",
+            ["event"],
         )
 
     def text(self) -> bytes:
@@ -76,10 +85,23 @@
         """Counts that an endpoint is avoided on this host."""
         self._avoidances.inc()
 
-    def set_memory(self, private_bytes: int, reply_bytes: int) -> None:
-        """Sets the memory of the process and the bytes kept of replies."""
+    def count_slow_caller(self, event: str) -> None:
+        """Counts an answer that was "left unread" or "ended"."""
+        self._slow_callers.labels(event).inc()
+
+    def set_memory(
+        self, private_bytes: int, reply_bytes: int, unread_bytes: int
+    ) -> None:
+        """Sets the memory of the process and parts of it.
+
+        Args:
+            private_bytes: private memory of the process.
+            reply_bytes: kept of replies, with unread answers.
+            unread_bytes: of answers that callers haven't read.
+        """
         self._memory.labels("process").set(private_bytes)
         self._memory.labels("replies").set(reply_bytes)
+        self._memory.labels("unread").set(unread_bytes)
 
     def count_dropped_lines(self, event: str, lines: int) -> None:
         """Counts log lines that were dropped."""
--- a/chervilarch/write_buffer.py
+++ b/chervilarch/write_buffer.py
@@ -26,11 +26,16 @@
         self._size += len(data)
         if len(data) >= _LARGE_BYTES:
             self._pieces.append(data)
-        elif self._pieces and isinstance(self._pieces[-1], bytearray):
+        elif self._may_extend_last():
             self._pieces[-1] += data
         else:
             self._pieces.append(bytearray(data))
 
+    def _may_extend_last(self) -> bool:
+        last = self._pieces[-1] if self._pieces else b""
+        # A growing array is copied, and keeps spare room.
+        return isinstance(last, bytearray) and len(last) < _LARGE_BYTES
+
     def write_to(self, sock: socket.socket) -> int:
         """Writes what the socket takes at once; returns the number of bytes.
 
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -65,6 +65,7 @@
             self.handler,
             answer_room=client.room,
             body_room=byte_room.Room(memory_limits.room_bounds(0.0)),
+            count_slow_caller=self.meters.count_slow_caller,
         )
 
     def close(self):
