--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -31,8 +31,8 @@
 class World:
     """A gateway on loopback with a fake store and fake endpoints."""
 
-    def __init__(self, source=None):
-        self.loop = loops.Loop(clocks.SystemClock())
+    def __init__(self, source=None, clock=None):
+        self.loop = loops.Loop(clock or clocks.SystemClock())
         self.store = source or lh.FakeStore()
         self.servers = []
         port = lh.free_ports(5)
