Look at waiting replies eight times a second

Cause: with looks every 0.25 s a reply could be left unread for 1.0 s and a turn. Change: looks every 0.125 s, so at most 0.875 s; the tests note how long any reply is left unread, and the memory, with an injected clock.

--- a/chervilarch/scheduling/unread_answers.py
+++ b/chervilarch/scheduling/unread_answers.py
@@ -18,8 +18,8 @@
 from chervilarch import byte_room
 
 # How often `choose` is called while anything waits. Both waits below end within
-# a second with it.
-LOOK_INTERVAL_S = 0.25
+# a second with it, also if a look is late.
+LOOK_INTERVAL_S = 0.125
 # A reply is left unread for this long before a slow caller's answer over its
 # fair part is ended. Callers that read have then made room for most of what
 # comes.
@@ -40,7 +40,7 @@
 _MAX_COMPARED_DRAIN_S = 60.0
 # Looks further apart than this tell nothing of the callers: the process was
 # paused or busy, and hasn't written meanwhile.
-_LATE_LOOK_S = 2 * LOOK_INTERVAL_S
+_LATE_LOOK_S = 4 * LOOK_INTERVAL_S
 
 
 class RoomState(NamedTuple):
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -19,6 +19,7 @@
 _MB = 1024 * 1024
 # Of the smallest hosts.
 _SMALLEST_MB = 152.0
+_MAX_UNREAD_S = 1.0
 _EVENT = b"id: %d\ndata: " + b"x" * 60_000 + b"\n\n"
 _EVENT_BYTES = len(_EVENT)
 _RECEIVE_BYTES = 16 * 1024
@@ -56,6 +57,9 @@
         self.world = gw.World(clock=self.clock)
         self.room = self.world.ctrl.client.room
         self.most_bytes = 0
+        # Of any endpoint's reply, in one piece.
+        self.longest_unread_s = 0.0
+        self._unread_since = {}
 
     def start(self):
         """Serves streams of s1, replies of s2 and small replies of s3."""
@@ -81,20 +85,32 @@
         conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BYTES)
         return conn
 
-    def run_until(self, condition):
+    def run_until(self, condition, step_s=0.01):
         """Moves the clock until a condition holds; notes the memory."""
 
         def step():
-            lh.advance(self.world.loop, self.clock, 0.01)
+            self.clock.advance(step_s)
+            lh.run_pending(self.world.loop, 2)
             unsent = sum(c.unsent_bytes() for c in self.connections())
             self.most_bytes = max(self.most_bytes, unsent, self.room.size)
+            self._note_unread()
             return condition()
 
         lh.run_until(self.world.loop, step)
 
-    def run_for(self, seconds):
+    def _note_unread(self):
+        now = self.clock.monotonic()
+        self._unread_since = {
+            transfer: self._unread_since.get(transfer, now)
+            for transfer in self.world.ctrl.client._running.values()
+            if transfer.is_paused or transfer.waits_for_room
+        }
+        for since in self._unread_since.values():
+            self.longest_unread_s = max(self.longest_unread_s, now - since)
+
+    def run_for(self, seconds, step_s=0.01):
         until = self.clock.monotonic() + seconds
-        self.run_until(lambda: self.clock.monotonic() >= until)
+        self.run_until(lambda: self.clock.monotonic() >= until, step_s)
 
     def read_all(self, conns, is_whole):
         """Reads answers until a condition holds for the bytes of each."""
@@ -165,7 +181,7 @@
     slow.start()
     conn = slow.send()
     slow.run_until(lambda: sender.sent)
-    slow.run_for(4.0)
+    slow.run_for(4.0, 0.1)
     received = slow.read(conn, lambda got: got.endswith(_LAST_CHUNK))
     assert received.endswith(_LAST_CHUNK)
     assert received.count(b"\ndata: ") == body.count(b"\ndata: ")
@@ -183,10 +199,11 @@
     slow.start()
     streams = [slow.send() for _ in range(4)]
     replies = [slow.send("/r2/1") for _ in range(4)]
-    slow.run_until(lambda: slow.counted("left unread") or slow.counted("ended"))
+    slow.run_until(lambda: slow.room.size >= slow.room.bounds.shared)
     for _ in range(3):
         assert slow.fetch("/r3/1", 1000)
         assert slow.fetch("/r2/1", len(body))
+    assert slow.longest_unread_s <= _MAX_UNREAD_S
     assert slow.counted("ended") and "unread answer ended" in caplog.messages
     assert not slow.faults()
     # What was ended doesn't look complete.
@@ -209,13 +226,14 @@
     slow.world.endpoint("e3", small.serve, pool="s3")
     slow.start()
     callers = [slow.send() for _ in range(40)]
-    for _ in range(20):
+    for _ in range(30):
         assert slow.fetch("/r3/1", 1000)
         slow.run_for(0.1)
-    assert slow.counted("ended") > 1
     # One chunk of each reply is read in any case.
     chunks = len(callers) * 16 * 1024
     assert slow.most_bytes <= sum(bounds) + read_quota.TURN_BYTES + chunks
+    assert slow.longest_unread_s <= _MAX_UNREAD_S
+    assert slow.counted("ended") > 1
     for conn in callers:
         conn.close()
     slow.run_until(lambda: not slow.room.size)
--- a/tests/test_unread_answers.py
+++ b/tests/test_unread_answers.py
@@ -11,6 +11,7 @@
     LAST_WAIT_S,
     LOOK_INTERVAL_S,
     MAX_DRAIN_S,
+    SETTLE_S,
     WAIT_S,
 )
 
@@ -40,6 +41,12 @@
         endings = self.answers.choose(state, waits, self.now)
         return [ending.answer for ending in endings]
 
+    def look_until_ended(self, waits, size=BOUNDS.shared):
+        """Looks until an answer is to be ended."""
+        while not (ended := self.look(waits, size)):
+            assert self.now < 100.0
+        return ended
+
     def look_until(self, waited_s, wait_size, **kwargs):
         """Looks until a reply, which waits from now on, has waited."""
         waits = [unread_answers.Wait(wait_size, self.now)]
@@ -84,9 +91,7 @@
     for _ in range(8):
         host.open(100 * _KB)
     waits = [unread_answers.Wait(64 * _KB, host.now)] * 2
-    assert not host.look(waits)
-    assert not host.look(waits)
-    assert len(host.look(waits)) == 2
+    assert len(host.look_until_ended(waits)) == 2
     assert host.now == LAST_WAIT_S < 1.0
 
 
@@ -103,11 +108,12 @@
 
 def test_an_answer_that_has_just_become_unread_is_not_ended(host):
     waits = [unread_answers.Wait(64 * _KB, host.now)]
-    for _ in range(8):
+    for _ in range(16):
         host.look(waits)
+    opened_at = host.now
     answer = host.open(400 * _KB)
-    assert not host.look(waits)
-    assert host.look(waits) == [answer]
+    assert host.look_until_ended(waits) == [answer]
+    assert host.now == opened_at + SETTLE_S
 
 
 def test_a_pause_of_the_process_counts_as_nobodys_wait(host):
@@ -116,8 +122,9 @@
     waits = [unread_answers.Wait(64 * _KB, host.now)]
     host.now += 5.0
     assert not host.look(waits)
-    assert not host.look(waits)
-    assert host.look(waits) == [answer]
+    resumed_at = host.now
+    assert host.look_until_ended(waits) == [answer]
+    assert host.now == resumed_at + WAIT_S
 
 
 def test_an_answer_at_the_bound_of_a_message_ends_without_others(host):
@@ -127,10 +134,8 @@
     assert host.answers.may_grow(others, state)
     assert not host.answers.may_grow(answer, state)
     host.answers.wait(answer, host.now)
-    ended = []
-    while not ended:
-        ended = host.look([], size=700 * _KB)
-    assert ended == [answer] and host.now == LAST_WAIT_S
+    assert host.look_until_ended([], 700 * _KB) == [answer]
+    assert host.now == LAST_WAIT_S
 
 
 def test_answers_that_wait_together_grow_within_the_room(host):
