Test that a finished answer gives way only if it isn't read

Cause: with the looks for waiting bodies or the callers' speeds taken out the tests still held; one test depended on how fast the machine was. Change: a test of a finished answer, read or not; the other one waits 2 s of its clock before it asks for endings.

--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -200,6 +200,7 @@
     streams = [slow.send() for _ in range(4)]
     replies = [slow.send("/r2/1") for _ in range(4)]
     slow.run_until(lambda: slow.room.size >= slow.room.bounds.shared)
+    slow.run_for(2.0)
     for _ in range(3):
         assert slow.fetch("/r3/1", 1000)
         assert slow.fetch("/r2/1", len(body))
@@ -276,6 +277,15 @@
     loop.close()
 
 
+def make_reply_wait(room, clock):
+    """Has one reply go on beyond the room's bound, and another one wait."""
+    for size in (3 * _MB, _MB // 2):
+        holder = room.open("e", clock.monotonic(), lambda: None)
+        holder.expected_size = size
+        room.take(holder, 65536, clock.monotonic())
+    assert room.is_awaited()
+
+
 @pytest.mark.parametrize("version", [b"HTTP/1.0", b"HTTP/1.1"])
 def test_an_ended_answer_does_not_look_complete(serving, version):
     loop, clock, handler, server, room = serving
@@ -286,13 +296,7 @@
     reply.send_head(200, [])
     while reply.growth() is None:
         reply.send_body(b"a" * 65536)
-    # One reply goes on beyond the bound, another one waits.
-    sizes = (3 * _MB, _MB // 2)
-    replies = [room.open("e", clock.monotonic(), lambda: None) for _ in sizes]
-    for holder, size in zip(replies, sizes, strict=True):
-        holder.expected_size = size
-        room.take(holder, 65536, clock.monotonic())
-    assert room.is_awaited()
+    make_reply_wait(room, clock)
     lh.advance_until(loop, clock, lambda: handler.disconnected)
     received = b""
     try:
@@ -303,3 +307,26 @@
         # A connection's end would be the end of the answer.
         assert version == b"HTTP/1.0"
     assert not received.endswith(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize("reads", [True, False])
+def test_a_large_answer_gives_way_only_if_it_is_not_read(serving, reads):
+    loop, clock, handler, server, room = serving
+    conn = lh.connect(server.port)
+    conn.sendall(get())
+    lh.run_until(loop, lambda: handler.begun)
+    body = b"a" * (10 * _MB)
+    handler.begun[0][1].send(200, [], body)
+    make_reply_wait(room, clock)
+    received = 0
+    for _ in range(300):
+        lh.advance(loop, clock, 0.01)
+        if reads:
+            try:
+                received += len(conn.recv(100_000))
+            except BlockingIOError:
+                pass
+    if reads:
+        assert received > len(body)
+    else:
+        assert not server.connection_count()
--- a/tests/test_unread_answers.py
+++ b/tests/test_unread_answers.py
@@ -127,6 +127,15 @@
     assert host.now == resumed_at + WAIT_S
 
 
+def test_an_answer_is_ended_late_if_only_its_own_reply_waits(host):
+    host.open(100 * _KB)
+    host.open(100 * _KB)
+    answer = host.open(335 * _KB)
+    host.answers.wait(answer, host.now)
+    assert host.look_until_ended([]) == [answer]
+    assert host.now == LAST_WAIT_S
+
+
 def test_an_answer_at_the_bound_of_a_message_ends_without_others(host):
     others = host.open(300 * _KB)
     answer = host.open(BOUNDS.largest - GROWTH_BYTES + 1)
