Let a test of slow callers fill the room that pauses a stream

Cause: test_a_slow_caller_is_not_taken_for_a_silent_engine waited for a pause at 256 kB of unsent bytes. A stream is now left unread only at the bound of the room, so the test timed out. Change: the test bounds the room to the same 256 kB, and keeps the answer from being ended in the meantime. What it asserts is unchanged.

--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -16,8 +16,16 @@
     stream_route_document,
 )
 
-from chervilarch import http_client, permits, stream_call, tasks
+from chervilarch import (
+    byte_room,
+    http_client,
+    http_server,
+    permits,
+    stream_call,
+    tasks,
+)
 from chervilarch.futures import Future
+from chervilarch.scheduling import unread_answers
 
 PIECES = {
     "slots": 1,
@@ -298,7 +306,13 @@
     assert budget.tokens >= spent + 1.0
 
 
-def test_a_slow_caller_is_not_taken_for_a_silent_engine(world, stalls):
+def test_a_slow_caller_is_not_taken_for_a_silent_engine(
+    world, stalls, monkeypatch
+):
+    # The reply is left unread once this much of the answer is.
+    size = http_server.WRITE_HIGH_BYTES
+    world.ctrl.client.room.bounds = byte_room.Bounds(size, size, size)
+    monkeypatch.setattr(unread_answers, "LAST_WAIT_S", 2 * lh.TIMEOUT_S)
     count = 2000
     big = b"".join(
         b"id: %d\ndata: %s\n\n" % (number, b"x" * 4000)
