--- a/chervilarch/scheduling/evacuation.py
+++ b/chervilarch/scheduling/evacuation.py
@@ -13,9 +13,9 @@
 
 import enum
 from collections.abc import Iterable, Mapping
-from typing import NamedTuple
+from typing import NamedTuple, Protocol, TypeVar
 
-from chervilarch import endpoint_list, store
+from chervilarch import store_records as store
 
 # Data centres whose evacuation is known, and as many whose evacuation ended.
 MAX_NAMES = 1024
@@ -28,6 +28,17 @@
 END_MEMORY_S = 300.0
 
 
+class _Located(Protocol):
+    data_centre: str
+
+
+class _Listing(Protocol):
+    entry: _Located
+
+
+_ListingT = TypeVar("_ListingT", bound=_Listing)
+
+
 class _Status(enum.Enum):
     """What is known of a data centre's evacuation.
 
@@ -115,8 +126,8 @@
         return entry is not None and entry.status is _Status.EVACUATED
 
     def without_evacuated(
-        self, listed: Mapping[str, Mapping[str, endpoint_list.Listing]]
-    ) -> dict[str, dict[str, endpoint_list.Listing]]:
+        self, listed: Mapping[str, Mapping[str, _ListingT]]
+    ) -> dict[str, dict[str, _ListingT]]:
         """Returns the endpoints that may get work.
 
         Args:
--- a/chervilarch/store.py
+++ b/chervilarch/store.py
@@ -6,6 +6,7 @@
 
 from chervilarch import state_log
 from chervilarch.futures import Future
+from chervilarch.store_records import Position, Record
 
 # After a restore of the store, each host writes again what may be lost at a
 # random time up to this.
@@ -24,37 +25,6 @@
     BLOCKS = "blocks"
 
 
-class Position(NamedTuple):
-    """A place in a topic, ordered by when it was reached.
-
-    A restore of the store gives out offsets again in a higher era.
-    """
-
-    era: int
-    offset: int
-
-
-class Record(NamedTuple):
-    """One record of a topic; an empty value removes the key.
-
-    Attributes:
-        offset: its place in the topic.
-        key: what it is about.
-        value: its content.
-        era: the store's era when it was read, 0 if unknown.
-    """
-
-    offset: int
-    key: str
-    value: bytes
-    era: int = 0
-
-    @property
-    def position(self) -> Position:
-        """The place of the record among those of all eras."""
-        return Position(self.era, self.offset)
-
-
 class NewestPage(NamedTuple):
     """A page of the newest value of each key.
 
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -32,8 +32,8 @@
 class World:
     """A gateway on loopback with a fake store and fake endpoints."""
 
-    def __init__(self, source=None, **settings):
-        self.loop = loops.Loop(clocks.SystemClock())
+    def __init__(self, source=None, clock=None, **settings):
+        self.loop = loops.Loop(clock or clocks.SystemClock())
         self.store = source or lh.FakeStore()
         self.servers = []
         port = lh.free_ports(5)
@@ -51,6 +51,7 @@
             self.handler,
             answer_room=client.room,
             body_room=byte_room.Room(memory_limits.room_bounds(0.0)),
+            count_slow_caller=self.meters.count_slow_caller,
         )
 
     @staticmethod
