--- a/chervilarch/final_call.py
+++ b/chervilarch/final_call.py
@@ -124,6 +124,7 @@
     if isinstance(attempt_result, Success):
         ctx.req.possible_runs += 1
         ctx.ctrl.answered_routes.add(ctx.req.route.name)
+        _learn_cost(ctx, lease)
         ctx.ctrl.placement.finish(lease, attempt_result.head.status < 500)
         ctx.ctrl.avoided.record_answer(
             lease.slot.endpoint, lease.slot.started_at
@@ -149,6 +150,19 @@
     )
 
 
+def _learn_cost(ctx: contexts.RoutedContext, lease: placement.Lease) -> None:
+    """Learns from a complete stream of several events how long it took."""
+    answered_s = lease.slot.answered_s()
+    if not ctx.req.route.is_prompt or not answered_s:
+        return
+    account = ctx.req.account.name if ctx.req.account else ""
+    route = ctx.req.route.name
+    ratio = ctx.ctrl.costs.observe(
+        route, account, ctx.req.prompt.answer_size(), answered_s
+    )
+    ctx.ctrl.meters.observe_cost_ratio(route, ratio)
+
+
 def _end_lease(
     ctx: contexts.RoutedContext,
     lease: placement.Lease,
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -47,6 +47,7 @@
 from chervilarch.platform import documents, wire
 from chervilarch.platform import store as platform_store
 from chervilarch.routed_context import RoutedControllers
+from chervilarch.scheduling import request_cost
 
 # Reads of the endpoint list within `drain_s`, after which a leaving endpoint
 # must get no new work.
@@ -366,7 +367,14 @@
         rng,
     )
     guard = prompt_guard.PromptGuard(loop, exchange, meters, rng, store_client)
+    costs = request_cost.CostModel()
+    configuration.add_listener(
+        lambda table: costs.keep_routes(r.name for r in table.routes())
+    )
     configuration.add_listener(lambda table: runner.set_pools(table.pools))
+    configuration.add_listener(
+        lambda table: coordinator_placement.set_pools(table.pools)
+    )
     endpoints.add_listener(own_placement.set_endpoints)
     endpoints.add_listener(coordinator_placement.set_endpoints)
     endpoints.add_listener(runner.set_endpoints)
@@ -394,6 +402,7 @@
         permits=request_permits,
         resumption=resuming,
         stop_admission=stop_admission.StopAdmission(gateways.has_neighbour),
+        costs=costs,
     )
 
 
--- a/chervilarch/peer.capnp
+++ b/chervilarch/peer.capnp
@@ -94,6 +94,14 @@
   sharedTokens @9 :UInt32;
   ownTokens @10 :UInt32;
   isBegun @11 :Bool;
+  # Set for prompts that are placed by their cost: the sizes of the parts that
+  # `sharedName` lists and of the last one, the id of that one, and what is
+  # expected of the answer.
+  partTokens @12 :List(UInt32);
+  lastPart @13 :Text;
+  outputMs @14 :UInt32;
+  outputTokens @15 :UInt32;
+  gapMs @16 :UInt32;
 }
 
 struct StageMaker {
@@ -119,6 +127,10 @@
   engine @7 :Text;
   # Stage of each result, in a message about stages that have ended.
   resultStages @8 :List(UInt16);
+  # In `free`: the request whose final call gave its first event, or ended
+  # without one.
+  placedRequest @9 :Text;
+  hasFirstEvent @10 :Bool;
 }
 
 enum StoreTopic {
--- a/chervilarch/placement.py
+++ b/chervilarch/placement.py
@@ -14,8 +14,10 @@
     endpoint_list,
     endpoint_state,
     piece_queue,
+    routing_table,
     state_log,
 )
+from chervilarch.scheduling import engine_choice, engine_load
 
 # Prompt tokens of one work unit at a model engine.
 TOKENS_PER_UNIT = 1000.0
@@ -30,6 +32,8 @@
 # expected time plus this extra time; else the next one waits longer.
 _TRIAL_RATIO = 2.0
 _TRIAL_EXTRA_S = 0.05
+# Prompts whose first event is awaited; the news of some may be lost.
+_MAX_PLACED = 4096
 
 
 class Requirements(NamedTuple):
@@ -45,6 +49,10 @@
         input_bytes: bytes of its inputs by data centre.
         preferred: id of the endpoint that the coordinator proposes, "" for
             none; it is chosen if it is usable and not suspected.
+        prompt: set if the engine is chosen by the prompt's cost.
+        request_id: with a prompt, the caller's id of the request.
+        objective_at: with a prompt, when the first event is due, in monotonic
+            seconds.
     """
 
     pool: str
@@ -55,6 +63,9 @@
     finish_by: float = float("inf")
     input_bytes: dict[str, int] = {}
     preferred: str = ""
+    prompt: engine_load.Prompt | None = None
+    request_id: str = ""
+    objective_at: float = float("inf")
 
 
 class Lease(NamedTuple):
@@ -95,6 +106,18 @@
         self._deferred: dict[endpoint_state.EndpointRun, float] = {}
         # Until when endpoints that asked for a pause get no requests.
         self._paused: dict[endpoint_state.EndpointRun, float] = {}
+        self._pool_profiles: dict[str, routing_table.Pool] = {}
+        # What engines have to do, by pool and run, and their speed by pool.
+        self._engine_loads: dict[
+            str, dict[endpoint_state.EndpointRun, engine_load.EngineLoad]
+        ] = {}
+        self._read_speeds: dict[str, engine_load.ReadSpeed] = {}
+        # The engines of prompts that were placed by their cost.
+        self._placed: dict[str, engine_load.EngineLoad] = {}
+
+    def set_pools(self, pools: dict[str, routing_table.Pool]) -> None:
+        """Applies the pools of a configuration."""
+        self._pool_profiles = pools
 
     def set_endpoints(
         self, listed: dict[str, dict[str, endpoint_list.Listing]]
@@ -119,6 +142,10 @@
                     endpoint = endpoint_state.Endpoint(entry, is_local)
                 kept[name] = endpoint
         self._pools = pools
+        self._engine_loads = {
+            pool: {run: load for run, load in loads.items() if run in runs}
+            for pool, loads in self._engine_loads.items()
+        }
 
     def affinity_data_centre(self, pool: str, shared: bytes) -> str:
         """Returns the data centre of the affinity endpoint, "" if unknown."""
@@ -268,11 +295,22 @@
             name = requirements.preferred
             # The shared prefix is assumed to be cached there.
             units = max(0.1, requirements.own_tokens / TOKENS_PER_UNIT)
+        elif requirements.prompt is not None:
+            return self._lease_by_cost(requirements, usable, now)
         elif requirements.is_prompt:
             name, units = self._pick_engine(requirements, usable, now)
         else:
             name, units = self._pick_by_wait(usable, now), 1.0
-        endpoint = usable[name]
+        return self._lease(requirements, usable[name], name, units, now)
+
+    def _lease(
+        self,
+        requirements: Requirements,
+        endpoint: endpoint_state.Endpoint,
+        name: str,
+        units: float,
+        now: float,
+    ) -> Lease:
         work = endpoint_state.Work(
             requirements.pool,
             units,
@@ -441,6 +479,84 @@
         uncached = 0.0 if name == affinity else shared
         return name, max(0.1, own + uncached)
 
+    def _lease_by_cost(
+        self,
+        requirements: Requirements,
+        usable: dict[str, endpoint_state.Endpoint],
+        now: float,
+    ) -> Lease:
+        """Leases the engine at which a prompt makes the fewest answers late."""
+        pool, prompt = requirements.pool, requirements.prompt
+        profile = self._pool_profiles.get(pool)
+        engine = profile.engine_profile if profile else None
+        slots = engine.slots if engine else 0
+        all_bytes = sum(requirements.input_bytes.values())
+        candidates = [
+            engine_choice.Candidate(
+                name,
+                self._engine_load(pool, _run_of(name, endpoint)),
+                piece_queue.REMOTE_S_PER_BYTE
+                * (
+                    all_bytes
+                    - requirements.input_bytes.get(endpoint.data_centre, 0)
+                ),
+                now < endpoint.suspect_until,
+                slots,
+            )
+            for name, endpoint in usable.items()
+        ]
+        left_s = requirements.objective_at - now
+        chosen = engine_choice.choose(candidates, prompt, left_s, now)
+        units = chosen.load.uncached_tokens(prompt, now) / TOKENS_PER_UNIT
+        lease = self._lease(
+            requirements,
+            usable[chosen.name],
+            chosen.name,
+            max(0.1, units),
+            now,
+        )
+        backlog_s = chosen.load.backlog_s(now)
+        request_id = requirements.request_id
+        expected_s = chosen.load.add_prompt(request_id, prompt, now)
+        self._placed[request_id] = chosen.load
+        if len(self._placed) > _MAX_PLACED:
+            del self._placed[next(iter(self._placed))]
+        state_log.log_decision(
+            "engine proposed",
+            request_id=request_id,
+            endpoint=chosen.name,
+            backlog_ms=round(1000 * backlog_s),
+            expected_ms=round(1000 * expected_s),
+            left_ms=round(1000 * left_s),
+            uncached_tokens=round(TOKENS_PER_UNIT * units),
+            output_ms=round(1000 * prompt.output_s),
+            running=chosen.load.running(now),
+        )
+        return lease
+
+    def _engine_load(
+        self, pool: str, run: endpoint_state.EndpointRun
+    ) -> engine_load.EngineLoad:
+        loads = self._engine_loads.setdefault(pool, {})
+        if run not in loads:
+            profile = self._pool_profiles.get(pool)
+            engine = profile.engine_profile if profile else None
+            speed = self._read_speeds.setdefault(pool, engine_load.ReadSpeed())
+            loads[run] = engine_load.EngineLoad(
+                speed, engine.memory_tokens if engine else 0
+            )
+        return loads[run]
+
+    def record_placed(self, request_id: str, has_first_event: bool) -> None:
+        """Records what became of a prompt that was placed by its cost."""
+        load = self._placed.pop(request_id, None)
+        if load is None:
+            return
+        if has_first_event:
+            load.record_first_event(request_id, self._clock.monotonic())
+        else:
+            load.forget(request_id)
+
     def _pick_by_wait(
         self, usable: dict[str, endpoint_state.Endpoint], now: float
     ) -> str:
--- a/chervilarch/platform/documents.py
+++ b/chervilarch/platform/documents.py
@@ -14,6 +14,7 @@
     endpoint_list,
     hosts,
     routing_table,
+    state_log,
 )
 
 _MS_PER_S = 1000
@@ -31,6 +32,7 @@
 _Size = Annotated[float, msgspec.Meta(ge=0, le=2**53)]
 _Priority = Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31 - 1)]
 _Index = Annotated[int, msgspec.Meta(ge=0, le=2**16 - 1)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**32 - 1)]
 _Name = Annotated[str, msgspec.Meta(max_length=_MAX_NAME_CHARS)]
 
 
@@ -74,9 +76,17 @@
     handle_s: float = 0
 
 
+class _Engine(msgspec.Struct):
+    slots: _Count = 0
+    kv_tokens: _Count = 0
+    stride: _Count = 0
+
+
 class _Service(msgspec.Struct):
     name: str
     pieces: _Pieces | None = None
+    # Decoded apart, so that an unknown form of it doesn't hide the service.
+    engine: msgspec.Raw = msgspec.Raw()
 
 
 class _Limits(msgspec.Struct):
@@ -225,4 +235,23 @@
             pieces.headroom_mb * _BYTES_PER_MB,
             pieces.handle_s,
         ),
+        _read_engine(service),
     )
+
+
+def _read_engine(service: _Service) -> routing_table.EngineProfile | None:
+    if bytes(service.engine) in (b"", b"null"):
+        return None
+    engine = decoding.attempt(_decode_engine, service.engine)
+    if isinstance(engine, Unreadable):
+        state_log.log_fault(
+            "engine profile unreadable", pool=service.name, reason=engine.reason
+        )
+        return None
+    return routing_table.EngineProfile(
+        engine.slots, engine.kv_tokens, engine.stride
+    )
+
+
+def _decode_engine(raw: msgspec.Raw) -> _Engine:
+    return msgspec.json.decode(raw, type=_Engine)
--- a/chervilarch/platform/wire.py
+++ b/chervilarch/platform/wire.py
@@ -373,7 +373,13 @@
         raise ValueError(f"a prompt of more than {_MAX_TOKENS} tokens")
     usage = _parse_counts(by_name.get("token-usage", ""), _MAX_TOKENS)
     tokens_in, tokens_out = usage if len(usage) == 2 else (0, 0)
-    return routed.Prompt(tuple(parts), tokens_in, tokens_out)
+    hint = _parse_amount(by_name.get("length-hint"), "length hint unreadable")
+    return routed.Prompt(
+        tuple(parts),
+        tokens_in,
+        tokens_out,
+        int(min(hint or 0.0, _MAX_TOKENS)),
+    )
 
 
 def _unforwarded_headers(headers: http_server.Headers) -> frozenset[str]:
--- a/chervilarch/routed.py
+++ b/chervilarch/routed.py
@@ -15,6 +15,7 @@
     prompt_blocks,
     routing_table,
 )
+from chervilarch.scheduling import prefix_cache, request_cost
 
 _MS_PER_S = 1000
 
@@ -26,11 +27,13 @@
         parts: id and tokens of each part, in order.
         tokens_in: tokens of the whole prompt.
         tokens_out: upper bound on generated tokens.
+        length_hint: the caller's estimate of generated tokens, 0 for none.
     """
 
     parts: tuple[tuple[str, int], ...] = ()
     tokens_in: int = 0
     tokens_out: int = 0
+    length_hint: int = 0
 
     def shared_name(self) -> bytes:
         """Returns the name of the prefix that other requests share."""
@@ -48,6 +51,16 @@
         """Returns the number of tokens after the shared prefix."""
         return max(0, self.tokens_in - self.shared_tokens())
 
+    def sized_parts(self) -> tuple[prefix_cache.Part, ...]:
+        """Returns all parts; the last one has the rest of the tokens."""
+        parts = [prefix_cache.Part(*part) for part in self.parts[:-1]]
+        own_id = self.parts[-1][0] if self.parts else ""
+        return (*parts, prefix_cache.Part(own_id, self.own_tokens()))
+
+    def answer_size(self) -> request_cost.Size:
+        """Returns what the request says about the length of its answer."""
+        return request_cost.Size(self.length_hint, self.tokens_out)
+
 
 class RoutedRequest:
     """One request as the caller sent it; a retry by the caller is a new one.
--- a/chervilarch/routed_context.py
+++ b/chervilarch/routed_context.py
@@ -24,6 +24,7 @@
     telemetry,
 )
 from chervilarch import loop as loops
+from chervilarch.scheduling import request_cost
 
 
 class RoutedControllers(NamedTuple):
@@ -52,6 +53,7 @@
     permits: permits.Permits
     resumption: resumption.Resumption
     stop_admission: stop_admission.StopAdmission
+    costs: request_cost.CostModel
 
 
 class RoutedContext:
--- a/chervilarch/routing_table.py
+++ b/chervilarch/routing_table.py
@@ -4,6 +4,8 @@
 import zlib
 from typing import NamedTuple
 
+from chervilarch.scheduling import engine_choice
+
 
 class RetryPolicy(enum.Enum):
     """How often a request may run; a retry by the caller is a new request."""
@@ -48,16 +50,32 @@
     result_ttl_s: float
 
 
+class EngineProfile(NamedTuple):
+    """Capacity of an engine of one pool; 0 stands for what isn't known.
+
+    Attributes:
+        slots: requests that run at a time.
+        memory_tokens: tokens of requests and cached parts that it holds.
+        event_tokens: tokens of one event of a stream.
+    """
+
+    slots: int = 0
+    memory_tokens: int = 0
+    event_tokens: int = 0
+
+
 class Pool(NamedTuple):
     """Endpoints of one kind.
 
     Attributes:
         name: the pool's name.
         worker_profile: set for pools that run stages.
+        engine_profile: set for pools of model engines.
     """
 
     name: str
     worker_profile: WorkerProfile | None = None
+    engine_profile: EngineProfile | None = None
 
 
 class Route(NamedTuple):
@@ -165,6 +183,23 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def is_pause_sensitive(self, route: Route, pool: str) -> bool:
+        """Returns whether prompts at a pool can make a route's events late.
+
+        Such prompts are placed by their cost.
+        """
+        profile = (
+            self.pools[pool].engine_profile if pool in self.pools else None
+        )
+        return (
+            profile is not None
+            and route.is_prompt
+            and route.is_stream
+            and engine_choice.is_pause_sensitive(
+                route.gap_objective_s, profile.event_tokens
+            )
+        )
+
     def account_of_key(self, api_key: str) -> Account | None:
         """Returns the account that holds an API key."""
         return self._accounts.get(api_key)
--- a/chervilarch/stage_coordination.py
+++ b/chervilarch/stage_coordination.py
@@ -155,13 +155,33 @@
                 StageMessage(Kind.CANCEL, submission.number),
             )
 
-    def free(self, results: stage_graph.Results) -> None:
-        """Frees results that the final call no longer needs."""
+    def free(
+        self,
+        results: stage_graph.Results,
+        placed: stage_graph.PlacedRequest | None = None,
+    ) -> None:
+        """Frees results that the final call no longer needs.
+
+        Args:
+            results: the results.
+            placed: what became of a call that was placed by its cost.
+        """
         peer = self._choose_coordinator()
         if peer is None:
-            self._scheduler.free(results)
+            self._free(results, placed)
         else:
-            self._send(peer, StageMessage(Kind.FREE, results=results))
+            self._send(
+                peer, StageMessage(Kind.FREE, results=results, placed=placed)
+            )
+
+    def _free(
+        self,
+        results: stage_graph.Results,
+        placed: stage_graph.PlacedRequest | None,
+    ) -> None:
+        if placed is not None:
+            self._scheduler.record_placed(placed)
+        self._scheduler.free(results)
 
     def _choose_coordinator(self) -> Peer | None:
         """Returns the coordinating host, None if it is this one."""
@@ -311,7 +331,7 @@
         elif message.kind is Kind.RESULTS:
             self._handle_results(submission, message, source)
         elif message.kind is Kind.FREE:
-            self._scheduler.free(message.results)
+            self._free(message.results, message.placed)
         else:
             self._end_remote_run(source, message)
 
--- a/chervilarch/stage_graph.py
+++ b/chervilarch/stage_graph.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from chervilarch import piece_runner, pieces, routing_table, state_log, tasks
+from chervilarch.scheduling import engine_load
 
 # Expected time from the final call to its first event, in seconds. Stages
 # should end this long before the objective.
@@ -31,6 +32,19 @@
     proposed_engine: str = ""
 
 
+class PlacedRequest(NamedTuple):
+    """News of a request whose engine the coordinator proposed by its cost.
+
+    Attributes:
+        request_id: the caller's id of the request.
+        has_first_event: whether its stream has begun; else its call ended
+            without an event.
+    """
+
+    request_id: str
+    has_first_event: bool
+
+
 class PromptSize(NamedTuple):
     """Size and shared prefix of the prompt that the final call sends.
 
@@ -39,12 +53,15 @@
         shared_name: names the prefix that the prompt shares with others.
         shared_tokens: tokens of that prefix.
         own_tokens: tokens after that prefix, which no endpoint has cached.
+        prompt: its parts and the expected answer; set if it is to be placed by
+            its cost.
     """
 
     pool: str = ""
     shared_name: bytes = b""
     shared_tokens: int = 0
     own_tokens: int = 0
+    prompt: engine_load.Prompt | None = None
 
 
 class StageSpec(NamedTuple):
--- a/chervilarch/stage_inputs.py
+++ b/chervilarch/stage_inputs.py
@@ -2,6 +2,13 @@
 
 from chervilarch import outcomes, pieces, stage_graph, tasks
 from chervilarch import routed_context as contexts
+from chervilarch.scheduling import engine_load
+
+# A proposal takes some milliseconds. Without one the host chooses by what it
+# knows itself.
+_PROPOSAL_WAIT_S = 0.08
+# Bound of the field that carries tokens to other hosts.
+_MAX_TOKENS = 2**32 - 1
 
 _REASONS = {
     pieces.PAST_DEADLINE: outcomes.Reason.DEADLINE_PASSED,
@@ -19,6 +26,8 @@
         # Id of the engine that the coordinator proposes for the final call, or
         # "".
         self.proposed_engine = ""
+        # Whether the coordinator counts this request at the engine.
+        self._is_placed = False
 
     def handles(self) -> tuple[str, ...]:
         """Returns the handles of the results."""
@@ -44,6 +53,8 @@
                 objective_at=objective_at, is_partly_answered=True
             )
         if not graph.active_stages():
+            if graph.prompt.prompt is not None:
+                yield from self._place(graph)
             return None
         submission = self._ctx.ctrl.stage_coordinator.submit(graph)
         try:
@@ -59,18 +70,44 @@
                 outcome.retry_after_s,
             )
         self._results, self.proposed_engine = outcome
+        self._is_placed = graph.prompt.prompt is not None
         return None
 
+    def _place(self, graph: stage_graph.StageGraph) -> tasks.Coroutine[None]:
+        """Gets the coordinator's proposal of an engine, without stages."""
+        ctrl = self._ctx.ctrl
+        submission = ctrl.stage_coordinator.submit(graph)
+        until = self._ctx.now() + _PROPOSAL_WAIT_S
+        try:
+            yield from tasks.wait(ctrl.loop, submission.future, until)
+        finally:
+            if not submission.future.done():
+                ctrl.stage_coordinator.cancel(submission)
+        outcome = submission.future.result()
+        if isinstance(outcome, stage_graph.GraphResult):
+            self.proposed_engine = outcome.proposed_engine
+            self._is_placed = True
+
     def result_bytes_by_data_centre(self) -> dict[str, int]:
         """Returns the bytes of the results by data centre."""
         stages = self._ctx.req.route.stages
         return stage_graph.result_bytes_by_data_centre(stages, self._results)
 
-    def free(self) -> None:
-        """Frees the results when the final call no longer needs them."""
+    def free(self, has_first_event: bool = False) -> None:
+        """Frees the results when the final call no longer needs them.
+
+        Args:
+            has_first_event: whether the call has given its first event.
+        """
         results, self._results = self._results, ()
-        if results:
-            self._ctx.ctrl.stage_coordinator.free(results)
+        placed = None
+        if self._is_placed:
+            self._is_placed = False
+            placed = stage_graph.PlacedRequest(
+                self._ctx.req.id, has_first_event
+            )
+        if results or placed:
+            self._ctx.ctrl.stage_coordinator.free(results, placed)
 
     def _graph(self) -> stage_graph.StageGraph:
         req = self._ctx.req
@@ -101,9 +138,26 @@
         req = self._ctx.req
         if not req.route.is_prompt:
             return stage_graph.PromptSize()
+        pool = req.route.pool_for(req.id)
         return stage_graph.PromptSize(
-            req.route.pool_for(req.id),
+            pool,
             req.prompt.shared_name(),
             req.prompt.shared_tokens(),
             req.prompt.own_tokens(),
+            self._cost(pool),
+        )
+
+    def _cost(self, pool: str) -> engine_load.Prompt | None:
+        """Returns what the prompt costs, if it is to be placed by that."""
+        ctx = self._ctx
+        req = ctx.req
+        if not ctx.table.is_pause_sensitive(req.route, pool):
+            return None
+        size = req.prompt.answer_size()
+        account = req.account.name if req.account else ""
+        return engine_load.Prompt(
+            req.prompt.sized_parts(),
+            ctx.ctrl.costs.estimate_s(req.route.name, account, size),
+            min(_MAX_TOKENS, int(size.expected_tokens())),
+            req.route.gap_objective_s,
         )
--- a/chervilarch/stage_messages.py
+++ b/chervilarch/stage_messages.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from chervilarch import messages, pieces, stage_graph
+from chervilarch.scheduling import engine_load, prefix_cache
 
 _MS_PER_S = 1000
 
@@ -37,6 +38,7 @@
         proposed_engine: with results, id of the engine that the coordinator
             proposes for the final call.
         completed: set for `ACCEPTED`: the results that exist so far.
+        placed: set for `FREE` of a request that was placed by its cost.
     """
 
     kind: Kind
@@ -46,6 +48,7 @@
     failure: pieces.JobFailure | None = None
     proposed_engine: str = ""
     completed: stage_graph.StageResults = ()
+    placed: stage_graph.PlacedRequest | None = None
 
 
 def encode(key: bytes, message: StageMessage, now: float) -> bytes:
@@ -54,6 +57,8 @@
     msg.kind = message.kind.value
     msg.number = message.number
     msg.engine = message.proposed_engine
+    if message.placed is not None:
+        msg.placedRequest, msg.hasFirstEvent = message.placed
     completed = message.completed
     if message.graph is not None:
         _fill_graph(msg.order, message.graph, now)
@@ -91,8 +96,20 @@
         if kind is Kind.SUBMIT:
             graph = _read_graph(msg.order, now)._replace(completed=completed)
             completed = ()
+        placed = None
+        if msg.placedRequest:
+            placed = stage_graph.PlacedRequest(
+                msg.placedRequest, msg.hasFirstEvent
+            )
         return StageMessage(
-            kind, msg.number, graph, results, failure, msg.engine, completed
+            kind,
+            msg.number,
+            graph,
+            results,
+            failure,
+            msg.engine,
+            completed,
+            placed,
         )
     except messages.DECODING_ERRORS as exc:
         return messages.BadFrame(f"malformed stage message: {exc}")
@@ -110,6 +127,7 @@
     slot.isBegun = graph.is_partly_answered
     slot.objectiveMs = int((graph.objective_at - now) * _MS_PER_S)
     slot.deadlineMs = int((graph.deadline_at - now) * _MS_PER_S)
+    _fill_prompt(slot, graph.prompt.prompt)
     stages = slot.init("stages", len(graph.stages))
     for target, stage in zip(stages, graph.stages, strict=True):
         target.pool = stage.pool
@@ -137,11 +155,43 @@
             bytes(slot.sharedName),
             slot.sharedTokens,
             slot.ownTokens,
+            _read_prompt(slot),
         ),
         is_partly_answered=slot.isBegun,
     )
 
 
+def _fill_prompt(slot, prompt: engine_load.Prompt | None) -> None:
+    if prompt is None:
+        return
+    slot.partTokens = [part.tokens for part in prompt.parts]
+    slot.lastPart = prompt.parts[-1].id
+    slot.outputMs = int(prompt.output_s * _MS_PER_S)
+    slot.outputTokens = prompt.output_tokens
+    slot.gapMs = int(prompt.gap_s * _MS_PER_S)
+
+
+def _read_prompt(slot) -> engine_load.Prompt | None:
+    """Returns a prompt that is to be placed by its cost, if there is one.
+
+    Raises:
+        ValueError: the numbers of parts and sizes differ.
+    """
+    sizes = list(slot.partTokens)
+    if not sizes:
+        return None
+    shared = bytes(slot.sharedName).decode()
+    ids = [*(shared.split(",") if shared else ()), slot.lastPart]
+    return engine_load.Prompt(
+        tuple(
+            prefix_cache.Part(*part) for part in zip(ids, sizes, strict=True)
+        ),
+        slot.outputMs / _MS_PER_S,
+        slot.outputTokens,
+        slot.gapMs / _MS_PER_S,
+    )
+
+
 def _fill_results(msg, results: stage_graph.Results) -> None:
     """Writes results; those of one worker share its entry in `makers`."""
     workers: dict[tuple, int] = {}
--- a/chervilarch/stage_scheduler.py
+++ b/chervilarch/stage_scheduler.py
@@ -70,7 +70,8 @@
         self._loop = loop
         self._piece_runner = piece_runner
         self._engine_placement = engine_placement
-        # Leases of proposed engines, by the handle of the first result.
+        # Leases of proposed engines, by the handle of the first result, or by
+        # the request's id if there is none.
         self._leases: dict[str, placement.Lease] = {}
         self._deferred: list[ScheduledGraph] = []
         piece_runner.on_dispatched = self._review_soon
@@ -118,6 +119,11 @@
         for _, results in graph.completed:
             self._piece_runner.free(list(results))
 
+    def record_placed(self, placed: stage_graph.PlacedRequest) -> None:
+        """Records what became of a call that was placed by its cost."""
+        self._engine_placement.record_placed(*placed)
+        self._end_lease(placed.request_id)
+
     def free(self, results: stage_graph.Results) -> None:
         """Frees the results of a graph.
 
@@ -125,12 +131,15 @@
         ends its lease, whether or not the final call has read the results.
         """
         for result in results:
-            lease = self._leases.pop(result.handle, None)
-            if lease is not None:
-                self._engine_placement.record_first_event(lease)
-                self._engine_placement.abandon(lease)
+            self._end_lease(result.handle)
         self._piece_runner.free(list(results))
 
+    def _end_lease(self, key: str) -> None:
+        lease = self._leases.pop(key, None)
+        if lease is not None:
+            self._engine_placement.record_first_event(lease)
+            self._engine_placement.abandon(lease)
+
     def expected_s(self, graph: stage_graph.StageGraph, now: float) -> float:
         """Returns the estimated time of a graph up to the first event."""
         ends_s: dict[int, float] = {}
@@ -199,7 +208,7 @@
         final calls of all graphs.
         """
         prompt = graph.prompt
-        if not prompt.pool or not results:
+        if not prompt.pool or not (results or prompt.prompt):
             return ""
         lease = self._engine_placement.pick(
             placement.Requirements(
@@ -210,17 +219,18 @@
                 prompt.own_tokens,
                 graph.deadline_at,
                 stage_graph.result_bytes_by_data_centre(graph.stages, results),
+                prompt=prompt.prompt,
+                request_id=graph.request_id,
+                objective_at=graph.objective_at,
             ),
             set(),
         )
         if lease is None:
             return ""
         self._pace(lease.slot.endpoint)
-        handle = results[0].handle
-        self._leases[handle] = lease
-        self._loop.call_later(
-            _LEASE_TIMEOUT_S, lambda: self._expire_lease(handle)
-        )
+        key = results[0].handle if results else graph.request_id
+        self._leases[key] = lease
+        self._loop.call_later(_LEASE_TIMEOUT_S, lambda: self._expire_lease(key))
         return lease.listing.entry.name
 
     def _pace(self, run: endpoint_state.EndpointRun) -> None:
@@ -230,8 +240,8 @@
             wait_s = self._engine_placement.wait_s(run) + 1.0 / per_s
             self._engine_placement.defer(run, self._loop.now() + wait_s)
 
-    def _expire_lease(self, handle: str) -> None:
-        lease = self._leases.pop(handle, None)
+    def _expire_lease(self, key: str) -> None:
+        lease = self._leases.pop(key, None)
         if lease is not None:
             self._engine_placement.abandon(lease)
 
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -636,7 +636,7 @@
         ctx.ctrl.placement.record_first_event(lease)
         # The endpoint fetches its inputs before it generates an event, so the
         # results can be freed.
-        self._inputs.free()
+        self._inputs.free(has_first_event=True)
         state_log.log_decision(
             "first event",
             request_id=ctx.req.id,
--- a/chervilarch/telemetry.py
+++ b/chervilarch/telemetry.py
@@ -8,6 +8,7 @@
 # Upper bounds in seconds, denser from 0.1 to 2 s where the objectives of routes
 # lie.
 _LATENCY_BUCKETS = (0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 8, 15)
+_RATIO_BUCKETS = (0.1, 0.25, 0.5, 0.75, 1, 1.33, 2, 4, 10)
 _BATCH_BUCKETS = (1, 2, 4, 8, 15, 30, 60)
 
 
@@ -31,6 +32,12 @@
         self._batch_sizes = self._histogram(
             "stage_call_pieces", "Pieces a call", ["pool"], _BATCH_BUCKETS
         )
+        self._cost_ratios = self._histogram(
+            "answer_cost_ratio",
+            "Time to generate an answer, as a multiple of its estimate",
+            ["route"],
+            _RATIO_BUCKETS,
+        )
         self._prompt_blocks = self._counter(
             "prompt_blocks", "Blocks of prompts that crash engines", []
         )
@@ -68,6 +75,10 @@
         """Records the number of pieces in a stage call."""
         self._batch_sizes.labels(pool).observe(count)
 
+    def observe_cost_ratio(self, route: str, ratio: float) -> None:
+        """Records the error of an estimate of an answer's cost."""
+        self._cost_ratios.labels(route).observe(ratio)
+
     def count_prompt_block(self) -> None:
         """Counts a block of prompts that became known to this host."""
         self._prompt_blocks.inc()
