--- a/chervilarch/piece_queue.py
+++ b/chervilarch/piece_queue.py
@@ -7,6 +7,7 @@
 load.
 """
 
+import collections
 from typing import NamedTuple
 
 from chervilarch import endpoint_list, endpoint_state, pieces, routing_table
@@ -149,6 +150,9 @@
         self.workers: dict[str, Worker] = {}
         # Number of pieces of admitted requests that will be queued later.
         self.upcoming = 0
+        self._upcoming_by_priority: collections.Counter[int] = (
+            collections.Counter()
+        )
         self._blocked_since: float | None = None
         self._jobs: list[PendingJob] = []
 
@@ -170,6 +174,11 @@
         if pending not in self._jobs:
             self._jobs.append(pending)
 
+    def change_upcoming(self, priority: int, count: int) -> None:
+        """Adds pieces that will be queued later; a negative count removes."""
+        self.upcoming += count
+        self._upcoming_by_priority[priority] += count
+
     def backlog(self) -> int:
         """Returns the number of queued pieces."""
         return sum(len(pending.queued_pieces) for pending in self._jobs)
@@ -178,8 +187,22 @@
         """Returns the configured time of a call with `count` pieces."""
         return self.profile.call_overhead_s + count * self.profile.piece_s
 
-    def wait_s(self, priority: int, target_at: float, now: float) -> float:
-        """Returns the estimated wait of a new job before its first call."""
+    def wait_s(
+        self,
+        priority: int,
+        target_at: float,
+        now: float,
+        is_ordered: bool = False,
+    ) -> float:
+        """Returns the estimated wait of a new job before its first call.
+
+        Args:
+            priority: priority of the job.
+            target_at: when the job should be done, in monotonic seconds.
+            now: monotonic time in seconds.
+            is_ordered: whether upcoming pieces of less urgent jobs don't count,
+                as they will be queued behind it.
+        """
         usable = [
             worker
             for worker in self.workers.values()
@@ -193,7 +216,14 @@
             priority,
             int(target_at / pieces.TARGET_BUCKET_S),
         )
-        ahead = self.upcoming + sum(
+        upcoming = self.upcoming
+        if is_ordered:
+            upcoming = sum(
+                count
+                for urgency, count in self._upcoming_by_priority.items()
+                if urgency <= priority
+            )
+        ahead = upcoming + sum(
             len(pending.queued_pieces)
             for pending in self._jobs
             if pending.sort_key(now)[:4] <= own_key
--- a/chervilarch/stage_scheduler.py
+++ b/chervilarch/stage_scheduler.py
@@ -154,7 +154,12 @@
             )
             # The wait counts from now, not from the end of the inputs: work
             # that waits now is done by the time a later stage starts.
-            wait_s = queue.wait_s(graph.priority, graph.objective_at, now)
+            wait_s = queue.wait_s(
+                graph.priority,
+                graph.objective_at,
+                now,
+                is_ordered=graph.prompt.prompt is not None,
+            )
             ends_s[number] = max(starts_s, wait_s) + stage_graph.stage_call_s(
                 self._piece_runner, stage
             )
