--- a/chervilarch/piece_queue.py
+++ b/chervilarch/piece_queue.py
@@ -12,6 +12,7 @@
 
 from chervilarch import endpoint_list, endpoint_state, pieces, routing_table
 from chervilarch.pieces import PendingJob, PieceResult
+from chervilarch.scheduling import local_waits
 
 # Weight of the newest call in an endpoint's moving average of slowness.
 _SLOWNESS_WEIGHT = 0.3
@@ -270,6 +271,7 @@
             worker: self._free_memory(worker, now) for worker in available
         }
         pool_free_memory = self._pool_free_memory(now)
+        waits = self._new_waits()
         for pending in sorted(self._jobs, key=lambda p: p.sort_key(now)):
             total_bytes = pending.result_bytes() * len(pending.queued_pieces)
             # A job started without memory for its last piece could deadlock
@@ -280,7 +282,7 @@
                 and total_bytes > pool_free_memory
             ):
                 continue
-            worker = self._choose_worker(pending, free_memory, now)
+            worker = self._choose_worker(pending, free_memory, waits, now)
             if worker is not None:
                 self._blocked_since = None
                 return self._fill(
@@ -288,14 +290,23 @@
                 )
         return None
 
+    def _new_waits(self) -> local_waits.LocalWaits:
+        batch = self.profile.batch
+        return local_waits.LocalWaits(batch, self.call_s(batch))
+
     def _choose_worker(
-        self, pending: PendingJob, free_memory: dict[Worker, float], now: float
+        self,
+        pending: PendingJob,
+        free_memory: dict[Worker, float],
+        waits: local_waits.LocalWaits,
+        now: float,
     ) -> Worker | None:
         """Returns the worker for a job's next call, or None to wait.
 
         Args:
             pending: the job.
             free_memory: workers with a free slot and their free bytes.
+            waits: more urgent jobs that wait for busy workers.
             now: monotonic time in seconds.
         """
         fitting = [
@@ -303,12 +314,41 @@
         ]
         if not fitting:
             return None
+        if pending.job.prefers_local:
+            best = self._best_worker(pending, waits, now)
+            if best in fitting:
+                return best
+            waits.add(best.listing.entry.name, len(pending.queued_pieces))
+            return None
         # Waiting for a better worker pays only while no other job needs the
         # free ones.
         candidates = fitting if self.is_backed_up() else self._usable(now)
         best = min(candidates, key=lambda w: self._cost_s(pending, w, now))
         return best if best in fitting else None
 
+    def _best_worker(
+        self, pending: PendingJob, waits: local_waits.LocalWaits, now: float
+    ) -> Worker:
+        """Returns the worker, busy or not, that is best for a job.
+
+        At least one worker must have room for a result.
+        """
+        needed_bytes = pending.result_bytes()
+        return min(
+            (
+                w
+                for w in self._usable(now)
+                if self._has_room(w, needed_bytes, now)
+            ),
+            key=lambda w: (
+                self._cost_s(pending, w, now)
+                + waits.delay_s(w.listing.entry.name, w.slowness)
+            ),
+        )
+
+    def _has_room(self, worker: Worker, size: int, now: float) -> bool:
+        return size <= self._free_memory(worker, now)
+
     def _cost_s(self, pending: PendingJob, worker: Worker, now: float) -> float:
         """Returns the time to a job's results plus a cost of remote bytes."""
         count = min(len(pending.queued_pieces), self.profile.batch)
@@ -337,11 +377,14 @@
         )
         batch_pieces: list[tuple[PendingJob, int]] = []
         size = 0
+        waits = self._new_waits()
         for pending in [first, *others]:
             piece_bytes = pending.result_bytes()
             capacity = self._max_pieces(worker) - len(batch_pieces)
+            if not capacity:
+                break
             if pending is not first and not self._may_join(
-                pending, worker, now
+                pending, worker, waits, now
             ):
                 continue
             is_new = pending is not first and not pending.is_started()
@@ -372,21 +415,31 @@
         return Batch(worker, batch_pieces, expected_s, nominal_s, size)
 
     def _may_join(
-        self, pending: PendingJob, worker: Worker, now: float
+        self,
+        pending: PendingJob,
+        worker: Worker,
+        waits: local_waits.LocalWaits,
+        now: float,
     ) -> bool:
         """Returns whether a job joins a call to a worker.
 
-        While little work waits, a new job doesn't join a call to another data
-        centre than that of its best worker.
+        While little work waits, or if it prefers a local worker, a new job
+        doesn't join a call to another data centre than that of its best worker.
         """
+        if pending.job.prefers_local and not pending.is_started():
+            if not self._has_room(worker, pending.result_bytes(), now):
+                return False
+            best = self._best_worker(pending, waits, now)
+            if _data_centre(best) == _data_centre(worker):
+                return True
+            waits.add(best.listing.entry.name, len(pending.queued_pieces))
+            return False
         if self.is_backed_up() or pending.is_started():
             return True
         best = min(
             self._usable(now), key=lambda w: self._cost_s(pending, w, now)
         )
-        return best is worker or best.listing.entry.data_centre == (
-            worker.listing.entry.data_centre
-        )
+        return best is worker or _data_centre(best) == _data_centre(worker)
 
     def _max_pieces(self, worker: Worker) -> int:
         """Returns the most pieces that a worker may get in one call."""
@@ -459,3 +512,7 @@
         )
         worker.backoff_until = now + min(_MAX_FULL_BACKOFF_S, backoff_s)
         worker.full_count = min(worker.full_count + 1, _MAX_DOUBLINGS)
+
+
+def _data_centre(worker: Worker) -> str:
+    return worker.listing.entry.data_centre
--- a/chervilarch/pieces.py
+++ b/chervilarch/pieces.py
@@ -78,6 +78,8 @@
         result_bytes: approximate size of one result.
         transfer_bytes: bytes that each piece transfers from or to a
             data centre unless it is made there, "" for an unknown one.
+        prefers_local: whether it may wait for a busy worker near its inputs
+            while others are free and other work waits, too.
     """
 
     request_id: str
@@ -91,6 +93,7 @@
     priority: int
     result_bytes: int = 0
     transfer_bytes: tuple[tuple[str, int], ...] = ()
+    prefers_local: bool = False
 
 
 SortKey = tuple[bool, bool, int, int, int]
--- a/chervilarch/stage_graph.py
+++ b/chervilarch/stage_graph.py
@@ -274,6 +274,7 @@
             graph.priority,
             stage.result_bytes,
             self._transfer_bytes(number, input_stages),
+            prefers_local=graph.prompt.prompt is not None,
         )
         self._remove_upcoming(number)
         self._running[number] = self._runner.submit(job)
