--- a/chervilarch/stage_coordination.py
+++ b/chervilarch/stage_coordination.py
@@ -413,7 +413,12 @@
             return
         outcome = run.future.result()
         if isinstance(outcome, stage_graph.GraphResult):
-            self._scheduler.free(outcome.results)
+            placed = None
+            if run.graph.prompt.prompt is not None:
+                placed = stage_graph.PlacedRequest(
+                    run.graph.request_id, has_ended=True
+                )
+            self._free(outcome.results, placed)
 
     def _on_resume(self, paused_s: float) -> None:
         """Leaves to other hosts what they took over in a pause of this one.
