--- a/chervilarch/scheduling/engine_load.py
+++ b/chervilarch/scheduling/engine_load.py
@@ -133,6 +133,8 @@
 class EngineLoad:
     """Prompts and streams of one run of an engine, over all hosts."""
 
+    may_hold = False
+
     def __init__(self, speed: ReadSpeed, capacity_tokens: int = 0):
         """Creates an idle engine.
 
@@ -208,7 +210,7 @@
         self._forget_lost(now)
         read_s = self.read_s(self.uncached_tokens(prompt, now))
         at_once = self._start(now, read_s, now)
-        if not at_once.late_streams:
+        if not at_once.late_streams or not self.may_hold:
             return [at_once]
         ends_at = max(stream.ends_at for stream in self._streams.values())
         if ends_at <= at_once.read_at:
