--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -49,7 +49,7 @@
 from chervilarch.platform import documents, wire
 from chervilarch.platform import store as platform_store
 from chervilarch.routed_context import RoutedControllers
-from chervilarch.scheduling import cold_starts, homes
+from chervilarch.scheduling import cold_starts, homes, request_cost
 
 # Reads of the endpoint list within `drain_s`, after which a leaving endpoint
 # must get no new work.
@@ -399,7 +399,14 @@
         rng,
     )
     guard = prompt_guard.PromptGuard(loop, exchange, meters, rng, store_client)
+    costs = request_cost.CostModel()
+    configuration.add_listener(
+        lambda table: costs.keep_routes(r.name for r in table.routes())
+    )
     configuration.add_listener(lambda table: runner.set_pools(table.pools))
+    configuration.add_listener(
+        lambda table: coordinator_placement.set_pools(table.pools)
+    )
     evacuations.add_listener(own_placement.set_endpoints)
     evacuations.add_listener(coordinator_placement.set_endpoints)
     evacuations.add_listener(runner.set_endpoints)
@@ -430,6 +437,7 @@
         resumption=resuming,
         stop_admission=stop_admission.StopAdmission(gateways.has_neighbour),
         cold=cold,
+        costs=costs,
     )
 
 
--- a/chervilarch/peer.capnp
+++ b/chervilarch/peer.capnp
@@ -94,12 +94,14 @@
   sharedTokens @9 :UInt32;
   ownTokens @10 :UInt32;
   isBegun @11 :Bool;
-  # Numbers that another change uses.
-  reserved12 @12 :Void;
-  reserved13 @13 :Void;
-  reserved14 @14 :Void;
-  reserved15 @15 :Void;
-  reserved16 @16 :Void;
+  # Set for prompts that are placed by their cost: the sizes of the parts that
+  # `sharedName` lists and of the last one, the id of that one, and what is
+  # expected of the answer.
+  partTokens @12 :List(UInt32);
+  lastPart @13 :Text;
+  outputMs @14 :UInt32;
+  outputTokens @15 :UInt32;
+  gapMs @16 :UInt32;
   # Whether only endpoints of `regions` may be used.
   isRegional @17 :Bool;
   regions @18 :List(Text);
@@ -128,6 +130,10 @@
   engine @7 :Text;
   # Stage of each result, in a message about stages that have ended.
   resultStages @8 :List(UInt16);
+  # In `free`: the request whose final call gave its first event or ended.
+  placedRequest @9 :Text;
+  hasFirstEvent @10 :Bool;
+  hasEnded @11 :Bool;
 }
 
 enum StoreTopic {
--- a/chervilarch/piece_queue.py
+++ b/chervilarch/piece_queue.py
@@ -7,11 +7,12 @@
 load.
 """
 
+import collections
 from typing import NamedTuple
 
 from chervilarch import endpoint_list, endpoint_state, pieces, routing_table
 from chervilarch.pieces import PendingJob, PieceResult
-from chervilarch.scheduling import homes
+from chervilarch.scheduling import homes, local_waits
 
 # Weight of the newest call in an endpoint's moving average of slowness.
 _SLOWNESS_WEIGHT = 0.3
@@ -172,6 +173,9 @@
         self._former: dict[str, Worker] = {}
         # Number of pieces of admitted requests that will be queued later.
         self.upcoming = 0
+        self._upcoming_by_priority: collections.Counter[int] = (
+            collections.Counter()
+        )
         self._blocked_since: float | None = None
         self._jobs: list[PendingJob] = []
 
@@ -199,6 +203,11 @@
         if pending not in self._jobs:
             self._jobs.append(pending)
 
+    def change_upcoming(self, priority: int, count: int) -> None:
+        """Adds pieces that will be queued later; a negative count removes."""
+        self.upcoming += count
+        self._upcoming_by_priority[priority] += count
+
     def backlog(self) -> int:
         """Returns the number of queued pieces."""
         return sum(len(pending.queued_pieces) for pending in self._jobs)
@@ -229,6 +238,7 @@
         target_at: float,
         now: float,
         allowed: homes.Allowed = None,
+        is_ordered: bool = False,
     ) -> float:
         """Returns the estimated wait of a new job before its first call.
 
@@ -237,6 +247,8 @@
             target_at: monotonic time at which it should end.
             now: monotonic time.
             allowed: regions whose workers may make its pieces, None for all.
+            is_ordered: whether upcoming pieces of less urgent jobs don't count,
+                as they will be queued behind it.
         """
         usable = self._usable(now + _SHORT_BACKOFF_S, allowed)
         if not usable:
@@ -248,7 +260,14 @@
             int(target_at / pieces.TARGET_BUCKET_S),
         )
         jobs = [p for p in self._jobs if p.sort_key(now)[:4] <= own_key]
-        ahead = self.upcoming + sum(len(p.queued_pieces) for p in jobs)
+        upcoming = self.upcoming
+        if is_ordered:
+            upcoming = sum(
+                count
+                for urgency, count in self._upcoming_by_priority.items()
+                if urgency <= priority
+            )
+        ahead = upcoming + sum(len(p.queued_pieces) for p in jobs)
         busy_s = min(max(0.0, w.free_at - now) for w in usable)
         if allowed is None:
             return busy_s + ahead / self._rate(usable)
@@ -313,6 +332,7 @@
             worker: self._free_memory(worker, now) for worker in available
         }
         pool_free_memory = self._pool_free_memory(now)
+        waits = self._new_waits()
         for pending in sorted(self._jobs, key=lambda p: p.sort_key(now)):
             # A job started without memory for its last piece could deadlock
             # with other started jobs.
@@ -321,7 +341,7 @@
                 or self._has_memory(pending, pool_free_memory, now)
             ):
                 continue
-            worker = self._choose_worker(pending, free_memory, now)
+            worker = self._choose_worker(pending, free_memory, waits, now)
             if worker is not None:
                 self._blocked_since = None
                 return self._fill(
@@ -329,14 +349,23 @@
                 )
         return None
 
+    def _new_waits(self) -> local_waits.LocalWaits:
+        batch = self.profile.batch
+        return local_waits.LocalWaits(batch, self.call_s(batch))
+
     def _choose_worker(
-        self, pending: PendingJob, free_memory: dict[Worker, float], now: float
+        self,
+        pending: PendingJob,
+        free_memory: dict[Worker, float],
+        waits: local_waits.LocalWaits,
+        now: float,
     ) -> Worker | None:
         """Returns the worker for a job's next call, or None to wait.
 
         Args:
             pending: the job.
             free_memory: workers with a free slot and their free bytes.
+            waits: more urgent jobs that wait for busy workers.
             now: monotonic time in seconds.
         """
         allowed = pending.job.regions
@@ -348,6 +377,12 @@
         ]
         if not fitting:
             return None
+        if pending.job.prefers_local:
+            best = self._best_worker(pending, waits, now)
+            if best in fitting:
+                return best
+            waits.add(best.listing.entry.name, len(pending.queued_pieces))
+            return None
         # Waiting for a better worker pays only while no other job needs the
         # free ones.
         candidates = (
@@ -356,6 +391,29 @@
         best = min(candidates, key=lambda w: self._cost_s(pending, w, now))
         return best if best in fitting else None
 
+    def _best_worker(
+        self, pending: PendingJob, waits: local_waits.LocalWaits, now: float
+    ) -> Worker:
+        """Returns the worker, busy or not, that is best for a job.
+
+        At least one worker must have room for a result.
+        """
+        needed_bytes = pending.result_bytes()
+        return min(
+            (
+                w
+                for w in self._usable(now, pending.job.regions)
+                if self._has_room(w, needed_bytes, now)
+            ),
+            key=lambda w: (
+                self._cost_s(pending, w, now)
+                + waits.delay_s(w.listing.entry.name, w.slowness)
+            ),
+        )
+
+    def _has_room(self, worker: Worker, size: int, now: float) -> bool:
+        return size <= self._free_memory(worker, now)
+
     def _cost_s(self, pending: PendingJob, worker: Worker, now: float) -> float:
         """Returns the time to a job's results plus a cost of remote bytes."""
         count = min(len(pending.queued_pieces), self.profile.batch)
@@ -384,11 +442,14 @@
         )
         batch_pieces: list[tuple[PendingJob, int]] = []
         size = 0
+        waits = self._new_waits()
         for pending in [first, *others]:
             piece_bytes = pending.result_bytes()
             capacity = self._max_pieces(worker) - len(batch_pieces)
+            if not capacity:
+                break
             if pending is not first and not self._may_join(
-                pending, worker, now
+                pending, worker, waits, now
             ):
                 continue
             is_new = pending is not first and not pending.is_started()
@@ -416,25 +477,35 @@
         return Batch(worker, batch_pieces, expected_s, nominal_s, size)
 
     def _may_join(
-        self, pending: PendingJob, worker: Worker, now: float
+        self,
+        pending: PendingJob,
+        worker: Worker,
+        waits: local_waits.LocalWaits,
+        now: float,
     ) -> bool:
         """Returns whether a job joins a call to a worker.
 
-        While little work waits, a new job doesn't join a call to another data
-        centre than that of its best worker.
+        While little work waits, or if it prefers a local worker, a new job
+        doesn't join a call to another data centre than that of its best worker.
         """
         allowed = pending.job.regions
         if not self._is_allowed(worker, allowed):
             return False
+        if pending.job.prefers_local and not pending.is_started():
+            if not self._has_room(worker, pending.result_bytes(), now):
+                return False
+            best = self._best_worker(pending, waits, now)
+            if _data_centre(best) == _data_centre(worker):
+                return True
+            waits.add(best.listing.entry.name, len(pending.queued_pieces))
+            return False
         if self.is_backed_up() or pending.is_started():
             return True
         best = min(
             self._usable(now, allowed),
             key=lambda w: self._cost_s(pending, w, now),
         )
-        return best is worker or best.listing.entry.data_centre == (
-            worker.listing.entry.data_centre
-        )
+        return best is worker or _data_centre(best) == _data_centre(worker)
 
     def _max_pieces(self, worker: Worker) -> int:
         """Returns the most pieces that a worker may get in one call."""
@@ -522,3 +593,7 @@
         )
         worker.backoff_until = now + min(_MAX_FULL_BACKOFF_S, backoff_s)
         worker.full_count = min(worker.full_count + 1, _MAX_DOUBLINGS)
+
+
+def _data_centre(worker: Worker) -> str:
+    return worker.listing.entry.data_centre
--- a/chervilarch/pieces.py
+++ b/chervilarch/pieces.py
@@ -80,6 +80,8 @@
         transfer_bytes: bytes that each piece transfers from or to a
             data centre unless it is made there, "" for an unknown one.
         regions: regions whose workers may make the pieces, None for all.
+        prefers_local: whether it may wait for a busy worker near its inputs
+            while others are free and other work waits, too.
     """
 
     request_id: str
@@ -94,6 +96,7 @@
     result_bytes: int = 0
     transfer_bytes: tuple[tuple[str, int], ...] = ()
     regions: homes.Allowed = None
+    prefers_local: bool = False
 
 
 SortKey = tuple[bool, bool, int, int, int]
--- a/chervilarch/stage_graph.py
+++ b/chervilarch/stage_graph.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from chervilarch import piece_runner, pieces, routing_table, state_log, tasks
-from chervilarch.scheduling import homes
+from chervilarch.scheduling import engine_load, homes
 
 # Expected time from the final call to its first event, in seconds. Stages
 # should end this long before the objective.
@@ -32,6 +32,20 @@
     proposed_engine: str = ""
 
 
+class PlacedRequest(NamedTuple):
+    """News of a request whose engine the coordinator proposed by its cost.
+
+    Attributes:
+        request_id: the caller's id of the request.
+        has_first_event: whether its stream has begun.
+        has_ended: whether its call has ended, with or without an event.
+    """
+
+    request_id: str
+    has_first_event: bool = False
+    has_ended: bool = False
+
+
 class PromptSize(NamedTuple):
     """Size and shared prefix of the prompt that the final call sends.
 
@@ -40,12 +54,15 @@
         shared_name: names the prefix that the prompt shares with others.
         shared_tokens: tokens of that prefix.
         own_tokens: tokens after that prefix, which no endpoint has cached.
+        prompt: its parts and the expected answer; set if it is to be placed by
+            its cost.
     """
 
     pool: str = ""
     shared_name: bytes = b""
     shared_tokens: int = 0
     own_tokens: int = 0
+    prompt: engine_load.Prompt | None = None
 
 
 class StageSpec(NamedTuple):
@@ -212,7 +229,7 @@
         stage = self._graph.stages[number]
         queue = self._runner.queue(stage.pool)
         if queue is not None:
-            queue.upcoming += sign * stage.count
+            queue.change_upcoming(self._graph.priority, sign * stage.count)
 
     def _remove_upcoming(self, number: int) -> None:
         if number in self._upcoming:
@@ -261,6 +278,7 @@
             stage.result_bytes,
             self._transfer_bytes(number, input_stages),
             graph.regions,
+            prefers_local=False,
         )
         self._remove_upcoming(number)
         self._running[number] = self._runner.submit(job)
--- a/chervilarch/stage_scheduler.py
+++ b/chervilarch/stage_scheduler.py
@@ -70,7 +70,8 @@
         self._loop = loop
         self._piece_runner = piece_runner
         self._engine_placement = engine_placement
-        # Leases of proposed engines, by the handle of the first result.
+        # Leases of proposed engines, by the handle of the first result, or by
+        # the request's id if there is none.
         self._leases: dict[str, placement.Lease] = {}
         self._deferred: list[ScheduledGraph] = []
         piece_runner.on_dispatched = self._review_soon
@@ -118,6 +119,11 @@
         for _, results in graph.completed:
             self._piece_runner.free(list(results))
 
+    def record_placed(self, placed: stage_graph.PlacedRequest) -> None:
+        """Records what became of a call that was placed by its cost."""
+        self._engine_placement.record_placed(placed)
+        self._end_lease(placed.request_id)
+
     def free(self, results: stage_graph.Results) -> None:
         """Frees the results of a graph.
 
@@ -125,12 +131,15 @@
         ends its lease, whether or not the final call has read the results.
         """
         for result in results:
-            lease = self._leases.pop(result.handle, None)
-            if lease is not None:
-                self._engine_placement.record_first_event(lease)
-                self._engine_placement.abandon(lease)
+            self._end_lease(result.handle)
         self._piece_runner.free(list(results))
 
+    def _end_lease(self, key: str) -> None:
+        lease = self._leases.pop(key, None)
+        if lease is not None:
+            self._engine_placement.record_first_event(lease)
+            self._engine_placement.abandon(lease)
+
     def expected_s(self, graph: stage_graph.StageGraph, now: float) -> float:
         """Returns the estimated time of a graph up to the first event."""
         ends_s: dict[int, float] = {}
@@ -146,7 +155,11 @@
             # The wait counts from now, not from the end of the inputs: work
             # that waits now is done by the time a later stage starts.
             wait_s = queue.wait_s(
-                graph.priority, graph.objective_at, now, graph.regions
+                graph.priority,
+                graph.objective_at,
+                now,
+                graph.regions,
+                is_ordered=False,
             )
             ends_s[number] = max(starts_s, wait_s) + stage_graph.stage_call_s(
                 self._piece_runner, stage
@@ -185,15 +198,17 @@
         run.task = run.graph_runner = None
         if outcome is None:
             outcome = pieces.JobFailure(pieces.FAILED)
-        if not isinstance(outcome, pieces.JobFailure):
-            outcome = stage_graph.GraphResult(
-                outcome, self._choose_engine(run.graph, outcome)
-            )
-        tasks.resolve(run.future, outcome)
+        if isinstance(outcome, pieces.JobFailure):
+            tasks.resolve(run.future, outcome)
+            return
+        lease = self._choose_engine(run.graph, outcome)
+        engine = lease.listing.entry.name if lease else ""
+        result = stage_graph.GraphResult(outcome, engine)
+        tasks.resolve(run.future, result)
 
     def _choose_engine(
         self, graph: stage_graph.StageGraph, results: stage_graph.Results
-    ) -> str:
+    ) -> placement.Lease | None:
         """Chooses the engine for a final call and leases it.
 
         Each host sees only its own calls, so hosts that chose for themselves
@@ -201,8 +216,8 @@
         final calls of all graphs.
         """
         prompt = graph.prompt
-        if not prompt.pool or not results:
-            return ""
+        if not prompt.pool or not (results or prompt.prompt):
+            return None
         lease = self._engine_placement.pick(
             placement.Requirements(
                 prompt.pool,
@@ -213,18 +228,19 @@
                 graph.deadline_at,
                 stage_graph.result_bytes_by_data_centre(graph.stages, results),
                 regions=graph.regions,
+                prompt=prompt.prompt,
+                request_id=graph.request_id,
+                objective_at=graph.objective_at,
             ),
             set(),
         )
         if lease is None:
-            return ""
+            return None
         self._pace(lease.slot.endpoint)
-        handle = results[0].handle
-        self._leases[handle] = lease
-        self._loop.call_later(
-            _LEASE_TIMEOUT_S, lambda: self._expire_lease(handle)
-        )
-        return lease.listing.entry.name
+        key = results[0].handle if results else graph.request_id
+        self._leases[key] = lease
+        self._loop.call_later(_LEASE_TIMEOUT_S, lambda: self._expire_lease(key))
+        return lease
 
     def _pace(self, run: endpoint_state.EndpointRun) -> None:
         """Proposes an engine that limits its requests no more often."""
@@ -233,8 +249,8 @@
             wait_s = self._engine_placement.wait_s(run) + 1.0 / per_s
             self._engine_placement.defer(run, self._loop.now() + wait_s)
 
-    def _expire_lease(self, handle: str) -> None:
-        lease = self._leases.pop(handle, None)
+    def _expire_lease(self, key: str) -> None:
+        lease = self._leases.pop(key, None)
         if lease is not None:
             self._engine_placement.abandon(lease)
 
