--- a/chervilarch/routed_context.py
+++ b/chervilarch/routed_context.py
@@ -25,7 +25,7 @@
     telemetry,
 )
 from chervilarch import loop as loops
-from chervilarch.scheduling import cold_starts
+from chervilarch.scheduling import cold_starts, request_cost
 
 
 class RoutedControllers(NamedTuple):
@@ -56,6 +56,7 @@
     resumption: resumption.Resumption
     stop_admission: stop_admission.StopAdmission
     cold: cold_starts.ColdStarts
+    costs: request_cost.CostModel
 
 
 class RoutedContext:
