Reset HTTP/1.0 connections whose answer isn't complete

Cause: an answer that was finished but unsent had no request head any more when it gave way, so that an HTTP/1.0 connection was closed in the usual way and the cut answer looked complete. Answers that were left unread for 15 s or broken off looked complete to HTTP/1.0 callers too. Change: any close with unsent bytes, or within an answer, resets the connection if the caller's last request was HTTP/1.0. Measured: test_slow_callers passes; on the code before, the three new cases for HTTP/1.0 fail.

--- a/chervilarch/http_server.py
+++ b/chervilarch/http_server.py
@@ -517,6 +517,10 @@
         if self._closed:
             return
         self._log_close(reason)
+        is_incomplete = bool(self._out) or self._responder is not None
+        if is_incomplete and self._codec.their_http_version == b"1.0":
+            # The end of the connection may be the end of its answer.
+            unsent_answers.reset_on_close(self._sock)
         self._closed = True
         self._out.clear()
         self._server.unsent.remove(self)
@@ -898,9 +902,6 @@
 
     def give_way(self) -> None:
         """Breaks off an answer whose caller is too slow."""
-        if self._head is not None and self._head.http_version < b"1.1":
-            # The end of the connection may be the end of its answer.
-            unsent_answers.reset_on_close(self._sock)
         self.close(CloseReason.ANSWER_GAVE_WAY)
 
     def _finish_close(self) -> None:
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -286,8 +286,30 @@
     assert room.is_awaited()
 
 
+def end_for_room(clock, room, reply):
+    make_reply_wait(room, clock)
+
+
+def end_for_room_when_finished(clock, room, reply):
+    """The endpoint's part is complete, but the caller hasn't read it."""
+    reply.finish()
+    make_reply_wait(room, clock)
+
+
+def end_unread(clock, room, reply):
+    reply.finish()
+    clock.advance(http_server.UNREAD_TIMEOUT_S)
+
+
+def end_broken(clock, room, reply):
+    reply.abort()
+
+
 @pytest.mark.parametrize("version", [b"HTTP/1.0", b"HTTP/1.1"])
-def test_an_ended_answer_does_not_look_complete(serving, version):
+@pytest.mark.parametrize(
+    "end", [end_for_room, end_for_room_when_finished, end_unread, end_broken]
+)
+def test_an_ended_answer_does_not_look_complete(serving, version, end):
     loop, clock, handler, server, room = serving
     conn = lh.connect(server.port)
     conn.sendall(get().replace(b"HTTP/1.1", version))
@@ -296,8 +318,8 @@
     reply.send_head(200, [])
     while reply.growth() is None:
         reply.send_body(b"a" * 65536)
-    make_reply_wait(room, clock)
-    lh.advance_until(loop, clock, lambda: handler.disconnected)
+    end(clock, room, reply)
+    lh.advance_until(loop, clock, lambda: not server.connection_count())
     received = b""
     try:
         while data := conn.recv(_MB):
