Don't blame an engine for a pause while it is checked

Cause: a check whether an engine accepts connections timed out if the process was paused meanwhile. The engine then counted as unreachable, which since cold endpoints also means cold for the pool's whole cold_start_s. Change: after a pause the lease is given back and another engine is chosen, as for calls that weren't sent.

--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -218,6 +218,11 @@
                     own.abandon(lease)
             if reached is reachability.Reachability.ACCEPTS:
                 return lease
+            if self._ctx.ctrl.loop.resumed_at > lease.slot.started_at:
+                # The time for the connection ran out in a pause of this
+                # process.
+                own.abandon(lease)
+                continue
             own.finish_unreachable(lease)
             tried.add(entry.name)
 
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -21,6 +21,7 @@
     http_client,
     http_server,
     permits,
+    reachability,
     stream_call,
     tasks,
 )
@@ -197,6 +198,39 @@
     assert not world.ctrl.placement._pools["s1"]["e2"].slots
 
 
+def test_an_engine_is_not_blamed_for_a_pause_while_it_was_checked(
+    world, silent, monkeypatch
+):
+    """The time for the connection ran out while this process stood still."""
+    check = stream_call.reachability.check
+    blamed = []
+
+    def check_over_a_pause(loop, address, timeout_s):
+        monkeypatch.setattr(stream_call.reachability, "check", check)
+        checked = Future()
+
+        def resume():
+            loop.resumed_at = loop.now()
+            checked.set_result(reachability.Reachability.UNKNOWN)
+
+        loop.call_soon(resume)
+        return checked
+
+    def blame(lease):
+        blamed.append(lease)
+        world.ctrl.placement.abandon(lease)
+        silent.go_on()
+
+    monkeypatch.setattr(stream_call.reachability, "check", check_over_a_pause)
+    world.ctrl.placement.finish_unreachable = blame
+    world.endpoint("e2", lh.answer_with(stream(events(3, 4))))
+    world.ctrl.placement.pick = first_of(world.ctrl.placement.pick)
+    start(world)
+    assert events(3, 4) in world.fetch(KEY)
+    silent.go_on()
+    assert not blamed
+
+
 class HeldStage:
     """A worker that answers one of its calls only once it is released.
 
