Count sends to cold endpoints by endpoint, and only those that are made

Cause: (1) a lease that was given back unused, as for checks whether an engine accepts connections and for denied permits, used up the host's share, so that the request itself waited for the next window. (2) Sends were counted by run: those to the run before a restart didn't count, though they may reach the next run. (3) A host that knew of no other host and hadn't read the list, as all do when a whole fleet starts, called cold workers with a coordinator's share. Change: a released lease that wasn't sent is taken out of the log; the log is by endpoint; pieces wait, as final calls do, until any list of hosts is known. Two tests of pieces tell the host of another one first, which now matters. Measured: test_cold_starts and test_cold_endpoints pass; the three new tests fail on the code before.

--- a/chervilarch/endpoint_state.py
+++ b/chervilarch/endpoint_state.py
@@ -69,6 +69,8 @@
         # Whether the first event of a stream has arrived; only the gateway sets
         # it.
         self.has_answered = False
+        # Whether the request was sent; only the gateway sets it.
+        self.is_sent = False
         # When the first and the last event so far arrived; only the gateway
         # sets them.
         self.first_event_at: float | None = None
--- a/chervilarch/placement.py
+++ b/chervilarch/placement.py
@@ -407,9 +407,10 @@
     def record_send(self, lease: Lease) -> None:
         """Records that a leased request is sent now.
 
-        A lease counts as a request to its endpoint. One that is used only later
-        counts again.
+        A lease counts as a request to its endpoint until it is released unused.
+        One that is used only later counts again.
         """
+        lease.slot.is_sent = True
         now = self._clock.monotonic()
         if now - lease.slot.started_at > _LATE_SEND_S:
             self._cold.record_send(lease.slot.endpoint, now)
@@ -521,6 +522,10 @@
             if holder is not None and lease.slot.number in holder.slots:
                 del holder.slots[lease.slot.number]
                 holder.units -= lease.slot.work.units
+                if not (lease.slot.is_sent or self._only_proposes):
+                    self._cold.withdraw_send(
+                        lease.slot.endpoint, lease.slot.started_at
+                    )
         if former is not None and not former.slots:
             del self._former[lease.slot.endpoint]
         return endpoint
--- a/chervilarch/scheduling/cold_starts.py
+++ b/chervilarch/scheduling/cold_starts.py
@@ -127,25 +127,36 @@
 
 
 class _SendLog:
-    """Times of the last sends to each run."""
+    """Times of the last sends to each endpoint.
+
+    They are kept by endpoint, not by run: a request that was sent for one run
+    may reach the next one.
+    """
 
     def __init__(self) -> None:
-        self._times: dict[Run, collections.deque[float]] = {}
+        self._times: dict[str, collections.deque[float]] = {}
 
     def record(self, run: Run, now: float) -> None:
-        times = self._times.setdefault(run, collections.deque())
+        times = self._times.setdefault(run.key, collections.deque())
         while times and times[0] + WINDOW_S <= now:
             times.popleft()
         times.append(now)
 
+    def withdraw(self, run: Run, at: float) -> None:
+        """Removes a send that was recorded at some time, if it is kept."""
+        times = self._times.get(run.key, ())
+        if at in times:
+            times.remove(at)
+
     def free_at(self, run: Run, share: int, now: float) -> float:
         """Returns from when a run may get a request, at `share` a window."""
-        times = [t for t in self._times.get(run, ()) if t + WINDOW_S > now]
+        times = [t for t in self._times.get(run.key, ()) if t + WINDOW_S > now]
         return times[-share] + WINDOW_S if len(times) >= share else now
 
     def keep(self, runs: Mapping[Run, Place]) -> None:
-        """Forgets other runs."""
-        self._times = {r: t for r, t in self._times.items() if r in runs}
+        """Forgets the endpoints of other runs."""
+        keys = {run.key for run in runs}
+        self._times = {k: t for k, t in self._times.items() if k in keys}
 
 
 class ColdStarts:
@@ -333,6 +344,10 @@
         if self._bound(run) is not None:
             self._calls.record(run, now)
 
+    def withdraw_send(self, run: Run, at: float) -> None:
+        """Removes the record, made at some time, of an unsent request."""
+        self._calls.withdraw(run, at)
+
     def piece_wait_s(self, run: Run, now: float) -> float:
         """Returns for how long this coordinator may call a run for no piece."""
         bound = self._bound(run)
@@ -341,6 +356,9 @@
         cold_until = self._cold_until(run, bound)
         if cold_until <= now:
             return 0.0
+        if self._settled_at is None:
+            # Hosts that don't know of each other are all coordinators.
+            return min(cold_until - now, SETTLE_S)
         share = int(_USED_SHARE * bound.per_s / _MAX_COORDINATORS)
         if not share:
             return cold_until - now
--- a/tests/test_cold_endpoints.py
+++ b/tests/test_cold_endpoints.py
@@ -308,9 +308,34 @@
     assert proposing.pick(needs, {"e3"}) is not None
 
 
+@pytest.mark.parametrize("is_sent", [True, False])
+def test_a_lease_that_was_not_used_leaves_the_share_free(is_sent):
+    """An engine is leased to find out whether it accepts connections.
+
+    The request that follows needs the share that this took.
+    """
+    _, clock = lh.new_loop()
+    cold = cold_starts.ColdStarts()
+    cold.set_pools({"p": cold_starts.PoolBound(30.0, 2.0)})
+    cold.set_hosts("h0", ["h0"], clock.monotonic() - 60.0)
+    run = endpoint_state.EndpointRun("e1", 1)
+    place = cold_starts.Place("p", "dc1")
+    report = cold_starts.Report(1, 20.0)
+    cold.record_report(run, place, report, clock.monotonic())
+    own = engines(clock, cold, only_proposes=False)
+    needs = placement.Requirements("p")
+    lease = own.pick(needs, {"e2", "e3"})
+    clock.advance(0.05)
+    if is_sent:
+        own.record_send(lease)
+    own.abandon(lease)
+    assert (own.pick(needs, {"e2", "e3"}) is None) == is_sent
+
+
 def test_a_cold_worker_gets_no_more_calls_than_a_coordinator_may_send():
     world = PieceWorld()
     cold = world.runner.cold
+    cold.set_hosts("h0", ["h1"], world.loop.now())
     cold.set_pools({"p": _POOL})
     run = endpoint_state.EndpointRun("e1", 1)
     place = cold_starts.Place("p", "dc1")
@@ -351,6 +376,7 @@
     world = PieceWorld()
     world.runner.set_endpoints({"p": {"e1": lh.listing("e1")}})
     cold = world.runner.cold
+    cold.set_hosts("h0", ["h1"], world.loop.now())
     # Half of the bound has no whole request for each of three coordinators.
     cold.set_pools({"p": cold_starts.PoolBound(30.0, 5.0)})
     run = endpoint_state.EndpointRun("e1", 1)
--- a/tests/test_cold_starts.py
+++ b/tests/test_cold_starts.py
@@ -205,6 +205,19 @@
     assert len(host.send(7.5)) == 2
 
 
+def test_requests_for_the_run_before_count():
+    """A request that was sent for one run may reach the next one."""
+    host = Host("h0", ["h0"], 0.0, cold_starts.PoolBound(30.0, 4.0))
+    for _ in range(2):
+        host.cold.record_send(_RUN, host.time(6.0))
+    restarted = endpoint_state.EndpointRun("e1", 2)
+    host.cold.set_endpoints({restarted: _PLACE})
+    now = host.time(6.1)
+    report = cold_starts.Report(1, 20.0)
+    host.cold.record_report(restarted, _PLACE, report, now)
+    assert host.cold.wait_s(restarted, now) > 0.9
+
+
 @pytest.mark.parametrize("data_centre", ["dc1", "dc2"])
 def test_endpoints_of_a_data_centre_that_is_used_again_are_cold(data_centre):
     host = Host("h0", names_of(6), 0.0)
@@ -251,6 +264,16 @@
     assert 0 < most_in_a_second(sorted(arrivals)) <= _BOUND / 2
 
 
+def test_hosts_that_know_no_others_call_no_cold_worker():
+    """Each of them would be a coordinator."""
+    cold = cold_starts.ColdStarts()
+    cold.set_pools({"p": _POOL})
+    cold.record_report(_RUN, _PLACE, cold_starts.Report(1, 20.0), 0.0)
+    assert cold.piece_wait_s(_RUN, 5.0) > 0.0
+    cold.set_hosts("h0", ["h1"], 5.0)
+    assert cold.piece_wait_s(_RUN, 5.0) == 0.0
+
+
 def test_each_cold_time_is_told_once():
     told = []
     cold = cold_starts.ColdStarts(told.append)
