Look again while a request waits for a cold endpoint

Cause: a request slept until the end of the cold time that it had seen, or this host's next turn, also if an endpoint was reported warm or another one listed meanwhile; cold times count 3 s longer than announced, so that this was usual on hosts without a share. On waking it counted all that wait as ahead of it, also those that came later, and could be refused for them. Each look was logged and counted as a wait of its own. Change: it looks again after 0.5 s at the latest, counts those ahead of it only when it begins to wait, and is logged and counted once. Measured: test_cold_endpoints passes; the two new tests fail on the code before.

--- a/chervilarch/endpoint_lease.py
+++ b/chervilarch/endpoint_lease.py
@@ -18,6 +18,9 @@
 # A permit that is used later than this after its time may come on top of those
 # of other hosts. Replies take up to a third of it, with repeated requests.
 _PERMIT_VALID_S = 0.75
+# A cold endpoint may be warm, or another one listed, before this host may use
+# one. A look takes up to 0.5 ms with 45 endpoints.
+_LOOK_AGAIN_S = 0.5
 
 
 def lease(
@@ -110,6 +113,7 @@
     may_wait: bool,
 ) -> tasks.Coroutine[placement.Lease | outcomes.NotRun | None]:
     """Chooses an endpoint; if all are closed, waits for the first if it may."""
+    has_waited = False
     while True:
         chosen = ctx.ctrl.placement.pick(requirements, tried)
         if chosen is not None:
@@ -120,9 +124,11 @@
         if not open_s:
             return None
         pause_s = open_s
-        if ctx.ctrl.placement.is_any_cold(
+        is_cold = ctx.ctrl.placement.is_any_cold(
             requirements.pool, requirements.regions
-        ):
+        )
+        # Requests that came later aren't ahead of one that waits already.
+        if is_cold and not has_waited:
             ctx.ctrl.meters.count_cold_wait()
             pause_s += ctx.ctrl.placement.queue_s(
                 requirements.pool, tried, requirements.regions
@@ -137,9 +143,11 @@
             )
         if not may_wait or pause_s > longest_wait_s(ctx, 0.0):
             return closed_refusal(ctx, requirements.pool, pause_s)
+        has_waited = True
+        wait_s = min(open_s, _LOOK_AGAIN_S) if is_cold else open_s
         ctx.ctrl.placement.waiting[requirements.pool] += 1
         try:
-            yield tasks.sleep(ctx.ctrl.loop, open_s)
+            yield tasks.sleep(ctx.ctrl.loop, wait_s)
         finally:
             ctx.ctrl.placement.waiting[requirements.pool] -= 1
 
--- a/tests/test_cold_endpoints.py
+++ b/tests/test_cold_endpoints.py
@@ -332,6 +332,48 @@
     assert (own.pick(needs, {"e2", "e3"}) is None) == is_sent
 
 
+def test_a_request_that_waits_is_sent_when_an_endpoint_gets_warm(cold_world):
+    """Its host has no share, but the endpoint is warm sooner than announced."""
+    seen = []
+    serve = lh.answer_with(answer(), seen)
+    names = [f"n{number}" for number in range(1, 99)]
+    cold_world.ctrl.cold.set_hosts("n1", names, cold_world.loop.now() - 60.0)
+    cold_world.ctrl.cold._rank = lambda run: len(names)
+    cold_world.endpoint("e1", serve, cold_remaining_ms=100)
+    document = route_document(target_latency_ms=3900, max_attempts=1)
+    cold_world.start(document, services=[_SERVICE])
+    caller = cold_world.send(KEY)
+    pool = cold_world.ctrl.placement.waiting
+    lh.run_until(cold_world.loop, lambda: pool["s1"] == 1)
+    run = endpoint_state.EndpointRun("e1", 1)
+    opens_at = cold_world.loop.now() + cold_world.ctrl.cold.wait_s(
+        run, cold_world.loop.now()
+    )
+    cold_world.endpoint("e1", serve, sequence=2)
+    assert read_status(cold_world, caller) == 200
+    assert cold_world.loop.now() < opens_at
+    assert cold_waits(cold_world) == 1
+
+
+def test_later_requests_do_not_have_an_earlier_one_refused(cold_world):
+    """A request counts those that wait ahead of it, when it begins to wait."""
+    seen = []
+    cold_world.endpoint(
+        "e1", lh.answer_with(answer(), seen), cold_remaining_ms=_COLD_MS
+    )
+    document = route_document(target_latency_ms=3900, max_attempts=1)
+    cold_world.start(document, services=[_SERVICE])
+    waiting = cold_world.ctrl.placement.waiting
+    assert read_status(cold_world, cold_world.send(KEY)) == 200
+    caller = cold_world.send(KEY)
+    lh.run_until(cold_world.loop, lambda: waiting["s1"] == 1)
+    # Another one has taken its turn when it looks again.
+    run = endpoint_state.EndpointRun("e1", 1)
+    cold_world.ctrl.cold.record_send(run, cold_world.loop.now())
+    waiting["s1"] += 50
+    assert read_status(cold_world, caller) == 200
+
+
 def test_a_cold_worker_gets_no_more_calls_than_a_coordinator_may_send():
     world = PieceWorld()
     cold = world.runner.cold
