Refuse pieces that wait for regions that have lost their last worker

Cause: a queued job whose allowed regions lost their last worker (removed, or evacuated while other regions' workers are left) waited until its deadline; only jobs of wholly evacuated pools were refused. Change: it is refused at the next dispatch, as it would be when it is submitted. Jobs that may be made anywhere wait as before.

--- a/chervilarch/piece_runner.py
+++ b/chervilarch/piece_runner.py
@@ -281,8 +281,7 @@
             )
             pending.end(pieces.JobFailure(pieces.PAST_DEADLINE))
             self.free(completed)
-        if self.is_pool_evacuated(pool):
-            self._refuse_queued(pool, queue)
+        self._refuse_without_worker(pool, queue)
         confirmed = self.confirmed()
         if not confirmed.done():
             self._hold(pool, confirmed)
@@ -299,9 +298,22 @@
         if self.on_dispatched is not None:
             self.on_dispatched()
 
-    def _refuse_queued(self, pool: str, queue: piece_queue.PieceQueue) -> None:
-        """Fails the jobs that wait in a pool that is wholly evacuated."""
+    def _refuse_without_worker(
+        self, pool: str, queue: piece_queue.PieceQueue
+    ) -> None:
+        """Fails jobs that wait for evacuated pools, or regions without worker.
+
+        Others wait for a worker of the pool to be listed.
+        """
+        is_evacuated = self.is_pool_evacuated(pool)
         for pending in queue.waiting_jobs():
+            regions = pending.job.regions
+            if is_evacuated:
+                reason = "all endpoints of the pool are evacuated"
+            elif regions is not None and not queue.allowed_workers(regions):
+                reason = "the allowed regions have no endpoint of the pool left"
+            else:
+                continue
             completed = pending.completed()
             state_log.log_decision(
                 "pieces refused",
@@ -310,7 +322,7 @@
                 stage=pending.job.stage,
                 pool=pool,
                 made=len(completed),
-                reason="all endpoints of the pool are evacuated",
+                reason=reason,
             )
             pending.end(pieces.JobFailure(pieces.NO_ENDPOINT))
             self.free(completed)
--- a/tests/test_allowed_regions.py
+++ b/tests/test_allowed_regions.py
@@ -24,6 +24,7 @@
 )
 from test_gateway_stages import PIECES, StageServer
 from test_piece_runner import WORKER_PROFILE
+from test_piece_runner import World as PieceWorld
 from test_stages import FakeRunner
 
 from chervilarch import (
@@ -355,6 +356,33 @@
     assert queue.next_batch(0.0) is None
 
 
+def test_a_waiting_job_is_refused_once_its_regions_have_no_worker():
+    """Guards against a wait until the deadline; others may wait."""
+    world = PieceWorld()
+    world.runner.set_endpoints({})
+    world.runner._regions = _REGIONS
+    pools = {"q": routing_table.Pool("q", WORKER_PROFILE)}
+    world.runner.set_pools(pools)
+    listed = {"e1": lh.listing("e1"), "e2": lh.listing("e2", data_centre="dc2")}
+    world.runner.set_endpoints({"q": listed})
+    queue = world.runner.queue("q")
+    for worker in queue.workers.values():
+        worker.backoff_until = world.loop.now() + 60.0
+    now = world.loop.now()
+    home, anywhere = (
+        world.runner.submit(
+            pieces.Job(
+                "r1", 0, "q", 1, "k", (), now + 1, now + 8, 1, regions=regions
+            )
+        )
+        for regions in (_EU, None)
+    )
+    assert not home.is_ended
+    world.runner.set_endpoints({"q": {"e2": listed["e2"]}})
+    assert home.future.result().reason == pieces.NO_ENDPOINT
+    assert not anywhere.is_ended
+
+
 def test_a_job_whose_workers_are_busy_does_not_hold_up_others():
     queue = queue_of(e1="dc1", e2="dc2")
     queue.workers["e1"].backoff_until = 60.0
