Look up what made endpoints cold only if anything did

Change: unreachable endpoints and data centres that are used again are looked up only if there are any.

--- a/chervilarch/scheduling/cold_starts.py
+++ b/chervilarch/scheduling/cold_starts.py
@@ -374,14 +374,18 @@
         return self._bounds.get(place.pool) if place is not None else None
 
     def _cold_until(self, run: Run, bound: PoolBound) -> float:
-        began_at = max(
-            self._retries.get(run, float("-inf")),
-            self._warm_ups.get(self._places[run].data_centre, float("-inf")),
-        )
-        return max(
-            self._reports.get(run, _NO_REPORT).until,
-            began_at + bound.cold_start_s,
-        )
+        until = self._reports.get(run, _NO_REPORT).until
+        # Usually there are none of these; this runs for each endpoint that a
+        # request may be sent to.
+        if self._retries or self._warm_ups:
+            began_at = max(
+                self._retries.get(run, float("-inf")),
+                self._warm_ups.get(
+                    self._places[run].data_centre, float("-inf")
+                ),
+            )
+            until = max(until, began_at + bound.cold_start_s)
+        return until
 
     def _has_settled(self, now: float) -> bool:
         return self._settled_at is not None and now >= self._settled_at
