Confirm the list again after a wait for a closed endpoint

Cause: a request that waited for an endpoint to open, or checked whether one accepts connections, while the process was paused, went on with the list of before: an endpoint that had been evacuated or had left in the pause got it. Change: after such a wait the request waits for the confirmation as it does when it begins; a check that a pause interrupted is repeated with a new lease.

--- a/chervilarch/endpoint_lease.py
+++ b/chervilarch/endpoint_lease.py
@@ -150,6 +150,8 @@
             yield tasks.sleep(ctx.ctrl.loop, wait_s)
         finally:
             ctx.ctrl.placement.waiting[requirements.pool] -= 1
+        # The process may have been paused meanwhile.
+        yield ctx.ctrl.resumption.confirmed()
 
 
 def longest_wait_s(ctx: contexts.RoutedContext, expected_s: float) -> float:
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -216,13 +216,13 @@
             finally:
                 if reached is None:
                     own.abandon(lease)
-            if reached is reachability.Reachability.ACCEPTS:
-                return lease
             if self._ctx.ctrl.loop.resumed_at > lease.slot.started_at:
-                # The time for the connection ran out in a pause of this
-                # process.
+                # The process was paused: the time for the connection may have
+                # run out meanwhile, and the endpoint may not be usable now.
                 own.abandon(lease)
                 continue
+            if reached is reachability.Reachability.ACCEPTS:
+                return lease
             own.finish_unreachable(lease)
             tried.add(entry.name)
 
--- a/tests/test_paused_process.py
+++ b/tests/test_paused_process.py
@@ -32,6 +32,7 @@
 from chervilarch import (
     advisory_messages,
     clocks,
+    endpoint_state,
     exchanges,
     http_client,
     prompt_blocks,
@@ -183,6 +184,27 @@
     assert not sent
 
 
+@pytest.mark.parametrize("change", [endpoint_leaves, data_centre_is_evacuated])
+def test_a_request_that_waited_for_an_endpoint_uses_no_old_list(
+    serving, sent, change
+):
+    # No read that is under way tells of the change.
+    serving.store.is_held = True
+    lh.run_until(serving.loop, lambda: len(serving.store._waiting) == 2)
+    run = endpoint_state.EndpointRun("e1", 1)
+    serving.ctrl.placement.pause(run, serving.loop.now() + 0.3)
+    waiting = serving.send(KEY)
+    number = serving.ctrl.placement.waiting
+    lh.run_until(serving.loop, lambda: number["s1"])
+    pause(serving, 1.0)
+    change(serving, sent)
+    run_a_while(serving)
+    assert not sent
+    serving.store.release()
+    assert read_status(serving, waiting) == 503
+    assert not sent
+
+
 def test_a_read_that_was_under_way_in_a_pause_is_not_waited_for(serving, sent):
     serving.store.is_held = True
     run_a_while(serving)
