Draw evacuations of the soak from a generator of their own

Cause: `_evacuate` was one more entry of the list that `rng.choice` draws from, so earlier seeds drew other faults.

Change: evacuations run beside the other faults and draw from a generator that is seeded by the seed's number. `--kinds evacuate` injects just them.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -55,7 +55,12 @@
             )
         )
     environment = faults.SoakEnvironment(
-        store_server, fleet, history, rng, name_parts
+        store_server,
+        fleet,
+        history,
+        rng,
+        random.Random(f"evacuations {seed}"),
+        name_parts,
     )
     await environment.start()
     tasks = [asyncio.create_task(gateway.run()) for gateway in fleet]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -34,6 +34,7 @@
         fleet: list[gateways.Gateway],
         history: records.History,
         rng: random.Random,
+        evacuation_rng: random.Random,
         name_parts: list[str],
     ):
         """Starts nothing; see `start`.
@@ -43,6 +44,8 @@
             fleet: the gateways.
             history: where disturbances are recorded.
             rng: draws the faults.
+            evacuation_rng: draws the evacuations. One more fault among those
+                that `rng` draws would change the faults of all earlier seeds.
             name_parts: parts of the names of the faults to inject; empty for
                 all.
         """
@@ -51,11 +54,11 @@
         self.endpoints: list[endpoints.Endpoint] = []
         self._history = history
         self._rng = rng
+        self._evacuation_rng = evacuation_rng
         self._results = endpoints.Results()
         self._replacing: set[asyncio.Task] = set()
         self._version = 0
         self._is_restoring = False
-        self._is_evacuating = False
         self._last_numbers = dict.fromkeys(POOLS, 0)
         # The option `--kinds` selects by parts of the methods' names.
         self._faults = [
@@ -77,14 +80,16 @@
             self._spread_deadly_part,
             self._write_unreadable,
             self._publish,
-            self._evacuate,
         ]
         if name_parts:
             self._faults = [
                 fault
                 for fault in self._faults
-                if any(part in fault.__name__ for part in name_parts)
+                if _is_selected(fault, name_parts)
             ]
+        self._injects_evacuations = not name_parts or _is_selected(
+            self._evacuate, name_parts
+        )
 
     async def start(self) -> None:
         """Publishes a configuration and starts the endpoints."""
@@ -96,8 +101,12 @@
     async def inject(self, seconds: float) -> None:
         """Injects faults for a time; returns once all of them have ended."""
         running = []
+        if self._injects_evacuations:
+            running.append(
+                asyncio.create_task(self._inject_evacuations(seconds))
+            )
         until = time.monotonic() + seconds
-        while time.monotonic() < until:
+        while time.monotonic() < until and self._faults:
             fault = self._rng.choice(self._faults)
             times = self._rng.choice((1, 1, 2, 3))
             # Each fault draws from its own generator, because concurrent draws
@@ -109,6 +118,16 @@
             await asyncio.sleep(self._rng.uniform(0.2, 1.5))
         await asyncio.gather(*running)
 
+    async def _inject_evacuations(self, seconds: float) -> None:
+        """Evacuates data centres, one at a time, that begin in a time."""
+        rng = self._evacuation_rng
+        until = time.monotonic() + seconds
+        while True:
+            await asyncio.sleep(rng.uniform(0.0, seconds))
+            if time.monotonic() >= until:
+                return
+            await self._evacuate(rng)
+
     @contextlib.contextmanager
     def _record_disturbance(self, target: str, kind: str):
         began_at = time.monotonic()
@@ -302,9 +321,6 @@
 
     async def _evacuate(self, rng: random.Random) -> None:
         """Evacuates a data centre for longer than gateways may take."""
-        if self._is_evacuating:
-            return
-        self._is_evacuating = True
         data_centre = rng.choice("ab")
         await self._write_evacuation(data_centre, b"{}")
         began_at = time.monotonic()
@@ -315,7 +331,6 @@
         self._history.evacuations.append(
             records.Evacuation(data_centre, began_at, ended_at)
         )
-        self._is_evacuating = False
 
     async def _write_evacuation(self, data_centre: str, value: bytes) -> None:
         while self.store_server.is_down:
@@ -325,6 +340,10 @@
         )
 
 
+def _is_selected(fault, name_parts: list[str]) -> bool:
+    return any(part in fault.__name__ for part in name_parts)
+
+
 async def _repeat(fault, times: int, rng: random.Random) -> None:
     for _ in range(times):
         await fault(rng)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,8 +1,11 @@
-"""The soak's checks find each kind of violation."""
+"""The soak's checks find each kind of violation; its seeds can be repeated."""
+
+import random
+import types
 
 import pytest
 
-from soak import checks, records
+from soak import checks, faults, records
 
 
 def run(**changes):
@@ -182,3 +185,73 @@
 )
 def test_allowed_history_has_no_violation(history):
     assert checks.find_violations(history, 30.0) == []
+
+
+# Drawn by the code before evacuations were injected.
+DRAWN = [
+    (
+        3,
+        [
+            ("_restore_store", 1),
+            ("_freeze", 1),
+            ("_publish", 1),
+            ("_publish", 3),
+            ("_restore_store", 1),
+        ],
+    ),
+    (
+        55,
+        [
+            ("_freeze", 1),
+            ("_freeze", 1),
+            ("_spread_deadly_part", 3),
+            ("_flap_endpoint", 1),
+            ("_restore_store", 1),
+            ("_terminate", 3),
+            ("_flap_endpoint", 1),
+        ],
+    ),
+]
+
+
+def draw_faults(seed, monkeypatch):
+    """Returns the first faults that a seed draws; none is injected."""
+    made = faults.SoakEnvironment(
+        None,
+        [],
+        records.History(),
+        random.Random(seed),
+        random.Random(0),
+        [],
+    )
+    drawn = []
+
+    async def record(fault, times, rng):
+        drawn.append((fault.__name__, times))
+
+    async def pass_time(seconds):
+        clock.now += seconds
+
+    async def evacuate_none(seconds):
+        pass
+
+    clock = types.SimpleNamespace(now=0.0, monotonic=lambda: clock.now)
+    monkeypatch.setattr(made, "_inject_evacuations", evacuate_none)
+    monkeypatch.setattr(faults, "_repeat", record)
+    monkeypatch.setattr(faults, "time", clock)
+    real = faults.asyncio
+    monkeypatch.setattr(
+        faults,
+        "asyncio",
+        types.SimpleNamespace(
+            sleep=pass_time, create_task=real.create_task, gather=real.gather
+        ),
+    )
+    real.run(made.inject(5.0))
+    return drawn
+
+
+@pytest.mark.parametrize(("seed", "expected"), DRAWN)
+def test_seeds_draw_the_faults_that_they_drew(seed, expected, monkeypatch):
+    """A fault added to the list would change those of all earlier seeds."""
+    assert draw_faults(seed, monkeypatch) == expected
