Mend work sent after and cut by an evacuation

- A stream kept the lease of its next attempt across the check of whether the endpoint accepts connections (up to 0.5 s, or a pause of the process) and while it waited for a slow caller, without end.
It was then sent to an endpoint that had been evacuated or was leaving.
Such a lease is checked again before use, also while resumption isn't confirmed.
- An overdue call of a wholly evacuated pool queued its pieces as hedges, and jobs with queued pieces are refused there: a job whose calls went on was cut.
Hedges of pieces that running calls carry are dropped instead.
- A starting host dispatched pieces of other hosts' graphs before it had asked a live host, by the values of a store that may have been restored.
It now waits until it may serve, unless it knows no other host.

--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -346,6 +346,10 @@
         regions,
     )
     runner.confirmed = resuming.confirmed
+    runner.may_serve = lambda: all(
+        follower.may_serve or not follower.has_peers()
+        for follower in (configuration.topic_follower, endpoints.topic_follower)
+    )
     runner.is_pool_evacuated = evacuations.is_pool_evacuated
     key = fleet.deployment_key(cfg.deployment)
     own = membership.Member(
--- a/chervilarch/piece_runner.py
+++ b/chervilarch/piece_runner.py
@@ -73,6 +73,9 @@
         self.on_dispatched: Callable[[], None] | None = None
         # Resolves once the listed endpoints may be used.
         self.confirmed: Callable[[], Future] = _confirm_at_once
+        # Returns whether this host has asked the others for what they know. A
+        # store that was restored may lack evacuations.
+        self.may_serve: Callable[[], bool] = _may_serve_at_once
         self._held_pools: set[str] = set()
         # Returns whether a pool has endpoints, all evacuated.
         self.is_pool_evacuated: Callable[[str], bool] = _is_not_evacuated
@@ -287,6 +290,10 @@
         if not confirmed.done():
             self._hold(pool, confirmed)
             return
+        if not self.may_serve():
+            if queue.backlog():
+                self._dispatch_later(pool, queue, now)
+            return
         self._apply_closures(queue)
         while True:
             batch = queue.next_batch(now)
@@ -302,6 +309,10 @@
     def _refuse_queued(self, pool: str, queue: piece_queue.PieceQueue) -> None:
         """Fails the jobs that wait in a pool that is wholly evacuated."""
         for pending in queue.waiting_jobs():
+            # Calls that run may still make these pieces.
+            pending.drop_hedges()
+            if not pending.queued_pieces:
+                continue
             completed = pending.completed()
             state_log.log_decision(
                 "pieces refused",
@@ -363,6 +374,10 @@
     return False
 
 
+def _may_serve_at_once() -> bool:
+    return True
+
+
 def _confirm_at_once() -> Future:
     return tasks.done(None)
 
--- a/chervilarch/pieces.py
+++ b/chervilarch/pieces.py
@@ -195,6 +195,12 @@
         """Returns whether no queue entry, call or result covers a piece."""
         return self.can_requeue(piece) and self._calls[piece] == 0
 
+    def drop_hedges(self) -> None:
+        """Takes off the queue what running calls carry."""
+        self.queued_pieces = [
+            p for p in self.queued_pieces if not self._calls[p]
+        ]
+
     def restart(self) -> list[PieceResult]:
         """Discards and returns the results; requeues what no call carries."""
         completed = self.completed()
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -119,6 +119,10 @@
         lease = yield from self._lease(self._tried)
         while isinstance(lease, placement.Lease):
             attempt, self._successor = self._successor, None
+            if attempt is None and not self._may_send(lease):
+                ctx.ctrl.placement.abandon(lease)
+                lease = yield from self._lease(self._tried)
+                continue
             if attempt is None:
                 attempt = self._send(lease, self._inputs)
             attempt_result = yield from self._follow(attempt)
@@ -172,6 +176,15 @@
             )
         )
 
+    def _may_send(self, lease: placement.Lease) -> bool:
+        """Returns whether a lease that was kept may still be used.
+
+        Its endpoint may have begun to leave or have been evacuated meanwhile,
+        which isn't known right after a pause of the process.
+        """
+        is_confirmed = self._ctx.ctrl.resumption.confirmed().done()
+        return is_confirmed and self._ctx.ctrl.placement.is_usable(lease)
+
     def _pick(
         self, tried: set[str]
     ) -> tasks.Coroutine[placement.Lease | outcomes.NotRun | None]:
@@ -503,10 +516,13 @@
         prepared = self._replacement.future.result()
         self._replacement = None
         if isinstance(prepared, placement.Lease):
-            self._successor = self._send(
-                prepared, self._next_inputs or self._inputs
-            )
-            return
+            if self._may_send(prepared):
+                self._successor = self._send(
+                    prepared, self._next_inputs or self._inputs
+                )
+                return
+            self._ctx.ctrl.placement.abandon(prepared)
+            self._refund_retry()
         wait_s = _REPLACE_AGAIN_S
         if isinstance(prepared, outcomes.NotRun):
             wait_s = max(wait_s, prepared.retry_after_s)
--- a/tests/test_evacuated_endpoints.py
+++ b/tests/test_evacuated_endpoints.py
@@ -17,7 +17,15 @@
 from test_piece_runner import World as PieceWorld
 from test_piece_runner import name_of
 
-from chervilarch import endpoint_state, placement, store
+from chervilarch import (
+    endpoint_state,
+    placement,
+    reachability,
+    store,
+    stream_call,
+    tasks,
+)
+from chervilarch.futures import Future
 
 SERVICES = [{"name": "s1"}, {"name": "p1", "pieces": PIECES}]
 STAGES = [{"service": "p1", "after": [], "bytes": 100}]
@@ -106,6 +114,59 @@
     assert not other
 
 
+@pytest.mark.parametrize("goes_on", [True, False])
+def test_a_replacement_found_before_an_evacuation_is_not_sent(
+    world, monkeypatch, goes_on
+):
+    """Its lease was kept across the check of whether it is reachable."""
+    checks, sent, other = [], [], []
+    released = threading.Event()
+
+    def check(loop, address, timeout_s):
+        checks.append(Future())
+        return checks[-1]
+
+    def serve(conn):
+        lh.read_request(conn)
+        conn.sendall(stream(events(1, 2), ends=False))
+        released.wait(lh.TIMEOUT_S)
+        if goes_on:
+            data = events(3, 4)
+            conn.sendall(b"%x\r\n%s\r\n0\r\n\r\n" % (len(data), data))
+
+    monkeypatch.setattr(stream_call, "_MIN_GAP_S", 0.02)
+    monkeypatch.setattr(reachability, "check", check)
+    start = world.ctrl.client.start
+    monkeypatch.setattr(
+        world.ctrl.client,
+        "start",
+        lambda exchange, *args: sent.append(exchange) or start(exchange, *args),
+    )
+    serve_in(world, "dc1", serve)
+    world.start({**stream_route_document(), "gap_aim_ms": 10})
+    conn = world.send(KEY, ("Connection", "close"))
+    lh.run_until(world.loop, lambda: sent)
+    serve_in(world, "dc2", lh.answer_with(stream(events(3, 4)), other))
+    lh.run_until(world.loop, lambda: checks)
+    if not goes_on:
+        released.set()
+        monkeypatch.setattr(stream_call, "_MIN_GAP_S", lh.TIMEOUT_S)
+        # The broken attempt has ended, and the stream waits for the next one.
+        lh.run_until(world.loop, lambda: not has_slots(world, "e1-s1"))
+    write(world, "dc2")
+    tasks.resolve(checks[0], reachability.Reachability.ACCEPTS)
+    lh.run_pending(world.loop, 20)
+    released.set()
+    received = lh.receive(world.loop, conn, lambda data: b"<EOF>" in data)
+    assert (b"data: e4" in received) is goes_on
+    assert len(sent) == 1 and not other
+    assert not world.ctrl.placement._former
+
+
+def has_slots(world, name):
+    return bool(world.ctrl.placement._pools["s1"][name].slots)
+
+
 def test_a_declined_request_is_sent_elsewhere(world):
     """Not to another endpoint of the evacuated data centre."""
     declines = HeldServer(
@@ -275,6 +336,47 @@
     assert job.future.result().reason == "no endpoint"
 
 
+def test_an_overdue_call_of_an_evacuated_pool_goes_on(pieces):
+    """Its pieces can't be hedged, which doesn't end the job."""
+    job = pieces.submit(1)
+    evacuate(pieces, "e1", "e2")
+    lh.advance(pieces.loop, pieces.clock, 1.0)
+    assert not job.is_ended
+    pieces.client.started[0].succeed()
+    assert isinstance(job.future.result(), tuple)
+
+
+def test_a_coordinator_sends_no_pieces_before_it_may_serve(pieces):
+    """It may know a restored copy that lacks an evacuation."""
+    may_serve = []
+    pieces.runner.may_serve = lambda: bool(may_serve)
+    job = pieces.submit(1)
+    lh.advance(pieces.loop, pieces.clock, 0.2)
+    assert not pieces.client.started
+    evacuate(pieces, "e1")
+    may_serve.append(True)
+    lh.advance(pieces.loop, pieces.clock, 0.1)
+    assert [name_of(c) for c in pieces.client.started] == ["e2"]
+    pieces.client.started[0].succeed()
+    assert isinstance(job.future.result(), tuple)
+
+
+def test_a_starting_gateway_asks_before_it_sends_pieces(world):
+    followers = (
+        world.ctrl.configuration.topic_follower,
+        world.ctrl.endpoints.topic_follower,
+    )
+    runner = world.ctrl.stage_coordinator._scheduler._piece_runner
+    assert runner.may_serve()
+    for follower in followers:
+        follower.has_peers = lambda: True
+        assert not runner.may_serve()
+    for follower in followers:
+        assert not runner.may_serve()
+        follower.may_serve = True
+    assert runner.may_serve()
+
+
 def test_calls_that_run_count_when_an_evacuation_ends(pieces):
     """A worker takes one call at a time; a second one would be refused."""
     evacuate(pieces, "e2")
