Tell starting hosts of evacuations under an unreadable record

Cause: an unreadable record of an evacuated data centre is ignored by hosts that know the evacuation. A starting host finds only that record among the newest values. It took a live host's evacuation, at an earlier position of the same era, for one whose end it had read and forgotten, and sent work there.

Change: a data centre whose newest record can't be read isn't taken for one whose evacuation has ended.

Measured: the new test failed before and passes now, as do the tests of evacuations, of their hosts and endpoints, and of the imports.

--- a/chervilarch/scheduling/evacuation.py
+++ b/chervilarch/scheduling/evacuation.py
@@ -119,6 +119,9 @@
         self._entries: dict[str, _Entry] = {}
         # Data centres of the listed endpoints.
         self._listed: frozenset[str] = frozenset()
+        # Data centres whose newest record can't be read. An evacuation that was
+        # written before it hasn't ended.
+        self._unreadable: set[str] = set()
 
     def is_evacuated(self, data_centre: str) -> bool:
         """Returns whether a data centre gets no new work."""
@@ -186,6 +189,7 @@
             record: an empty value ends the evacuation.
             now: monotonic time in seconds.
         """
+        self._unreadable.discard(data_centre)
         return self._apply(data_centre, record, now, Origin.CHANGE)
 
     def apply_snapshot(
@@ -205,6 +209,9 @@
             origin: whether the store or another host holds them true.
         """
         self._rebase(position)
+        self._unreadable = {
+            name for name, record in records.items() if record is None
+        }
         changes = []
         for name, record in records.items():
             if record is not None:
@@ -236,6 +243,7 @@
             # This host read the end of such a record, and has forgotten it.
             is_over = (
                 name not in self._entries
+                and name not in self._unreadable
                 and record.era == position.era
                 and record.position < position
             )
--- a/tests/test_evacuation_hosts.py
+++ b/tests/test_evacuation_hosts.py
@@ -177,6 +177,20 @@
     assert [host.work_in() for host in fleet.hosts] == [LEFT, LEFT]
 
 
+def test_a_host_that_starts_hears_of_what_an_unreadable_record_hides(fleet):
+    """The store has no other record of the evacuation; it isn't its end."""
+    fleet.write()
+    first = fleet.start("n0")
+    fleet.write(value=b"[1]")
+    fleet.pass_time()
+    assert first.work_in() == LEFT
+    second = fleet.start("n1")
+    assert second.work_in() == LEFT
+    fleet.write(value=b"")
+    fleet.pass_time()
+    assert [host.work_in() for host in fleet.hosts] == [ALL, ALL]
+
+
 def test_a_host_that_was_paused_asks_what_it_missed(fleet):
     """The store is away when it is back, and nothing else is written."""
     first = fleet.start("n0")
