--- a/chervilarch/piece_runner.py
+++ b/chervilarch/piece_runner.py
@@ -73,6 +73,9 @@
         self.on_dispatched: Callable[[], None] | None = None
         # Resolves once the listed endpoints may be used.
         self.confirmed: Callable[[], Future] = _confirm_at_once
+        # Returns whether this host has asked the others for what they know. A
+        # store that was restored may lack evacuations.
+        self.may_serve: Callable[[], bool] = _may_serve_at_once
         self._held_pools: set[str] = set()
         # Returns whether a pool has endpoints, all evacuated.
         self.is_pool_evacuated: Callable[[str], bool] = _is_not_evacuated
@@ -286,6 +289,10 @@
         if not confirmed.done():
             self._hold(pool, confirmed)
             return
+        if not self.may_serve():
+            if queue.backlog():
+                self._dispatch_later(pool, queue, now)
+            return
         self._apply_closures(queue)
         while True:
             batch = queue.next_batch(now)
@@ -314,6 +321,10 @@
                 reason = "the allowed regions have no endpoint of the pool left"
             else:
                 continue
+            # Calls that run may still make these pieces.
+            pending.drop_hedges()
+            if not pending.queued_pieces:
+                continue
             completed = pending.completed()
             state_log.log_decision(
                 "pieces refused",
@@ -375,6 +386,10 @@
     return False
 
 
+def _may_serve_at_once() -> bool:
+    return True
+
+
 def _confirm_at_once() -> Future:
     return tasks.done(None)
 
--- a/chervilarch/stage_inputs.py
+++ b/chervilarch/stage_inputs.py
@@ -103,14 +103,15 @@
                 otherwise it has ended, or is replaced.
         """
         results, self._results = self._results, ()
-        placed = None
+        coordinator = self._ctx.ctrl.stage_coordinator
         if self._is_placed:
             self._is_placed = has_first_event
             placed = stage_graph.PlacedRequest(
                 self._ctx.req.id, has_first_event, not has_first_event
             )
-        if results or placed:
-            self._ctx.ctrl.stage_coordinator.free(results, placed)
+            coordinator.free(results, placed)
+        elif results:
+            coordinator.free(results)
 
     def _graph(self) -> stage_graph.StageGraph:
         req = self._ctx.req
