--- a/review/standins_2/servers.py
+++ b/review/standins_2/servers.py
@@ -25,6 +25,9 @@
         limit_per_s: what its answers name as `Server-Limit`, 0.0 for none.
         arrivals: monotonic time and client's header `X-Machine` of requests.
         is_cut_off: whether it is partitioned from the store.
+        pause_until: monotonic time until which it turns requests away and
+            names the rest of that time as `Retry-After`.
+        refusals: monotonic time and `X-Machine` of those that it turned away.
     """
 
     def __init__(
@@ -47,6 +50,8 @@
         self.limit_per_s = 0.0
         self.arrivals: list[tuple[float, str]] = []
         self.is_cut_off = False
+        self.pause_until = 0.0
+        self.refusals: list[tuple[float, str]] = []
         self._running = 0
         self._store = store
         self._record = record
@@ -100,6 +105,26 @@
         if req.headers.get("expect-instance", self.name) != self.name:
             writer.write(http.answer_bytes(421, {"Not-Executed": "1"}, b""))
             return True
+        now = time.monotonic()
+        if now < self.pause_until:
+            machine = req.headers.get("x-machine", "")
+            self.refusals.append((now, machine))
+            self._record.write(
+                "turned away",
+                request=request_id,
+                server=self.name,
+                machine=machine,
+            )
+            headers = {
+                "Request-Id": request_id,
+                "Not-Executed": "1",
+                "Retry-After": f"{self.pause_until - now:.3f}",
+            }
+            if self.limit_per_s:
+                headers["Server-Limit"] = f"{self.limit_per_s:.1f}"
+            writer.write(http.answer_bytes(503, headers, b""))
+            await writer.drain()
+            return True
         if self._running >= self.slots:
             self._record.write("full", request=request_id, server=self.name)
             self.declined.append(request_id)
