Log what a decision during a stop rests on

The gateway logged neither that it had taken them during its stop nor why. Hypotheses, written down before any change of the decision:

It isn't asked: the request passes by another way than the filters. It is asked, and a guess from past answers says that the stream fits. It is asked, knows that a share would be cut off, and takes the stream since a retry would cost the caller more. The deadline or the end of the stop that it compares are wrong. It was right when asked; a wait for an endpoint came between. The stream had time, and was slowed down or cut off too early.

Change: a line `request during a stop` for both questions, before and after the stages, with what is known then.

--- a/chervilarch/stop_admission.py
+++ b/chervilarch/stop_admission.py
@@ -8,6 +8,7 @@
 import collections
 import enum
 from collections.abc import Callable
+from typing import NamedTuple
 
 from chervilarch import outcomes, routed
 
@@ -29,6 +30,24 @@
     CALL = "final call"
 
 
+class Forecast(NamedTuple):
+    """What a stopping host knows of when a request will end.
+
+    Attributes:
+        left_s: time until requests in flight are cut off, in seconds.
+        deadline_s: time until the request's deadline, in seconds.
+        known_times: how many answers of its route and step the rest rests on.
+        longest_s: the longest of them in seconds, 0 for none.
+        cut_share: share of them that would be cut off, with the margin.
+    """
+
+    left_s: float
+    deadline_s: float
+    known_times: int
+    longest_s: float
+    cut_share: float
+
+
 class StopAdmission:
     """The end of the grace period, and how long answers have taken.
 
@@ -62,6 +81,28 @@
         """Records how long a route's complete answer took from a step on."""
         self._times[route, step].append(elapsed_s)
 
+    def forecast(
+        self, req: routed.RoutedRequest, step: Step, now: float
+    ) -> Forecast | None:
+        """Returns what is known of a request, or None if no stop has begun.
+
+        Args:
+            req: a request of which nothing was sent yet.
+            step: what comes next.
+            now: monotonic time in seconds.
+        """
+        if self._ends_at is None:
+            return None
+        left_s = self._ends_at - now
+        times = self._times.get((req.route.name, step), ())
+        return Forecast(
+            left_s,
+            req.deadline_at - now,
+            len(times),
+            max(times, default=0.0),
+            self._cut_share(req, step, left_s),
+        )
+
     def refusal(
         self, req: routed.RoutedRequest, step: Step, now: float
     ) -> outcomes.NotRun | None:
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -167,6 +167,28 @@
     assert not seen
 
 
+# Without it the logs don't tell why a stopping host took what it then cut off.
+def test_what_a_decision_during_a_stop_rests_on_is_logged(stopping, caplog):
+    world, _ = stopping
+    for step in Step:
+        for elapsed_s in (0.001, 0.002):
+            world.ctrl.stop_admission.record("r1", step, elapsed_s)
+    with caplog.at_level("INFO"):
+        world.fetch(gw.KEY)
+    logged = [
+        record.fields
+        for record in caplog.records
+        if record.getMessage() == "request during a stop"
+    ]
+    assert [fields["step"] for fields in logged] == ["request", "final call"]
+    for fields in logged:
+        assert fields["request_id"] == "id1"
+        assert fields["is_taken"] is True
+        assert fields["left_ms"] <= 3000 < fields["deadline_ms"] <= 4000
+        assert fields["known_times"] == fields["longest_ms"] == 2
+        assert fields["cut_share"] == 0.0
+
+
 def test_a_request_that_can_end_before_a_stop_is_served(stopping):
     world, seen = stopping
     for step in Step:
