--- a/chervilarch/routed_filters.py
+++ b/chervilarch/routed_filters.py
@@ -188,6 +188,7 @@
         deadline_ms=round(forecast.deadline_s * _MS_PER_S),
         known_times=forecast.known_times,
         longest_ms=round(forecast.longest_s * _MS_PER_S),
+        allows_estimate=forecast.allows_estimate,
         cut_share=round(forecast.cut_share, 3),
     )
     return refusal
