Decide late requests in the router as in the gateway

Callers could see: a router that stops and knows its `grace_s` takes a stream, or a request that may run only once, after its notice, and cuts it off at the end.

Cause: the router's copy of the decision and of its margin took one and a half times its estimate for a promise, also late.

Change: both daemons go by `stop_admission.StopTimes`: what is certain, until when an estimate counts, and the margin.

Evidence: without the new condition two cases of test_a_router_takes_late_requests_that_a_cut_leaves_in_doubt_by_deadline fail (a stream, a request that may run only once); the three others, of what is still taken, pass. test_stop, test_end_to_end, test_wsgi_server, test_calls and test_freed_router_requests pass. The fixture `admit` makes a stop with a notice, which the older cases come within.

--- a/chervilarch/drain.py
+++ b/chervilarch/drain.py
@@ -7,6 +7,8 @@
 import threading
 from collections.abc import Iterator
 
+from chervilarch import stop_admission
+
 
 class RequestTracker:
     """Counts requests in flight and holds whether the process is draining."""
@@ -15,8 +17,7 @@
         self._lock = threading.Lock()
         self._in_flight = 0
         self._draining = False
-        # Monotonic time at which requests in flight are cut off.
-        self.ends_at = float("inf")
+        self.stop = stop_admission.NO_STOP
 
     @contextlib.contextmanager
     def track(self) -> Iterator[None]:
@@ -38,7 +39,7 @@
         """Returns whether a shutdown has begun."""
         return self._draining
 
-    def begin_drain(self, ends_at: float) -> None:
-        """Marks this process as draining; requests are served until a time."""
-        self.ends_at = ends_at
+    def begin_drain(self, stop: stop_admission.StopTimes) -> None:
+        """Marks this process as draining."""
+        self.stop = stop
         self._draining = True
--- a/chervilarch/filters.py
+++ b/chervilarch/filters.py
@@ -14,20 +14,18 @@
     request,
     settings,
     stages,
+    stop_admission,
 )
 
 NextFilter = Callable[[], outcomes.Outcome]
 _MS_PER_S = 1000
-# Streams and requests that may run only once must have this multiple of their
-# expected time: cutting them off leaves callers without an answer or in doubt.
-_STRICT_MARGIN = 1.5
 
 
 class FilterContext:
     """A request, and the controllers and settings that filters use.
 
     Attributes:
-        stops_at: monotonic time at which this host cuts off its requests.
+        stop: when the periods of a stop of this host end.
     """
 
     def __init__(
@@ -35,12 +33,12 @@
         ctrl: controllers.Controllers,
         cfg: settings.Settings,
         req: request.PipelineRequest,
-        stops_at: float,
+        stop: stop_admission.StopTimes,
     ):
         self.ctrl = ctrl
         self.cfg = cfg
         self.req = req
-        self.stops_at = stops_at
+        self.stop = stop
 
 
 Filter = Callable[[FilterContext, NextFilter], outcomes.Outcome]
@@ -196,19 +194,17 @@
         expected_s: expected time of the request, 0 if it isn't known.
     """
     req = ctx.req
-    if req.deadline_at <= ctx.stops_at:
+    if ctx.stop.is_certain(req.deadline_at):
         return None
+    now = ctx.ctrl.clock.monotonic()
     is_strict = req.wants_stream or not req.pipeline.is_repeatable()
-    margin = _STRICT_MARGIN if is_strict else 1.0
-    left_s = ctx.stops_at - ctx.ctrl.clock.monotonic()
-    if expected_s and margin * expected_s <= left_s:
+    if (
+        expected_s
+        and ctx.stop.allows_estimate(is_strict, now)
+        and ctx.stop.has_time(is_strict, expected_s, now)
+    ):
         return None
-    return outcomes.NotRun(
-        outcomes.Reason.SHUTTING_DOWN,
-        "this host stops before the request can end",
-        "send the request to another host",
-        0.0,
-    )
+    return stop_admission.refusal(0.0)
 
 
 def run_stages(ctx: FilterContext, call_next: NextFilter) -> outcomes.Outcome:
--- a/chervilarch/router.py
+++ b/chervilarch/router.py
@@ -17,6 +17,7 @@
     server,
     settings,
     state_log,
+    stop_admission,
     wsgi_server,
 )
 from chervilarch import loop as loops
@@ -64,11 +65,14 @@
         state_log.log_change(
             "drain started", in_flight=self._request_tracker.in_flight()
         )
-        ends_at = self._drain_ends_at()
-        self._request_tracker.begin_drain(ends_at)
-        threading.Event().wait(self._app.cfg.bounds.drain_notice_s)
+        notice_s = self._app.cfg.bounds.drain_notice_s
+        stop = stop_admission.StopTimes(
+            self._env.clock.monotonic() + notice_s, self._drain_ends_at()
+        )
+        self._request_tracker.begin_drain(stop)
+        threading.Event().wait(notice_s)
         # Waits for all requests; while the listener is open, more may come.
-        self._server.stop(_SHUTDOWN_TIMEOUT_S, ends_at)
+        self._server.stop(_SHUTDOWN_TIMEOUT_S, stop.ends_at)
         self._wait_for_results()
         controllers.stop(self._ctrl)
         state_log.log_change("router stopped")
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -346,7 +346,14 @@
 def admit(monkeypatch):
     """Returns a router's refusal of a request with 10 s to its deadline."""
 
-    def run(expected_s, stops_at, is_repeatable=True, wants_stream=False):
+    def run(
+        expected_s,
+        stops_at,
+        is_repeatable=True,
+        wants_stream=False,
+        notice_ends_at=102.5,
+        deadline_at=110.0,
+    ):
         estimate = admission.StageEstimate(
             limit=1.0, unit_s=1.0, base_s=expected_s, backlog=0.0, units=1.0
         )
@@ -354,7 +361,7 @@
             filters.stages, "estimate_stages", lambda *_: [estimate]
         )
         req = types.SimpleNamespace(
-            deadline_at=110.0,
+            deadline_at=deadline_at,
             wants_stream=wants_stream,
             trace=types.SimpleNamespace(add_step=lambda *_, **__: None),
             pipeline=types.SimpleNamespace(
@@ -362,7 +369,8 @@
             ),
         )
         ctrl = types.SimpleNamespace(clock=clocks.ManualClock(100.0))
-        ctx = filters.FilterContext(ctrl, settings.Settings, req, stops_at)
+        stop = stop_admission.StopTimes(notice_ends_at, stops_at)
+        ctx = filters.FilterContext(ctrl, settings.Settings, req, stop)
         return filters.admit(ctx, lambda: "taken")
 
     return run
@@ -389,6 +397,26 @@
         assert outcome.reason is outcomes.Reason.SHUTTING_DOWN
 
 
+# Guards against the same in the router, which goes by its own estimate.
+@pytest.mark.parametrize(
+    ("fields", "is_taken"),
+    [
+        ({}, True),
+        ({"is_repeatable": False}, False),
+        ({"wants_stream": True}, False),
+        ({"is_repeatable": False, "deadline_at": 105.0}, True),
+        ({"wants_stream": True, "deadline_at": 105.0}, True),
+    ],
+)
+def test_a_router_takes_late_requests_that_a_cut_leaves_in_doubt_by_deadline(
+    admit, fields, is_taken
+):
+    outcome = admit(0.001, 105.0, notice_ends_at=99.9, **fields)
+    assert (outcome == "taken") is is_taken
+    if not is_taken:
+        assert outcome.reason is outcomes.Reason.SHUTTING_DOWN
+
+
 @pytest.mark.parametrize("stops_at", [110.0, float("inf")])
 def test_a_router_takes_a_request_whose_deadline_comes_first(admit, stops_at):
     assert admit(9.9, stops_at, is_repeatable=False) == "taken"
