Decide on a call again after its wait for an endpoint

Callers could see: a request that came before a stop waits for a permit or for an endpoint to open, is sent while the host stops, and is cut off or left in doubt, though a refusal would have been true until then.

Cause: the decision on the final call is asked before the wait only.

Change: `endpoint_lease.lease` asks again once the wait is over, if no call of the request was sent; the lease is given up with a refusal. The filters' question moves to `RoutedContext.stop_refusal`, which both use.

Evidence: test_a_call_that_waited_into_a_stop_is_sent_only_if_it_can_end failed before for a request that may run only once and for a stream (sent, 0.5 s before the cut, where its route takes 1 s); with 3 s left both are sent, before and after. test_stop, test_gateway, test_endpoint_limits, test_silent_engines, test_stream_stalls, test_cold_endpoints and test_crashing_prompts pass.

--- a/chervilarch/endpoint_lease.py
+++ b/chervilarch/endpoint_lease.py
@@ -6,6 +6,7 @@
     placement,
     prompt_blocks,
     state_log,
+    stop_admission,
     tasks,
 )
 from chervilarch import routed_context as contexts
@@ -29,7 +30,7 @@
     tried: set[str],
     may_wait: bool = True,
 ) -> tasks.Coroutine[placement.Lease | outcomes.NotRun | None]:
-    """Chooses an endpoint that wasn't tried, unless the prompt is blocked.
+    """Chooses an endpoint that wasn't tried, unless the request is refused.
 
     Args:
         ctx: the request.
@@ -39,22 +40,30 @@
             the first one if all are closed: paused, avoided or on trial.
 
     Returns:
-        The lease, a refusal if the prompt was blocked since its admission or no
-        endpoint has a permit or opens in time, or None if there is no endpoint.
+        The lease, a refusal if the prompt was blocked since its admission, this
+        host stops before a first call can end, or no endpoint has a permit or
+        opens in time, or None if there is no endpoint.
     """
     # The list of endpoints may be older than a pause of the process.
     yield ctx.ctrl.resumption.confirmed()
     leased = yield from _lease_with_permit(ctx, requirements, tried, may_wait)
+    # Asked last: a wait for a permit may take seconds.
+    refused = _blocked_refusal(ctx)
+    if refused is None and not ctx.req.attempts_sent:
+        refused = ctx.stop_refusal(stop_admission.Step.CALL)
+    if refused is None:
+        return leased
+    if isinstance(leased, placement.Lease):
+        ctx.ctrl.placement.abandon(leased)
+    return refused
+
+
+def _blocked_refusal(ctx: contexts.RoutedContext) -> outcomes.NotRun | None:
     req = ctx.req
-    # Looked up last: a wait for a permit may take seconds.
     block = ctx.ctrl.prompt_guard.find_block(
         req.prompt.shared_parts(), req.tested_block
     )
-    if block is None:
-        return leased
-    if isinstance(leased, placement.Lease):
-        ctx.ctrl.placement.abandon(leased)
-    return blocked_outcome(ctx, block)
+    return None if block is None else blocked_outcome(ctx, block)
 
 
 def _lease_with_permit(
--- a/chervilarch/routed_context.py
+++ b/chervilarch/routed_context.py
@@ -13,6 +13,7 @@
     followers,
     http_client,
     http_server,
+    outcomes,
     permits,
     placement,
     prompt_guard,
@@ -20,6 +21,7 @@
     routed,
     routing_table,
     stage_coordination,
+    state_log,
     stop_admission,
     store_sharing,
     telemetry,
@@ -27,6 +29,8 @@
 from chervilarch import loop as loops
 from chervilarch.scheduling import cold_starts, request_cost
 
+_MS_PER_S = 1000
+
 
 class RoutedControllers(NamedTuple):
     """The controllers of a gateway.
@@ -86,6 +90,33 @@
         """Returns the time since the request's arrival."""
         return self.req.elapsed_ms(self.now())
 
+    def stop_refusal(self, step: stop_admission.Step) -> outcomes.NotRun | None:
+        """Returns the refusal of the request if this host stops too soon.
+
+        Nothing of the request's final call was sent yet.
+
+        Args:
+            step: what comes next.
+        """
+        stop, now = self.ctrl.stop_admission, self.now()
+        forecast = stop.forecast(self.req, step, now)
+        if forecast is None:
+            return None
+        refusal = stop.refusal(self.req, step, now)
+        state_log.log_decision(
+            "request during a stop",
+            request_id=self.req.id,
+            step=step.value,
+            is_taken=refusal is None,
+            left_ms=round(forecast.left_s * _MS_PER_S),
+            deadline_ms=round(forecast.deadline_s * _MS_PER_S),
+            known_times=forecast.known_times,
+            longest_ms=round(forecast.longest_s * _MS_PER_S),
+            allows_estimate=forecast.allows_estimate,
+            cut_share=round(forecast.cut_share, 3),
+        )
+        return refusal
+
     def record_latency(self) -> None:
         """Records the time from arrival to the answer or its first event."""
         account = self.req.account.name if self.req.account else ""
--- a/chervilarch/routed_filters.py
+++ b/chervilarch/routed_filters.py
@@ -28,7 +28,6 @@
 _NO_CONFIGURATION_RETRY_S = 0.5
 # Retry-After while a whole pool is evacuated; nothing tells how long that is.
 _EVACUATED_RETRY_S = 1.0
-_MS_PER_S = 1000
 
 
 def check_configuration(
@@ -164,36 +163,12 @@
     ctx: RoutedContext, call_next: NextFilter
 ) -> tasks.Coroutine[outcomes.Outcome]:
     """Refuses requests that would be cut off when this host stops."""
-    refusal = _stop_refusal(ctx, stop_admission.Step.REQUEST)
+    refusal = ctx.stop_refusal(stop_admission.Step.REQUEST)
     if refusal is not None:
         return refusal
     return (yield from call_next())
 
 
-def _stop_refusal(
-    ctx: RoutedContext, step: stop_admission.Step
-) -> outcomes.NotRun | None:
-    """Returns the refusal of a request if this host stops too soon for it."""
-    stop, now = ctx.ctrl.stop_admission, ctx.now()
-    forecast = stop.forecast(ctx.req, step, now)
-    if forecast is None:
-        return None
-    refusal = stop.refusal(ctx.req, step, now)
-    state_log.log_decision(
-        "request during a stop",
-        request_id=ctx.req.id,
-        step=step.value,
-        is_taken=refusal is None,
-        left_ms=round(forecast.left_s * _MS_PER_S),
-        deadline_ms=round(forecast.deadline_s * _MS_PER_S),
-        known_times=forecast.known_times,
-        longest_ms=round(forecast.longest_s * _MS_PER_S),
-        allows_estimate=forecast.allows_estimate,
-        cut_share=round(forecast.cut_share, 3),
-    )
-    return refusal
-
-
 def refuse_blocked_prompts(
     ctx: RoutedContext, call_next: NextFilter
 ) -> tasks.Coroutine[outcomes.Outcome]:
@@ -258,7 +233,7 @@
                 "the stages took all of the time",
                 "allow a longer deadline",
             )
-        refusal = _stop_refusal(ctx, stop_admission.Step.CALL)
+        refusal = ctx.stop_refusal(stop_admission.Step.CALL)
         if refusal is not None:
             return refusal
         ctx.req.call_began_at = ctx.now()
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -11,7 +11,9 @@
     admission,
     clocks,
     filters,
+    futures,
     outcomes,
+    permits,
     routed,
     routing_table,
     settings,
@@ -239,7 +241,9 @@
         for record in caplog.records
         if record.getMessage() == "request during a stop"
     ]
-    assert [fields["step"] for fields in logged] == ["request", "final call"]
+    # The final call is decided on before and after the wait for an endpoint.
+    steps = [fields["step"] for fields in logged]
+    assert steps == ["request", "final call", "final call"]
     for fields in logged:
         assert fields["request_id"] == "id1"
         assert fields["is_taken"] is True
@@ -252,6 +256,7 @@
     assert [fields["allows_estimate"] for fields in logged] == [
         not is_strict,
         True,
+        True,
     ]
 
 
@@ -333,6 +338,50 @@
     assert received.startswith(b"HTTP/1.1 200")
 
 
+# Guards against calls that wait for an endpoint while a stop begins, and are
+# sent only to be cut off.
+@pytest.mark.parametrize(
+    "document",
+    [gw.route_document(kind="non_idempotent"), gw.stream_route_document()],
+    ids=["once", "stream"],
+)
+@pytest.mark.parametrize(("cut_s", "is_sent"), [(0.5, False), (3.0, True)])
+def test_a_call_that_waited_into_a_stop_is_sent_only_if_it_can_end(
+    world, document, cut_s, is_sent
+):
+    seen = []
+    is_stream = document["kind"] == "streaming"
+    data = gw.stream(gw.events(1, 2)) if is_stream else gw.answer()
+    world.endpoint("e1", lh.answer_with(data, seen))
+    world.start(document)
+    for step in Step:
+        world.ctrl.stop_admission.record("r1", step, 1.0)
+    permit = futures.Future()
+    asked = []
+
+    def acquire(run, max_wait_s):
+        asked.append(run)
+        return permit
+
+    world.ctrl.limits.per_s = lambda run: 1.0
+    world.ctrl.permits.acquire = acquire
+    conn = world.send(gw.KEY, ("Connection", "close"))
+    lh.run_until(world.loop, lambda: asked)
+    world.serving_state.is_draining = True
+    now = world.loop.now()
+    world.ctrl.stop_admission.begin(now, now + cut_s)
+    permit.set_result(permits.Permit(True, 0.0))
+    received = lh.receive(world.loop, conn, lambda got: b"<EOF>" in got).lower()
+    assert received.startswith(b"http/1.1 200 " if is_sent else b"http/1.1 503")
+    assert len(seen) == is_sent
+    if not is_sent:
+        assert b"retry-after: 0.100\r\n" in received
+        assert b'"reason":"shutting-down"' in received
+        # Its lease doesn't count as load.
+        endpoints = world.ctrl.placement._pools["s1"].values()
+        assert not any(endpoint.slots for endpoint in endpoints)
+
+
 def test_a_stop_learns_from_complete_answers(world):
     world.endpoint("e1", lh.answer_with(gw.answer()))
     world.start(gw.route_document())
