Refuse replies with an invalid status line

Cause: libcurl takes any number from 100 on and other versions; `reply_head` read the first three digits.

Change: `ReplyHead` ends a transfer whose status line, also of an interim head, isn't HTTP/1.0 or 1.1 with a status from 100 to 599. Both users of libcurl read heads there.

--- a/chervilarch/reply_head.py
+++ b/chervilarch/reply_head.py
@@ -1,5 +1,7 @@
 """Reads the heads of replies that libcurl receives, and its failures."""
 
+import re
+
 import pycurl
 
 from chervilarch import exchanges
@@ -17,7 +19,8 @@
 MAX_LINES = 256
 MAX_LINE_BYTES = 64 * 1024
 _FIRST_FINAL_STATUS = 200
-_STATUS_DIGITS = 3
+# RFC 9112, section 4, and RFC 9110, section 15.
+_STATUS_LINE = re.compile(r"HTTP/1\.[01]\s+([1-5][0-9]{2})(\s|$)")
 _MAX_LENGTH_DIGITS = 18
 _LENGTH_HEADERS = {"content-length", "transfer-encoding"}
 
@@ -36,6 +39,8 @@
         is_ambiguous: whether the head names two ways to find the end of the
             body. libcurl refuses the other heads with a doubtful end by itself.
         is_overlong: whether the lines are over their bounds.
+        is_invalid: whether a status line isn't one of HTTP/1.1, which libcurl
+            reads more leniently.
     """
 
     def __init__(self) -> None:
@@ -44,6 +49,7 @@
         self.is_complete = False
         self.is_ambiguous = False
         self.is_overlong = False
+        self.is_invalid = False
         self._lines = 0
         self._line_bytes = 0
         self._partial_status = 0
@@ -60,9 +66,7 @@
             return None
         text = line.decode("latin-1").strip()
         if text.startswith("HTTP/"):
-            self._partial_headers = []
-            self._partial_status = _parse_status(text)
-            return None
+            return self._begin_head(text)
         name, sep, value = text.partition(":")
         if sep:
             self._partial_headers.append((name.strip().lower(), value.strip()))
@@ -76,6 +80,13 @@
         is_number = text.isascii() and text.isdigit()
         return int(text[:_MAX_LENGTH_DIGITS]) if is_number else None
 
+    def _begin_head(self, status_line: str) -> int | None:
+        match = _STATUS_LINE.match(status_line)
+        self.is_invalid = match is None
+        self._partial_headers = []
+        self._partial_status = 0 if match is None else int(match[1])
+        return 0 if self.is_invalid else None
+
     def _end_head(self) -> int | None:
         if self._partial_status < _FIRST_FINAL_STATUS:
             return None
@@ -87,13 +98,6 @@
         return 0 if self.is_ambiguous else None
 
 
-def _parse_status(line: str) -> int:
-    """Returns the status of a status line, 0 if it has none."""
-    words = line.split()
-    is_number = len(words) > 1 and words[1].isascii() and words[1].isdigit()
-    return int(words[1][:_STATUS_DIGITS]) if is_number else 0
-
-
 def result(
     curl: pycurl.Curl, code: int | None, text: str, head: ReplyHead, body: bytes
 ) -> exchanges.TransferResult:
@@ -125,6 +129,9 @@
     kind = _FAILURE_KINDS.get(code, exchanges.FailureKind.BROKEN)
     if head.is_ambiguous:
         kind = exchanges.FailureKind.BROKEN
+    if head.is_invalid:
+        kind = exchanges.FailureKind.BROKEN
+        text = "the status line is invalid"
     if head.is_overlong or code == _E_TOO_LARGE:
         kind = exchanges.FailureKind.ENDLESS
         text = f"the head is over {MAX_LINES} lines or {MAX_LINE_BYTES} bytes"
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -63,6 +63,10 @@
         answer(request_id="other"),
         answer(missing=5),
         b"garbage\r\n\r\n",
+        answer(status="000"),
+        answer(status=600),
+        answer(status=999),
+        answer(status=2000),
         b"",
     ],
 )
--- a/tests/test_reply_framing.py
+++ b/tests/test_reply_framing.py
@@ -50,6 +50,22 @@
 }
 
 
+# RFC 9110, section 15: a status is a number of three digits from 100 to 599.
+INVALID_STATUS_LINES = [
+    *(
+        f"HTTP/1.1 {status} X".encode()
+        for status in (
+            *("000", "099", "600", "700", "999", "1000", "2000", "20", "200x"),
+            *("-200", "+200", "2 00", "x", ""),
+        )
+    ),
+    b"HTTP/2 200 OK",
+    b"HTTP/3.1 200 OK",
+    b"HTTP/1.2 200 OK",
+    b"HTTP/1.1200 OK",
+]
+
+
 @pytest.fixture
 def closing_server_of():
     """Returns a server that sends some bytes and closes the connection."""
@@ -191,6 +207,46 @@
     assert result.sent
 
 
+# Guards against odd bytes of a server in trouble being taken for an answer.
+@pytest.mark.parametrize("interim", [b"", _CONTINUE])
+@pytest.mark.parametrize("line", INVALID_STATUS_LINES)
+def test_a_reply_with_an_invalid_status_is_a_failure(
+    call, closing_server_of, line, interim
+):
+    rest = b"\r\nContent-Length: 2\r\n\r\nok"
+    result = call(exchange(closing_server_of(interim + line + rest)))
+    assert isinstance(result, exchanges.TransferFailure)
+    assert result.kind is exchanges.FailureKind.BROKEN
+    assert result.sent
+
+
+@pytest.mark.parametrize("line", INVALID_STATUS_LINES)
+def test_a_stream_with_an_invalid_status_is_a_failure(
+    stream, closing_server_of, line
+):
+    rest = b"\r\nContent-Length: 2\r\n\r\nok"
+    status, chunks, result = stream(exchange(closing_server_of(line + rest)))
+    assert (status, chunks) == (0, b"")
+    assert isinstance(result, exchanges.TransferFailure)
+    assert result.sent
+
+
+@pytest.mark.parametrize(
+    ("line", "status"),
+    [
+        (b"HTTP/1.1 200", 200),
+        (b"HTTP/1.1 200 ", 200),
+        (b"HTTP/1.0 201 Created", 201),
+        (b"HTTP/1.1 418 600 cups", 418),
+        (b"HTTP/1.1 599 X", 599),
+    ],
+)
+def test_a_valid_status_line_is_read(call, closing_server_of, line, status):
+    rest = b"\r\nContent-Length: 2\r\n\r\nok"
+    result = call(exchange(closing_server_of(line + rest)))
+    assert (result.status, result.body) == (status, b"ok")
+
+
 def test_interim_heads_and_trailers_are_no_part_of_the_head(
     call, closing_server_of
 ):
