Refuse early successes that end with an unfinished upload

Cause: the end of the connection was taken for the end of the answer, though the server had not got the request.

Change: `reply_head.result` asks libcurl whether the request's body was sent whole. If not, a success that only the connection ends is a failure.

Why it works: a server that answers early reads on, so that a sound one doesn't end the connection first; and it no longer matters whether a failed send has taken the reset's error from the socket. Answers with a length or chunks, refusals and errors are taken as before.

--- a/chervilarch/reply_head.py
+++ b/chervilarch/reply_head.py
@@ -19,6 +19,7 @@
 MAX_LINES = 256
 MAX_LINE_BYTES = 64 * 1024
 _FIRST_FINAL_STATUS = 200
+_NO_CONTENT = 204
 # RFC 9112, section 4, and RFC 9110, section 15.
 _STATUS_LINE = re.compile(r"HTTP/1\.[01]\s+([1-5][0-9]{2})(\s|$)")
 _MAX_LENGTH_DIGITS = 18
@@ -80,6 +81,15 @@
         is_number = text.isascii() and text.isdigit()
         return int(text[:_MAX_LENGTH_DIGITS]) if is_number else None
 
+    def is_unframed_success(self) -> bool:
+        """Returns whether the connection's end alone ends a success's body."""
+        names = {name for name, _ in self.headers}
+        return (
+            self.status // 100 == 2
+            and self.status != _NO_CONTENT
+            and not names & _LENGTH_HEADERS
+        )
+
     def _begin_head(self, status_line: str) -> int | None:
         match = _STATUS_LINE.match(status_line)
         self.is_invalid = match is None
@@ -118,6 +128,13 @@
             "the reply ended within its head",
             was_sent(curl),
         )
+    if head.is_unframed_success() and not _was_sent_whole(curl):
+        # An endpoint may answer early, and then reads the rest.
+        return exchanges.TransferFailure(
+            exchanges.FailureKind.BROKEN,
+            "the connection ended before the request was sent",
+            was_sent(curl),
+        )
     elapsed_s = curl.getinfo(pycurl.TOTAL_TIME)
     return exchanges.Reply(head.status, dict(head.headers), body, elapsed_s)
 
@@ -138,6 +155,12 @@
     return exchanges.TransferFailure(kind, text, was_sent(curl))
 
 
+def _was_sent_whole(curl: pycurl.Curl) -> bool:
+    """Returns whether the whole body of the request was sent."""
+    sent_bytes = curl.getinfo(pycurl.SIZE_UPLOAD_T)
+    return sent_bytes >= curl.getinfo(pycurl.CONTENT_LENGTH_UPLOAD_T)
+
+
 def was_sent(curl: pycurl.Curl) -> bool:
     """Returns whether any byte of the request may have left this host."""
     return curl.getinfo(pycurl.REQUEST_SIZE) > 0
--- a/tests/test_reply_framing.py
+++ b/tests/test_reply_framing.py
@@ -1,5 +1,8 @@
 """Replies of endpoints whose end is in doubt are no success."""
 
+import socket
+import struct
+
 import loop_helpers as lh
 import pytest
 
@@ -167,6 +170,66 @@
     return request.getfixturevalue(request.param)
 
 
+class EarlyServer:
+    """Answers before it has read the request, which it reads up to a point.
+
+    Args:
+        data: bytes of the answer.
+        end: "reset", "closed" or "half closed", which goes on reading; or
+            "kept", which reads the whole request and closes then.
+    """
+
+    def __init__(self, data, end):
+        self._data = data
+        self._end = end
+        self._server = lh.RawServer(self._serve)
+        self.address = self._server.address
+        self.close = self._server.close
+
+    def _serve(self, conn):
+        conn.recv(1024)
+        conn.sendall(self._data)
+        if self._end == "reset":
+            linger = struct.pack("ii", 1, 0)
+            conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        if self._end == "half closed":
+            conn.shutdown(socket.SHUT_WR)
+        if self._end in ("half closed", "kept"):
+            tail = b""
+            while tail != b"end" and (got := conn.recv(2**20)):
+                tail = (tail + got)[-3:]
+
+
+@pytest.fixture
+def early_server_of():
+    """Returns an `EarlyServer`."""
+    servers = []
+
+    def create(data, end):
+        servers.append(EarlyServer(data, end))
+        return servers[-1]
+
+    yield create
+    for server in servers:
+        server.close()
+
+
+# More than the sockets' buffers hold.
+LONG_BODY = b"u" * 16 * 2**20 + b"end"
+UNFRAMED = _OK + b"\r\npart"
+FRAMED = _OK + b"Content-Length: 4\r\n\r\npart"
+
+
+def upload(server):
+    return exchanges.Exchange(
+        "POST",
+        f"http://{server.address}/x",
+        LONG_BODY,
+        timeout_s=lh.TIMEOUT_S,
+        fresh=True,
+    )
+
+
 def exchange(server):
     return exchanges.Exchange(
         "GET", f"http://{server.address}/x", timeout_s=2.0
@@ -247,6 +310,46 @@
     assert (result.status, result.body) == (status, b"ok")
 
 
+# Guards against a part of an answer being taken for the answer, which only the
+# end of the connection ends and which a lost server has sent early.
+@pytest.mark.parametrize("end", ["reset", "closed", "half closed"])
+@pytest.mark.parametrize("line", [_OK, b"HTTP/1.0 201 Created\r\n"])
+def test_an_early_success_without_length_is_cut_with_the_upload(
+    call, early_server_of, line, end
+):
+    result = call(upload(early_server_of(line + b"\r\npart", end)))
+    assert isinstance(result, exchanges.TransferFailure)
+    assert result.kind is exchanges.FailureKind.BROKEN
+    assert result.sent
+
+
+@pytest.mark.parametrize("end", ["reset", "closed", "half closed"])
+def test_an_early_stream_without_length_is_cut_with_the_upload(
+    stream, early_server_of, end
+):
+    _, _, result = stream(upload(early_server_of(UNFRAMED, end)))
+    assert isinstance(result, exchanges.TransferFailure)
+    assert result.sent
+
+
+@pytest.mark.parametrize(
+    ("data", "end", "status"),
+    [
+        (UNFRAMED, "kept", 200),
+        (FRAMED, "kept", 200),
+        (FRAMED, "half closed", 200),
+        (_OK + _CHUNKED + b"\r\n4\r\npart\r\n0\r\n\r\n", "kept", 200),
+        # Whether a refusal or an error is whole doesn't matter.
+        (b"HTTP/1.1 503 Busy\r\n\r\npart", "half closed", 503),
+    ],
+)
+def test_an_early_answer_that_has_its_end_is_complete(
+    call, early_server_of, data, end, status
+):
+    result = call(upload(early_server_of(data, end)))
+    assert (result.status, result.body) == (status, b"part")
+
+
 def test_interim_heads_and_trailers_are_no_part_of_the_head(
     call, closing_server_of
 ):
