Return a stream to a silent engine that another can't replace

Both engines fell silent for 1.5 s; the other one was asked, had said nothing 0.2 s later, so the first was left; then the other declined, and nothing was tried again.

Cause: an engine that was left for its silence counted as tried, like one that had failed.

Evidence: log of a run on: `endpoint silent` (e-0), `request sent` (e-1), `attempt failed` late (e-0), declined (e-1), and 1 ms later `request ended`; no third `request sent`.

Change: if no untried endpoint is left after an attempt that failed, the engines that were left for their silence alone are tried again, 0.25 s later: e-0 declined at first, as it hadn't seen yet that its attempt was cancelled. Each try takes a retry from the budget, as before.

Why it works: a replacement that declines has proved that it ran nothing, and the engine before has shown no fault but a pause.

--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -92,6 +92,8 @@
         self._has_rerun = False
         self._pool = ctx.req.route.pool_for(ctx.req.id)
         self._tried: set[str] = set()
+        # Engines of them that were left for their silence alone.
+        self._left: set[str] = set()
         self._splitter = event_stream.EventSplitter()
         self._splitter.last_id = ctx.req.resume_after
         self._has_sent_event = False
@@ -129,6 +131,8 @@
             if isinstance(attempt_result, final_call.Success):
                 return outcomes.Answer(attempt_result)
             last = attempt_result
+            if last is _STALLED:
+                self._left.add(lease.listing.entry.name)
             self._splitter.end_attempt()
             lease = yield from self._next_lease(lease, last)
         if isinstance(lease, outcomes.NotRun):
@@ -176,6 +180,17 @@
             )
         )
 
+    def _lease_any(
+        self,
+    ) -> tasks.Coroutine[placement.Lease | outcomes.NotRun | None]:
+        """Leases an untried endpoint, or else one that was only silent."""
+        leased = yield from self._lease(self._tried)
+        if leased is not None or not self._left:
+            return leased
+        # It may not have seen yet that its attempt was cancelled.
+        yield tasks.sleep(self._ctx.ctrl.loop, _REPLACE_AGAIN_S)
+        return (yield from self._lease(self._tried - self._left))
+
     def _may_send(self, lease: placement.Lease) -> bool:
         """Returns whether a lease that was kept may still be used.
 
@@ -274,7 +289,7 @@
             if failure is _STALLED:
                 leased = yield from self._lease_reachable(self._lease)
             else:
-                leased = yield from self._lease(self._tried)
+                leased = yield from self._lease_any()
         finally:
             if not isinstance(leased, placement.Lease):
                 self._refund_retry()
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -610,6 +610,63 @@
     assert received.endswith(events(3, 4) + b"\r\n0\r\n\r\n<EOF>")
 
 
+class LeftEngine:
+    """Is silent in its first stream until it is left, and then sound again."""
+
+    def __init__(self, before, declined):
+        self._before = before
+        # How many requests after the first one it declines.
+        self._declined = declined
+        self.requests = []
+        self.is_left = threading.Event()
+
+    def serve(self, conn):
+        request = lh.read_request(conn)
+        if not request:
+            return  # The connection was only checked.
+        self.requests.append(request)
+        if len(self.requests) == 1:
+            if self._before:
+                conn.sendall(_HEAD + self._before)
+            conn.settimeout(lh.TIMEOUT_S)
+            conn.recv(1)
+            self.is_left.set()
+        elif len(self.requests) <= 1 + self._declined:
+            conn.sendall(answer(503, b"", extra="Not-Executed: 1\r\n"))
+        else:
+            first = 3 if b"Last-Event-Id: 2" in request else 1
+            conn.sendall(stream(events(first, 4)))
+
+
+# Guards against a stream that is cut when a silent engine was left for one that
+# was silent too, and declines when it goes on.
+@pytest.mark.parametrize("before", [b"", events(1, 2)])
+@pytest.mark.parametrize("declined", [0, 2])
+def test_an_engine_that_was_left_takes_back_what_another_declines(
+    world, stalls, before, declined
+):
+    stalls(**({"gap_s": 0.02} if before else {"first_event_s": 0.0}))
+    engine = LeftEngine(before, declined)
+    world.endpoint("e1", engine.serve)
+    asked = []
+
+    def serve_e2(conn):
+        request = lh.read_request(conn)
+        if request:
+            asked.append(request)
+            assert engine.is_left.wait(lh.TIMEOUT_S)
+            conn.sendall(answer(503, b"", extra="Not-Executed: 1\r\n"))
+
+    world.endpoint("e2", serve_e2)
+    world.ctrl.placement.pick = first_of(world.ctrl.placement.pick)
+    start(world)
+    received = world.fetch(KEY)
+    assert received.endswith(events(3, 4) + b"\r\n0\r\n\r\n")
+    assert received.count(b"id: 1\n") == 1
+    assert len(asked) == 1
+    assert len(engine.requests) == 2 + declined
+
+
 class TakingEngine:
     """Takes a request and answers it when it is told to, or crashes."""
 
