Look at pauses again once a request has its permit

Cause: a request that waits for a permit looked only whether its endpoint was still listed when the wait ended.

Change: `Placement.is_usable` tells whether an endpoint is paused or avoided too. Leases that a stream keeps ask the same question.

Why it works: all waits between the choice and the sending end with this question or with a new choice, which looks at pauses.

--- a/chervilarch/placement.py
+++ b/chervilarch/placement.py
@@ -218,8 +218,14 @@
         return endpoints[_affinity_endpoint(endpoints, shared)].data_centre
 
     def is_usable(self, lease: Lease) -> bool:
-        """Returns whether the endpoint of a lease may still get work."""
-        return self._endpoint(lease) is not None
+        """Returns whether the endpoint of a lease may still get work.
+
+        It may have begun to leave, or to be paused or avoided, since.
+        """
+        if self._endpoint(lease) is None:
+            return False
+        run, now = lease.slot.endpoint, self._clock.monotonic()
+        return not (self._paused_s(run, now) or self._avoided.wait_s(run))
 
     def defer(self, run: endpoint_state.EndpointRun, until: float) -> None:
         """Prefers other endpoints to one until a monotonic time."""
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -18,6 +18,7 @@
     clocks,
     endpoint_limits,
     endpoint_state,
+    futures,
     permits,
     tasks,
 )
@@ -301,6 +302,50 @@
     assert len(requests) == sent
 
 
+def pause_endpoint(world, run):
+    world.ctrl.placement.pause(run, world.loop.now() + 60.0)
+
+
+def avoid_endpoint(world, run):
+    world.ctrl.avoided.record_endless(run, world.loop.now())
+
+
+# Guards against requests that wait for a permit and go to an endpoint that has
+# asked for a pause, or has sent without end, meanwhile.
+@pytest.mark.parametrize("close", [pause_endpoint, avoid_endpoint])
+@pytest.mark.parametrize("has_permit", [False, True])
+@pytest.mark.parametrize(
+    "document", [route_document(), stream_route_document()]
+)
+def test_a_request_that_waits_for_a_permit_is_not_sent_to_a_closed_endpoint(
+    world, limited, document, has_permit, close
+):
+    world.start({**document, "target_latency_ms": 100})
+    world.fetch(KEY)
+    sent = len(limited)
+    asked = []
+
+    def acquire(run, max_wait_s):
+        asked.append(run)
+        if has_permit:
+            # It may be used from then on only.
+            world.loop.call_later(0.01, lambda: close(world, run))
+            return tasks.done(permits.Permit(True, 0.05))
+        permit = futures.Future()
+
+        def grant():
+            close(world, run)
+            permit.set_result(permits.Permit(True, 0.0))
+
+        world.loop.call_later(0.01, grant)
+        return permit
+
+    world.ctrl.permits.acquire = acquire
+    assert status(world.fetch(KEY)) == 503
+    assert len(asked) == 1
+    assert len(limited) == sent
+
+
 class PausableClock:
     """The system's clock, which a test moves on as a pause does."""
 
