Keep the limit of an endpoint that isn't listed for a while

Cause: a run's limit was forgotten as soon as the run wasn't listed, though the same run may be listed again.

Change: limits are kept, bounded by their number as before.

Why it works: a limit belongs to a run, and holds until the run's own answers say otherwise; a restarted endpoint is another run.

--- a/chervilarch/endpoint_limits.py
+++ b/chervilarch/endpoint_limits.py
@@ -2,14 +2,14 @@
 
 A limit holds for all hosts together, so hosts tell each other of limits that
 begin, change or end. Limits of endpoints that get no requests stay as they were
-last seen.
+last seen, also while an endpoint isn't listed: it may be listed again.
 """
 
 import math
 from collections.abc import Callable
 from typing import NamedTuple
 
-from chervilarch import endpoint_list, endpoint_state, state_log
+from chervilarch import endpoint_state, state_log
 from chervilarch import loop as loops
 
 # An endpoint that takes no requests still gets one at times, as only its answer
@@ -17,6 +17,7 @@
 MIN_PER_S = 0.1
 # Other hosts needn't know of smaller changes.
 _CHANGE_SHARE = 0.1
+# Those whose last answer is the oldest are forgotten beyond this.
 _MAX_LIMITS = 4096
 
 
@@ -69,15 +70,6 @@
             self._log(limit)
             self.publish([limit])
 
-    def set_endpoints(
-        self, listed: dict[str, dict[str, endpoint_list.Listing]]
-    ) -> None:
-        """Forgets the limits of runs that have ended."""
-        runs = endpoint_list.runs(listed)
-        self._limits = {
-            run: limit for run, limit in self._limits.items() if run in runs
-        }
-
     def items(self, now: float, max_age_s: float) -> list[EndpointLimit]:
         """Returns what other hosts should know."""
         return [
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -101,6 +101,25 @@
         )
         return server
 
+    def hide_endpoint(self, name, pool="s1"):
+        """Removes an entry; returns a function that has it listed again."""
+        records = self.store.log[store.Topic.ENDPOINTS]
+        entry = json.loads(
+            next(r.value for r in reversed(records) if r.key == name)
+        )
+        entry["sequence"] += 1
+        has_endpoint = self.ctrl.placement.has_endpoint
+
+        def show():
+            self.store.write(
+                store.Topic.ENDPOINTS, name, json.dumps(entry).encode()
+            )
+            lh.run_until(self.loop, lambda: has_endpoint(pool, None))
+
+        self.store.write(store.Topic.ENDPOINTS, name, b"")
+        lh.run_until(self.loop, lambda: not has_endpoint(pool, None))
+        return show
+
     def start(self, *routes, services=({"name": "s1"},), tenants=TENANTS):
         config = {
             "version": 1,
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -346,6 +346,21 @@
     assert len(limited) == sent
 
 
+# Guards against an endpoint in need getting everything at once after its entry
+# was away for a moment.
+def test_a_limit_outlasts_the_absence_of_its_entry(world, limited):
+    world.start(route_document(target_latency_ms=100))
+    world.fetch(KEY)
+    show = world.hide_endpoint("e1")
+    sent, started_at = len(limited), world.loop.now()
+    show()
+    callers = [world.send(KEY) for _ in range(_REQUESTS)]
+    answers = [read_status(world, caller) for caller in callers]
+    elapsed_s = world.loop.now() - started_at
+    assert len(limited) - sent <= allowed_requests(elapsed_s)
+    assert set(answers) == {200, 503}
+
+
 class PausableClock:
     """The system's clock, which a test moves on as a pause does."""
 
