Keep the avoidance of an endpoint that isn't listed for a while

Endpoints and callers could see: an endpoint that sends without end is used at once again when its entry was away for a moment.

Cause: `Avoidances` forgot runs that weren't listed.

Measured: test_an_avoidance_outlasts_the_absence_of_its_entry failed before (the endpoint got the request after its entry had come back). The tests of avoidances pass.

--- a/chervilarch/avoidances.py
+++ b/chervilarch/avoidances.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from chervilarch import clocks, endpoint_list, state_log
+from chervilarch import clocks, state_log
 from chervilarch.endpoint_state import EndpointRun
 
 FIRST_AVOIDANCE_S = 1.0
@@ -162,17 +162,6 @@
         finding.is_answered = True
         state_log.log_change("endpoint used again", endpoint=run.key)
 
-    def set_endpoints(
-        self, listed: dict[str, dict[str, endpoint_list.Listing]]
-    ) -> None:
-        """Forgets runs that have ended."""
-        runs = endpoint_list.runs(listed)
-        self._findings = {
-            run: finding
-            for run, finding in self._findings.items()
-            if run in runs
-        }
-
     def items(self, now: float, max_age_s: float) -> list[EndlessReply]:
         """Returns what other hosts should know."""
         findings = filter(None, map(self._find, list(self._findings)))
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -416,7 +416,6 @@
     evacuations.add_listener(runner.set_endpoints)
     endpoints.add_listener(evacuations.set_endpoints)
     endpoints.add_listener(guard.set_endpoints)
-    endpoints.add_listener(avoided.set_endpoints)
     return RoutedControllers(
         loop=loop,
         client=client,
--- a/tests/test_avoided_endpoints.py
+++ b/tests/test_avoided_endpoints.py
@@ -303,6 +303,21 @@
     assert is_repeat(pass_avoidance(avoided), 0)
 
 
+# Guards against an endpoint that sends without end being used at once after
+# its entry was away for a moment.
+def test_an_avoidance_outlasts_the_absence_of_its_entry(
+    world, faulty, long_avoidance
+):
+    endpoint = faulty(*CASES["body"])
+    world.endpoint("e1", endpoint.serve)
+    world.start(once_document())
+    assert status(world.fetch(KEY)) == 502
+    sent = len(endpoint.requests)
+    world.hide_endpoint("e1")()
+    assert status(world.fetch(KEY)) == 503
+    assert len(endpoint.requests) == sent
+
+
 def test_a_run_is_forgotten_after_a_while_without_requests(avoided):
     own, clock = avoided
     for _ in range(4):
