Try an engine that was left no more once it has failed

Change: it stays there only while it declines. A refusal of all untried endpoints doesn't keep the stream from going back either.

--- a/chervilarch/drain.py
+++ b/chervilarch/drain.py
@@ -11,13 +11,17 @@
 
 
 class RequestTracker:
-    """Counts requests in flight and holds whether the process is draining."""
+    """Counts requests in flight and holds whether the process is draining.
+
+    Attributes:
+        stop_times: `stop_admission.NO_STOP` before it drains.
+    """
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._in_flight = 0
         self._draining = False
-        self.stop = stop_admission.NO_STOP
+        self.stop_times = stop_admission.NO_STOP
 
     @contextlib.contextmanager
     def track(self) -> Iterator[None]:
@@ -39,7 +43,7 @@
         """Returns whether a shutdown has begun."""
         return self._draining
 
-    def begin_drain(self, stop: stop_admission.StopTimes) -> None:
+    def begin_drain(self, stop_times: stop_admission.StopTimes) -> None:
         """Marks this process as draining."""
-        self.stop = stop
+        self.stop_times = stop_times
         self._draining = True
--- a/chervilarch/filters.py
+++ b/chervilarch/filters.py
@@ -25,7 +25,7 @@
     """A request, and the controllers and settings that filters use.
 
     Attributes:
-        stop: when the periods of a stop of this host end.
+        stop_times: when the periods of a stop of this host end.
     """
 
     def __init__(
@@ -33,12 +33,12 @@
         ctrl: controllers.Controllers,
         cfg: settings.Settings,
         req: request.PipelineRequest,
-        stop: stop_admission.StopTimes,
+        stop_times: stop_admission.StopTimes,
     ):
         self.ctrl = ctrl
         self.cfg = cfg
         self.req = req
-        self.stop = stop
+        self.stop_times = stop_times
 
 
 Filter = Callable[[FilterContext, NextFilter], outcomes.Outcome]
@@ -194,14 +194,14 @@
         expected_s: expected time of the request, 0 if it isn't known.
     """
     req = ctx.req
-    if ctx.stop.is_certain(req.deadline_at):
+    if ctx.stop_times.is_certain(req.deadline_at):
         return None
     now = ctx.ctrl.clock.monotonic()
     is_strict = req.wants_stream or not req.pipeline.is_repeatable()
     if (
         expected_s
-        and ctx.stop.allows_estimate(is_strict, now)
-        and ctx.stop.has_time(is_strict, expected_s, now)
+        and ctx.stop_times.allows_estimate(is_strict, now)
+        and ctx.stop_times.has_time(is_strict, expected_s, now)
     ):
         return None
     return stop_admission.refusal(0.0)
--- a/chervilarch/router.py
+++ b/chervilarch/router.py
@@ -66,13 +66,13 @@
             "drain started", in_flight=self._request_tracker.in_flight()
         )
         notice_s = self._app.cfg.bounds.drain_notice_s
-        stop = stop_admission.StopTimes(
+        stop_times = stop_admission.StopTimes(
             self._env.clock.monotonic() + notice_s, self._drain_ends_at()
         )
-        self._request_tracker.begin_drain(stop)
+        self._request_tracker.begin_drain(stop_times)
         threading.Event().wait(notice_s)
         # Waits for all requests; while the listener is open, more may come.
-        self._server.stop(_SHUTDOWN_TIMEOUT_S, stop.ends_at)
+        self._server.stop(_SHUTDOWN_TIMEOUT_S, stop_times.ends_at)
         self._wait_for_results()
         controllers.stop(self._ctrl)
         state_log.log_change("router stopped")
--- a/chervilarch/server.py
+++ b/chervilarch/server.py
@@ -189,7 +189,7 @@
         if parsed.wants_stream:
             parsed.emit = self._send_tokens
         ctx = filters.FilterContext(
-            self._ctrl, self._cfg, parsed, self._request_tracker.stop
+            self._ctrl, self._cfg, parsed, self._request_tracker.stop_times
         )
         try:
             outcome = self._run_filters(ctx)
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -133,6 +133,8 @@
             last = attempt_result
             if last is _STALLED:
                 self._left.add(lease.listing.entry.name)
+            elif last.cause is not attempts.FailureCause.DECLINED:
+                self._left.discard(lease.listing.entry.name)
             self._splitter.end_attempt()
             lease = yield from self._next_lease(lease, last)
         if isinstance(lease, outcomes.NotRun):
@@ -185,7 +187,7 @@
     ) -> tasks.Coroutine[placement.Lease | outcomes.NotRun | None]:
         """Leases an untried endpoint, or else one that was only silent."""
         leased = yield from self._lease(self._tried)
-        if leased is not None or not self._left:
+        if isinstance(leased, placement.Lease) or not self._left:
             return leased
         # It may not have seen yet that its attempt was cancelled.
         yield tasks.sleep(self._ctx.ctrl.loop, _REPLACE_AGAIN_S)
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -617,6 +617,7 @@
         self._before = before
         # How many requests after the first one it declines.
         self._declined = declined
+        self.is_broken = False
         self.requests = []
         self.is_left = threading.Event()
 
@@ -631,6 +632,8 @@
             conn.settimeout(lh.TIMEOUT_S)
             conn.recv(1)
             self.is_left.set()
+        elif self.is_broken:
+            return
         elif len(self.requests) <= 1 + self._declined:
             conn.sendall(answer(503, b"", extra="Not-Executed: 1\r\n"))
         else:
@@ -667,6 +670,29 @@
     assert len(engine.requests) == 2 + declined
 
 
+# Guards against an engine being tried without end that was silent at first and
+# crashes on the request then.
+def test_an_engine_that_was_left_and_then_fails_is_not_tried_again(
+    world, stalls
+):
+    stalls(gap_s=0.02)
+    engine = LeftEngine(events(1, 2), 0)
+    world.endpoint("e1", engine.serve)
+
+    def serve_e2(conn):
+        if lh.read_request(conn):
+            assert engine.is_left.wait(lh.TIMEOUT_S)
+            engine.is_broken = True
+            conn.sendall(answer(503, b"", extra="Not-Executed: 1\r\n"))
+
+    world.endpoint("e2", serve_e2)
+    world.ctrl.placement.pick = first_of(world.ctrl.placement.pick)
+    start(world, max_attempts=6)
+    received = world.fetch(KEY)
+    assert events(1, 2) in received and not received.endswith(b"0\r\n\r\n")
+    assert len(engine.requests) == 2
+
+
 class TakingEngine:
     """Takes a request and answers it when it is told to, or crashes."""
 
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -418,8 +418,8 @@
             ),
         )
         ctrl = types.SimpleNamespace(clock=clocks.ManualClock(100.0))
-        stop = stop_admission.StopTimes(notice_ends_at, stops_at)
-        ctx = filters.FilterContext(ctrl, settings.Settings, req, stop)
+        stop_times = stop_admission.StopTimes(notice_ends_at, stops_at)
+        ctx = filters.FilterContext(ctrl, settings.Settings, req, stop_times)
         return filters.admit(ctx, lambda: "taken")
 
     return run
