Believe removals of before a restore when a host starts

Callers could see: a host that starts right after a restore of the store, beside a live one that hasn't noticed it yet, sends requests to an endpoint that has left, out of the copy, for up to a second.

Cause: a removal that another host knows is void if a later sequence of the run is known here. The other host may not have got the last sequences, as renewals alone aren't passed on, and the copy has them.

--- a/chervilarch/endpoint_list.py
+++ b/chervilarch/endpoint_list.py
@@ -167,16 +167,28 @@
             store.RemovedRun(name, *self._seen[name]) for name in self._removed
         ]
 
-    def apply_removed(self, run: store.RemovedRun, now: float) -> bool:
+    def apply_removed(
+        self, run: store.RemovedRun, now: float, precedes_copy: bool = False
+    ) -> bool:
         """Removes a run that another host knows to have been removed.
 
+        Args:
+            run: the run.
+            now: monotonic time in seconds.
+            precedes_copy: whether the records that are known here are of a copy
+                of the store that was restored after the removal. The other host
+                may not have got the run's last sequences, so they don't make
+                the removal void; the next one lists the run again.
+
         Returns:
             Whether it was listed. Records of a higher sequence or a later run
             that are known here make the removal void.
         """
         seen = self._seen.get(run.name)
         if seen is not None and run[1:3] < seen[:2]:
-            return False
+            if not precedes_copy or run.incarnation != seen.incarnation:
+                return False
+            run = run._replace(sequence=seen.sequence)
         is_leaving = run.is_leaving or (
             seen is not None
             and seen.is_leaving
--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -108,7 +108,9 @@
             beliefs.records + evacuations.records, evacuations.removed
         )
 
-    def _apply_beliefs(self, beliefs: store.Beliefs) -> None:
+    def _apply_beliefs(
+        self, beliefs: store.Beliefs, precede_copy: bool = False
+    ) -> None:
         if self._evacuations is not None:
             position = self.topic_follower.state().position
             guards.call(self._evacuations.apply_beliefs, beliefs, position)
@@ -298,7 +300,9 @@
             ),
         )
 
-    def _apply_beliefs(self, beliefs: store.Beliefs) -> None:
+    def _apply_beliefs(
+        self, beliefs: store.Beliefs, precede_copy: bool = False
+    ) -> None:
         """Applies what another host knows of entries, and adds none."""
         for record in beliefs.records:
             is_known = self._endpoints.find(record.key) is not None
@@ -322,13 +326,16 @@
                     is_leaving=True,
                 )
                 self._endpoints.apply_removed(run, self._loop.now())
-        self._apply_removed(beliefs.removed)
+        self._apply_removed(beliefs.removed, precede_copy)
         self._notify_listeners()
 
-    def _apply_removed(self, removed: Iterable[store.RemovedRun]) -> None:
+    def _apply_removed(
+        self, removed: Iterable[store.RemovedRun], precede_copy: bool = False
+    ) -> None:
         """Applies what another host knows to have been removed."""
+        now = self._loop.now()
         for run in removed:
-            if self._endpoints.apply_removed(run, self._loop.now()):
+            if self._endpoints.apply_removed(run, now, precede_copy):
                 self._record_removal(run.name, "removed at another host")
 
     def _apply_snapshot(
--- a/chervilarch/topic_follower.py
+++ b/chervilarch/topic_follower.py
@@ -107,8 +107,10 @@
         self.on_read: Callable[[], None] = _ignore
         # Returns what this host holds true of the topic.
         self.beliefs: Callable[[], store.Beliefs] = store.Beliefs
-        # Takes what another host holds true that hasn't read further.
-        self.on_beliefs: Callable[[store.Beliefs], None] = _ignore
+        # Takes what another host holds true that hasn't read further, and
+        # whether that is of before a restore whose copy this host, which starts
+        # or was paused, has read.
+        self.on_beliefs: Callable[[store.Beliefs, bool], None] = _ignore
         self.on_outage_end: Callable[[], None] = _ignore
         # Called before the first snapshot of a restored store.
         self.on_restore: Callable[[], None] = _ignore
@@ -356,7 +358,12 @@
         if self.has_read() and (
             update.position <= self._position or not update.is_complete
         ):
-            self.on_beliefs(store.Beliefs(update.records, update.removed))
+            precede_copy = (
+                not self.has_joined and update.era < self._position.era
+            )
+            self.on_beliefs(
+                store.Beliefs(update.records, update.removed), precede_copy
+            )
             return False
         self.read_at = max(self.read_at, update.read_at)
         state_log.log_change(
--- a/tests/test_restored_entries.py
+++ b/tests/test_restored_entries.py
@@ -181,6 +181,9 @@
         loop, clock, lambda: late.endpoints.topic_follower.may_serve
     )
     listed = late.listed()
+    # If it lives after all, its next record tells.
+    shared.write(sh.ENDPOINTS, "e1", b"live 6")
+    lh.advance_until(loop, clock, lambda: "e1" in late.listed())
     late.sharing.close()
     assert listed == ["e0", "e2"]
 
