--- a/chervilarch/filters.py
+++ b/chervilarch/filters.py
@@ -204,7 +204,7 @@
         and ctx.stop_times.has_time(is_strict, expected_s, now)
     ):
         return None
-    return stop_admission.refusal(0.0)
+    return stop_admission.build_refusal(0.0)
 
 
 def run_stages(ctx: FilterContext, call_next: NextFilter) -> outcomes.Outcome:
--- a/chervilarch/stop_admission.py
+++ b/chervilarch/stop_admission.py
@@ -65,7 +65,7 @@
 NO_STOP = StopTimes(float("inf"), float("inf"))
 
 
-def refusal(retry_s: float) -> outcomes.NotRun:
+def build_refusal(retry_s: float) -> outcomes.NotRun:
     """Returns the outcome of a request that a stop might cut off.
 
     Args:
@@ -119,7 +119,7 @@
         )
 
     def begin(self, notice_ends_at: float, ends_at: float) -> None:
-        """Begins a stop; `StopTimes` has its arguments."""
+        """Begins a stop; `StopTimes` says what the arguments are."""
         self._stop = StopTimes(notice_ends_at, ends_at)
 
     def record(self, route: str, step: Step, elapsed_s: float) -> None:
@@ -183,4 +183,4 @@
             and forecast.cut_share * forecast.left_s <= retry_s
         ):
             return None
-        return refusal(retry_s)
+        return build_refusal(retry_s)
