Show what a refused stage graph was to wait for

The log line of a refusal couldn't tell whether it waited for more or less urgent work, or came back too late.

Change: the lines "stages refused" and "stages held back" have the priority, the time to the objective and, for each pool, the queued and the upcoming pieces, at least as urgent and less urgent. The counter chervilarch_stage_graphs counts decisions by priority. A queue keeps its upcoming pieces by priority for that. No decision changes.

--- a/chervilarch/piece_queue.py
+++ b/chervilarch/piece_queue.py
@@ -7,6 +7,7 @@
 load.
 """
 
+import collections
 from typing import NamedTuple
 
 from chervilarch import endpoint_list, endpoint_state, pieces, routing_table
@@ -147,6 +148,22 @@
     result_bytes: int
 
 
+class Backlog(NamedTuple):
+    """Pieces that a pool has yet to make, seen from one priority.
+
+    Attributes:
+        queued: pieces in the queue at least as urgent.
+        upcoming: pieces that started graphs will queue, at least as urgent.
+        queued_behind: less urgent pieces in the queue.
+        upcoming_behind: less urgent pieces that started graphs will queue.
+    """
+
+    queued: int
+    upcoming: int
+    queued_behind: int
+    upcoming_behind: int
+
+
 class PieceQueue:
     """Pending jobs of one pool, and the workers that make their pieces."""
 
@@ -170,8 +187,8 @@
         # Workers that get no new calls but still count: they run calls, hold
         # results or asked for a pause, and may get work again.
         self._former: dict[str, Worker] = {}
-        # Number of pieces of admitted requests that will be queued later.
-        self.upcoming = 0
+        # Pieces of started graphs that will be queued later, by priority.
+        self._upcoming: collections.Counter[int] = collections.Counter()
         self._blocked_since: float | None = None
         self._jobs: list[PendingJob] = []
 
@@ -199,10 +216,35 @@
         if pending not in self._jobs:
             self._jobs.append(pending)
 
+    def add_upcoming(self, priority: int, count: int) -> None:
+        """Adds to the pieces that will be queued; a negative count removes."""
+        self._upcoming[priority] += count
+
+    def upcoming(self) -> int:
+        """Returns the number of pieces that will be queued later."""
+        return self._upcoming.total()
+
     def backlog(self) -> int:
         """Returns the number of queued pieces."""
         return sum(len(pending.queued_pieces) for pending in self._jobs)
 
+    def backlog_of(self, priority: int) -> Backlog:
+        """Returns the pieces yet to make, as seen from a priority."""
+        queued = sum(
+            len(pending.queued_pieces)
+            for pending in self._jobs
+            if pending.job.priority <= priority
+        )
+        upcoming = sum(
+            count for p, count in self._upcoming.items() if p <= priority
+        )
+        return Backlog(
+            queued,
+            upcoming,
+            self.backlog() - queued,
+            self.upcoming() - upcoming,
+        )
+
     def waiting_jobs(self) -> list[PendingJob]:
         """Returns the jobs with queued pieces."""
         return [pending for pending in self._jobs if pending.queued_pieces]
@@ -248,7 +290,7 @@
             int(target_at / pieces.TARGET_BUCKET_S),
         )
         jobs = [p for p in self._jobs if p.sort_key(now)[:4] <= own_key]
-        ahead = self.upcoming + sum(len(p.queued_pieces) for p in jobs)
+        ahead = self.upcoming() + sum(len(p.queued_pieces) for p in jobs)
         busy_s = min(max(0.0, w.free_at - now) for w in usable)
         if allowed is None:
             return busy_s + ahead / self._rate(usable)
@@ -271,7 +313,7 @@
 
     def is_backed_up(self) -> bool:
         """Returns whether over half a full batch for each worker waits."""
-        waiting = self.upcoming + self.backlog()
+        waiting = self.upcoming() + self.backlog()
         return waiting > self.profile.batch * max(1, len(self.workers)) / 2
 
     def forget_idle_workers(self, now: float) -> None:
--- a/chervilarch/stage_graph.py
+++ b/chervilarch/stage_graph.py
@@ -229,7 +229,7 @@
         stage = self._graph.stages[number]
         queue = self._runner.queue(stage.pool)
         if queue is not None:
-            queue.upcoming += sign * stage.count
+            queue.add_upcoming(self._graph.priority, sign * stage.count)
 
     def _remove_upcoming(self, number: int) -> None:
         if number in self._upcoming:
--- a/chervilarch/stage_scheduler.py
+++ b/chervilarch/stage_scheduler.py
@@ -26,6 +26,10 @@
 # frees its inputs.
 _LEASE_TIMEOUT_S = 3.0
 
+# Decisions on graphs, as logged and counted.
+_HELD_BACK = "held back"
+_REFUSED = "refused"
+
 
 class ScheduledGraph:
     """A submitted graph; its future gets `GraphResult` or `JobFailure`.
@@ -177,7 +181,35 @@
         pools = {s.pool for run in self._deferred for s in run.graph.stages}
         return seconds / max(1, len(pools))
 
+    def _record(
+        self, run: ScheduledGraph, decision: str, expected_s: float
+    ) -> None:
+        """Logs and counts that a graph is held back or refused."""
+        graph = run.graph
+        now = self._loop.now()
+        backlogs = {}
+        for number in graph.unfinished_stages():
+            pool = graph.stages[number].pool
+            queue = self._piece_runner.queue(pool)
+            if queue is not None:
+                backlogs[pool] = list(queue.backlog_of(graph.priority))
+        state_log.log_decision(
+            f"stages {decision}",
+            is_problem=decision == _REFUSED,
+            request_id=graph.request_id,
+            priority=graph.priority,
+            expected_ms=round(expected_s * 1000),
+            objective_ms=round((graph.objective_at - now) * 1000),
+            left_ms=round((graph.deadline_at - now) * 1000),
+            held=len(self._deferred),
+            backlogs=backlogs,
+        )
+        self._piece_runner.meters.count_stage_graph(graph.priority, decision)
+
     def _start(self, run: ScheduledGraph) -> None:
+        self._piece_runner.meters.count_stage_graph(
+            run.graph.priority, "started"
+        )
         run.graph_runner = stage_graph.GraphRunner(
             self._piece_runner, run.graph, run.record_completed
         )
@@ -252,14 +284,7 @@
 
     def _refuse(self, run: ScheduledGraph, expected_s: float) -> None:
         left_s = run.graph.deadline_at - self._loop.now()
-        state_log.log_decision(
-            "stages refused",
-            is_problem=True,
-            request_id=run.graph.request_id,
-            expected_ms=round(expected_s * 1000),
-            left_ms=round(left_s * 1000),
-            held=len(self._deferred),
-        )
+        self._record(run, _REFUSED, expected_s)
         self._free_completed(run.graph)
         failure = pieces.JobFailure(
             pieces.OVERLOADED, pieces.retry_after_s(left_s)
@@ -267,12 +292,7 @@
         tasks.resolve(run.future, failure)
 
     def _defer(self, run: ScheduledGraph, expected_s: float) -> None:
-        state_log.log_decision(
-            "stages held back",
-            request_id=run.graph.request_id,
-            expected_ms=round(expected_s * 1000),
-            held=len(self._deferred),
-        )
+        self._record(run, _HELD_BACK, expected_s)
         run.deferred_until = self._loop.now() + _MAX_DEFERRAL_S
         self._deferred.append(run)
         self._deferred.sort(
--- a/chervilarch/telemetry.py
+++ b/chervilarch/telemetry.py
@@ -32,6 +32,11 @@
         self._batch_sizes = self._histogram(
             "stage_call_pieces", "Pieces a call", ["pool"], _BATCH_BUCKETS
         )
+        self._stage_graphs = self._counter(
+            "stage_graphs",
+            "Stage graphs started, held back or refused by the coordinator",
+            ["priority", "decision"],
+        )
         self._cost_ratios = self._histogram(
             "answer_cost_ratio",
             "Time to generate an answer, as a multiple of its estimate",
@@ -100,6 +105,13 @@
         """Records the number of pieces in a stage call."""
         self._batch_sizes.labels(pool).observe(count)
 
+    def count_stage_graph(self, priority: int, decision: str) -> None:
+        """Counts a graph that was "started", "held back" or "refused".
+
+        One that was held back is counted again when it starts or is refused.
+        """
+        self._stage_graphs.labels(priority, decision).inc()
+
     def observe_cost_ratio(self, route: str, ratio: float) -> None:
         """Records the error of an estimate of an answer's cost."""
         self._cost_ratios.labels(route).observe(ratio)
--- a/tests/test_freed_requests.py
+++ b/tests/test_freed_requests.py
@@ -853,7 +853,8 @@
 
     def submit(self, host, is_deferred=False):
         """Submits a graph of one piece; waits until it runs or is deferred."""
-        self.first.runner.queues["p"].upcoming = 40 if is_deferred else 0
+        count = 40 if is_deferred else 0
+        self.first.runner.queues["p"].add_upcoming(1, count)
         now = self.loop.now()
         submission = host.coordinator.submit(
             test_stages.build_graph(
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -13,6 +13,7 @@
     stage_graph,
     stage_scheduler,
     tasks,
+    telemetry,
 )
 
 OLD_RESULT = pieces.PieceResult("h", "e", "x", "dc1", "p")
@@ -32,6 +33,7 @@
         }
         self.on_dispatched = None
         self.limits = endpoint_limits.EndpointLimits(None)
+        self.meters = telemetry.Telemetry()
 
     def queue(self, pool):
         return self.queues.get(pool)
@@ -128,7 +130,7 @@
     runner.complete(0)
     task.cancel()
     assert runner.freed == ["s0.0.1"]
-    assert runner.queues["p"].upcoming == 0
+    assert runner.queues["p"].upcoming() == 0
 
 
 def test_a_graph_continues_with_results_that_another_host_had_made():
@@ -213,12 +215,12 @@
     scheduler, runner, loop, _ = env
     # Pieces of other admitted graphs: so many that the graph misses its
     # objective, but not its deadline.
-    runner.queues["p"].upcoming = 40
+    runner.queues["p"].add_upcoming(1, 40)
     run = submit(scheduler, loop, 1.0, 60.0)
     assert runner.jobs == {}
     lh.run_pending(loop)
     assert runner.jobs == {}
-    runner.queues["p"].upcoming = 0
+    runner.queues["p"].add_upcoming(1, -40)
     runner.on_dispatched()
     lh.run_pending(loop)
     runner.complete(0)
@@ -227,7 +229,7 @@
 
 def test_a_deferred_graph_is_refused_after_a_short_time(env):
     scheduler, runner, loop, clock = env
-    runner.queues["p"].upcoming = 40
+    runner.queues["p"].add_upcoming(1, 40)
     run = submit(scheduler, loop, 1.0, 60.0)
     lh.run_pending(loop)
     assert not run.future.done()
@@ -247,7 +249,7 @@
     env, started
 ):
     scheduler, runner, loop, clock = env
-    runner.queues["p"].upcoming = 40
+    runner.queues["p"].add_upcoming(1, 40)
     now = loop.now()
     graph = build_graph(
         spec("p"),
@@ -264,7 +266,7 @@
 def test_a_hopeless_graph_is_refused_at_once_with_a_retry_time(env):
     scheduler, runner, loop, _ = env
     # Pieces of other admitted graphs: so many that it misses its deadline.
-    runner.queues["p"].upcoming = 400
+    runner.queues["p"].add_upcoming(1, 400)
     run = submit(scheduler, loop, 1.0, 2.0)
     failure = run.future.result()
     assert failure.reason == pieces.OVERLOADED
