Keep the routes' urgency where all accounts have one priority

Cause: an account's priority replaced the route's. Class of fault: a value that goes first is taken for the only one, and what it doesn't decide is left to chance, here to the longest objective.

Change: RoutingTable.urgency ranks requests by the account's priority and then by the route's, over all pairs of a configuration.

The new tests fail on the code before (3 of 4 cases, and no such function); tests of the gateway, the platform, regions and stages pass. The same cause elsewhere: the router's rules have one priority only; Request-Priority follows from this one.

--- a/chervilarch/routed_filters.py
+++ b/chervilarch/routed_filters.py
@@ -65,7 +65,6 @@
 ) -> tasks.Coroutine[outcomes.Outcome]:
     """Finds the account of the caller's key, and sets the priority."""
     req = ctx.req
-    req.priority = req.route.priority
     if ctx.table.has_accounts and req.route.needs_key:
         req.account = ctx.table.account_of_key(req.api_key)
         if req.account is None:
@@ -74,8 +73,7 @@
                 "the Authorization header names no known key",
                 'send "Authorization: Bearer KEY" with the account\'s key',
             )
-        if req.account.priority is not None:
-            req.priority = req.account.priority
+    req.priority = ctx.table.urgency(req.route, req.account)
     return (yield from call_next())
 
 
--- a/chervilarch/routing_table.py
+++ b/chervilarch/routing_table.py
@@ -142,7 +142,7 @@
 
     Attributes:
         name: the account's name.
-        priority: if set, overrides the route's.
+        priority: if set, goes before the route's.
         allowed_regions: regions whose endpoints may be used; empty for all.
     """
 
@@ -180,6 +180,28 @@
         self._routes: dict[str, dict[str, Route]] = {}
         for route in routes:
             self._routes.setdefault(route.host, {})[route.path_prefix] = route
+        account_priorities = {a.priority for a in accounts.values()}
+        ranks = {
+            _rank(route.priority, priority)
+            for route in routes
+            for priority in (
+                account_priorities
+                if has_accounts and route.needs_key
+                else {None}
+            )
+        }
+        self._urgencies = {
+            rank: number for number, rank in enumerate(sorted(ranks))
+        }
+
+    def urgency(self, route: Route, account: Account | None) -> int:
+        """Returns the place of a request among all others; 0 goes first.
+
+        An account's priority goes before the route's. Among requests for which
+        it is the same, as when all accounts have one, the route's decides.
+        """
+        priority = account.priority if account else None
+        return self._urgencies[_rank(route.priority, priority)]
 
     def find(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of a path, if any.
@@ -223,3 +245,9 @@
         return [
             r for by_path in self._routes.values() for r in by_path.values()
         ]
+
+
+def _rank(route_priority: int, account_priority: int | None) -> tuple[int, int]:
+    if account_priority is None:
+        return route_priority, route_priority
+    return account_priority, route_priority
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -4,6 +4,7 @@
 store is in memory, and the tests wait for events.
 """
 
+import re
 import socket
 import struct
 
@@ -21,7 +22,7 @@
     stream_route_document,
 )
 
-from chervilarch import http_server, serving
+from chervilarch import http_server, routing_table, serving
 
 
 def test_a_request_and_its_answer_are_forwarded_unchanged(world):
@@ -432,3 +433,47 @@
     assert status(world.fetch(KEY)) == 502
     assert statuses == [200, 502]
     assert world.serving_state.in_flight == 0
+
+
+@pytest.mark.parametrize("account_priority", [None, 0, 1, 4])
+def test_urgent_routes_go_first_if_all_accounts_have_one_priority(
+    world, account_priority
+):
+    # Otherwise every request was as urgent as its account.
+    tenant = {"name": "t1", "api_keys": ["k1"]}
+    if account_priority is not None:
+        tenant["priority"] = account_priority
+    seen = []
+    world.endpoint("e1", lh.answer_with(stream(events(1, 1)), seen))
+    world.start(
+        *(
+            {
+                **stream_route_document(name=f"r{priority}", priority=priority),
+                "path_prefix": f"/p{priority}/",
+            }
+            for priority in (0, 1, 2)
+        ),
+        tenants=[tenant],
+    )
+    for priority in (2, 0, 1):
+        world.fetch(KEY, path=f"/p{priority}/1")
+    sent = [
+        int(re.search(rb"Request-Priority: (\d)", request)[1])
+        for request in seen
+    ]
+    assert sent == [2, 0, 1]
+
+
+def test_an_accounts_priority_goes_before_the_routes():
+    routes = [lh.route(name=f"r{n}", priority=n) for n in (0, 1)]
+    accounts = {
+        "k1": routing_table.Account("first", 0),
+        "k2": routing_table.Account("second", 1),
+    }
+    table = lh.table(*routes, accounts=accounts)
+    order = [
+        table.urgency(route, account)
+        for account in accounts.values()
+        for route in routes
+    ]
+    assert order == sorted(order) and len(set(order)) == 4
