Don't have urgent stage graphs wait for work that they pass

Cause: the queue serves urgent pieces first, but the estimate of an urgent graph's wait counted all pieces that started graphs have yet to queue, and so did the check whether a graph that was held back may start. Class of fault: the estimate and the queue have two ideas of the order.

Change: both count pieces at least as urgent.

Elsewhere: the router's estimate of a wait (Endpoints in endpoints.py) counts all attempts that wait or will, whatever their priority, though its queue goes by priority: the same class, not changed here, open.

--- a/chervilarch/piece_queue.py
+++ b/chervilarch/piece_queue.py
@@ -290,7 +290,10 @@
             int(target_at / pieces.TARGET_BUCKET_S),
         )
         jobs = [p for p in self._jobs if p.sort_key(now)[:4] <= own_key]
-        ahead = self.upcoming() + sum(len(p.queued_pieces) for p in jobs)
+        # Less urgent pieces that are still to come will be passed.
+        ahead = self.backlog_of(priority).upcoming + sum(
+            len(p.queued_pieces) for p in jobs
+        )
         busy_s = min(max(0.0, w.free_at - now) for w in usable)
         if allowed is None:
             return busy_s + ahead / self._rate(usable)
@@ -311,9 +314,17 @@
             for w in workers
         )
 
-    def is_backed_up(self) -> bool:
-        """Returns whether over half a full batch for each worker waits."""
-        waiting = self.upcoming() + self.backlog()
+    def is_backed_up(self, priority: int | None = None) -> bool:
+        """Returns whether over half a full batch for each worker waits.
+
+        Args:
+            priority: counts only pieces at least as urgent, None for all.
+        """
+        if priority is None:
+            waiting = self.upcoming() + self.backlog()
+        else:
+            backlog = self.backlog_of(priority)
+            waiting = backlog.queued + backlog.upcoming
         return waiting > self.profile.batch * max(1, len(self.workers)) / 2
 
     def forget_idle_workers(self, now: float) -> None:
--- a/chervilarch/stage_scheduler.py
+++ b/chervilarch/stage_scheduler.py
@@ -328,7 +328,9 @@
             self._piece_runner.queue(graph.stages[n].pool)
             for n in graph.unfinished_stages()
         )
-        return any(queue and queue.is_backed_up() for queue in queues)
+        return any(
+            queue and queue.is_backed_up(graph.priority) for queue in queues
+        )
 
 
 def _ignore() -> None:
