Resume a broken stream only at the version that began it

Cause: nothing decoded the version of an endpoint's software, and the next attempt only excluded engines that had been tried. Class of fault: work that only equals may go on with is placed as if all were equal.

Change: a listing has the version; a stream is bound to the version of the run that writes its first event; later attempts require it. An endpoint that started again under its id before the request was sent counts as the new run, and its events are refused before they are read. If no engine of the version is left the stream ends visibly.

--- a/chervilarch/endpoint_lease.py
+++ b/chervilarch/endpoint_lease.py
@@ -128,7 +128,10 @@
         if chosen is not None:
             return chosen
         open_s = ctx.ctrl.placement.pause_s(
-            requirements.pool, tried, requirements.regions
+            requirements.pool,
+            tried,
+            requirements.regions,
+            requirements.version,
         )
         if not open_s:
             return None
--- a/chervilarch/endpoint_list.py
+++ b/chervilarch/endpoint_list.py
@@ -28,11 +28,13 @@
         sequence: increases with each record of one run.
         cold_s: how much longer it was cold when it wrote the record, in
             seconds; None if the record's figure can't be used.
+        version: version of its software, "" if it names none.
     """
 
     entry: hosts.HostEntry
     sequence: int
     cold_s: float | None = 0.0
+    version: str = ""
 
 
 def check_start(listing: Listing, wall_s: float) -> Listing | Unreadable:
--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -17,6 +17,7 @@
 
 # How soon the end of a grace time is tried again while the store is away.
 _EXPIRY_RETRY_S = 0.1
+_MS_PER_S = 1000
 # When a host asks another one after a restore, in seconds. It may have missed
 # the end of an evacuation that the copy has, or have taken a new one for an old
 # one. By the first time, all hosts have noticed the restore; the second time
@@ -245,6 +246,25 @@
         """Calls `listener` with the usable endpoints, by pool and id."""
         self._listeners.append(listener)
 
+    def version_of(self, listing: endpoint_list.Listing, sent_at: float) -> str:
+        """Returns the software version of the run that got a request.
+
+        An endpoint may have started again under its id before the request was
+        sent, of which the list tells only later.
+
+        Args:
+            listing: the endpoint as it was listed when it was chosen.
+            sent_at: monotonic time in seconds after which it got the request.
+        """
+        newest = self._endpoints.find(listing.entry.name)
+        clock = self._loop.clock
+        sent_ms = _MS_PER_S * (clock.wall() - clock.monotonic() + sent_at)
+        if newest is not None and (
+            listing.entry.incarnation < newest.entry.incarnation <= sent_ms
+        ):
+            return newest.version
+        return listing.version
+
     def mark_leaving(self, name: str, incarnation: int) -> None:
         """Gives no more work to a run whose answer says that it leaves."""
         if self._endpoints.mark_leaving(name, incarnation):
--- a/chervilarch/placement.py
+++ b/chervilarch/placement.py
@@ -60,6 +60,7 @@
         preferred: id of the endpoint that the coordinator proposes, "" for
             none; it is chosen if it is usable and not suspected.
         regions: regions whose endpoints may be chosen, None for all.
+        version: version of their software, None for any.
         prompt: set if the engine is chosen by the prompt's cost.
         request_id: with a prompt, the caller's id of the request.
         objective_at: with a prompt, when the first event is due, in monotonic
@@ -75,6 +76,7 @@
     input_bytes: dict[str, int] = {}
     preferred: str = ""
     regions: homes.Allowed = None
+    version: str | None = None
     prompt: engine_load.Prompt | None = None
     request_id: str = ""
     objective_at: float = float("inf")
@@ -196,16 +198,23 @@
         return bool(self._endpoints(pool, regions))
 
     def _endpoints(
-        self, pool: str, regions: homes.Allowed
+        self, pool: str, regions: homes.Allowed, version: str | None = None
     ) -> dict[str, endpoint_state.Endpoint]:
-        """Returns the endpoints of a pool in the allowed regions."""
+        """Returns the endpoints of a pool in the allowed regions.
+
+        Args:
+            pool: the pool.
+            regions: the regions, None for all.
+            version: version of their software, None for any.
+        """
         endpoints = self._pools.get(pool, {})
-        if regions is None:
+        if regions is None and version is None:
             return endpoints
         return {
             name: endpoint
             for name, endpoint in endpoints.items()
             if self._regions.allows(endpoint.data_centre, regions)
+            and version in (None, self._listings[name].version)
         }
 
     def affinity_data_centre(
@@ -242,7 +251,11 @@
         )
 
     def pause_s(
-        self, pool: str, tried: set[str], regions: homes.Allowed = None
+        self,
+        pool: str,
+        tried: set[str],
+        regions: homes.Allowed = None,
+        version: str | None = None,
     ) -> float:
         """Returns when the first closed endpoint of a pool may be used.
 
@@ -253,14 +266,16 @@
             pool: the pool.
             tried: ids of endpoints that aren't to be counted.
             regions: regions whose endpoints are counted.
+            version: version of the software of those that are counted.
 
         Returns:
             Seconds until then, 0.0 if no other endpoint is closed.
         """
         now = self._clock.monotonic()
+        endpoints = self._endpoints(pool, regions, version)
         waits_s = [
             self._closed_s(name, endpoint, now)
-            for name, endpoint in self._endpoints(pool, regions).items()
+            for name, endpoint in endpoints.items()
             if name not in tried
         ]
         return min(filter(None, waits_s), default=0.0)
@@ -388,7 +403,7 @@
         candidates = {
             name: endpoint
             for name, endpoint in self._endpoints(
-                requirements.pool, requirements.regions
+                requirements.pool, requirements.regions, requirements.version
             ).items()
             if name not in tried and not self._closed_s(name, endpoint, now)
         }
--- a/chervilarch/platform/documents.py
+++ b/chervilarch/platform/documents.py
@@ -128,6 +128,8 @@
     cold_remaining_ms: msgspec.Raw = msgspec.Raw(b"0")
     # Start time of the endpoint in Unix milliseconds.
     born: _Counter = 0
+    # Version of the endpoint's software.
+    version: _Name = ""
 
 
 def decode_configuration(
@@ -216,7 +218,10 @@
         server.born,
     )
     return endpoint_list.Listing(
-        entry, server.sequence, _read_cold_s(server.cold_remaining_ms)
+        entry,
+        server.sequence,
+        _read_cold_s(server.cold_remaining_ms),
+        server.version,
     )
 
 
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -42,6 +42,10 @@
 _TAKEOVER_S = 0.2
 
 
+_OTHER_VERSION = attempts.Failure(
+    attempts.FailureCause.FAILED,
+    "the endpoint has started again with another version of its software",
+)
 _STALLED = attempts.Failure(attempts.FailureCause.LATE, "no event in time")
 
 
@@ -91,6 +95,8 @@
         # Whether the preparation of the next attempt waited for stages to run.
         self._has_rerun = False
         self._pool = ctx.req.route.pool_for(ctx.req.id)
+        # Version of the engines' software that began the stream, None before.
+        self._version: str | None = None
         self._tried: set[str] = set()
         # Engines of them that were left for their silence alone.
         self._left: set[str] = set()
@@ -200,7 +206,11 @@
         which isn't known right after a pause of the process.
         """
         is_confirmed = self._ctx.ctrl.resumption.confirmed().done()
-        return is_confirmed and self._ctx.ctrl.placement.is_usable(lease)
+        return (
+            is_confirmed
+            and self._version in (None, lease.listing.version)
+            and self._ctx.ctrl.placement.is_usable(lease)
+        )
 
     def _pick(
         self, tried: set[str]
@@ -343,6 +353,7 @@
             preferred=inputs.proposed_engine,
             finish_by=self._ctx.req.deadline_at,
             regions=self._ctx.req.regions,
+            version=self._version,
         )
 
     def _drop_expired_inputs(self) -> None:
@@ -450,7 +461,7 @@
                 final_call.record_head(ctx, lease, head)
             if not isinstance(item, _Chunk):
                 return self._end(head, item)
-            complete = self._split(head, transfer, item.chunk, is_first)
+            complete = self._accept(attempt, head, item.chunk, is_first)
             if isinstance(complete, attempts.Failure):
                 return complete
             if complete.has_event:
@@ -609,6 +620,32 @@
             elapsed_ms=self._ctx.elapsed_ms(),
         )
 
+    def _accept(
+        self,
+        attempt: _Attempt,
+        head: routed.ReplyHead,
+        chunk: bytes,
+        is_first: bool,
+    ) -> event_stream.Complete | attempts.Failure:
+        """Returns what a chunk completes, if the stream may go on with it.
+
+        Args:
+            attempt: the attempt that got the chunk.
+            head: head of its reply.
+            chunk: bytes of the reply's body.
+            is_first: whether no event of the attempt is complete yet.
+        """
+        version = self._version_of(attempt.lease)
+        if is_first and self._version not in (None, version):
+            return _OTHER_VERSION
+        complete = self._split(head, attempt.transfer, chunk, is_first)
+        if isinstance(complete, attempts.Failure) or not (
+            is_first and complete.has_event
+        ):
+            return complete
+        self._version = version
+        return complete
+
     def _split(
         self,
         head: routed.ReplyHead,
@@ -663,6 +700,12 @@
             and req.possible_runs + 1 < req.route.max_attempts
         )
 
+    def _version_of(self, lease: placement.Lease) -> str:
+        """Returns the software version of the engine that got an attempt."""
+        return self._ctx.ctrl.endpoints.version_of(
+            lease.listing, lease.slot.started_at
+        )
+
     def _on_first_event(self, lease: placement.Lease, head) -> None:
         ctx = self._ctx
         ctx.ctrl.placement.record_first_event(lease)
