Take streams up only at the version that began them

Cause: no host knew which version began a stream that another one had sent, and none asked. Class of fault: state that has to outlive a host was in no place that does.

Change: while a pool has had several versions lately, hosts record in the store which version began a stream that may be resumed. A take-up goes on at the version that the host knows from its own stream, from the record, or as the pool's only one for as long as a stream lives; else it is refused at once, as unknown or gone, before its stages run. A host that has just started believes in a sole version only if an engine of it has run for longer. With one version nothing is written. The first event waits for the record only in the first 5 s of a release, at most 0.5 s. A decision line and chervilarch_resumed_streams tell of each take-up.

--- a/chervilarch/fleet.py
+++ b/chervilarch/fleet.py
@@ -108,6 +108,10 @@
         """Returns the hosts believed alive, with the address of a socket."""
         return [peer(member, port) for member in self._alive_members()]
 
+    def host_count(self) -> int:
+        """Returns the number of hosts believed alive, with this one."""
+        return 1 + len(self._alive_members())
+
     def has_neighbour(self) -> bool:
         """Returns whether another host of this data centre is alive."""
         return any(
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -41,6 +41,8 @@
     stop_admission,
     store,
     store_sharing,
+    stream_records,
+    stream_versions,
     telemetry,
     topic_follower,
 )
@@ -403,6 +405,14 @@
         rng,
     )
     guard = prompt_guard.PromptGuard(loop, exchange, meters, rng, store_client)
+    versions = stream_versions.StreamVersions(
+        loop,
+        loop.clock,
+        stream_records.StreamRecords(
+            loop, store_client, loop.clock, rng, gateways.host_count
+        ),
+    )
+    endpoints.add_listener(versions.set_endpoints)
     costs = request_cost.CostModel()
     configuration.add_listener(
         lambda table: costs.keep_routes(r.name for r in table.routes())
@@ -440,6 +450,7 @@
         stop_admission=stop_admission.StopAdmission(gateways.has_neighbour),
         cold=cold,
         costs=costs,
+        versions=versions,
     )
 
 
--- a/chervilarch/outcomes.py
+++ b/chervilarch/outcomes.py
@@ -36,6 +36,7 @@
     CONNECTION_LOST = "connection-lost"
     ANSWER_NOT_KEPT = "answer-not-kept"
     SHUTTING_DOWN = "shutting-down"
+    STREAM_UNKNOWN = "stream-unknown"
     INTERNAL = "internal"
 
 
--- a/chervilarch/platform/store.py
+++ b/chervilarch/platform/store.py
@@ -22,6 +22,7 @@
     store.Topic.ENDPOINTS: "keyed.servers",
     store.Topic.ROUTERS: "keyed.routers",
     store.Topic.BLOCKS: "keyed.blocks",
+    store.Topic.STREAMS: "streams",
 }
 # Key of the operators' record; other keys of that topic aren't for us.
 CONFIGURATION_KEY = "config"
@@ -55,6 +56,10 @@
     end: _Offset
 
 
+class _Kept(msgspec.Struct):
+    first: _Offset
+
+
 class StoreClient:
     """Implements `store.Store` over HTTP."""
 
@@ -91,9 +96,16 @@
         self, topic: store.Topic, key: str, value: bytes, timeout_s: float
     ) -> "Future[store.StoreError | None]":
         """Sets the newest value of a key."""
-        name = key.encode()
-        record = bytes([len(name)]) + name + value
-        body = _LENGTH.pack(len(record)) + record
+        return self.append(topic, [(key, value)], timeout_s)
+
+    def append(
+        self,
+        topic: store.Topic,
+        records: list[tuple[str, bytes]],
+        timeout_s: float,
+    ) -> "Future[store.StoreError | None]":
+        """Appends keys and values, all or none."""
+        body = b"".join(_encode_record(key, value) for key, value in records)
         query = {"topic": _TOPICS[topic], "part": 0}
         exchange = self._exchange("POST", "log-append", query, timeout_s)
         exchange = exchange._replace(body=body, fresh=True)
@@ -153,12 +165,24 @@
     if isinstance(result, exchanges.TransferFailure):
         return store.StoreError(f"{result.kind.value}: {result.detail}")
     if result.status == _GONE:
-        return store.StoreError("the records were dropped", is_dropped=True)
+        return store.StoreError(
+            "the records were dropped", True, _read_first(result.body)
+        )
     if result.status != _OK:
         return store.StoreError(f"HTTP status {result.status}")
     return None
 
 
+def _read_first(body: bytes) -> int:
+    """Returns the first offset that a topic still keeps, 0 if unknown."""
+    kept = decoding.attempt(_decode_kept, body)
+    return 0 if isinstance(kept, decoding.Unreadable) else kept.first
+
+
+def _decode_kept(body: bytes) -> _Kept:
+    return msgspec.json.decode(body, type=_Kept)
+
+
 def _decode_newest(
     result: exchanges.TransferResult, era: int
 ) -> store.NewestPage | store.StoreError:
@@ -212,6 +236,12 @@
     return store.RecordPage(records, end, first, era)
 
 
+def _encode_record(key: str, value: bytes) -> bytes:
+    name = key.encode()
+    record = bytes([len(name)]) + name + value
+    return _LENGTH.pack(len(record)) + record
+
+
 def _decode_record(offset: int, record: bytes, era: int) -> store.Record:
     size = record[0] if record else 0
     key = record[1 : 1 + size].decode("utf-8", "replace")
--- a/chervilarch/platform/wire.py
+++ b/chervilarch/platform/wire.py
@@ -140,6 +140,7 @@
             counts,
             by_name.get("piece-key", ""),
             by_name.get("last-event-id", ""),
+            by_name.get("resumes", ""),
         )
 
     def build_call(
--- a/chervilarch/routed.py
+++ b/chervilarch/routed.py
@@ -79,6 +79,7 @@
         piece_counts: tuple[int, ...],
         input_key: str,
         resume_after: str,
+        resumed_id: str = "",
     ):
         """Creates the request.
 
@@ -93,6 +94,8 @@
             input_key: names the input of stages that depend on no other stage.
             resume_after: id of the last event that the caller has, "" for a new
                 stream.
+            resumed_id: then the id of the request that brought the stream's
+                first event, "" if the caller doesn't say it.
         """
         self.id = request_id
         self.method = req.method
@@ -108,6 +111,10 @@
         self.piece_counts = piece_counts
         self.input_key = input_key
         self.resume_after = resume_after
+        self.resumed_id = resumed_id
+        # Version of the endpoints' software that began the stream, None if any
+        # version may go on.
+        self.version: str | None = None
         self.account: routing_table.Account | None = None
         # The block of prompts that this request tests, if any.
         self.tested_block: prompt_blocks.PromptBlock | None = None
--- a/chervilarch/routed_context.py
+++ b/chervilarch/routed_context.py
@@ -24,6 +24,7 @@
     state_log,
     stop_admission,
     store_sharing,
+    stream_versions,
     telemetry,
 )
 from chervilarch import loop as loops
@@ -61,6 +62,7 @@
     stop_admission: stop_admission.StopAdmission
     cold: cold_starts.ColdStarts
     costs: request_cost.CostModel
+    versions: stream_versions.StreamVersions
 
 
 class RoutedContext:
--- a/chervilarch/routed_filters.py
+++ b/chervilarch/routed_filters.py
@@ -28,6 +28,9 @@
 _NO_CONFIGURATION_RETRY_S = 0.5
 # Retry-After while a whole pool is evacuated; nothing tells how long that is.
 _EVACUATED_RETRY_S = 1.0
+# Retry-After of a stream that another host may know, or this one once it
+# reaches the store again.
+_UNKNOWN_STREAM_RETRY_S = 1.0
 
 
 def check_configuration(
@@ -200,6 +203,56 @@
     return (yield from call_next())
 
 
+def find_stream_version(
+    ctx: RoutedContext, call_next: NextFilter
+) -> tasks.Coroutine[outcomes.Outcome]:
+    """Finds the software version that began a stream, before any stage runs.
+
+    Refuses a stream that can't go on at it: what two versions write doesn't fit
+    together.
+    """
+    req = ctx.req
+    if not (req.resume_after and req.route.is_stream):
+        return (yield from call_next())
+    pool = req.route.pool_for(req.id)
+    begun = yield from ctx.ctrl.versions.find(
+        req.resumed_id, pool, req.route.timeout_s
+    )
+    is_gone = begun is not None and not ctx.ctrl.versions.is_listed(
+        pool, begun.version
+    )
+    state = "unknown" if begun is None else "gone" if is_gone else "known"
+    ctx.ctrl.meters.count_resumed_stream(state)
+    state_log.log_decision(
+        "stream taken up",
+        is_problem=state != "known",
+        request_id=req.id,
+        resumed_id=req.resumed_id,
+        state=state,
+        version=begun.version if begun else None,
+        known_by=begun.origin.value if begun else None,
+        age_ms=begun.age_s and round(begun.age_s * 1000) if begun else None,
+    )
+    if begun is None:
+        return outcomes.NotRun(
+            outcomes.Reason.STREAM_UNKNOWN,
+            "it isn't known which version of the engines' software began the"
+            " stream",
+            "send the request as a new one, without the id of the last event",
+            _UNKNOWN_STREAM_RETRY_S,
+        )
+    if is_gone:
+        return outcomes.NotRun(
+            outcomes.Reason.NO_ENDPOINT,
+            f"no engine of version {begun.version}, which began the stream, is"
+            " left",
+            "send the request as a new one, without the id of the last event",
+            max(_UNKNOWN_STREAM_RETRY_S, ctx.remaining_s()),
+        )
+    req.version = begun.version
+    return (yield from call_next())
+
+
 def refuse_over_limits(
     ctx: RoutedContext, call_next: NextFilter
 ) -> tasks.Coroutine[outcomes.Outcome]:
@@ -251,6 +304,7 @@
     refuse_while_stopping,
     refuse_blocked_prompts,
     refuse_evacuated_pools,
+    find_stream_version,
     refuse_over_limits,
     run_call,
 )
--- a/chervilarch/store.py
+++ b/chervilarch/store.py
@@ -16,13 +16,15 @@
 class Topic(enum.Enum):
     """Topics of the store.
 
-    `ROUTERS` is the list of all gateways, `BLOCKS` holds the blocks of prompts.
+    `ROUTERS` is the list of all gateways, `BLOCKS` holds the blocks of prompts,
+    `STREAMS` the software versions that began streams.
     """
 
     CONFIGURATION = "configuration"
     ENDPOINTS = "endpoints"
     ROUTERS = "routers"
     BLOCKS = "blocks"
+    STREAMS = "streams"
 
 
 class NewestPage(NamedTuple):
@@ -132,10 +134,12 @@
     Attributes:
         reason: the cause, for the log.
         is_dropped: whether the records asked for are no longer kept.
+        first: then the first offset that is still kept, 0 if unknown.
     """
 
     reason: str
     is_dropped: bool = False
+    first: int = 0
 
 
 class EraWatch:
@@ -192,3 +196,11 @@
         self, topic: Topic, key: str, value: bytes, timeout_s: float
     ) -> "Future[StoreError | None]":
         """Sets the newest value of a key."""
+
+    def append(
+        self,
+        topic: Topic,
+        records: list[tuple[str, bytes]],
+        timeout_s: float,
+    ) -> "Future[StoreError | None]":
+        """Appends keys and values, all or none."""
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -96,7 +96,7 @@
         self._has_rerun = False
         self._pool = ctx.req.route.pool_for(ctx.req.id)
         # Version of the engines' software that began the stream, None before.
-        self._version: str | None = None
+        self._version = ctx.req.version
         self._tried: set[str] = set()
         # Engines of them that were left for their silence alone.
         self._left: set[str] = set()
@@ -461,7 +461,9 @@
                 final_call.record_head(ctx, lease, head)
             if not isinstance(item, _Chunk):
                 return self._end(head, item)
-            complete = self._accept(attempt, head, item.chunk, is_first)
+            complete = yield from self._accept(
+                attempt, head, item.chunk, is_first
+            )
             if isinstance(complete, attempts.Failure):
                 return complete
             if complete.has_event:
@@ -626,7 +628,7 @@
         head: routed.ReplyHead,
         chunk: bytes,
         is_first: bool,
-    ) -> event_stream.Complete | attempts.Failure:
+    ) -> tasks.Coroutine[event_stream.Complete | attempts.Failure]:
         """Returns what a chunk completes, if the stream may go on with it.
 
         Args:
@@ -644,6 +646,8 @@
         ):
             return complete
         self._version = version
+        if not self._has_sent_event:
+            yield from self._record_version()
         return complete
 
     def _split(
@@ -706,6 +710,14 @@
             lease.listing, lease.slot.started_at
         )
 
+    def _record_version(self) -> tasks.Coroutine[None]:
+        """Makes known to other hosts which version began the stream."""
+        req = self._ctx.req
+        if req.is_retryable():
+            yield from self._ctx.ctrl.versions.record(
+                req.id, self._pool, self._version, req.route.timeout_s
+            )
+
     def _on_first_event(self, lease: placement.Lease, head) -> None:
         ctx = self._ctx
         ctx.ctrl.placement.record_first_event(lease)
--- /dev/null
+++ b/chervilarch/stream_versions.py
@@ -0,0 +1,144 @@
+"""Finds at which software version a stream that is taken up may go on."""
+
+import collections
+from typing import NamedTuple
+
+from chervilarch import (
+    clocks,
+    endpoint_list,
+    stream_records,
+    tasks,
+)
+from chervilarch import loop as loops
+from chervilarch.scheduling import version_history
+
+_MS_PER_S = 1000
+_MAX_OWN = 20_000
+# While a pool has had several versions for less than this, other hosts may not
+# know it: a stream begins only when its record is stored.
+_SETTLED_S = 5.0
+# Longest wait for that; the store may be away.
+_MAX_RECORD_WAIT_S = 0.5
+# Longest search for a record.
+_MAX_FIND_S = 0.5
+
+
+class _OwnStream(NamedTuple):
+    version: str
+    begun_at: float
+
+
+class StreamVersions:
+    """The versions that began streams, as far as this host can know."""
+
+    def __init__(
+        self,
+        loop: loops.Loop,
+        clock: clocks.Clock,
+        records: stream_records.StreamRecords,
+    ):
+        self._loop = loop
+        self._clock = clock
+        self._records = records
+        self._history = version_history.VersionHistory()
+        # Streams that this host began or took up, by id.
+        self._own: collections.OrderedDict[str, _OwnStream] = (
+            collections.OrderedDict()
+        )
+
+    def set_endpoints(
+        self, listed: dict[str, dict[str, endpoint_list.Listing]]
+    ) -> None:
+        """Takes note of the versions of the endpoints that may get work."""
+        runs = {
+            pool: [
+                version_history.ListedRun(
+                    listing.version, listing.entry.incarnation / _MS_PER_S
+                )
+                for listing in listings.values()
+            ]
+            for pool, listings in listed.items()
+        }
+        self._history.update(runs, self._loop.now())
+
+    def is_listed(self, pool: str, version: str) -> bool:
+        """Returns whether a pool has an endpoint of a version."""
+        return self._history.is_listed(pool, version)
+
+    def record(
+        self, stream_id: str, pool: str, version: str, timeout_s: float
+    ) -> tasks.Coroutine[None]:
+        """Takes note of a stream that begins.
+
+        While the pool has several versions it is recorded in the store, also
+        for other hosts. Without several ones nothing is written.
+
+        Args:
+            stream_id: the caller's id of the request.
+            pool: pool of the engine.
+            version: version of the engine's software.
+            timeout_s: how long streams of its route may take.
+        """
+        now = self._loop.now()
+        self._own.pop(stream_id, None)
+        self._own[stream_id] = _OwnStream(version, now)
+        self._forget_old(now)
+        mixed_s = self._history.mixed_s(pool, _span_s(timeout_s), now)
+        if mixed_s is None:
+            return
+        stored = self._records.write(stream_id, pool, version)
+        if mixed_s < _SETTLED_S:
+            until = now + _MAX_RECORD_WAIT_S
+            yield from tasks.wait(self._loop, stored, until)
+
+    def find(
+        self, stream_id: str, pool: str, timeout_s: float
+    ) -> tasks.Coroutine["version_history.BegunAt | None"]:
+        """Returns the version that began a stream, None if it isn't known.
+
+        Args:
+            stream_id: the id of the request that brought its first event, "" if
+                the caller doesn't say it.
+            pool: pool of the route's engines.
+            timeout_s: how long streams of the route may take.
+        """
+        now = self._loop.now()
+        span_s = _span_s(timeout_s)
+        own = self._own.get(stream_id)
+        if own is not None:
+            return version_history.BegunAt(
+                own.version, version_history.Origin.OWN, now - own.begun_at
+            )
+        recorded = None
+        if stream_id:
+            search = tasks.Task(self._records.find(stream_id))
+            until = now + _MAX_FIND_S
+            found = yield from tasks.wait(self._loop, search.future, until)
+            if isinstance(found, tasks.TimedOut):
+                search.cancel()
+            elif isinstance(found, stream_records.StreamRecord):
+                age_s = self._clock.wall() - found.begun_at
+                recorded = version_history.BegunAt(
+                    found.version, version_history.Origin.RECORD, age_s
+                )
+        return version_history.decide(
+            None,
+            recorded,
+            self._history.sole_version(
+                pool, span_s, self._loop.now(), self._clock.wall()
+            ),
+            self._records.has_records(pool, span_s),
+        )
+
+    def _forget_old(self, now: float) -> None:
+        oldest = now - stream_records.RETENTION_S
+        while self._own:
+            key, own = next(iter(self._own.items()))
+            if own.begun_at >= oldest and len(self._own) <= _MAX_OWN:
+                return
+            del self._own[key]
+
+
+def _span_s(timeout_s: float) -> float:
+    """Returns for how long after its beginning a stream may be taken up."""
+    return timeout_s + version_history.MARGIN_S
--- a/chervilarch/telemetry.py
+++ b/chervilarch/telemetry.py
@@ -32,6 +32,13 @@
         self._batch_sizes = self._histogram(
             "stage_call_pieces", "Pieces a call", ["pool"], _BATCH_BUCKETS
         )
+        self._resumed_streams = self._counter(
+            "resumed_streams",
+            "Streams that callers take up again: known, unknown if it isn't"
+            " known which software version began them, gone if no endpoint of"
+            " it is left",
+            ["version"],
+        )
         self._stage_graphs = self._counter(
             "stage_graphs",
             "Stage graphs started, held back or refused by the coordinator",
@@ -112,6 +119,10 @@
         """
         self._stage_graphs.labels(priority, decision).inc()
 
+    def count_resumed_stream(self, version: str) -> None:
+        """Counts a stream whose version is "known", "unknown" or "gone"."""
+        self._resumed_streams.labels(version).inc()
+
     def observe_cost_ratio(self, route: str, ratio: float) -> None:
         """Records the error of an estimate of an answer's cost."""
         self._cost_ratios.labels(route).observe(ratio)
--- a/soak/store.py
+++ b/soak/store.py
@@ -135,10 +135,13 @@
             return 200, json.dumps(page).encode()
         if path.endswith("log-read"):
             return await self._read(topic, query)
-        # An append's body: the record's length in 4 bytes, the key's length in
-        # 1 byte, the key, and the value.
-        size = body[4]
-        await self.write(topic, body[5 : 5 + size].decode(), body[5 + size :])
+        # An append's records: the length in 4 bytes, the key's length in 1
+        # byte, the key, and the value.
+        while body:
+            (length,) = struct.unpack_from(">I", body)
+            record, body = body[4 : 4 + length], body[4 + length :]
+            key = record[1 : 1 + record[0]].decode()
+            await self.write(topic, key, record[1 + record[0] :])
         end = len(records)
         return 200, json.dumps({"offset": end - 1, "end": end}).encode()
 
--- a/tests/loop_helpers.py
+++ b/tests/loop_helpers.py
@@ -198,6 +198,15 @@
         self.write(topic, key, value)
         return tasks.done(None)
 
+    def append(self, topic, records, timeout_s):
+        """Appends records that this system writes."""
+        if self.error:
+            return tasks.done(self.error)
+        self.eras.observe(self.era)
+        for key, value in records:
+            self.write(topic, key, value)
+        return tasks.done(None)
+
 
 def free_ports(count: int) -> int:
     """Returns the first of some consecutive ports free for TCP and UDP."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -432,3 +432,10 @@
         if name not in allowed.get(path.name, set())
     ]
     assert found == []
+
+
+def test_parses_which_stream_a_request_takes_up():
+    req = parse(
+        ("request-id", "id2"), ("last-event-id", "7"), ("resumes", "id1")
+    )
+    assert (req.resume_after, req.resumed_id) == ("7", "id1")
--- /dev/null
+++ b/tests/test_stream_records.py
@@ -0,0 +1,150 @@
+"""Records of streams in the store: restores, outages, bounds."""
+
+import random
+
+import loop_helpers as lh
+import pytest
+
+from chervilarch import store, stream_records, tasks
+from chervilarch.platform import store as platform_store
+
+
+class Hosts:
+    """Hosts that share a store, on one clock."""
+
+    def __init__(self):
+        self.loop, self.clock = lh.new_loop()
+        self.store = lh.FakeStore()
+
+    def new(self, count=1):
+        link = lh.FakeStore(self.store)
+        link.eras.observe(self.store.era)
+        records = stream_records.StreamRecords(
+            self.loop, link, self.clock, random.Random(1), lambda: count
+        )
+        return records, link
+
+    def find(self, records, stream_id):
+        return tasks.Task(records.find(stream_id)).future.result()
+
+    def appended(self):
+        return len(self.store.log.get(store.Topic.STREAMS, []))
+
+
+@pytest.fixture
+def hosts():
+    created = Hosts()
+    yield created
+    created.loop.close()
+
+
+def test_a_host_that_starts_finds_the_record_of_a_stream(hosts):
+    first, _ = hosts.new()
+    assert first.write("s1", "p", "v1").done()
+    started, _ = hosts.new()
+    found = hosts.find(started, "s1")
+    assert found[:2] == ("p", "v1")
+    assert hosts.find(started, "s2") is None
+    assert started.has_records("p", 10.0) and not started.has_records("q", 10.0)
+
+
+def test_a_host_finds_what_was_written_after_its_last_read(hosts):
+    first, _ = hosts.new()
+    second, _ = hosts.new()
+    assert hosts.find(second, "s1") is None
+    first.write("s1", "p", "v1")
+    lh.advance(hosts.loop, hosts.clock, 0.1)
+    assert hosts.find(second, "s1").version == "v1"
+
+
+def test_records_that_a_restore_lost_are_written_again(hosts):
+    first, _ = hosts.new()
+    first.write("s1", "p", "v1")
+    second, link = hosts.new()
+    assert hosts.find(second, "s1") is not None
+    hosts.store.restore(0, 1)
+    started, _ = hosts.new()
+    assert hosts.find(started, "s1") is None
+    first._store.eras.observe(1)
+    lh.advance(hosts.loop, hosts.clock, store.REWRITE_SPREAD_S + 0.1)
+    assert hosts.find(started, "s1").version == "v1"
+    # Offsets were given out again.
+    first.write("s2", "p", "v2")
+    lh.advance(hosts.loop, hosts.clock, 0.1)
+    assert hosts.find(second, "s2").version == "v2"
+
+
+def test_a_record_waits_for_the_store_to_come_back(hosts):
+    first, link = hosts.new()
+    link.error = store.StoreError("away")
+    stored = first.write("s1", "p", "v1")
+    lh.advance(hosts.loop, hosts.clock, 2.0)
+    assert not stored.done() and hosts.appended() == 0
+    second, other_link = hosts.new()
+    other_link.error = link.error
+    assert isinstance(hosts.find(second, "s1"), store.StoreError)
+    link.error = other_link.error = None
+    lh.advance(hosts.loop, hosts.clock, 1.0)
+    assert stored.done() and hosts.find(second, "s1").version == "v1"
+
+
+def test_old_records_are_dropped_unwritten(hosts):
+    first, link = hosts.new()
+    link.error = store.StoreError("away")
+    stored = first.write("s1", "p", "v1")
+    lh.advance(hosts.loop, hosts.clock, stream_records.RETENTION_S + 1.0)
+    link.error = None
+    lh.advance(hosts.loop, hosts.clock, 1.0)
+    assert stored.done() and hosts.appended() == 0
+
+
+def test_reading_goes_on_after_records_that_the_store_dropped(hosts):
+    first, _ = hosts.new()
+    for number in range(3):
+        first.write(f"s{number}", "p", "v1")
+        lh.advance(hosts.loop, hosts.clock, 0.1)
+    hosts.store.first[store.Topic.STREAMS] = 2
+    started, link = hosts.new()
+    read = link.read_changes
+
+    def tell_first(topic, offset, wait_s):
+        page = read(topic, offset, wait_s).result()
+        if isinstance(page, store.StoreError):
+            page = page._replace(first=2)
+        return tasks.done(page)
+
+    link.read_changes = tell_first
+    assert hosts.find(started, "s2").version == "v1"
+
+
+def test_an_unreadable_record_hides_no_other(hosts):
+    hosts.store.write(store.Topic.STREAMS, "k", b"\xff")
+    first, _ = hosts.new()
+    first.write("s1", "p", "v1")
+    started, _ = hosts.new()
+    assert hosts.find(started, "s1").version == "v1"
+
+
+def test_all_hosts_together_append_no_more_often_than_a_partition_takes(hosts):
+    # 195 hosts that each begin four streams a second.
+    records, link = hosts.new(count=195)
+    calls = []
+    append = link.append
+
+    def count(topic, batch, timeout_s):
+        calls.append(len(batch))
+        return append(topic, batch, timeout_s)
+
+    link.append = count
+    for number in range(40):
+        records.write(f"s{number}", "p", "v1")
+        lh.advance(hosts.loop, hosts.clock, 0.25)
+    assert sum(calls) == 40 and hosts.appended() == 40
+    assert len(calls) * 195 / 10.0 <= 1.1 * stream_records._APPENDS_PER_S
+
+
+def test_the_platforms_store_is_told_several_records_in_one_call():
+    record = platform_store._encode_record("key", b"value")
+    assert record == b"\x00\x00\x00\x09\x03keyvalue"
+    assert platform_store._read_first(b'{"first":7}') == 7
+    assert platform_store._read_first(b"nothing") == 0
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -10,14 +10,14 @@
     KEY,
     World,
     events,
+    status,
     stream,
     stream_route_document,
 )
 
+from chervilarch import followers, store
 from chervilarch.platform import documents
 
-_DAY_MS = 24 * 3600 * 1000
-
 
 def _ago_ms(seconds):
     return int((time.time() - seconds) * 1000)
@@ -61,6 +61,26 @@
     return ("Prompt-Prefix", f"{number}:1000,own:10")
 
 
+def take_up(world, resumed_id="first", number=0):
+    return world.fetch(
+        KEY,
+        prompt_header(number),
+        ("Last-Event-Id", "2"),
+        ("Resumes", resumed_id),
+    )
+
+
+def begin(world, request_id):
+    conn = lh.connect(world.server.port)
+    conn.sendall(
+        b"POST /x/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: "
+        + request_id.encode()
+        + b"\r\nDeadline-Ms: 5000\r\nAuthorization: Bearer k1\r\n"
+        b"Connection: close\r\nContent-Length: 2\r\n\r\nin"
+    )
+    return lh.receive(world.loop, conn, lambda data: b"<EOF>" in data)
+
+
 @pytest.fixture
 def new_world():
     """Creates hosts; those with the same store share it."""
@@ -75,6 +95,22 @@
         world.close()
 
 
+@pytest.fixture
+def two_versions(new_world):
+    """A host with two engines of each of two versions."""
+    world = new_world()
+    engines = [
+        Engine(world, f"{version}-{number}", version)
+        for version in ("v1", "v2")
+        for number in (1, 2)
+    ]
+    world.start(stream_route_document())
+    lh.run_until(
+        world.loop, lambda: world.ctrl.placement.has_endpoint("s1", None)
+    )
+    return world, engines
+
+
 def test_a_broken_stream_resumes_only_at_its_version(new_world):
     # The crash of an engine: the system's own next attempt.
     versions = []
@@ -106,6 +142,110 @@
     assert not any(engine.resumed for engine in engines)
 
 
+def test_a_stream_is_taken_up_at_another_host_at_its_version(
+    two_versions, new_world
+):
+    first, engines = two_versions
+    begin(first, "first")
+    (began,) = [engine for engine in engines if engine.begun]
+    second = new_world(lh.FakeStore(first.store))
+    second.start(stream_route_document())
+    for number in range(8):
+        assert status(take_up(second, number=number)) == 200
+    resumed = {engine.version for engine in engines if engine.resumed}
+    assert resumed == {began.version}
+
+
+def test_a_chain_of_take_ups_stays_at_one_version(two_versions, new_world):
+    first, engines = two_versions
+    begin(first, "first")
+    (began,) = [engine for engine in engines if engine.begun]
+    for resumed_id in ("first", "id1", "first"):
+        host = new_world(lh.FakeStore(first.store))
+        host.start(stream_route_document())
+        for number in range(3):
+            assert status(take_up(host, resumed_id, number)) == 200
+    assert {e.version for e in engines if e.resumed} == {began.version}
+
+
+def test_an_unknown_stream_is_refused_while_there_are_two_versions(
+    two_versions,
+):
+    world, engines = two_versions
+    received = take_up(world, "never-seen")
+    assert status(received) == 503 and b"stream-unknown" in received
+    assert not any(engine.resumed for engine in engines)
+
+
+def test_a_stream_whose_version_has_left_is_refused(two_versions, new_world):
+    # All hosts lost power, and meanwhile the release has ended.
+    first, engines = two_versions
+    begin(first, "first")
+    (began,) = [engine for engine in engines if engine.begun]
+    for number in (1, 2):
+        first.store.write(
+            store.Topic.ENDPOINTS, f"{began.version}-{number}", b""
+        )
+    second = new_world(lh.FakeStore(first.store))
+    second.start(stream_route_document())
+    received = take_up(second)
+    assert status(received) == 503 and b"no-endpoint" in received
+    assert not any(engine.resumed for engine in engines)
+
+
+def test_a_host_that_starts_among_new_engines_takes_up_no_unknown_stream(
+    new_world,
+):
+    # All engines were replaced while all hosts were without power.
+    world = new_world()
+    engines = [Engine(world, f"e{n}", "v2", born=_ago_ms(2.0)) for n in (1, 2)]
+    world.start(stream_route_document())
+    received = take_up(world)
+    assert status(received) == 503 and b"stream-unknown" in received
+    assert not any(engine.resumed for engine in engines)
+
+
+def test_with_one_version_streams_go_on_and_nothing_is_written(new_world):
+    world = new_world()
+    engines = [Engine(world, f"e{n}", "v1") for n in (1, 2)]
+    world.start(stream_route_document())
+    assert begin(world, "other").startswith(b"HTTP/1.1 200")
+    assert status(take_up(world, "never-seen")) == 200
+    assert sum(len(engine.resumed) for engine in engines) == 1
+    assert store.Topic.STREAMS not in world.store.log
+
+
+@pytest.mark.parametrize(
+    ("versions", "expected"), [(("v1", "v1"), 200), (("v1", "v2"), 503)]
+)
+def test_without_the_store_only_a_sole_version_goes_on(
+    new_world, versions, expected
+):
+    world = new_world()
+    engines = [Engine(world, f"e{n}", v) for n, v in enumerate(versions)]
+    world.start(stream_route_document())
+    lh.run_until(
+        world.loop, lambda: world.ctrl.placement.has_endpoint("s1", None)
+    )
+    world.store.error = store.StoreError("away")
+    assert status(take_up(world)) == expected
+    assert sum(len(e.resumed) for e in engines) == (expected == 200)
+
+
+def test_a_stream_whose_record_a_restore_lost_is_refused(
+    two_versions, new_world
+):
+    first, engines = two_versions
+    begin(first, "first")
+    begin(first, "other")
+    log = first.store.log[store.Topic.STREAMS]
+    del log[0]
+    second = new_world(lh.FakeStore(first.store))
+    second.start(stream_route_document())
+    assert status(take_up(second)) == 503
+    assert not any(engine.resumed for engine in engines)
+
+
 def test_an_engine_that_started_again_at_another_version_goes_on_with_nothing(
     new_world,
 ):
@@ -131,7 +271,7 @@
 def test_the_version_is_that_of_the_run_that_got_the_request():
     loop, clock = lh.new_loop()
     clock.advance(100.0)
-    host = lh_follower(loop)
+    host = _new_follower(loop)
     old = _listing("v1", born=int((clock.wall() - 50) * 1000))
     host._endpoints.apply("e1", old)
     sent_at = clock.monotonic()
@@ -145,9 +285,7 @@
     loop.close()
 
 
-def lh_follower(loop):
-    from chervilarch import followers
-
+def _new_follower(loop):
     return followers.EndpointFollower(
         loop, lh.FakeStore(), documents.decode_endpoint, 1.0
     )
