Don't count less urgent work for a wait in the router

The same fault as in the gateway, found by looking for its cause: the router's queue goes by priority, but its estimate of a wait counted all attempts that waited or were still to come. An urgent request could be refused for work that it passes. No caller reported it.

Change: Endpoints.estimate counts waiting and upcoming attempts at least as urgent; what runs counts as before.

Evidence: the new test can't pass on the code before, which kept no priority of upcoming attempts; tests of policy, end to end and freed requests of the router pass.

--- a/chervilarch/endpoints.py
+++ b/chervilarch/endpoints.py
@@ -89,7 +89,10 @@
         self._pools: dict[str, list[endpoint_state.Endpoint]] = {}
         self._leaving_incarnations: dict[str, int] = {}
         self._queues: dict[str, list[_Waiter]] = collections.defaultdict(list)
-        self._upcoming: collections.Counter[str] = collections.Counter()
+        # By pool and priority.
+        self._upcoming: collections.Counter[tuple[str, int]] = (
+            collections.Counter()
+        )
         self._long_work_at: dict[str, float] = collections.defaultdict(
             lambda: float("-inf")
         )
@@ -209,17 +212,18 @@
                 endpoint.reported_load = load - len(endpoint.slots)
                 endpoint.reported_at = self._clock.monotonic()
 
-    def add_upcoming(self, pool: str, attempts: int) -> None:
+    def add_upcoming(self, pool: str, priority: int, attempts: int) -> None:
         """Adds to a pool's upcoming attempts; a negative number takes away."""
         with self._lock:
-            self._upcoming[pool] += attempts
+            self._upcoming[pool, priority] += attempts
 
     def estimate(
-        self, pool: str, units: float, remaining_s: float
+        self, pool: str, units: float, remaining_s: float, priority: int
     ) -> PoolEstimate:
         """Returns an estimate over the endpoints that could finish in time.
 
-        An endpoint without measurements counts as fast as the fastest one.
+        An endpoint without measurements counts as fast as the fastest one. Of
+        the attempts that wait, those that are less urgent don't count.
         """
         now = self._clock.monotonic()
         with self._lock:
@@ -235,7 +239,15 @@
             if not timely:
                 return PoolEstimate(0.0, least_base_s, least_base_s, 0.0)
             limit = sum(endpoint.limit_state.limit for endpoint in timely)
-            pending = self._upcoming[pool] + len(self._queues[pool])
+            pending = sum(
+                count
+                for (name, other), count in self._upcoming.items()
+                if name == pool and other <= priority
+            )
+            pending += sum(
+                waiter.work.priority <= priority
+                for waiter in self._queues[pool]
+            )
             pending += sum(len(endpoint.slots) for endpoint in timely)
             unit_s = endpoint_state.mean_latency_s(timely, now)
         return PoolEstimate(limit, unit_s, least_base_s, pending + 1 - limit)
--- a/chervilarch/stages.py
+++ b/chervilarch/stages.py
@@ -39,7 +39,9 @@
     remaining_s = req.deadline_at - ctrl.clock.monotonic()
     for stage in stages:
         units = work_units(req, stage)
-        pool = ctrl.endpoints.estimate(stage.name, units, remaining_s)
+        pool = ctrl.endpoints.estimate(
+            stage.name, units, remaining_s, req.rule.priority
+        )
         estimates.append(
             admission.StageEstimate(
                 units, pool.unit_s, pool.base_s, pool.backlog, pool.limit
@@ -54,12 +56,12 @@
     """Runs all stages of a request and returns its outcome."""
     upcoming_pools = [stage.name for stage in req.pipeline.stages]
     for pool in upcoming_pools:
-        ctrl.endpoints.add_upcoming(pool, 1)
+        ctrl.endpoints.add_upcoming(pool, req.rule.priority, 1)
     try:
         return _run_stages(ctrl, req, upcoming_pools)
     finally:
         for pool in upcoming_pools:
-            ctrl.endpoints.add_upcoming(pool, -1)
+            ctrl.endpoints.add_upcoming(pool, req.rule.priority, -1)
 
 
 def _run_stages(
@@ -78,7 +80,9 @@
             ctrl, req, stage, value, work_units(req, stage), reserve_s
         )
         # From here on, the pool counts the attempt itself.
-        ctrl.endpoints.add_upcoming(upcoming_pools.pop(0), -1)
+        ctrl.endpoints.add_upcoming(
+            upcoming_pools.pop(0), req.rule.priority, -1
+        )
         result = _run_stage(run)
         if isinstance(result, call_stage.StageFailure):
             return _failure_outcome(req, stage, result)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -291,5 +291,17 @@
     table.update_list([entry(name) for name in ["x", *others]])
     work = endpoint_state.Work("pool", exclude=frozenset(others))
     table.finish(table.acquire(work, 0), 0.2, True)
-    estimate = table.estimate("pool", 1.0, 0.005)
+    estimate = table.estimate("pool", 1.0, 0.005, priority=5)
     assert estimate.base_s == pytest.approx(0.2)
+
+
+def test_work_that_an_attempt_passes_does_not_count_for_its_wait(table):
+    # As in the gateway, where an urgent class was refused for less urgent work.
+    table.update_list([entry("x")])
+    table.finish(table.acquire(endpoint_state.Work("pool"), 0), 0.1, True)
+    alone = table.estimate("pool", 1.0, 10.0, priority=2).backlog
+    table.add_upcoming("pool", 3, 7)
+    assert table.estimate("pool", 1.0, 10.0, priority=2).backlog == alone
+    table.add_upcoming("pool", 2, 5)
+    assert table.estimate("pool", 1.0, 10.0, priority=2).backlog == alone + 5
+    assert table.estimate("pool", 1.0, 10.0, priority=3).backlog == alone + 12
