Refuse streams of evacuated versions early; read past restores

Callers would have seen: a stream of a version whose engines are all evacuated, or outside the account's regions, ran its stages before it was refused; a record was missed by a host whose read had begun before a restore of the store, so that its stream was refused as unknown.

Change: the check asks the placement, which knows evacuations and regions; a read goes on from the first offset after a restore.

Evidence: the test of the read fails without the change; tests of stream records and versions pass.

--- a/chervilarch/placement.py
+++ b/chervilarch/placement.py
@@ -193,9 +193,17 @@
             for pool, loads in self._engine_loads.items()
         }
 
-    def has_endpoint(self, pool: str, regions: homes.Allowed) -> bool:
-        """Returns whether a pool has an endpoint in the allowed regions."""
-        return bool(self._endpoints(pool, regions))
+    def has_endpoint(
+        self, pool: str, regions: homes.Allowed, version: str | None = None
+    ) -> bool:
+        """Returns whether a pool has an endpoint in the allowed regions.
+
+        Args:
+            pool: the pool.
+            regions: the regions, None for all.
+            version: version of its software, None for any.
+        """
+        return bool(self._endpoints(pool, regions, version))
 
     def _endpoints(
         self, pool: str, regions: homes.Allowed, version: str | None = None
--- a/chervilarch/routed_filters.py
+++ b/chervilarch/routed_filters.py
@@ -218,8 +218,8 @@
     begun = yield from ctx.ctrl.versions.find(
         req.resumed_id, pool, req.route.timeout_s
     )
-    is_gone = begun is not None and not ctx.ctrl.versions.is_listed(
-        pool, begun.version
+    is_gone = begun is not None and not ctx.ctrl.placement.has_endpoint(
+        pool, req.regions, begun.version
     )
     state = "unknown" if begun is None else "gone" if is_gone else "known"
     ctx.ctrl.meters.count_resumed_stream(state)
--- a/chervilarch/scheduling/version_history.py
+++ b/chervilarch/scheduling/version_history.py
@@ -100,11 +100,6 @@
             if presence.until >= now - span_s
         }
 
-    def is_listed(self, pool: str, version: str) -> bool:
-        """Returns whether an endpoint of a version may get work."""
-        presence = self._pools.get(pool, {}).get(version)
-        return presence is not None and presence.until == float("inf")
-
     def mixed_s(self, pool: str, span_s: float, now: float) -> float | None:
         """Returns for how long a pool has had several versions.
 
--- a/chervilarch/stream_records.py
+++ b/chervilarch/stream_records.py
@@ -160,6 +160,9 @@
             page = yield self._store.read_changes(
                 store.Topic.STREAMS, offset, 0.0
             )
+            if self._offset < offset:
+                # A restore has given out the offsets again meanwhile.
+                continue
             if isinstance(page, store.StoreError):
                 if page.is_dropped and page.first > offset:
                     self._offset = max(self._offset, page.first)
--- a/chervilarch/stream_versions.py
+++ b/chervilarch/stream_versions.py
@@ -61,10 +61,6 @@
         }
         self._history.update(runs, self._loop.now())
 
-    def is_listed(self, pool: str, version: str) -> bool:
-        """Returns whether a pool has an endpoint of a version."""
-        return self._history.is_listed(pool, version)
-
     def record(
         self, stream_id: str, pool: str, version: str, timeout_s: float
     ) -> tasks.Coroutine[None]:
--- a/tests/test_stream_records.py
+++ b/tests/test_stream_records.py
@@ -74,6 +74,22 @@
     assert hosts.find(second, "s2").version == "v2"
 
 
+def test_a_read_that_crosses_a_restore_misses_no_record(hosts):
+    first, _ = hosts.new()
+    for number in range(3):
+        first.write(f"s{number}", "p", "v1")
+        lh.advance(hosts.loop, hosts.clock, 0.1)
+    second, _ = hosts.new()
+    assert hosts.find(second, "s2") is not None
+    hosts.store.restore(1, 1)
+    other, _ = hosts.new()
+    # The second one of these has an offset that the second host had read.
+    for stream_id in ("t0", "t1", "t2", "t3"):
+        other.write(stream_id, "p", "v2")
+        lh.advance(hosts.loop, hosts.clock, 0.1)
+    assert hosts.find(second, "t1").version == "v2"
+
+
 def test_a_record_waits_for_the_store_to_come_back(hosts):
     first, link = hosts.new()
     link.error = store.StoreError("away")
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -193,6 +193,28 @@
     assert not any(engine.resumed for engine in engines)
 
 
+def test_a_stream_whose_version_is_evacuated_is_refused_before_its_stages(
+    new_world,
+):
+    world = new_world()
+    engines = [Engine(world, v, v, zone=f"dc-{v}") for v in ("v1", "v2")]
+    world.start(stream_route_document())
+    begin(world, "first")
+    (began,) = [engine for engine in engines if engine.begun]
+    world.store.write(
+        store.Topic.CONFIGURATION, f"evacuate/dc-{began.version}", b"{}"
+    )
+    lh.run_until(
+        world.loop,
+        lambda: (
+            not world.ctrl.placement.has_endpoint("s1", None, began.version)
+        ),
+    )
+    received = take_up(world)
+    assert status(received) == 503 and b"no-endpoint" in received
+    assert not any(engine.resumed for engine in engines)
+
+
 def test_a_host_that_starts_among_new_engines_takes_up_no_unknown_stream(
     new_world,
 ):
