Record the streams that ran when a second version came

Callers would have seen: a stream that began before a release, whose host ended soon after the release had begun, was refused as unknown at every other host, though its version still served (LOST).

Cause: only streams that began after the second version was listed were recorded.

Evidence: the new test fails without the change (nothing was recorded); the other tests of stream versions pass.

--- a/chervilarch/stream_versions.py
+++ b/chervilarch/stream_versions.py
@@ -24,8 +24,11 @@
 
 
 class _OwnStream(NamedTuple):
+    pool: str
     version: str
     begun_at: float
+    # Monotonic time until which it may be taken up.
+    until: float
 
 
 class StreamVersions:
@@ -45,6 +48,8 @@
         self._own: collections.OrderedDict[str, _OwnStream] = (
             collections.OrderedDict()
         )
+        # Pools with several versions now.
+        self._mixed_pools: set[str] = set()
 
     def set_endpoints(
         self, listed: dict[str, dict[str, endpoint_list.Listing]]
@@ -59,7 +64,23 @@
             ]
             for pool, listings in listed.items()
         }
-        self._history.update(runs, self._loop.now())
+        now = self._loop.now()
+        self._history.update(runs, now)
+        was_mixed, self._mixed_pools = (
+            self._mixed_pools,
+            {
+                pool
+                for pool in runs
+                if len(self._history.versions(pool, 0, now)) > 1
+            },
+        )
+        self._record_begun(self._mixed_pools - was_mixed, now)
+
+    def _record_begun(self, pools: set[str], now: float) -> None:
+        """Records what began at pools that had one version until now."""
+        for stream_id, own in self._own.items():
+            if own.pool in pools and own.until > now:
+                self._records.write(stream_id, own.pool, own.version)
 
     def record(
         self, stream_id: str, pool: str, version: str, timeout_s: float
@@ -77,9 +98,10 @@
         """
         now = self._loop.now()
         self._own.pop(stream_id, None)
-        self._own[stream_id] = _OwnStream(version, now)
+        span_s = _span_s(timeout_s)
+        self._own[stream_id] = _OwnStream(pool, version, now, now + span_s)
         self._forget_old(now)
-        mixed_s = self._history.mixed_s(pool, _span_s(timeout_s), now)
+        mixed_s = self._history.mixed_s(pool, span_s, now)
         if mixed_s is None:
             return
         stored = self._records.write(stream_id, pool, version)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -156,6 +156,23 @@
     assert resumed == {began.version}
 
 
+def test_a_stream_from_before_a_release_is_taken_up_at_its_version(new_world):
+    # Its host ends soon after the release has begun.
+    first = new_world()
+    old = [Engine(first, f"v1-{n}", "v1") for n in (1, 2)]
+    first.start(stream_route_document())
+    begin(first, "first")
+    assert store.Topic.STREAMS not in first.store.log
+    new = [Engine(first, f"v2-{n}", "v2") for n in (1, 2)]
+    lh.run_until(first.loop, lambda: store.Topic.STREAMS in first.store.log)
+    second = new_world(lh.FakeStore(first.store))
+    second.start(stream_route_document())
+    for number in range(4):
+        assert status(take_up(second, number=number)) == 200
+    assert sum(len(engine.resumed) for engine in old) == 4
+    assert not any(engine.resumed for engine in new)
+
+
 def test_a_chain_of_take_ups_stays_at_one_version(two_versions, new_world):
     first, engines = two_versions
     begin(first, "first")
