Do less for each chunk of a stream and each estimate of a wait

Found by reading the diff again; nobody reported it. A stream call looked up its engine's version for each chunk, though only the first event needs it; an estimate of a wait summed the queue's whole backlog for the part that is still to come.

Change: the version is looked up until the first event; PieceQueue.upcoming takes a priority, which estimates and the log line use. No decision changes.

--- a/chervilarch/piece_queue.py
+++ b/chervilarch/piece_queue.py
@@ -220,9 +220,17 @@
         """Adds to the pieces that will be queued; a negative count removes."""
         self._upcoming[priority] += count
 
-    def upcoming(self) -> int:
-        """Returns the number of pieces that will be queued later."""
-        return self._upcoming.total()
+    def upcoming(self, priority: int | None = None) -> int:
+        """Returns the number of pieces that will be queued later.
+
+        Args:
+            priority: counts only pieces at least as urgent, None for all.
+        """
+        if priority is None:
+            return self._upcoming.total()
+        return sum(
+            count for p, count in self._upcoming.items() if p <= priority
+        )
 
     def backlog(self) -> int:
         """Returns the number of queued pieces."""
@@ -235,9 +243,7 @@
             for pending in self._jobs
             if pending.job.priority <= priority
         )
-        upcoming = sum(
-            count for p, count in self._upcoming.items() if p <= priority
-        )
+        upcoming = self.upcoming(priority)
         return Backlog(
             queued,
             upcoming,
@@ -291,7 +297,7 @@
         )
         jobs = [p for p in self._jobs if p.sort_key(now)[:4] <= own_key]
         # Less urgent pieces that are still to come will be passed.
-        ahead = self.backlog_of(priority).upcoming + sum(
+        ahead = self.upcoming(priority) + sum(
             len(p.queued_pieces) for p in jobs
         )
         busy_s = min(max(0.0, w.free_at - now) for w in usable)
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -637,13 +637,13 @@
             chunk: bytes of the reply's body.
             is_first: whether no event of the attempt is complete yet.
         """
+        if not is_first:
+            return self._split(head, attempt.transfer, chunk, is_first)
         version = self._version_of(attempt.lease)
-        if is_first and self._version not in (None, version):
+        if self._version not in (None, version):
             return _OTHER_VERSION
         complete = self._split(head, attempt.transfer, chunk, is_first)
-        if isinstance(complete, attempts.Failure) or not (
-            is_first and complete.has_event
-        ):
+        if isinstance(complete, attempts.Failure) or not complete.has_event:
             return complete
         self._version = version
         if not self._has_sent_event:
