Drop a parameter that no caller of the product used

version_history.decide got a host's own stream only as None: the finder returns that one before it asks the store. The tests passed None too; their assertions stay. No decision changes; tests of version history and stream versions pass.

--- a/chervilarch/scheduling/version_history.py
+++ b/chervilarch/scheduling/version_history.py
@@ -147,24 +147,20 @@
 
 
 def decide(
-    own: BegunAt | None,
     recorded: BegunAt | None,
     sole: str | None,
     has_records: bool,
 ) -> BegunAt | None:
-    """Returns the version that began a stream, None if it can't be known.
+    """Returns the version that began another host's stream, None if unknown.
 
     Hosts record streams while they know of several versions, so a stream
     without a record is known only if no host can have known of a second one.
 
     Args:
-        own: if this host began the stream, its version.
         recorded: the version in the stream's record.
         sole: the pool's only version since before the stream began.
         has_records: whether streams of the pool were recorded since then.
     """
-    if own is not None:
-        return own
     if recorded is not None:
         return recorded
     if sole is not None and not has_records:
--- a/chervilarch/stream_versions.py
+++ b/chervilarch/stream_versions.py
@@ -140,7 +140,6 @@
                     found.version, version_history.Origin.RECORD, age_s
                 )
         return version_history.decide(
-            None,
             recorded,
             self._history.sole_version(
                 pool, span_s, self._loop.now(), self._clock.wall()
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -92,7 +92,7 @@
     history = host.history(now)
     sole = history.sole_version("p", _SPAN_S, now, _WALL_S + now)
     recorded = record and BegunAt(record, Origin.RECORD, 0.0)
-    return version_history.decide(None, recorded, sole, has_records)
+    return version_history.decide(recorded, sole, has_records)
 
 
 @seed(47)
