Log what a host knew when a stream was taken up

The log of a take-up told its end only. It couldn't tell a record that the store doesn't have from one that couldn't be read, nor how old the list of endpoints was on which a sole version rests.

`stream version looked up` has how the search for a record ended, the versions listed and the age of the list. No decision changed.

--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -412,6 +412,7 @@
             loop, store_client, loop.clock, rng, gateways.host_count
         ),
     )
+    versions.list_read_at = lambda: endpoints.topic_follower.read_at
     endpoints.add_listener(versions.set_endpoints)
     costs = request_cost.CostModel()
     configuration.add_listener(
--- a/chervilarch/stream_versions.py
+++ b/chervilarch/stream_versions.py
@@ -1,11 +1,14 @@
 """Finds at which software version a stream that is taken up may go on."""
 
 import collections
+from collections.abc import Callable
 from typing import NamedTuple
 
 from chervilarch import (
     clocks,
     endpoint_list,
+    state_log,
+    store,
     stream_records,
     tasks,
 )
@@ -50,6 +53,8 @@
         )
         # Pools with several versions now.
         self._mixed_pools: set[str] = set()
+        # Returns the monotonic time as of which the list is known.
+        self.list_read_at: Callable[[], float] = loop.now
 
     def set_endpoints(
         self, listed: dict[str, dict[str, endpoint_list.Listing]]
@@ -127,11 +132,12 @@
             return version_history.BegunAt(
                 own.version, version_history.Origin.OWN, now - own.begun_at
             )
-        recorded = None
+        recorded, records_state = None, "not asked for"
         if stream_id:
             search = tasks.Task(self._records.find(stream_id))
             until = now + _MAX_FIND_S
             found = yield from tasks.wait(self._loop, search.future, until)
+            records_state = _records_state(found)
             if isinstance(found, tasks.TimedOut):
                 search.cancel()
             elif isinstance(found, stream_records.StreamRecord):
@@ -139,13 +145,21 @@
                 recorded = version_history.BegunAt(
                     found.version, version_history.Origin.RECORD, age_s
                 )
-        return version_history.decide(
-            recorded,
-            self._history.sole_version(
-                pool, span_s, self._loop.now(), self._clock.wall()
-            ),
-            self._records.has_records(pool, span_s),
+        sole = self._history.sole_version(
+            pool, span_s, self._loop.now(), self._clock.wall()
         )
+        has_records = self._records.has_records(pool, span_s)
+        state_log.log_decision(
+            "stream version looked up",
+            resumed_id=stream_id,
+            pool=pool,
+            records=records_state,
+            has_records=has_records,
+            listed=sorted(self._history.versions(pool, span_s, now)),
+            sole_version=sole,
+            list_age_ms=round(1000 * (now - self.list_read_at())),
+        )
+        return version_history.decide(recorded, sole, has_records)
 
     def _forget_old(self, now: float) -> None:
         oldest = now - stream_records.RETENTION_S
@@ -159,3 +173,17 @@
 def _span_s(timeout_s: float) -> float:
     """Returns for how long after its beginning a stream may be taken up."""
     return timeout_s + version_history.MARGIN_S
+
+
+def _records_state(
+    found: stream_records.StreamRecord
+    | store.StoreError
+    | tasks.TimedOut
+    | None,
+) -> str:
+    """Returns what a search for a record came to, for the log."""
+    if isinstance(found, tasks.TimedOut):
+        return "not read in time"
+    if isinstance(found, store.StoreError):
+        return f"not read: {found.reason}"
+    return "none" if found is None else "found"
