--- a/chervilarch/endpoint_list.py
+++ b/chervilarch/endpoint_list.py
@@ -101,6 +101,10 @@
             if listing.entry.state != hosts.LEAVING
         }
 
+    def all(self) -> dict[str, Listing]:
+        """Returns the listed endpoints, also those that leave."""
+        return dict(self._listed)
+
     def find(self, name: str) -> Listing | None:
         """Returns the last listing of an endpoint, if it is still listed."""
         return self._listed.get(name)
--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -226,6 +226,8 @@
         self.on_report: Callable[[endpoint_list.Listing, float], bool] = _ignore
         self._changed = False
         self._listeners: list[Callable[[dict], None]] = []
+        # These get the endpoints that leave, too.
+        self._full_listeners: list[Callable[[dict], None]] = []
         # Reads don't wait for a change.
         self.topic_follower = topic_follower.TopicFollower(
             loop, source, store.Topic.ENDPOINTS, 0.0, pause_s
@@ -246,6 +248,13 @@
         """Calls `listener` with the usable endpoints, by pool and id."""
         self._listeners.append(listener)
 
+    def add_full_listener(
+        self,
+        listener: Callable[[dict[str, dict[str, endpoint_list.Listing]]], None],
+    ) -> None:
+        """Calls `listener` with all listed endpoints, by pool and id."""
+        self._full_listeners.append(listener)
+
     def version_of(self, listing: endpoint_list.Listing, sent_at: float) -> str:
         """Returns the software version of the run that got a request.
 
@@ -475,11 +484,22 @@
         self._changed = False
         for name in [n for n in self._records if not self._endpoints.find(n)]:
             del self._records[name]
-        by_pool: dict[str, dict[str, endpoint_list.Listing]] = {}
-        for name, listing in self._endpoints.listed().items():
-            by_pool.setdefault(listing.entry.pool, {})[name] = listing
-        for listener in self._listeners:
-            guards.call(listener, by_pool)
+        for listeners, listed in (
+            (self._full_listeners, self._endpoints.all()),
+            (self._listeners, self._endpoints.listed()),
+        ):
+            by_pool = _by_pool(listed)
+            for listener in listeners:
+                guards.call(listener, by_pool)
+
+
+def _by_pool(
+    listed: dict[str, endpoint_list.Listing],
+) -> dict[str, dict[str, endpoint_list.Listing]]:
+    by_pool: dict[str, dict[str, endpoint_list.Listing]] = {}
+    for name, listing in listed.items():
+        by_pool.setdefault(listing.entry.pool, {})[name] = listing
+    return by_pool
 
 
 def _ignore(listing: endpoint_list.Listing, now: float) -> bool:
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -413,7 +413,7 @@
         ),
     )
     versions.list_read_at = lambda: endpoints.topic_follower.read_at
-    endpoints.add_listener(versions.set_endpoints)
+    endpoints.add_full_listener(versions.set_endpoints)
     costs = request_cost.CostModel()
     configuration.add_listener(
         lambda table: costs.keep_routes(r.name for r in table.routes())
--- a/chervilarch/scheduling/version_history.py
+++ b/chervilarch/scheduling/version_history.py
@@ -72,7 +72,8 @@
         """Replaces the listed runs.
 
         Args:
-            listed: the runs of all endpoints that may get work, by pool.
+            listed: the runs of all endpoints, also of those that leave and
+                still write streams, by pool.
             now: monotonic time in seconds.
         """
         for pool in self._pools.keys() | listed.keys():
@@ -148,6 +149,7 @@
 
 def decide(
     recorded: BegunAt | None,
+    is_read: bool,
     sole: str | None,
     has_records: bool,
 ) -> BegunAt | None:
@@ -158,11 +160,13 @@
 
     Args:
         recorded: the version in the stream's record.
+        is_read: whether the records were read; a record that couldn't be read
+            may be there.
         sole: the pool's only version since before the stream began.
         has_records: whether streams of the pool were recorded since then.
     """
     if recorded is not None:
         return recorded
-    if sole is not None and not has_records:
+    if is_read and sole is not None and not has_records:
         return BegunAt(sole, Origin.SOLE)
     return None
--- a/chervilarch/stream_versions.py
+++ b/chervilarch/stream_versions.py
@@ -59,7 +59,7 @@
     def set_endpoints(
         self, listed: dict[str, dict[str, endpoint_list.Listing]]
     ) -> None:
-        """Takes note of the versions of the endpoints that may get work."""
+        """Takes note of the versions of all endpoints, also of leaving ones."""
         runs = {
             pool: [
                 version_history.ListedRun(
@@ -132,19 +132,18 @@
             return version_history.BegunAt(
                 own.version, version_history.Origin.OWN, now - own.begun_at
             )
-        recorded, records_state = None, "not asked for"
-        if stream_id:
-            search = tasks.Task(self._records.find(stream_id))
-            until = now + _MAX_FIND_S
-            found = yield from tasks.wait(self._loop, search.future, until)
-            records_state = _records_state(found)
-            if isinstance(found, tasks.TimedOut):
-                search.cancel()
-            elif isinstance(found, stream_records.StreamRecord):
-                age_s = self._clock.wall() - found.begun_at
-                recorded = version_history.BegunAt(
-                    found.version, version_history.Origin.RECORD, age_s
-                )
+        search = tasks.Task(self._records.find(stream_id))
+        until = now + _MAX_FIND_S
+        found = yield from tasks.wait(self._loop, search.future, until)
+        if isinstance(found, tasks.TimedOut):
+            search.cancel()
+        recorded = None
+        if isinstance(found, stream_records.StreamRecord):
+            age_s = self._clock.wall() - found.begun_at
+            recorded = version_history.BegunAt(
+                found.version, version_history.Origin.RECORD, age_s
+            )
+        is_read = not isinstance(found, tasks.TimedOut | store.StoreError)
         sole = self._history.sole_version(
             pool, span_s, self._loop.now(), self._clock.wall()
         )
@@ -153,13 +152,13 @@
             "stream version looked up",
             resumed_id=stream_id,
             pool=pool,
-            records=records_state,
+            records=_records_state(found),
             has_records=has_records,
             listed=sorted(self._history.versions(pool, span_s, now)),
             sole_version=sole,
             list_age_ms=round(1000 * (now - self.list_read_at())),
         )
-        return version_history.decide(recorded, sole, has_records)
+        return version_history.decide(recorded, is_read, sole, has_records)
 
     def _forget_old(self, now: float) -> None:
         oldest = now - stream_records.RETENTION_S
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -81,6 +81,16 @@
     return lh.receive(world.loop, conn, lambda data: b"<EOF>" in data)
 
 
+def drain(world, name):
+    """Has an engine report that it leaves; it goes on serving."""
+    records = world.store.log[store.Topic.ENDPOINTS]
+    entry = json.loads(
+        next(r.value for r in reversed(records) if r.key == name)
+    )
+    entry |= {"state": "draining", "sequence": entry["sequence"] + 1}
+    world.store.write(store.Topic.ENDPOINTS, name, json.dumps(entry).encode())
+
+
 @pytest.fixture
 def new_world():
     """Creates hosts; those with the same store share it."""
@@ -254,12 +264,8 @@
     assert store.Topic.STREAMS not in world.store.log
 
 
-@pytest.mark.parametrize(
-    ("versions", "expected"), [(("v1", "v1"), 200), (("v1", "v2"), 503)]
-)
-def test_without_the_store_only_a_sole_version_goes_on(
-    new_world, versions, expected
-):
+@pytest.mark.parametrize("versions", [("v1", "v1"), ("v1", "v2")])
+def test_without_the_store_no_other_hosts_stream_goes_on(new_world, versions):
     world = new_world()
     engines = [Engine(world, f"e{n}", v) for n, v in enumerate(versions)]
     world.start(stream_route_document())
@@ -267,8 +273,46 @@
         world.loop, lambda: world.ctrl.placement.has_endpoint("s1", None)
     )
     world.store.error = store.StoreError("away")
-    assert status(take_up(world)) == expected
-    assert sum(len(e.resumed) for e in engines) == (expected == 200)
+    received = take_up(world)
+    assert status(received) == 503 and b"stream-unknown" in received
+    assert not any(engine.resumed for engine in engines)
+
+
+def test_a_host_added_before_an_outage_takes_up_no_stream_of_leaving_engines(
+    new_world,
+):
+    # review/11: streams of engines that leave went on at the other version.
+    first = new_world()
+    old = [Engine(first, f"v1-{n}", "v1") for n in (1, 2)]
+    first.start(stream_route_document())
+    begin(first, "first")
+    assert any(engine.begun for engine in old)
+    new = [Engine(first, f"v2-{n}", "v2") for n in (1, 2)]
+    for number in (1, 2):
+        drain(first, f"v1-{number}")
+    second = new_world(lh.FakeStore(first.store))
+    second.start(stream_route_document())
+    lh.run_until(
+        second.loop, lambda: second.ctrl.placement.has_endpoint("s1", None)
+    )
+    second.store.error = store.StoreError("away")
+    received = take_up(second)
+    assert status(received) == 503 and b"stream-unknown" in received
+    assert not any(engine.resumed for engine in old + new)
+
+
+def test_engines_that_leave_count_as_a_version(new_world):
+    # A host that has just started never saw them ready.
+    world = new_world()
+    engines = [Engine(world, version, version) for version in ("v1", "v2")]
+    drain(world, "v1")
+    world.start(stream_route_document())
+    lh.run_until(
+        world.loop, lambda: world.ctrl.placement.has_endpoint("s1", None)
+    )
+    received = take_up(world)
+    assert status(received) == 503 and b"stream-unknown" in received
+    assert not any(engine.resumed for engine in engines)
 
 
 def test_a_stream_whose_record_a_restore_lost_is_refused(
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -88,11 +88,11 @@
     return hosts, begun_at, taken_up_at, draw(st.integers(0, 5))
 
 
-def find(host, now, record, has_records):
+def find(host, now, record, has_records, is_read=True):
     history = host.history(now)
     sole = history.sole_version("p", _SPAN_S, now, _WALL_S + now)
     recorded = record and BegunAt(record, Origin.RECORD, 0.0)
-    return version_history.decide(recorded, sole, has_records)
+    return version_history.decide(recorded, is_read, sole, has_records)
 
 
 @seed(47)
@@ -137,6 +137,13 @@
     assert begun is not None and begun.version == version
 
 
+def test_a_record_that_could_not_be_read_is_not_missing():
+    # review/11: a host that was added in an outage of the store.
+    host = Host([Run("v2", -100.0, 100.0)], -200.0, 0.0)
+    assert find(host, 50.0, None, False).version == "v2"
+    assert find(host, 50.0, None, False, is_read=False) is None
+
+
 def test_a_host_that_starts_trusts_only_a_version_that_is_old_enough():
     for age_s, expected in ((_SPAN_S + 3.0, "v1"), (_SPAN_S, None)):
         history = version_history.VersionHistory()
