--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -18,6 +18,8 @@
 # How soon the end of a grace time is tried again while the store is away.
 _EXPIRY_RETRY_S = 0.1
 _MS_PER_S = 1000
+# An endpoint that comes and leaves as planned is listed for longer than this.
+_MAX_READ_GAP_S = 3.0
 # When a host asks another one after a restore, in seconds. It may have missed
 # the end of an evacuation that the copy has, or have taken a new one for an old
 # one. By the first time, all hosts have noticed the restore; the second time
@@ -191,6 +193,9 @@
 
     Attributes:
         topic_follower: follows the topic of the endpoints' records.
+        followed_since: monotonic time from which on the list was read without
+            a gap in which an endpoint could have come and gone; infinite
+            before the first read.
     """
 
     def __init__(
@@ -228,6 +233,8 @@
         self._listeners: list[Callable[[dict], None]] = []
         # These get the endpoints that leave, too.
         self._full_listeners: list[Callable[[dict], None]] = []
+        self.followed_since = float("inf")
+        self._followed_until = float("-inf")
         # Reads don't wait for a change.
         self.topic_follower = topic_follower.TopicFollower(
             loop, source, store.Topic.ENDPOINTS, 0.0, pause_s
@@ -235,7 +242,7 @@
         self.topic_follower.on_snapshot = self._apply_snapshot
         self.topic_follower.on_change = self._apply_record
         self.topic_follower.on_removed = self._apply_removed
-        self.topic_follower.on_read = self._notify_listeners
+        self.topic_follower.on_read = self._on_read
         self.topic_follower.beliefs = self._beliefs
         self.topic_follower.on_beliefs = self._apply_beliefs
         self.topic_follower.on_outage_end = self._start_grace
@@ -255,6 +262,14 @@
         """Calls `listener` with all listed endpoints, by pool and id."""
         self._full_listeners.append(listener)
 
+    def _on_read(self) -> None:
+        """Takes note of how far the list is known, and notifies listeners."""
+        read_at = self.topic_follower.read_at
+        if read_at > self._followed_until + _MAX_READ_GAP_S:
+            self.followed_since = read_at
+        self._followed_until = max(self._followed_until, read_at)
+        self._notify_listeners()
+
     def version_of(self, listing: endpoint_list.Listing, sent_at: float) -> str:
         """Returns the software version of the run that got a request.
 
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -128,6 +128,7 @@
         self._ctrl.fleet.start()
         self._ctrl.advisories.start()
         self._ctrl.prompt_guard.start()
+        self._ctrl.versions.start()
         state_log.log_change(
             "gateway started",
             host=self._cfg.host,
@@ -411,9 +412,13 @@
         stream_records.StreamRecords(
             loop, store_client, loop.clock, rng, gateways.host_count
         ),
+        rng,
+        gateways.host_count,
     )
     versions.list_read_at = lambda: endpoints.topic_follower.read_at
+    versions.list_followed_since = lambda: endpoints.followed_since
     endpoints.add_full_listener(versions.set_endpoints)
+    configuration.add_listener(versions.set_routes)
     costs = request_cost.CostModel()
     configuration.add_listener(
         lambda table: costs.keep_routes(r.name for r in table.routes())
--- a/chervilarch/platform/store.py
+++ b/chervilarch/platform/store.py
@@ -13,6 +13,7 @@
 
 _OK = 200
 _GONE = 410
+_PRECONDITION_FAILED = 412
 _MS_PER_S = 1000
 # How long after the end of its wait a read times out. The store usually answers
 # in milliseconds but may be slow for a while.
@@ -22,7 +23,7 @@
     store.Topic.ENDPOINTS: "keyed.servers",
     store.Topic.ROUTERS: "keyed.routers",
     store.Topic.BLOCKS: "keyed.blocks",
-    store.Topic.STREAMS: "streams",
+    store.Topic.STREAMS: "keyed.streams",
 }
 # Key of the operators' record; other keys of that topic aren't for us.
 CONFIGURATION_KEY = "config"
@@ -103,10 +104,13 @@
         topic: store.Topic,
         records: list[tuple[str, bytes]],
         timeout_s: float,
+        at: int | None = None,
     ) -> "Future[store.StoreError | None]":
-        """Appends keys and values, all or none."""
+        """Appends keys and values, all or none; `at` as in `store.Store`."""
         body = b"".join(_encode_record(key, value) for key, value in records)
         query = {"topic": _TOPICS[topic], "part": 0}
+        if at is not None:
+            query["at"] = at
         exchange = self._exchange("POST", "log-append", query, timeout_s)
         exchange = exchange._replace(body=body, fresh=True)
         return self._call(exchange, lambda result, _: _reply_error(result))
@@ -168,6 +172,8 @@
         return store.StoreError(
             "the records were dropped", True, _read_first(result.body)
         )
+    if result.status == _PRECONDITION_FAILED:
+        return store.StoreError("the topic ends elsewhere", is_conflict=True)
     if result.status != _OK:
         return store.StoreError(f"HTTP status {result.status}")
     return None
--- a/chervilarch/routed_filters.py
+++ b/chervilarch/routed_filters.py
@@ -18,7 +18,7 @@
     tasks,
 )
 from chervilarch.routed_context import RoutedContext
-from chervilarch.scheduling import homes
+from chervilarch.scheduling import homes, version_history
 
 NextFilter = Callable[[], tasks.Coroutine[outcomes.Outcome]]
 Filter = Callable[
@@ -215,9 +215,10 @@
     if not (req.resume_after and req.route.is_stream):
         return (yield from call_next())
     pool = req.route.pool_for(req.id)
-    begun = yield from ctx.ctrl.versions.find(
+    found = yield from ctx.ctrl.versions.find(
         req.resumed_id, pool, req.route.timeout_s
     )
+    begun = found if isinstance(found, version_history.BegunAt) else None
     is_gone = begun is not None and not ctx.ctrl.placement.has_endpoint(
         pool, req.regions, begun.version
     )
--- a/chervilarch/store.py
+++ b/chervilarch/store.py
@@ -17,7 +17,7 @@
     """Topics of the store.
 
     `ROUTERS` is the list of all gateways, `BLOCKS` holds the blocks of prompts,
-    `STREAMS` the software versions that began streams.
+    `STREAMS` the software versions that began streams and the default ones.
     """
 
     CONFIGURATION = "configuration"
@@ -135,11 +135,13 @@
         reason: the cause, for the log.
         is_dropped: whether the records asked for are no longer kept.
         first: then the first offset that is still kept, 0 if unknown.
+        is_conflict: whether a condition of the write didn't hold.
     """
 
     reason: str
     is_dropped: bool = False
     first: int = 0
+    is_conflict: bool = False
 
 
 class EraWatch:
@@ -202,5 +204,13 @@
         topic: Topic,
         records: list[tuple[str, bytes]],
         timeout_s: float,
+        at: int | None = None,
     ) -> "Future[StoreError | None]":
-        """Appends keys and values, all or none."""
+        """Appends keys and values, all or none.
+
+        Args:
+            topic: the topic.
+            records: the keys and values.
+            timeout_s: how long to wait for the answer, in seconds.
+            at: appends only if the topic ends at this offset; None for any.
+        """
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -46,6 +46,10 @@
     attempts.FailureCause.FAILED,
     "the endpoint has started again with another version of its software",
 )
+_UNRECORDED = attempts.Failure(
+    attempts.FailureCause.LATE,
+    "the store didn't take the record of the stream's version in time",
+)
 _STALLED = attempts.Failure(attempts.FailureCause.LATE, "no event in time")
 
 
@@ -353,9 +357,21 @@
             preferred=inputs.proposed_engine,
             finish_by=self._ctx.req.deadline_at,
             regions=self._ctx.req.regions,
-            version=self._version,
+            version=self._version or self._preferred_version(),
         )
 
+    def _preferred_version(self) -> str | None:
+        """Returns the version at which a new stream begins at once."""
+        ctrl, req = self._ctx.ctrl, self._ctx.req
+        if not req.is_retryable():
+            return None
+        version = ctrl.versions.preferred(self._pool)
+        if version is not None and ctrl.placement.has_endpoint(
+            self._pool, req.regions, version
+        ):
+            return version
+        return None
+
     def _drop_expired_inputs(self) -> None:
         inputs = self._next_inputs
         if inputs is not None and self._ctx.now() >= self._next_inputs_until:
@@ -647,7 +663,9 @@
             return complete
         self._version = version
         if not self._has_sent_event:
-            yield from self._record_version()
+            is_recorded = yield from self._record_version()
+            if not is_recorded:
+                return _UNRECORDED
         return complete
 
     def _split(
@@ -710,13 +728,24 @@
             lease.listing, lease.slot.started_at
         )
 
-    def _record_version(self) -> tasks.Coroutine[None]:
-        """Makes known to other hosts which version began the stream."""
+    def _record_version(self) -> tasks.Coroutine[bool]:
+        """Makes known to other hosts which version began the stream.
+
+        Returns:
+            Whether its first event may be sent.
+        """
         req = self._ctx.req
-        if req.is_retryable():
+        if not req.is_retryable():
+            return True
+        return (
             yield from self._ctx.ctrl.versions.record(
-                req.id, self._pool, self._version, req.route.timeout_s
+                req.id,
+                self._pool,
+                self._version,
+                req.route.timeout_s,
+                req.deadline_at,
             )
+        )
 
     def _on_first_event(self, lease: placement.Lease, head) -> None:
         ctx = self._ctx
--- a/chervilarch/stream_versions.py
+++ b/chervilarch/stream_versions.py
@@ -1,29 +1,40 @@
-"""Finds at which software version a stream that is taken up may go on."""
+"""Finds at which software version a stream that is taken up may go on.
+
+docs/design/stream-versions.md says what is known by whom and when.
+"""
 
 import collections
+import random
 from collections.abc import Callable
 from typing import NamedTuple
 
 from chervilarch import (
     clocks,
     endpoint_list,
+    hosts,
+    routing_table,
     state_log,
     store,
     stream_records,
     tasks,
 )
 from chervilarch import loop as loops
-from chervilarch.scheduling import version_history
+from chervilarch.scheduling import default_version, version_history
 
 _MS_PER_S = 1000
 _MAX_OWN = 20_000
-# While a pool has had several versions for less than this, other hosts may not
-# know it: a stream begins only when its record is stored.
-_SETTLED_S = 5.0
-# Longest wait for that; the store may be away.
-_MAX_RECORD_WAIT_S = 0.5
 # Longest search for a record.
 _MAX_FIND_S = 0.5
+# A stream may begin without a record if no other version was listed for this
+# time: it would be taken for one of a version that no host has an endpoint of.
+_ALONE_S = 5.0
+# How often it is looked at whether it may.
+_RECORD_CHECK_S = 0.25
+# Default versions are looked after once in this time, later by up to the second
+# time, or one that allows this many hosts a second.
+_KEEP_PERIOD_S = 0.3
+_KEEP_SPREAD_S = 0.3
+_KEEPERS_PER_S = 100.0
 
 
 class _OwnStream(NamedTuple):
@@ -35,26 +46,61 @@
 
 
 class StreamVersions:
-    """The versions that began streams, as far as this host can know."""
+    """The versions that began streams, as far as this host can know.
+
+    Attributes:
+        list_read_at: returns the monotonic time as of which the list of
+            endpoints is known.
+        list_followed_since: returns the monotonic time from which on no change
+            of the list was missed.
+    """
 
     def __init__(
         self,
         loop: loops.Loop,
         clock: clocks.Clock,
         records: stream_records.StreamRecords,
+        rng: random.Random,
+        host_count: Callable[[], int],
     ):
+        """Creates the versions; `start` has default versions looked after.
+
+        Args:
+            loop: the event loop.
+            clock: its time of day tells the age of records.
+            records: the records in the store.
+            rng: spreads the work of all hosts over time.
+            host_count: returns the number of hosts.
+        """
         self._loop = loop
         self._clock = clock
         self._records = records
+        self._rng = rng
+        self._host_count = host_count
         self._history = version_history.VersionHistory()
         # Streams that this host began or took up, by id.
         self._own: collections.OrderedDict[str, _OwnStream] = (
             collections.OrderedDict()
         )
-        # Pools with several versions now.
-        self._mixed_pools: set[str] = set()
-        # Returns the monotonic time as of which the list is known.
+        # For how long streams may be taken up, by pool of a route whose streams
+        # may be. It doesn't shrink: those begun before go on.
+        self._spans: dict[str, float] = {}
         self.list_read_at: Callable[[], float] = loop.now
+        self.list_followed_since: Callable[[], float] = loop.now
+        records.on_defaults = self._record_unproven
+
+    def start(self) -> None:
+        """Begins to look after the default versions."""
+        tasks.Task(self._keep_defaults())
+
+    def set_routes(self, table: routing_table.RoutingTable) -> None:
+        """Takes note of the pools whose streams may be taken up."""
+        for route in table.routes():
+            if route.is_stream and (
+                route.retry_policy is routing_table.RetryPolicy.ANY
+            ):
+                for pool, _ in route.pools:
+                    self._widen_span(pool, route.timeout_s)
 
     def set_endpoints(
         self, listed: dict[str, dict[str, endpoint_list.Listing]]
@@ -63,61 +109,72 @@
         runs = {
             pool: [
                 version_history.ListedRun(
-                    listing.version, listing.entry.incarnation / _MS_PER_S
+                    listing.version,
+                    listing.entry.incarnation / _MS_PER_S,
+                    listing.entry.state == hosts.LEAVING,
                 )
                 for listing in listings.values()
             ]
             for pool, listings in listed.items()
         }
-        now = self._loop.now()
-        self._history.update(runs, now)
-        was_mixed, self._mixed_pools = (
-            self._mixed_pools,
-            {
-                pool
-                for pool in runs
-                if len(self._history.versions(pool, 0, now)) > 1
-            },
-        )
-        self._record_begun(self._mixed_pools - was_mixed, now)
+        self._history.update(runs, self._loop.now())
+        self._record_unproven()
 
-    def _record_begun(self, pools: set[str], now: float) -> None:
-        """Records what began at pools that had one version until now."""
-        for stream_id, own in self._own.items():
-            if own.pool in pools and own.until > now:
-                self._records.write(stream_id, own.pool, own.version)
+    def preferred(self, pool: str) -> str | None:
+        """Returns the version at which new streams begin at once, None for any.
+
+        While the store is away, those at other versions would wait for it.
+        """
+        default = self._records.default(pool)
+        if default is None or not self._records.is_store_away():
+            return None
+        return default.version
 
     def record(
-        self, stream_id: str, pool: str, version: str, timeout_s: float
-    ) -> tasks.Coroutine[None]:
-        """Takes note of a stream that begins.
+        self,
+        stream_id: str,
+        pool: str,
+        version: str,
+        timeout_s: float,
+        until: float,
+    ) -> tasks.Coroutine[bool]:
+        """Takes note of a stream that begins, before its first event is sent.
 
-        While the pool has several versions it is recorded in the store, also
-        for other hosts. Without several ones nothing is written.
+        Nothing is written if it begins at the pool's default version.
 
         Args:
             stream_id: the caller's id of the request.
             pool: pool of the engine.
             version: version of the engine's software.
             timeout_s: how long streams of its route may take.
+            until: monotonic time at which to give up.
+
+        Returns:
+            Whether it may begin: no host can take it for one of another
+            version.
         """
         now = self._loop.now()
+        span_s = self._widen_span(pool, timeout_s)
         self._own.pop(stream_id, None)
-        span_s = _span_s(timeout_s)
         self._own[stream_id] = _OwnStream(pool, version, now, now + span_s)
         self._forget_old(now)
-        mixed_s = self._history.mixed_s(pool, span_s, now)
-        if mixed_s is None:
-            return
+        if not self._needs_record(pool, version):
+            return True
         stored = self._records.write(stream_id, pool, version)
-        if mixed_s < _SETTLED_S:
-            until = now + _MAX_RECORD_WAIT_S
-            yield from tasks.wait(self._loop, stored, until)
+        default = self._records.default(pool)
+        if default is not None and default.version == version:
+            return True
+        while not stored.done() and self._loop.now() < until:
+            if self._is_alone(pool, version):
+                return True
+            wait_until = min(until, self._loop.now() + _RECORD_CHECK_S)
+            yield from tasks.wait(self._loop, stored, wait_until)
+        return stored.done() and stored.result()
 
     def find(
         self, stream_id: str, pool: str, timeout_s: float
-    ) -> tasks.Coroutine["version_history.BegunAt | None"]:
-        """Returns the version that began a stream, None if it isn't known.
+    ) -> tasks.Coroutine["version_history.BegunAt | version_history.Unknown"]:
+        """Returns the version that began a stream, if it is known.
 
         Args:
             stream_id: the id of the request that brought its first event, "" if
@@ -125,40 +182,149 @@
             pool: pool of the route's engines.
             timeout_s: how long streams of the route may take.
         """
-        now = self._loop.now()
-        span_s = _span_s(timeout_s)
+        asked_at = self._loop.now()
+        span_s = self._widen_span(pool, timeout_s)
         own = self._own.get(stream_id)
         if own is not None:
             return version_history.BegunAt(
-                own.version, version_history.Origin.OWN, now - own.begun_at
+                own.version,
+                version_history.Origin.OWN,
+                asked_at - own.begun_at,
             )
-        search = tasks.Task(self._records.find(stream_id))
-        until = now + _MAX_FIND_S
-        found = yield from tasks.wait(self._loop, search.future, until)
-        if isinstance(found, tasks.TimedOut):
-            search.cancel()
-        recorded = None
-        if isinstance(found, stream_records.StreamRecord):
-            age_s = self._clock.wall() - found.begun_at
-            recorded = version_history.BegunAt(
-                found.version, version_history.Origin.RECORD, age_s
-            )
-        is_read = not isinstance(found, tasks.TimedOut | store.StoreError)
-        sole = self._history.sole_version(
-            pool, span_s, self._loop.now(), self._clock.wall()
+        read = yield from tasks.wait(
+            self._loop, self._records.refresh(), asked_at + _MAX_FIND_S
         )
-        has_records = self._records.has_records(pool, span_s)
+        stored = None
+        if read is None:
+            stored = self._stored_evidence(stream_id, pool, span_s)
+        begun = version_history.decide(stored)
+        now = self._loop.now()
+        default = self._records.default(pool)
         state_log.log_decision(
             "stream version looked up",
             resumed_id=stream_id,
             pool=pool,
-            records=_records_state(found),
-            has_records=has_records,
+            records=_records_state(read, stored),
+            default=default and default.version,
             listed=sorted(self._history.versions(pool, span_s, now)),
-            sole_version=sole,
-            list_age_ms=round(1000 * (now - self.list_read_at())),
+            list_age_ms=_to_ms(now - self.list_read_at()),
+            list_known_ms=_to_ms(now - self.list_followed_since()),
+            unknown=getattr(begun, "reason", None),
+        )
+        return begun
+
+    def _stored_evidence(
+        self, stream_id: str, pool: str, span_s: float
+    ) -> version_history.StoredEvidence:
+        """Returns what the records that were read last say of a stream."""
+        recorded = None
+        found = self._records.known(stream_id) if stream_id else None
+        if found is not None:
+            recorded = version_history.BegunAt(
+                found.version,
+                version_history.Origin.RECORD,
+                self._clock.wall() - found.begun_at,
+            )
+        default = self._records.default(pool)
+        is_proof = default_version.is_proof(
+            default, self._records.era(), span_s, self._clock.wall()
+        )
+        if is_proof and not stream_id:
+            # It may have a record of any id.
+            versions = self._records.versions(pool, span_s)
+            is_proof = versions <= {default.version}
+        return version_history.StoredEvidence(
+            recorded, default.version if is_proof else None
         )
-        return version_history.decide(recorded, is_read, sole, has_records)
+
+    def _needs_record(self, pool: str, version: str) -> bool:
+        """Returns whether a stream is recorded in the store.
+
+        Those at the default version are only while a restore of the store makes
+        a missing record prove nothing, and the list has several versions.
+        """
+        default = self._records.default(pool)
+        if default is None or default.version != version:
+            return True
+        span_s = self._spans[pool]
+        return not default_version.is_proof(
+            default, self._records.era(), span_s, self._clock.wall()
+        ) and self._is_mixed(pool, span_s)
+
+    def _is_mixed(self, pool: str, span_s: float) -> bool:
+        now = self._loop.now()
+        return len(self._history.versions(pool, span_s, now)) > 1
+
+    def _is_alone(self, pool: str, version: str) -> bool:
+        """Returns whether a pool had no other version for some time."""
+        now = self._loop.now()
+        versions = self._history.versions(pool, _ALONE_S, now)
+        return (
+            versions == {version}
+            and self.list_followed_since() <= now - _ALONE_S
+        )
+
+    def _record_unproven(self) -> None:
+        """Records this host's streams that others can't know otherwise."""
+        now = self._loop.now()
+        for stream_id, own in self._own.items():
+            if (
+                own.until > now
+                and not self._records.is_own(stream_id)
+                and self._needs_record(own.pool, own.version)
+            ):
+                self._records.write(stream_id, own.pool, own.version)
+
+    def _keep_defaults(self) -> tasks.Coroutine[None]:
+        """Sets default versions that are missing, left or of before a restore.
+
+        Any host may do it; the store accepts the first one.
+        """
+        while True:
+            spread_s = max(_KEEP_SPREAD_S, self._host_count() / _KEEPERS_PER_S)
+            yield tasks.sleep(
+                self._loop, _KEEP_PERIOD_S + self._rng.uniform(0.0, spread_s)
+            )
+            for pool in list(self._spans):
+                if self._next_default(pool) is None:
+                    continue
+                error = yield self._records.refresh()
+                if error is None:
+                    yield from self._keep_default(pool)
+
+    def _keep_default(self, pool: str) -> tasks.Coroutine[None]:
+        """Sets the default version of a pool, as of the last read."""
+        default = self._next_default(pool)
+        if default is None:
+            return
+        error = yield from self._records.set_default(pool, default)
+        if error is None or error.is_conflict:
+            yield self._records.refresh()
+
+    def _next_default(self, pool: str) -> default_version.DefaultVersion | None:
+        now = self._loop.now()
+        default = self._records.default(pool)
+        unlisted_s = 0.0
+        if default is not None:
+            unlisted_s = min(
+                self._history.unlisted_s(pool, default.version, now),
+                now - self.list_followed_since(),
+            )
+        return default_version.next_default(
+            default,
+            self._history.candidates(pool),
+            self._records.era(),
+            unlisted_s,
+            self._spans[pool],
+            self._clock.wall(),
+            self._records.has_seen_restore(),
+        )
+
+    def _widen_span(self, pool: str, timeout_s: float) -> float:
+        """Returns for how long streams of a pool may be taken up."""
+        span_s = timeout_s + version_history.MARGIN_S
+        self._spans[pool] = max(span_s, self._spans.get(pool, 0.0))
+        return self._spans[pool]
 
     def _forget_old(self, now: float) -> None:
         oldest = now - stream_records.RETENTION_S
@@ -169,20 +335,18 @@
             del self._own[key]
 
 
-def _span_s(timeout_s: float) -> float:
-    """Returns for how long after its beginning a stream may be taken up."""
-    return timeout_s + version_history.MARGIN_S
-
-
 def _records_state(
-    found: stream_records.StreamRecord
-    | store.StoreError
-    | tasks.TimedOut
-    | None,
+    read: store.StoreError | tasks.TimedOut | None,
+    stored: version_history.StoredEvidence | None,
 ) -> str:
     """Returns what a search for a record came to, for the log."""
-    if isinstance(found, tasks.TimedOut):
+    if isinstance(read, tasks.TimedOut):
         return "not read in time"
-    if isinstance(found, store.StoreError):
-        return f"not read: {found.reason}"
-    return "none" if found is None else "found"
+    if isinstance(read, store.StoreError):
+        return f"not read: {read.reason}"
+    return "none" if stored.recorded is None else "found"
+
+
+def _to_ms(seconds: float) -> int | None:
+    """Returns milliseconds, None for a time that never was."""
+    return None if seconds == float("inf") else round(_MS_PER_S * seconds)
--- a/soak/store.py
+++ b/soak/store.py
@@ -66,9 +66,13 @@
     async def write(self, topic: str, key: str, value: bytes) -> None:
         """Appends a record; an empty value removes the key."""
         async with self._appended:
-            self._topics[topic].append((key, value))
-            self._written_at[topic].append(time.monotonic())
-            self._appended.notify_all()
+            self._add(topic, [(key, value)])
+
+    def _add(self, topic: str, records: list[tuple[str, bytes]]) -> None:
+        """Appends records; the caller holds the condition."""
+        self._topics[topic] += records
+        self._written_at[topic] += [time.monotonic()] * len(records)
+        self._appended.notify_all()
 
     def restore(self, age_s: float) -> dict[str, Lost]:
         """Goes back to a copy of the given age; returns what was lost."""
@@ -137,11 +141,17 @@
             return await self._read(topic, query)
         # An append's records: the length in 4 bytes, the key's length in 1
         # byte, the key, and the value.
+        appended = []
         while body:
             (length,) = struct.unpack_from(">I", body)
             record, body = body[4 : 4 + length], body[4 + length :]
             key = record[1 : 1 + record[0]].decode()
-            await self.write(topic, key, record[1 + record[0] :])
+            appended.append((key, record[1 + record[0] :]))
+        async with self._appended:
+            end = len(records)
+            if int(query.get("at", end)) != end:
+                return 412, json.dumps({"end": end}).encode()
+            self._add(topic, appended)
         end = len(records)
         return 200, json.dumps({"offset": end - 1, "end": end}).encode()
 
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -135,6 +135,7 @@
         self.ctrl.configuration.topic_follower._pause_s = 0.05
         self.ctrl.configuration.topic_follower.start()
         self.ctrl.endpoints.topic_follower.start()
+        self.ctrl.versions.start()
 
     def send(
         self,
