Trust a list of endpoints only as of its last read (operators' report)

What callers saw: beside a release, streams that had begun at engines of the new version were taken up at a host that was out of step (cut off from the store and from the others) and went on at an engine of the old version.

Cause: a host took the one version that it listed for the sole one, whatever the age of its list.

Change: the list tells a sole version only if it was followed without a gap for as long as streams live and was read after the take-up came; the look-up waits up to 1 s for that read, if it may help. Gone by an old list is unknown.

--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -10,9 +10,11 @@
     routing_table,
     state_log,
     store,
+    tasks,
     topic_follower,
 )
 from chervilarch import loop as loops
+from chervilarch.futures import Future
 from chervilarch.scheduling import cold_starts, evacuation
 
 # How soon the end of a grace time is tried again while the store is away.
@@ -235,6 +237,7 @@
         self._full_listeners: list[Callable[[dict], None]] = []
         self.followed_since = float("inf")
         self._followed_until = float("-inf")
+        self._next_read: Future = Future()
         # Reads don't wait for a change.
         self.topic_follower = topic_follower.TopicFollower(
             loop, source, store.Topic.ENDPOINTS, 0.0, pause_s
@@ -269,6 +272,15 @@
             self.followed_since = read_at
         self._followed_until = max(self._followed_until, read_at)
         self._notify_listeners()
+        was, self._next_read = self._next_read, Future()
+        tasks.resolve(was, None)
+
+    def next_read(self) -> Future:
+        """Returns a future that is done once the list was read again.
+
+        A read of another host counts once it has become known.
+        """
+        return self._next_read
 
     def version_of(self, listing: endpoint_list.Listing, sent_at: float) -> str:
         """Returns the software version of the run that got a request.
--- a/chervilarch/gateway.py
+++ b/chervilarch/gateway.py
@@ -417,6 +417,8 @@
     )
     versions.list_read_at = lambda: endpoints.topic_follower.read_at
     versions.list_followed_since = lambda: endpoints.followed_since
+    versions.list_read = endpoints.next_read
+    versions.is_list_old = endpoints.topic_follower.is_outdated
     endpoints.add_full_listener(versions.set_endpoints)
     configuration.add_listener(versions.set_routes)
     costs = request_cost.CostModel()
--- a/chervilarch/routed_filters.py
+++ b/chervilarch/routed_filters.py
@@ -222,6 +222,9 @@
     is_gone = begun is not None and not ctx.ctrl.placement.has_endpoint(
         pool, req.regions, begun.version
     )
+    if is_gone and ctx.ctrl.versions.is_list_old():
+        # Engines of the version may have come meanwhile.
+        begun, is_gone = None, False
     state = "unknown" if begun is None else "gone" if is_gone else "known"
     ctx.ctrl.meters.count_resumed_stream(state)
     state_log.log_decision(
--- a/chervilarch/scheduling/version_history.py
+++ b/chervilarch/scheduling/version_history.py
@@ -22,6 +22,7 @@
     OWN = "own stream"
     RECORD = "record"
     DEFAULT = "default version"
+    SOLE = "sole version"
 
 
 class BegunAt(NamedTuple):
@@ -57,6 +58,29 @@
     default: str | None
 
 
+class ListEvidence(NamedTuple):
+    """What the list of endpoints says of a pool's versions.
+
+    Attributes:
+        versions: those that were listed since a stream may have begun.
+        since: monotonic time from which on no change of the list was missed;
+            infinite before its first read.
+        as_of: monotonic time at which the list was last known to be complete.
+    """
+
+    versions: frozenset[str]
+    since: float
+    as_of: float
+
+    def may_tell_later(self, asked_at: float, span_s: float) -> bool:
+        """Returns whether the next read may tell what this one doesn't yet."""
+        return (
+            len(self.versions) == 1
+            and self.since <= asked_at - span_s
+            and self.as_of < asked_at
+        )
+
+
 class ListedRun(NamedTuple):
     """A run of an endpoint in the list.
 
@@ -122,17 +146,35 @@
         ]
 
 
-def decide(stored: StoredEvidence | None) -> BegunAt | Unknown:
+def decide(
+    asked_at: float,
+    span_s: float,
+    stored: StoredEvidence | None,
+    listed: ListEvidence,
+) -> BegunAt | Unknown:
     """Returns the version that began another host's stream.
 
     Args:
+        asked_at: monotonic time at which the stream was taken up.
+        span_s: for how long a stream may be taken up.
         stored: what the store holds, None if it couldn't be read since the
             stream was taken up.
+        listed: what the list of endpoints says.
     """
-    if stored is None:
-        return Unknown("the records couldn't be read")
-    if stored.recorded is not None:
+    if stored is not None and stored.recorded is not None:
         return stored.recorded
-    if stored.default is not None:
+    if stored is not None and stored.default is not None:
         return BegunAt(stored.default, Origin.DEFAULT)
-    return Unknown("no record, and others may have been lost")
+    reason = (
+        "the records couldn't be read"
+        if stored is None
+        else "no record, and others may have been lost"
+    )
+    if len(listed.versions) != 1:
+        return Unknown(reason)
+    if listed.since > asked_at - span_s:
+        return Unknown(f"{reason}; the list wasn't followed for long enough")
+    if listed.as_of < asked_at:
+        return Unknown(f"{reason}; the list is older than the take-up")
+    (version,) = listed.versions
+    return BegunAt(version, Origin.SOLE)
--- a/chervilarch/store_sharing.py
+++ b/chervilarch/store_sharing.py
@@ -209,16 +209,22 @@
             fresh=True,
         )
         fut: Future = Future()
+        asked_at = self._loop.now()
         self._client.call(exchange).add_done_callback(
             lambda done: fut.set_result(
-                self._parse_snapshot(peer, topic, done.result())
+                self._parse_snapshot(peer, topic, done.result(), asked_at)
             )
         )
         return fut
 
     def _parse_snapshot(
-        self, peer: Peer, topic: store.Topic, result: exchanges.TransferResult
+        self,
+        peer: Peer,
+        topic: store.Topic,
+        result: exchanges.TransferResult,
+        asked_at: float,
     ) -> store.TopicUpdate | store.PeerStarting | None:
+        # The age that the reply tells may be of any time since it was asked.
         if isinstance(result, exchanges.TransferFailure):
             reason = f"{result.kind.value}: {result.detail}"
         elif result.status == _STARTING:
@@ -226,8 +232,7 @@
         elif result.status != 200:
             reason = f"status {result.status}"
         else:
-            now = self._loop.now()
-            news = store_messages.decode(self._key, result.body, now)
+            news = store_messages.decode(self._key, result.body, asked_at)
             if isinstance(news, messages.BadFrame):
                 reason = news.reason
             elif [update.topic for update in news.updates] != [topic]:
--- a/chervilarch/stream_versions.py
+++ b/chervilarch/stream_versions.py
@@ -19,12 +19,16 @@
     tasks,
 )
 from chervilarch import loop as loops
+from chervilarch.futures import Future
 from chervilarch.scheduling import default_version, version_history
 
 _MS_PER_S = 1000
 _MAX_OWN = 20_000
 # Longest search for a record.
 _MAX_FIND_S = 0.5
+# Longest wait for a list of endpoints that is younger than a take-up. Hosts
+# read it about once in 0.8 s.
+_MAX_LIST_WAIT_S = 1.0
 # A stream may begin without a record if no other version was listed for this
 # time: it would be taken for one of a version that no host has an endpoint of.
 _ALONE_S = 5.0
@@ -53,6 +57,8 @@
             endpoints is known.
         list_followed_since: returns the monotonic time from which on no change
             of the list was missed.
+        list_read: returns a future that is done once the list was read again.
+        is_list_old: returns whether changes of the list may be unknown here.
     """
 
     def __init__(
@@ -87,6 +93,8 @@
         self._spans: dict[str, float] = {}
         self.list_read_at: Callable[[], float] = loop.now
         self.list_followed_since: Callable[[], float] = loop.now
+        self.list_read: Callable[[], Future] = Future
+        self.is_list_old: Callable[[], bool] = bool
         records.on_defaults = self._record_unproven
 
     def start(self) -> None:
@@ -197,7 +205,7 @@
         stored = None
         if read is None:
             stored = self._stored_evidence(stream_id, pool, span_s)
-        begun = version_history.decide(stored)
+        begun = yield from self._decide(pool, asked_at, span_s, stored)
         now = self._loop.now()
         default = self._records.default(pool)
         state_log.log_decision(
@@ -213,6 +221,40 @@
         )
         return begun
 
+    def _decide(
+        self,
+        pool: str,
+        asked_at: float,
+        span_s: float,
+        stored: version_history.StoredEvidence | None,
+    ) -> tasks.Coroutine["version_history.BegunAt | version_history.Unknown"]:
+        """Returns the version that began another host's stream.
+
+        If the store doesn't tell it, this waits for a read of the list of
+        endpoints that may.
+        """
+        until = asked_at + _MAX_LIST_WAIT_S
+        while True:
+            listed = self._list_evidence(pool, asked_at, span_s)
+            begun = version_history.decide(asked_at, span_s, stored, listed)
+            if (
+                isinstance(begun, version_history.BegunAt)
+                or not listed.may_tell_later(asked_at, span_s)
+                or self._loop.now() >= until
+            ):
+                return begun
+            yield from tasks.wait(self._loop, self.list_read(), until)
+
+    def _list_evidence(
+        self, pool: str, asked_at: float, span_s: float
+    ) -> version_history.ListEvidence:
+        now = self._loop.now()
+        return version_history.ListEvidence(
+            self._history.versions(pool, now - asked_at + span_s, now),
+            self.list_followed_since(),
+            self.list_read_at(),
+        )
+
     def _stored_evidence(
         self, stream_id: str, pool: str, span_s: float
     ) -> version_history.StoredEvidence:
--- a/tests/test_store_sharing.py
+++ b/tests/test_store_sharing.py
@@ -7,6 +7,7 @@
 import store_hosts as sh
 
 from chervilarch import messages, store, store_messages, store_sharing
+from chervilarch.futures import Future
 
 
 @pytest.fixture
@@ -213,6 +214,29 @@
     other.sharing.close()
 
 
+def test_a_peers_snapshot_is_no_younger_than_its_request(cluster, monkeypatch):
+    # A host that stood still reads the reply late: it holds an old list.
+    loop, clock, shared, (first, second, third) = cluster
+    lh.advance(loop, clock, 2 * sh.PAUSE_S)
+    late = sh.Host(loop, "n9", lh.FakeStore(shared))
+    late.neighbours = [third.peer]
+    client, replies, delayed = late.sharing._client, [], Future()
+    call = client.call
+
+    def call_late(exchange):
+        replies.append(call(exchange))
+        return delayed
+
+    monkeypatch.setattr(client, "call", call_late)
+    asked_at = loop.now()
+    fetched = late.endpoints.topic_follower.fetch_from_peer()
+    lh.run_until(loop, lambda: replies[0].done())
+    clock.advance(5.0)
+    delayed.set_result(replies[0].result())
+    assert fetched.result().read_at <= asked_at
+    late.sharing.close()
+
+
 def test_topic_updates_survive_a_round_trip():
     updates = [
         store.TopicUpdate(
--- a/tests/test_stream_hosts.py
+++ b/tests/test_stream_hosts.py
@@ -23,6 +23,7 @@
     tasks,
 )
 from chervilarch import loop as loops
+from chervilarch.futures import Future
 from chervilarch.scheduling import version_history
 
 _STEP_S = 0.05
@@ -197,6 +198,8 @@
         )
         self.versions.list_read_at = lambda: self.read_at
         self.versions.list_followed_since = lambda: self.followed_since
+        self.versions.list_read = lambda: self.next_read
+        self.next_read = Future()
         self.read_at = float("-inf")
         self.followed_since = float("inf")
         self.engines = []
@@ -229,6 +232,8 @@
         if engines != self.engines:
             self.engines = engines
             self.versions.set_endpoints({_POOL: dict(engines)})
+        was, self.next_read = self.next_read, Future()
+        tasks.resolve(was, None)
         self.on_read(read_at)
 
     def on_read(self, read_at):
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -15,8 +15,9 @@
     stream_route_document,
 )
 
-from chervilarch import followers, store
+from chervilarch import followers, store, tasks
 from chervilarch.platform import documents
+from chervilarch.scheduling import version_history
 
 
 def _ago_ms(seconds):
@@ -112,6 +113,31 @@
     raise AssertionError(f"no stream began at {version}")
 
 
+def hide(world, topic):
+    """Has the store refuse all calls of a host that are about a topic."""
+
+    def refusing(call):
+        def refuse(of, *args, **kwargs):
+            if of is topic:
+                return tasks.done(store.StoreError("away"))
+            return call(of, *args, **kwargs)
+
+        return refuse
+
+    for name in ("read_newest", "read_changes", "append"):
+        setattr(world.store, name, refusing(getattr(world.store, name)))
+
+
+def follow_for(world, timeout_s):
+    """Runs a host until it has followed the list for a stream's lifetime."""
+    span_s = timeout_s + version_history.MARGIN_S
+    follower = world.ctrl.endpoints
+    lh.run_until(
+        world.loop,
+        lambda: world.loop.now() > follower.followed_since + span_s,
+    )
+
+
 def drain(world, name):
     """Has an engine report that it leaves; it goes on serving."""
     records = world.store.log[store.Topic.ENDPOINTS]
@@ -342,6 +368,70 @@
     assert not any(engine.resumed for engine in engines)
 
 
+@pytest.mark.parametrize(
+    ("versions", "timeout_ms", "expected"),
+    [
+        (("v1", "v1"), 2000, 200),
+        (("v1", "v2"), 2000, 503),
+        # A stream may have begun before the list was followed.
+        (("v1", "v1"), 60_000, 503),
+    ],
+)
+def test_without_records_a_list_that_is_read_on_may_tell_the_version(
+    new_world, versions, timeout_ms, expected
+):
+    world = new_world()
+    engines = [Engine(world, f"e{n}", v) for n, v in enumerate(versions)]
+    hide(world, store.Topic.STREAMS)
+    world.start(stream_route_document(timeout_ms=timeout_ms))
+    follow_for(world, 2.0)
+    assert status(take_up(world)) == expected
+    assert sum(len(e.resumed) for e in engines) == (expected == 200)
+
+
+def test_a_host_out_of_step_trusts_no_old_list(new_world):
+    # The operators' report: streams of new engines, which the host doesn't know
+    # yet, went on at the only version that it had listed.
+    first = new_world()
+    old = [Engine(first, f"v1-{n}", "v1") for n in (1, 2)]
+    second = new_world(lh.FakeStore(first.store))
+    for host in (first, second):
+        host.start(stream_route_document(timeout_ms=2000))
+        wait_for_default(host)
+    follow_for(second, 2.0)
+    second.store.error = store.StoreError("away")
+    new = [Engine(first, f"v2-{n}", "v2") for n in (1, 2)]
+    lh.run_until(
+        first.loop,
+        lambda: first.ctrl.placement.has_endpoint("s1", None, "v2"),
+    )
+    begun_id = begin_at(first, old + new, "v2")
+    received = take_up(second, begun_id)
+    assert status(received) == 503 and b"stream-unknown" in received
+    assert not any(engine.resumed for engine in old + new)
+
+
+def test_no_version_has_left_by_an_old_list(new_world):
+    # A host that reads the records, but knows of no engine that has come since.
+    first = new_world()
+    old = Engine(first, "v1-1", "v1")
+    second = new_world(lh.FakeStore(first.store))
+    for host in (first, second):
+        host.start(stream_route_document())
+        wait_for_default(host)
+    hide(second, store.Topic.ENDPOINTS)
+    new = Engine(first, "v2-1", "v2")
+    lh.run_until(
+        first.loop,
+        lambda: first.ctrl.placement.has_endpoint("s1", None, "v2"),
+    )
+    begun_id = begin_at(first, [old, new], "v2")
+    lh.run_until(second.loop, second.ctrl.endpoints.topic_follower.is_outdated)
+    received = take_up(second, begun_id)
+    assert status(received) == 503 and b"stream-unknown" in received
+    assert not old.resumed and not new.resumed
+
+
 def test_a_host_added_before_an_outage_takes_up_no_stream_of_leaving_engines(
     new_world,
 ):
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -7,6 +7,7 @@
 from chervilarch.scheduling.version_history import (
     BegunAt,
     ListedRun,
+    ListEvidence,
     Origin,
     StoredEvidence,
     Unknown,
@@ -14,23 +15,58 @@
 
 _SPAN_S = 10.0
 _WALL_S = 1_000_000.0
+_ASKED_AT = 100.0
 _RECORDED = BegunAt("v2", Origin.RECORD, 1.0)
+_UNREAD = StoredEvidence(None, None)
+_LISTED = ListEvidence(frozenset(["v3"]), since=90.0, as_of=100.0)
+
+
+def _decide(stored, listed=_LISTED):
+    return version_history.decide(_ASKED_AT, _SPAN_S, stored, listed)
 
 
 def test_a_record_goes_before_the_default_version():
-    stored = StoredEvidence(_RECORDED, "v1")
-    assert version_history.decide(stored) == _RECORDED
+    assert _decide(StoredEvidence(_RECORDED, "v1")) == _RECORDED
 
 
 def test_a_stream_without_a_record_began_at_the_default_version():
-    stored = StoredEvidence(None, "v1")
-    assert version_history.decide(stored) == BegunAt("v1", Origin.DEFAULT)
+    default = BegunAt("v1", Origin.DEFAULT)
+    assert _decide(StoredEvidence(None, "v1")) == default
 
 
-@pytest.mark.parametrize("stored", [None, StoredEvidence(None, None)])
+@pytest.mark.parametrize("stored", [None, _UNREAD])
 def test_a_record_that_could_not_be_read_is_not_missing(stored):
     # review/11: a host that was added in an outage of the store.
-    assert isinstance(version_history.decide(stored), Unknown)
+    listed = _LISTED._replace(since=99.0)
+    assert isinstance(_decide(stored, listed), Unknown)
+
+
+@pytest.mark.parametrize("stored", [None, _UNREAD])
+@pytest.mark.parametrize(
+    ("change", "is_known", "may_tell_later"),
+    [
+        ({}, True, False),
+        ({"versions": frozenset()}, False, False),
+        ({"versions": frozenset(["v3", "v4"])}, False, False),
+        # It may have missed a version.
+        ({"since": 90.1}, False, False),
+        ({"since": float("inf")}, False, False),
+        # Another version may have come meanwhile.
+        ({"as_of": 99.9}, False, True),
+        ({"as_of": float("-inf")}, False, True),
+        ({"as_of": 99.9, "since": 90.1}, False, False),
+    ],
+)
+def test_the_list_tells_a_version_only_while_it_is_complete(
+    stored, change, is_known, may_tell_later
+):
+    listed = _LISTED._replace(**change)
+    begun = _decide(stored, listed)
+    if is_known:
+        assert begun == BegunAt("v3", Origin.SOLE)
+    else:
+        assert isinstance(begun, Unknown)
+    assert listed.may_tell_later(_ASKED_AT, _SPAN_S) is may_tell_later
 
 
 def _history(*changes):
