--- a/chervilarch/stream_records.py
+++ b/chervilarch/stream_records.py
@@ -280,12 +280,16 @@
                 return page
             self._offset = None
             return False
-        for record in page.records:
-            guards.call(self._apply, record)
         read_to = offset + len(page.records)
+        if self._offset is None:
+            return False
         # A read that began later may have gone further.
-        if self._offset is not None:
-            self._offset = max(self._offset, read_to)
+        if read_to > self._offset:
+            for record in page.records:
+                if record.offset >= self._offset:
+                    guards.call(self._apply, record)
+            self._offset = read_to
+            self._forget_old()
         return read_to >= page.end or not page.records
 
     def _read_snapshot(self) -> tasks.Coroutine[store.StoreError | bool]:
@@ -305,19 +309,32 @@
             if not page.has_more or not page.records:
                 break
             after = page.records[-1].key
-        for record in records:
-            guards.call(self._apply, record)
-        self._offset = end if self._offset is None else max(self._offset, end)
-        self._delete_foreign()
+        # A read that began later may have gone further.
+        if self._offset is None or end > self._offset:
+            for record in records:
+                guards.call(self._apply, record)
+            self._offset = end
+            self._delete_foreign()
         return True
 
     def _delete_foreign(self) -> None:
         """Deletes what hosts that have ended left."""
         oldest = self._clock.wall() - _FOREIGN_RETENTION_S
-        for key in _begun_before(oldest, self._known):
+        old = [
+            key
+            for key, record in self._known.items()
+            if record.begun_at < oldest
+        ]
+        for key in old:
             del self._known[key]
             self._queue(key, b"")
 
+    def _forget_old(self) -> None:
+        """Forgets records whose hosts, or a later snapshot, delete them."""
+        oldest = self._clock.wall() - _FOREIGN_RETENTION_S
+        for key in _begun_before(oldest, self._known):
+            del self._known[key]
+
     def _apply(self, record: store.Record) -> None:
         key, value = record.key, record.value
         is_pool = key.startswith(_POOL_PREFIX)
@@ -338,9 +355,6 @@
             return
         self._known.pop(key, None)
         self._known[key] = decoded
-        oldest = self._clock.wall() - _FOREIGN_RETENTION_S
-        while next(iter(self._known.values())).begun_at < oldest:
-            self._known.popitem(last=False)
 
     def _on_restore(self, era: int) -> None:
         # Offsets are given out again.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -354,6 +354,17 @@
     assert error.is_dropped is is_dropped
 
 
+@pytest.mark.parametrize(
+    ("status", "is_conflict"), [(412, True), (503, False), (410, False)]
+)
+def test_an_append_on_condition_tells_a_conflict(status, is_conflict):
+    client = FakeClient(reply(status, b""))
+    append = platform_store.StoreClient(client, "a:1").append
+    error = append(store.Topic.STREAMS, [("k", b"v")], 1.0, at=7).result()
+    assert error.is_conflict is is_conflict
+    assert "at=7" in client.sent[0].url
+
+
 def test_reads_a_page_of_newest_values():
     body = b'{"items":[{"key":"config","value":"YQ==","offset":4}],'
     client = FakeClient(reply(200, body + b'"has_more":false,"end":6}'))
--- a/tests/test_stream_records.py
+++ b/tests/test_stream_records.py
@@ -6,7 +6,9 @@
 import pytest
 
 from chervilarch import store, stream_records, tasks
+from chervilarch.futures import Future
 from chervilarch.platform import store as platform_store
+from chervilarch.scheduling import default_version
 
 
 class Hosts:
@@ -144,6 +146,118 @@
     assert hosts.find(started, "s1").version == "v1"
 
 
+class LateReads:
+    """Keeps the answers to a host's reads back until they are released."""
+
+    def __init__(self, link):
+        self.held = []
+        for name in ("read_changes", "read_newest"):
+            setattr(link, name, self._holding(getattr(link, name)))
+
+    def _holding(self, read):
+        def hold(*args):
+            answer = Future()
+            self.held.append((answer, read(*args).result()))
+            return answer
+
+        return hold
+
+    def release(self, number):
+        answer, page = self.held[number]
+        answer.set_result(page)
+
+
+@pytest.mark.parametrize("has_read", [False, True])
+def test_an_answer_that_comes_late_replaces_nothing_newer(hosts, has_read):
+    # Two reads are under way; the answer to the first one comes last.
+    first, _ = hosts.new()
+    second, link = hosts.new()
+    hosts.store.write(store.Topic.STREAMS, "pool/p", b'["v1",0,1.0]')
+    first.write("s1", "p", "v1")
+    if has_read:
+        hosts.find(second, "s1")
+    late = LateReads(link)
+    first.write("s2", "p", "v1")
+    lh.advance(hosts.loop, hosts.clock, 0.1)
+    second.refresh()
+    lh.advance(hosts.loop, hosts.clock, 0.01)
+    first.write("s2", "p", "v2")
+    hosts.store.write(store.Topic.STREAMS, "pool/p", b'["v2",0,2.0]')
+    lh.advance(hosts.loop, hosts.clock, 0.1)
+    second.refresh()
+    lh.advance(hosts.loop, hosts.clock, 0.01)
+    late.release(1)
+    late.release(0)
+    lh.run_pending(hosts.loop)
+    assert second.known("s2").version == "v2"
+    assert second.default("p").version == "v2"
+
+
+def test_a_host_deletes_its_records_once_nobody_takes_the_streams_up(hosts):
+    first, _ = hosts.new()
+    for number in range(3):
+        first.write(f"s{number}", "p", "v1")
+        lh.advance(hosts.loop, hosts.clock, 0.1)
+    second, _ = hosts.new()
+    assert hosts.find(second, "s2") is not None
+    for _ in range(2):
+        lh.advance(hosts.loop, hosts.clock, stream_records.RETENTION_S)
+    assert hosts.find(second, "s2") is None
+    log = hosts.store.log[store.Topic.STREAMS]
+    newest = {record.key: record.value for record in log}
+    assert len(newest) == 3 and not any(newest.values())
+
+
+def test_records_of_hosts_that_ended_are_deleted_by_one_that_starts(hosts):
+    # A snapshot has them in any order.
+    other, _ = hosts.new()
+    other.write("s2", "p", "v1")
+    lh.advance(hosts.loop, hosts.clock, 0.1)
+    ended, _ = hosts.new()
+    ended.write("s1", "p", "v1")
+    ended._own.clear()
+    hosts.clock.advance(590.0)
+    other.write("s2", "p", "v1")
+    other._own.clear()
+    hosts.clock.advance(20.0)
+    started, _ = hosts.new()
+    assert hosts.find(started, "s2") is not None
+    lh.advance(hosts.loop, hosts.clock, 0.1)
+    log = hosts.store.log[store.Topic.STREAMS]
+    assert (log[-1].key, log[-1].value) == (log[1].key, b"")
+    assert hosts.find(started, "s1") is None
+
+
+def test_a_host_forgets_old_records_that_it_has_read(hosts):
+    ended, _ = hosts.new()
+    ended.write("s1", "p", "v1")
+    ended._own.clear()
+    second, _ = hosts.new()
+    assert hosts.find(second, "s1") is not None
+    hosts.clock.advance(610.0)
+    other, _ = hosts.new()
+    other.write("s2", "p", "v1")
+    assert hosts.find(second, "s2") is not None
+    assert second.known("s1") is None
+    assert all(r.value for r in hosts.store.log[store.Topic.STREAMS])
+
+
+def test_of_two_hosts_that_set_a_default_version_one_does(hosts):
+    links = [hosts.new()[0] for _ in range(2)]
+    for records in links:
+        hosts.find(records, "s1")
+    results = []
+    for number, records in enumerate(links):
+        default = default_version.DefaultVersion(f"v{number}", 0, 1.0)
+        task = tasks.Task(records.set_default("p", default))
+        lh.advance(hosts.loop, hosts.clock, 0.01)
+        results.append(task.future.result())
+    assert results[0] is None and results[1].is_conflict
+    for records in links:
+        hosts.find(records, "s1")
+        assert records.default("p").version == "v0"
+
+
 def test_all_hosts_together_append_no_more_often_than_a_partition_takes(hosts):
     # 195 hosts that each begin four streams a second.
     records, link = hosts.new(count=195)
