Don't count the wait for a stream's record as its engine's time

Its engine's first event was noted after that wait, so engines of a new version looked slow by the store's time and got fewer streams; its inputs were kept as long.

Change: the first event is noted, and the inputs freed, as soon as it is complete; only the caller's answer waits.

Evidence: test_the_wait_for_a_record_does_not_count_as_the_engines_time fails on the code before. Tests of streams, silent engines, stages and inputs pass.

--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -662,6 +662,8 @@
         if isinstance(complete, attempts.Failure) or not complete.has_event:
             return complete
         self._version = version
+        # The wait for the record isn't the engine's time.
+        self._record_first_event(attempt.lease)
         if not self._has_sent_event:
             is_recorded = yield from self._record_version()
             if not is_recorded:
@@ -747,12 +749,14 @@
             )
         )
 
-    def _on_first_event(self, lease: placement.Lease, head) -> None:
-        ctx = self._ctx
-        ctx.ctrl.placement.record_first_event(lease)
+    def _record_first_event(self, lease: placement.Lease) -> None:
+        self._ctx.ctrl.placement.record_first_event(lease)
         # The endpoint fetches its inputs before it generates an event, so the
         # results can be freed.
         self._inputs.free(has_first_event=True)
+
+    def _on_first_event(self, lease: placement.Lease, head) -> None:
+        ctx = self._ctx
         state_log.log_decision(
             "first event",
             request_id=ctx.req.id,
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -509,6 +509,37 @@
     assert events(1, 4) in received and recorded(world) == ["v2"]
 
 
+def test_the_wait_for_a_record_does_not_count_as_the_engines_time(
+    two_versions, monkeypatch
+):
+    # Engines of the new version looked slow, and got fewer streams.
+    world, engines = two_versions
+    for number in (1, 2):
+        drain(world, f"v1-{number}")
+    placement = world.ctrl.placement
+    lh.run_until(
+        world.loop, lambda: not placement.has_endpoint("s1", None, "v1")
+    )
+    noted = []
+    record = placement.record_first_event
+
+    def note(lease):
+        noted.append(world.loop.now() - lease.slot.started_at)
+        record(lease)
+
+    monkeypatch.setattr(placement, "record_first_event", note)
+    world.store.error = store.StoreError("away")
+    conn = world.send(KEY, ("Connection", "close"))
+    begun_at = world.loop.now()
+    lh.run_until(world.loop, lambda: world.loop.now() >= begun_at + 1.0)
+    with pytest.raises(BlockingIOError):
+        conn.recv(1)
+    world.store.error = None
+    received = lh.receive(world.loop, conn, lambda data: b"<EOF>" in data)
+    assert events(1, 4) in received
+    assert len(noted) == 1 and noted[0] < 0.5
+
+
 def test_new_streams_begin_at_the_default_version_while_the_store_is_away(
     two_versions,
 ):
