--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,7 +4,6 @@
 import asyncio
 import collections
 import json
-import os
 import pathlib
 import random
 import sys
@@ -23,7 +22,6 @@
 _LATE_RUN_S = 1.0
 # The data centre of each gateway, one letter for one.
 _DATA_CENTRES = "aab"
-_OCTET_VALUES = 256
 # Seeds that failed once, each with its cause.
 _REGRESSIONS = pathlib.Path(__file__).with_name("regressions.json")
 
@@ -47,7 +45,7 @@
         fleet.append(
             gateways.Gateway(
                 f"gw-{number}",
-                _loopback_address(number),
+                gateways.loopback_address(number),
                 data_centre,
                 folder,
                 store_link,
@@ -91,12 +89,6 @@
     return history, recovery_due_at
 
 
-def _loopback_address(number: int) -> str:
-    """Returns a loopback address that no other soak process uses."""
-    high, low = divmod(os.getpid(), _OCTET_VALUES)
-    return f"127.{high % (_OCTET_VALUES - 2) + 1}.{low}.{number + 1}"
-
-
 def _find_unhandled_exceptions(folder: pathlib.Path) -> list[str]:
     """Returns the log lines that report an unhandled exception."""
     return [
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -26,6 +26,7 @@
 # The record of an endpoint that crashed is removed this long after its end, as
 # if it expired after three missed heartbeats.
 _EXPIRY_S = 1.8
+_STREAM_ROUTES = ("draft", "note", "tell")
 PIECES = 4
 # Engines crash on prompts with a part whose id begins so.
 DEADLY = "dead"
@@ -86,6 +87,7 @@
         store_server: store.StandInStore,
         history: records.History,
         results: Results,
+        version: str = "1",
     ):
         self.name = name
         self.pool = name.rsplit("-", 1)[0]
@@ -98,6 +100,7 @@
         self._store_server = store_server
         self._history = history
         self._results = results
+        self._version = version
         self._born = int(time.time() * 1000)
         self._sequence = 0
         self._batch_lock = asyncio.Lock()
@@ -147,7 +150,7 @@
             "service": self.pool,
             "address": self.link.address,
             "zone": self._data_centre,
-            "version": "1",
+            "version": self._version,
             "slots": 8,
             "state": "draining" if self.is_draining else "ready",
             "cold_remaining_ms": 0,
@@ -231,7 +234,7 @@
             answer.abort()
         elif self.mode == "500":
             await answer.send(500, b"failed", headers)
-        elif route in ("draft", "note"):
+        elif route in _STREAM_ROUTES:
             await self._stream(
                 answer, headers, request_id, resumed_after, int(event_count)
             )
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -25,6 +25,7 @@
 _READY_PORT = 8621
 _METRICS_PORT = 8627
 _PEER_PORTS = [8640, 8655]
+_OCTET_VALUES = 256
 
 
 class Gateway:
@@ -43,6 +44,7 @@
         folder: pathlib.Path,
         store_link: link.Link,
         history: records.History,
+        deployment: str = "soak",
     ):
         self.name = name
         self.store_link = store_link
@@ -66,7 +68,7 @@
             "store_address": store_link.address,
             # By default this is the store's address, which differs between the
             # gateways: each has its own link to the store.
-            "deployment": "soak",
+            "deployment": deployment,
             "bounds": {
                 "drain_s": checks.DRAIN_S,
                 "config_s": checks.CONFIG_S,
@@ -182,6 +184,12 @@
             await asyncio.sleep(_START_POLL_S)
 
 
+def loopback_address(number: int) -> str:
+    """Returns a loopback address that no other soak process uses."""
+    high, low = divmod(os.getpid(), _OCTET_VALUES)
+    return f"127.{high % (_OCTET_VALUES - 2) + 1}.{low}.{number + 1}"
+
+
 def _survives_sighup(pid: int) -> bool:
     """Returns whether a process ignores or handles SIGHUP."""
     status = pathlib.Path(f"/proc/{pid}/status").read_text()
