Move no default version by an old list

Found by reading, the same cause as the operators' report: a pool's default version moves once no engine of it was listed for as long as streams live and 15 s. A host that stood still, or whose list couldn't be read, counted that time up to now, though engines of the version may have come back and other hosts begin streams at it without a record; these would then be taken for streams of the next version (ORDER).

Change: the time counts up to the last read of the list.

--- a/chervilarch/stream_versions.py
+++ b/chervilarch/stream_versions.py
@@ -344,13 +344,14 @@
             yield self._records.refresh()
 
     def _next_default(self, pool: str) -> default_version.DefaultVersion | None:
-        now = self._loop.now()
         default = self._records.default(pool)
         unlisted_s = 0.0
         if default is not None:
+            # Its endpoints may have come back since the list was read.
+            as_of = self.list_read_at()
             unlisted_s = min(
-                self._history.unlisted_s(pool, default.version, now),
-                now - self.list_followed_since(),
+                self._history.unlisted_s(pool, default.version, as_of),
+                as_of - self.list_followed_since(),
             )
         return default_version.next_default(
             default,
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -1,6 +1,7 @@
 """A stream goes on only at the software version that began it."""
 
 import json
+import random
 import re
 import time
 
@@ -15,7 +16,14 @@
     stream_route_document,
 )
 
-from chervilarch import followers, store, tasks
+from chervilarch import (
+    followers,
+    routing_table,
+    store,
+    stream_records,
+    stream_versions,
+    tasks,
+)
 from chervilarch.platform import documents
 from chervilarch.scheduling import version_history
 
@@ -600,6 +608,45 @@
     loop.close()
 
 
+def test_a_host_that_stood_still_moves_no_default_version_by_its_old_list():
+    # The version may have come back, and hosts begin streams at it unrecorded.
+    loop, clock = lh.new_loop()
+    records = stream_records.StreamRecords(
+        loop, lh.FakeStore(), clock, random.Random(1), lambda: 1
+    )
+    versions = stream_versions.StreamVersions(
+        loop, clock, records, random.Random(1), lambda: 1
+    )
+    read_at = loop.now()
+    versions.list_read_at = lambda: read_at
+    followed_since = read_at
+    versions.list_followed_since = lambda: followed_since
+    versions.set_routes(
+        lh.table(
+            lh.route(
+                is_stream=True,
+                retry_policy=routing_table.RetryPolicy.ANY,
+                timeout_s=8.0,
+            )
+        )
+    )
+    versions.start()
+    for version in ("v1", "v2"):
+        listed = {"p": {version: _listing(version, born=1)}}
+        versions.set_endpoints(listed)
+        lh.advance(loop, clock, 1.0)
+        read_at = loop.now()
+    assert records.default("p").version == "v1"
+    clock.advance(60.0)
+    lh.advance(loop, clock, 1.0)
+    assert records.default("p").version == "v1"
+    # Without a gap of the list it moves.
+    read_at = loop.now()
+    lh.advance(loop, clock, 1.0)
+    assert records.default("p").version == "v2"
+    loop.close()
+
+
 def _new_follower(loop):
     return followers.EndpointFollower(
         loop, lh.FakeStore(), documents.decode_endpoint, 1.0
