--- a/chervilarch/endpoint_list.py
+++ b/chervilarch/endpoint_list.py
@@ -18,6 +18,8 @@
 # agree.
 _MAX_START_AHEAD_S = 24 * 3600.0
 _MS_PER_S = 1000
+# Runs of an endpoint whose versions are remembered.
+_MAX_RUNS = 4
 
 
 class Listing(NamedTuple):
@@ -91,6 +93,8 @@
         self._removed: dict[str, float] = {}
         self._graces: dict[str, _Grace] = {}
         self._ended_runs: dict[str, int] = {}
+        # Versions of the last runs by their starts, by id.
+        self._versions: dict[str, dict[int, str]] = {}
         self._grace_until = float("-inf")
 
     def listed(self) -> dict[str, Listing]:
@@ -109,6 +113,20 @@
         """Returns the last listing of an endpoint, if it is still listed."""
         return self._listed.get(name)
 
+    def version_at(self, listing: Listing, at_ms: float) -> str:
+        """Returns the version of the run that an endpoint had at a time.
+
+        Args:
+            listing: a listing of the endpoint; its run started before.
+            at_ms: the time in Unix ms.
+        """
+        started, version = listing.entry.incarnation, listing.version
+        known = self._versions.get(listing.entry.name, {})
+        for other_start, other in known.items():
+            if started < other_start <= at_ms:
+                started, version = other_start, other
+        return version
+
     def start_grace(self, now: float) -> None:
         """Starts the grace time of entries that an outage or restore removed.
 
@@ -151,6 +169,7 @@
         self._seen[name] = _Seen(
             entry.incarnation, listing.sequence, is_leaving
         )
+        self._remember_version(name, listing)
         self._graces.pop(name, None)
         if self._ended_runs.get(name) == entry.incarnation:
             return False
@@ -159,6 +178,12 @@
         self._removed.pop(name, None)
         return old is None or old.entry != listing.entry
 
+    def _remember_version(self, name: str, listing: Listing) -> None:
+        known = self._versions.setdefault(name, {})
+        known[listing.entry.incarnation] = listing.version
+        if len(known) > _MAX_RUNS:
+            del known[min(known)]
+
     def has_grace(self, name: str) -> bool:
         """Returns whether an entry isn't in the store but may return."""
         return name in self._graces
@@ -259,6 +284,7 @@
             del self._removed[name]
             self._seen.pop(name, None)
             self._ended_runs.pop(name, None)
+            self._versions.pop(name, None)
 
     def remove_missing(self, present: set[str], now: float) -> bool:
         """Applies a complete snapshot: other entries were removed."""
--- a/chervilarch/followers.py
+++ b/chervilarch/followers.py
@@ -292,14 +292,9 @@
             listing: the endpoint as it was listed when it was chosen.
             sent_at: monotonic time in seconds after which it got the request.
         """
-        newest = self._endpoints.find(listing.entry.name)
         clock = self._loop.clock
         sent_ms = _MS_PER_S * (clock.wall() - clock.monotonic() + sent_at)
-        if newest is not None and (
-            listing.entry.incarnation < newest.entry.incarnation <= sent_ms
-        ):
-            return newest.version
-        return listing.version
+        return self._endpoints.version_at(listing, sent_ms)
 
     def mark_leaving(self, name: str, incarnation: int) -> None:
         """Gives no more work to a run whose answer says that it leaves."""
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -4,6 +4,7 @@
 endpoint after the last one.
 """
 
+import functools
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -101,6 +102,9 @@
         self._pool = ctx.req.route.pool_for(ctx.req.id)
         # Version of the engines' software that began the stream, None before.
         self._version = ctx.req.version
+        # Returns that version as far as is known now; None before, and for
+        # streams that other requests began.
+        self._find_version: Callable[[], str] | None = None
         self._tried: set[str] = set()
         # Engines of them that were left for their silence alone.
         self._left: set[str] = set()
@@ -212,7 +216,7 @@
         is_confirmed = self._ctx.ctrl.resumption.confirmed().done()
         return (
             is_confirmed
-            and self._version in (None, lease.listing.version)
+            and self._begun_at_version() in (None, lease.listing.version)
             and self._ctx.ctrl.placement.is_usable(lease)
         )
 
@@ -357,7 +361,7 @@
             preferred=inputs.proposed_engine,
             finish_by=self._ctx.req.deadline_at,
             regions=self._ctx.req.regions,
-            version=self._version or self._preferred_version(),
+            version=self._begun_at_version() or self._preferred_version(),
         )
 
     def _preferred_version(self) -> str | None:
@@ -655,13 +659,15 @@
         """
         if not is_first:
             return self._split(head, attempt.transfer, chunk, is_first)
-        version = self._version_of(attempt.lease)
-        if self._version not in (None, version):
+        version = self._version_finder(attempt.lease)()
+        if self._begun_at_version() not in (None, version):
             return _OTHER_VERSION
         complete = self._split(head, attempt.transfer, chunk, is_first)
         if isinstance(complete, attempts.Failure) or not complete.has_event:
             return complete
-        self._version = version
+        if self._version is None:
+            self._version = version
+            self._find_version = self._version_finder(attempt.lease)
         # The wait for the record isn't the engine's time.
         self._record_first_event(attempt.lease)
         if not self._has_sent_event:
@@ -724,26 +730,40 @@
             and req.possible_runs + 1 < req.route.max_attempts
         )
 
-    def _version_of(self, lease: placement.Lease) -> str:
-        """Returns the software version of the engine that got an attempt."""
-        return self._ctx.ctrl.endpoints.version_of(
-            lease.listing, lease.slot.started_at
+    def _version_finder(self, lease: placement.Lease) -> Callable[[], str]:
+        """Returns a function of the version of the engine of an attempt.
+
+        It may be kept for long, so it holds nothing of the request.
+        """
+        return functools.partial(
+            self._ctx.ctrl.endpoints.version_of,
+            lease.listing,
+            lease.slot.started_at,
         )
 
+    def _begun_at_version(self) -> str | None:
+        """Returns the version that began the stream, as far as is known now.
+
+        The entry of an engine that has started again comes late.
+        """
+        if self._find_version is not None:
+            self._version = self._find_version()
+        return self._version
+
     def _record_version(self) -> tasks.Coroutine[bool]:
         """Makes known to other hosts which version began the stream.
 
         Returns:
             Whether its first event may be sent.
         """
-        req = self._ctx.req
+        req, version = self._ctx.req, self._version
         if not req.is_retryable():
             return True
         return (
             yield from self._ctx.ctrl.versions.record(
                 req.id,
                 self._pool,
-                self._version,
+                self._find_version or (lambda: version),
                 req.route.timeout_s,
                 req.deadline_at,
             )
--- a/chervilarch/stream_versions.py
+++ b/chervilarch/stream_versions.py
@@ -29,6 +29,9 @@
 # Longest wait for a list of endpoints that is younger than a take-up. Hosts
 # read it about once in 0.8 s.
 _MAX_LIST_WAIT_S = 1.0
+# The entry of an endpoint that has started again is in the list by this time
+# after the endpoint's first answers.
+_MAX_ENTRY_DELAY_S = 3.0
 # A stream may begin without a record if no other version was listed for this
 # time: it would be taken for one of a version that no host has an endpoint of.
 _ALONE_S = 5.0
@@ -47,6 +50,7 @@
     begun_at: float
     # Monotonic time until which it may be taken up.
     until: float
+    find_version: Callable[[], str]
 
 
 class StreamVersions:
@@ -126,6 +130,7 @@
             for pool, listings in listed.items()
         }
         self._history.update(runs, self._loop.now())
+        self._correct_own()
         self._record_unproven()
 
     def preferred(self, pool: str) -> str | None:
@@ -142,7 +147,7 @@
         self,
         stream_id: str,
         pool: str,
-        version: str,
+        find_version: Callable[[], str],
         timeout_s: float,
         until: float,
     ) -> tasks.Coroutine[bool]:
@@ -153,7 +158,8 @@
         Args:
             stream_id: the caller's id of the request.
             pool: pool of the engine.
-            version: version of the engine's software.
+            find_version: returns the version of the engine's software, as far
+                as is known when it is called.
             timeout_s: how long streams of its route may take.
             until: monotonic time at which to give up.
 
@@ -163,8 +169,11 @@
         """
         now = self._loop.now()
         span_s = self._widen_span(pool, timeout_s)
+        version = find_version()
         self._own.pop(stream_id, None)
-        self._own[stream_id] = _OwnStream(pool, version, now, now + span_s)
+        self._own[stream_id] = _OwnStream(
+            pool, version, now, now + span_s, find_version
+        )
         self._forget_old(now)
         if not self._needs_record(pool, version):
             return True
@@ -306,6 +315,28 @@
             and self.list_followed_since() <= now - _ALONE_S
         )
 
+    def _correct_own(self) -> None:
+        """Corrects the versions of streams whose engine had started again.
+
+        Its entry came only after their first event.
+        """
+        oldest = self.list_read_at() - _MAX_ENTRY_DELAY_S
+        for stream_id in reversed(self._own):
+            own = self._own[stream_id]
+            if own.begun_at < oldest:
+                return
+            version = own.find_version()
+            if version != own.version:
+                self._own[stream_id] = own._replace(version=version)
+                self._records.write(stream_id, own.pool, version)
+                state_log.log_change(
+                    "stream version corrected",
+                    request_id=stream_id,
+                    pool=own.pool,
+                    version=version,
+                    was=own.version,
+                )
+
     def _record_unproven(self) -> None:
         """Records this host's streams that others can't know otherwise."""
         now = self._loop.now()
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -3,6 +3,7 @@
 import json
 import random
 import re
+import threading
 import time
 
 import loop_helpers as lh
@@ -578,11 +579,12 @@
     other = Engine(world, "e2", "v1", breaks=True)
     world.start(stream_route_document())
     version_of = world.ctrl.endpoints.version_of
-    calls = []
+    names = []
 
     def restarted(listing, sent_at):
-        calls.append(version_of(listing, sent_at))
-        return calls[-1] if len(calls) == 1 else "v2"
+        names.append(listing.entry.name)
+        began = version_of(listing, sent_at)
+        return began if names[-1] == names[0] else "v2"
 
     world.ctrl.endpoints.version_of = restarted
     received = world.fetch(KEY)
@@ -591,6 +593,92 @@
     assert not received.endswith(b"0\r\n\r\n")
 
 
+class RestartedEngine(Engine):
+    """An engine that started again at v2, whose entry comes late.
+
+    It breaks its streams off after two events, once it is told to.
+    """
+
+    def __init__(self, world, name):
+        super().__init__(world, name, "v1")
+        self.started_ms = int(time.time() * 1000)
+        self.goes_on = threading.Event()
+
+    def serve(self, conn):
+        request = lh.read_request(conn)
+        if not request:
+            return
+        request_id = re.search(rb"request-id: (\S+)", request.lower())[1]
+        self.begun.append(request_id)
+        answer = stream(events(1, 2), False)
+        conn.sendall(
+            answer.replace(b"Request-Id: id1", b"Request-Id: " + request_id)
+        )
+        self.goes_on.wait(lh.TIMEOUT_S)
+
+    def list_again(self, world, name):
+        """Writes the entry of the run, and that of the next one."""
+        records = world.store.log[store.Topic.ENDPOINTS]
+        entry = json.loads(
+            next(r.value for r in reversed(records) if r.key == name)
+        )
+        for started_ms in (self.started_ms, self.started_ms + 60_000):
+            entry |= {"version": "v2", "born": started_ms}
+            world.store.write(
+                store.Topic.ENDPOINTS, name, json.dumps(entry).encode()
+            )
+
+
+@pytest.fixture
+def begun_at_restarted(new_world):
+    """A host that has begun a stream at an engine that started again."""
+    world = new_world()
+    engine = RestartedEngine(world, "e1")
+    world.start(stream_route_document())
+    wait_for_default(world)
+    conn = world.send(KEY, ("Connection", "close"))
+    lh.run_until(world.loop, lambda: world.ctrl.versions._own)
+    others = [Engine(world, f"{v}-1", v) for v in ("v1", "v2")]
+    engine.list_again(world, "e1")
+    lh.run_until(
+        world.loop,
+        lambda: all(
+            world.ctrl.placement.has_endpoint("s1", None, v)
+            for v in ("v1", "v2")
+        ),
+    )
+    yield world, engine, conn, others
+    engine.goes_on.set()
+
+
+def test_a_stream_of_an_engine_that_started_again_resumes_at_its_version(
+    begun_at_restarted,
+):
+    # review/12: its entry came only after the stream's first event.
+    world, engine, conn, (old, new) = begun_at_restarted
+    engine.goes_on.set()
+    lh.receive(world.loop, conn, lambda data: b"<EOF>" in data)
+    assert not old.resumed and new.resumed
+
+
+def test_a_stream_of_an_engine_that_started_again_is_taken_up_at_its_version(
+    begun_at_restarted, new_world
+):
+    # review/12, over a caller's tries: the record named the version before.
+    world, engine, conn, (old, new) = begun_at_restarted
+    lh.run_until(world.loop, lambda: recorded(world) == ["v2"])
+    second = new_world(lh.FakeStore(world.store))
+    second.start(stream_route_document())
+    lh.run_until(
+        second.loop,
+        lambda: second.ctrl.placement.has_endpoint("s1", None, "v2"),
+    )
+    for host in (world, second):
+        for number in range(4):
+            assert status(take_up(host, "id1", number)) == 200
+    assert not old.resumed and new.resumed
+
+
 def test_the_version_is_that_of_the_run_that_got_the_request():
     loop, clock = lh.new_loop()
     clock.advance(100.0)
@@ -605,6 +693,10 @@
     later = _listing("v3", born=int((clock.wall() + 1) * 1000))
     host._endpoints.apply("e1", later)
     assert host.version_of(earlier, sent_at) == "v2"
+    # The run that wrote the stream isn't forgotten with the next one.
+    assert host.version_of(old, sent_at) == "v2"
+    host._endpoints.remove("e1", clock.monotonic())
+    assert host.version_of(old, sent_at) == "v2"
     loop.close()
 
 
