Settle a stream's version when its engine no longer writes it

A host whose clock is ahead took the engine's next run, of another version, for one that had started before the request, and let the stream go on there (ORDER).

Change: the version is looked up only while the attempt that began the stream lasts. EngineVersion holds it, for the attempts and for the stream's record.

Evidence: test_the_next_run_of_a_streams_engine_does_not_change_its_version fails without the settling and passes with it; test_stream_versions, test_version_history and test_stream_hosts pass.

--- a/chervilarch/scheduling/version_history.py
+++ b/chervilarch/scheduling/version_history.py
@@ -7,7 +7,7 @@
 """
 
 import enum
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from chervilarch.scheduling import default_version
@@ -81,6 +81,38 @@
         )
 
 
+class EngineVersion:
+    """The software version of the engine that began a stream.
+
+    The entry of an engine that has started again may come after the stream's
+    first event. It counts while the engine goes on with the stream: what is
+    listed later may be the engine's next run.
+
+    Attributes:
+        version: the version, as far as is known.
+    """
+
+    def __init__(self, find: Callable[[], str]):
+        """Takes a function of the version that the list has for the engine.
+
+        It is kept as long as the stream may be taken up, so it should hold
+        nothing of the request.
+        """
+        self._find: Callable[[], str] | None = find
+        self.version = find()
+
+    def update(self) -> str:
+        """Returns the version as the list has it now."""
+        if self._find is not None:
+            self.version = self._find()
+        return self.version
+
+    def settle(self) -> None:
+        """Ends the updates: the engine no longer writes the stream."""
+        self.update()
+        self._find = None
+
+
 class ListedRun(NamedTuple):
     """A run of an endpoint in the list.
 
--- a/chervilarch/stream_call.py
+++ b/chervilarch/stream_call.py
@@ -24,6 +24,7 @@
     tasks,
 )
 from chervilarch import routed_context as contexts
+from chervilarch.scheduling import version_history
 
 # A stream that can resume elsewhere counts as stalled when its first event
 # takes this many times its expected time, or half the route's objective if that
@@ -102,9 +103,8 @@
         self._pool = ctx.req.route.pool_for(ctx.req.id)
         # Version of the engines' software that began the stream, None before.
         self._version = ctx.req.version
-        # Returns that version as far as is known now; None before, and for
-        # streams that other requests began.
-        self._find_version: Callable[[], str] | None = None
+        # That of the engine if it began here.
+        self._engine_version: version_history.EngineVersion | None = None
         self._tried: set[str] = set()
         # Engines of them that were left for their silence alone.
         self._left: set[str] = set()
@@ -127,6 +127,7 @@
             self._drop_replacement()
             self._drop_successor()
             self._free_inputs()
+            self._settle_version()
 
     def _run(self) -> tasks.Coroutine[outcomes.Outcome]:
         ctx = self._ctx
@@ -142,6 +143,7 @@
             if attempt is None:
                 attempt = self._send(lease, self._inputs)
             attempt_result = yield from self._follow(attempt)
+            self._settle_version()
             if isinstance(attempt_result, final_call.Success):
                 return outcomes.Answer(attempt_result)
             last = attempt_result
@@ -667,7 +669,9 @@
             return complete
         if self._version is None:
             self._version = version
-            self._find_version = self._version_finder(attempt.lease)
+            self._engine_version = version_history.EngineVersion(
+                self._version_finder(attempt.lease)
+            )
         # The wait for the record isn't the engine's time.
         self._record_first_event(attempt.lease)
         if not self._has_sent_event:
@@ -731,10 +735,7 @@
         )
 
     def _version_finder(self, lease: placement.Lease) -> Callable[[], str]:
-        """Returns a function of the version of the engine of an attempt.
-
-        It may be kept for long, so it holds nothing of the request.
-        """
+        """Returns a function of the version of an attempt's engine."""
         return functools.partial(
             self._ctx.ctrl.endpoints.version_of,
             lease.listing,
@@ -742,14 +743,15 @@
         )
 
     def _begun_at_version(self) -> str | None:
-        """Returns the version that began the stream, as far as is known now.
-
-        The entry of an engine that has started again comes late.
-        """
-        if self._find_version is not None:
-            self._version = self._find_version()
+        """Returns the version that began the stream, as far as is known now."""
+        if self._engine_version is not None:
+            self._version = self._engine_version.update()
         return self._version
 
+    def _settle_version(self) -> None:
+        if self._engine_version is not None:
+            self._engine_version.settle()
+
     def _record_version(self) -> tasks.Coroutine[bool]:
         """Makes known to other hosts which version began the stream.
 
@@ -759,11 +761,14 @@
         req, version = self._ctx.req, self._version
         if not req.is_retryable():
             return True
+        engine = self._engine_version
+        if engine is None:
+            engine = version_history.EngineVersion(lambda: version)
         return (
             yield from self._ctx.ctrl.versions.record(
                 req.id,
                 self._pool,
-                self._find_version or (lambda: version),
+                engine,
                 req.route.timeout_s,
                 req.deadline_at,
             )
--- a/chervilarch/stream_versions.py
+++ b/chervilarch/stream_versions.py
@@ -50,7 +50,7 @@
     begun_at: float
     # Monotonic time until which it may be taken up.
     until: float
-    find_version: Callable[[], str]
+    engine: version_history.EngineVersion
 
 
 class StreamVersions:
@@ -147,7 +147,7 @@
         self,
         stream_id: str,
         pool: str,
-        find_version: Callable[[], str],
+        engine: version_history.EngineVersion,
         timeout_s: float,
         until: float,
     ) -> tasks.Coroutine[bool]:
@@ -158,8 +158,7 @@
         Args:
             stream_id: the caller's id of the request.
             pool: pool of the engine.
-            find_version: returns the version of the engine's software, as far
-                as is known when it is called.
+            engine: version of the engine's software.
             timeout_s: how long streams of its route may take.
             until: monotonic time at which to give up.
 
@@ -169,10 +168,10 @@
         """
         now = self._loop.now()
         span_s = self._widen_span(pool, timeout_s)
-        version = find_version()
+        version = engine.update()
         self._own.pop(stream_id, None)
         self._own[stream_id] = _OwnStream(
-            pool, version, now, now + span_s, find_version
+            pool, version, now, now + span_s, engine
         )
         self._forget_old(now)
         if not self._needs_record(pool, version):
@@ -325,7 +324,7 @@
             own = self._own[stream_id]
             if own.begun_at < oldest:
                 return
-            version = own.find_version()
+            version = own.engine.update()
             if version != own.version:
                 self._own[stream_id] = own._replace(version=version)
                 self._records.write(stream_id, own.pool, version)
--- a/tests/test_stream_hosts.py
+++ b/tests/test_stream_hosts.py
@@ -373,7 +373,7 @@
                 host.versions.record(
                     f"s{number}",
                     _POOL,
-                    lambda: version,
+                    version_history.EngineVersion(lambda: version),
                     _TIMEOUT_S,
                     host.loop.now() + _TIMEOUT_S,
                 )
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -661,6 +661,34 @@
     assert not old.resumed and new.resumed
 
 
+def test_the_next_run_of_a_streams_engine_does_not_change_its_version(
+    new_world,
+):
+    # To a host whose clock is ahead, it started before the stream's request.
+    world = new_world()
+    engine = Engine(world, "e1", "v1", breaks=True)
+    world.start(stream_route_document())
+    wait_for_default(world)
+    begin(world, "first")
+    assert engine.begun
+    new = Engine(world, "e1", "v2", born=_ago_ms(1.0))
+    old = Engine(world, "v1-1", "v1")
+    world.ctrl.endpoints.version_of = lambda listing, sent_at: "v2"
+    lh.run_until(
+        world.loop,
+        lambda: all(
+            world.ctrl.placement.has_endpoint("s1", None, v)
+            for v in ("v1", "v2")
+        ),
+    )
+    lh.run_until(world.loop, world.ctrl.endpoints.next_read().done)
+    assert world.ctrl.versions._own["first"].version == "v1"
+    assert recorded(world) == []
+    world.ctrl.endpoints.version_of = lambda listing, sent_at: listing.version
+    assert status(take_up(world)) == 200
+    assert old.resumed and not new.resumed
+
+
 def test_a_stream_of_an_engine_that_started_again_is_taken_up_at_its_version(
     begun_at_restarted, new_world
 ):
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -175,3 +175,15 @@
     default = _DEFAULT._replace(since=_WALL_S - 50.0)
     moved = _next(default, 100.0, seen_restore=True, candidates=_TWO)
     assert moved == DefaultVersion("v3", 3, _WALL_S - 50.0)
+
+
+def test_the_version_of_a_streams_engine_is_settled_when_it_breaks_off():
+    # A host whose clock is ahead takes the next run for one that started
+    # before the request.
+    listed = ["v1"]
+    engine = version_history.EngineVersion(lambda: listed[0])
+    listed[0] = "v2"
+    assert engine.update() == "v2"
+    engine.settle()
+    listed[0] = "v3"
+    assert engine.update() == engine.version == "v2"
