--- a/soak/callers.py
+++ b/soak/callers.py
@@ -196,8 +196,7 @@
             return False
         if self._route in ("draft", "note"):
             return all(
-                data == self._id
-                for data in self._lines("data: ", complete_events=True)
+                data == self._id for data in event_lines(self._received, "data")
             )
         expected = endpoints.answer_body(self._id, self._body)
         if self._is_complete:
@@ -205,16 +204,15 @@
         return expected.startswith(self._received)
 
     def _events(self) -> tuple[int, ...]:
-        return tuple(
-            int(text) for text in self._lines("id: ", complete_events=True)
-        )
-
-    def _lines(self, prefix: str, complete_events: bool) -> list[str]:
-        text = self._received.decode()
-        if complete_events:
-            text = text[: text.rfind("\n\n") + 1]
-        return [
-            line.removeprefix(prefix)
-            for line in text.split("\n")
-            if line.startswith(prefix)
-        ]
+        return tuple(int(text) for text in event_lines(self._received, "id"))
+
+
+def event_lines(received: bytes, field: str) -> list[str]:
+    """Returns the values of a field in the complete events of a stream."""
+    whole = received[: received.rfind(b"\n\n") + 1].decode()
+    prefix = f"{field}: "
+    return [
+        line.removeprefix(prefix)
+        for line in whole.split("\n")
+        if line.startswith(prefix)
+    ]
--- a/soak/releases.py
+++ b/soak/releases.py
@@ -75,20 +75,15 @@
 
 
 def _configuration() -> dict:
-    route = {
+    """Returns the soak's configuration with one route, without stages."""
+    configuration = faults.configuration(1, "desk")
+    (draft,) = [r for r in configuration["routes"] if r["name"] == "draft"]
+    route = draft | {
         "name": "tell",
-        "host": callers.HOST,
         "path_prefix": "/tell/",
-        "kind": "streaming",
         "timeout_ms": int(1000 * _TIMEOUT_S),
-        "target_latency_ms": 800,
-        "service": "engine",
-        "max_attempts": 2,
-        "resumable": True,
-        "sticky": True,
-        "gap_aim_ms": 500,
     }
-    configuration = faults.configuration(1, "desk")
+    del route["stages"]
     return configuration | {"routes": [route]}
 
 
@@ -298,12 +293,7 @@
     finally:
         if writer is not None:
             writer.close()
-    whole = received[: received.rfind(b"\n\n") + 1].decode()
-    ids = [
-        line.removeprefix("id: ")
-        for line in whole.split("\n")
-        if line.startswith("id: ")
-    ]
+    ids = callers.event_lines(received, "id")
     return _Answer(request_id, resumes, status, ids[-1] if ids else "")
 
 
--- a/tests/test_stream_records.py
+++ b/tests/test_stream_records.py
@@ -26,6 +26,12 @@
         )
         return records, link
 
+    def write_three(self, records):
+        """Records the streams s0 to s2, one after the other."""
+        for number in range(3):
+            records.write(f"s{number}", "p", "v1")
+            lh.advance(self.loop, self.clock, 0.1)
+
     def find(self, records, stream_id):
         read = records.refresh()
         lh.advance(self.loop, self.clock, 0.01)
@@ -81,9 +87,7 @@
 
 def test_a_read_that_crosses_a_restore_misses_no_record(hosts):
     first, _ = hosts.new()
-    for number in range(3):
-        first.write(f"s{number}", "p", "v1")
-        lh.advance(hosts.loop, hosts.clock, 0.1)
+    hosts.write_three(first)
     second, _ = hosts.new()
     assert hosts.find(second, "s2") is not None
     hosts.store.restore(1, 1)
@@ -121,9 +125,7 @@
 
 def test_reading_goes_on_after_records_that_the_store_dropped(hosts):
     first, _ = hosts.new()
-    for number in range(3):
-        first.write(f"s{number}", "p", "v1")
-        lh.advance(hosts.loop, hosts.clock, 0.1)
+    hosts.write_three(first)
     hosts.store.first[store.Topic.STREAMS] = 2
     started, link = hosts.new()
     read = link.read_changes
@@ -195,9 +197,7 @@
 
 def test_a_host_deletes_its_records_once_nobody_takes_the_streams_up(hosts):
     first, _ = hosts.new()
-    for number in range(3):
-        first.write(f"s{number}", "p", "v1")
-        lh.advance(hosts.loop, hosts.clock, 0.1)
+    hosts.write_three(first)
     second, _ = hosts.new()
     assert hosts.find(second, "s2") is not None
     for _ in range(2):
