Refuse replies with a field name that HTTP doesn't allow

What callers saw: an endpoint in trouble sent an answer in whose head the name of a field held a blank or a control byte, and the caller got it as a 200: with the line passed on under a name that the server hadn't sent (`X-Odd : v` as `x-odd: v`), without it, with another stamp, or with a body that wasn't the server's. `Content-Length : 2` beside five bytes of body is two bytes long for one reader and five for another. A 503 with Not-Executed was believed.

Cause: ReplyHead.on_line stripped the line and then the name by str.strip, which also takes 0b, 0c, 1c to 1f, 85 and a0 of Latin-1 for blanks, and asked nothing of the name; libcurl asks only for a colon, no NUL and no carriage return. All readers of answers stand on it. Found on the way: any line that begins with "HTTP/" began another head, so that a field `HTTP/1.1 503 X: v` replaced the status and all fields before it.

Change: one rule for each line of a reply, interim heads and trailers too. A head begins with its status line, and what follows are fields whose name is a token (RFC 9110, section 5.1) or the empty line. Anything else ends the transfer as an invalid status line does: nothing of the head counts, the request may have run, the connection is closed. A trailer is held to the rule as well, since a wrong chunk size makes trailers of a body. A name beyond ASCII and `X@Odd` are no tokens either.

test_a_reply_with_an_odd_header_name_is_answered asked for a 200 without the odd line. Its concern was a request left without an answer; it is replaced by test_a_reply_with_an_odd_header_name_is_refused_at_once, which asks for a 502 at once, one request, and nothing of the reply, for calls and streams.

A line that begins with a blank, after another field, isn't covered: libcurl joins it to that field before it shows it. The tests leave these cases out here.

World.close of the tests frees its client and loop: with more tests, an older one had descriptors beyond select's bound.

--- a/chervilarch/reply_head.py
+++ b/chervilarch/reply_head.py
@@ -21,7 +21,9 @@
 _FIRST_FINAL_STATUS = 200
 _NO_CONTENT = 204
 # RFC 9112, section 4, and RFC 9110, section 15.
-_STATUS_LINE = re.compile(r"HTTP/1\.[01]\s+([1-5][0-9]{2})(\s|$)")
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01]\s+([1-5][0-9]{2})(\s|$)")
+# RFC 9110, section 5.1: the name of a field is a token.
+_FIELD_NAME = re.compile(rb"[-!#$%&'*+.^_`|~0-9A-Za-z]+")
 _MAX_LENGTH_DIGITS = 18
 _LENGTH_HEADERS = {"content-length", "transfer-encoding"}
 
@@ -40,8 +42,8 @@
         is_ambiguous: whether the head names two ways to find the end of the
             body. libcurl refuses the other heads with a doubtful end by itself.
         is_overlong: whether the lines are over their bounds.
-        is_invalid: whether a status line isn't one of HTTP/1.1, which libcurl
-            reads more leniently.
+        fault: why a line isn't one of HTTP/1.1, which libcurl reads more
+            leniently, or "". The request may have run, whatever the reply says.
     """
 
     def __init__(self) -> None:
@@ -50,9 +52,10 @@
         self.is_complete = False
         self.is_ambiguous = False
         self.is_overlong = False
-        self.is_invalid = False
+        self.fault = ""
         self._lines = 0
         self._line_bytes = 0
+        self._is_status_line_next = True
         self._partial_status = 0
         self._partial_headers: list[tuple[str, str]] = []
 
@@ -63,17 +66,13 @@
         if self._lines > MAX_LINES or self._line_bytes > MAX_LINE_BYTES:
             self.is_overlong = True
             return 0
-        if self.is_complete:
-            return None
-        text = line.decode("latin-1").strip()
-        if text.startswith("HTTP/"):
-            return self._begin_head(text)
-        name, sep, value = text.partition(":")
-        if sep:
-            self._partial_headers.append((name.strip().lower(), value.strip()))
-        if text or not line.endswith(b"\n"):
+        if not line.endswith(b"\n"):
+            # The connection has ended within the line.
             return None
-        return self._end_head()
+        content = line.removesuffix(b"\n").removesuffix(b"\r")
+        if self._is_status_line_next:
+            return self._begin_head(content)
+        return self._add_field(content) if content else self._end_head()
 
     def content_length(self) -> int | None:
         """Returns the length that the head names, None without a usable one."""
@@ -90,15 +89,31 @@
             and not names & _LENGTH_HEADERS
         )
 
-    def _begin_head(self, status_line: str) -> int | None:
+    def _begin_head(self, status_line: bytes) -> int | None:
         match = _STATUS_LINE.match(status_line)
-        self.is_invalid = match is None
+        if match is None:
+            self.fault = "the status line is invalid"
+            return 0
+        self._is_status_line_next = False
+        self._partial_status = int(match[1])
         self._partial_headers = []
-        self._partial_status = 0 if match is None else int(match[1])
-        return 0 if self.is_invalid else None
+        return None
+
+    def _add_field(self, line: bytes) -> int | None:
+        name, sep, value = line.partition(b":")
+        if not sep or not _FIELD_NAME.fullmatch(name):
+            self.fault = "the name of a field is invalid"
+            return 0
+        if not self.is_complete:
+            text = value.decode("latin-1").strip()
+            self._partial_headers.append((name.decode().lower(), text))
+        return None
 
     def _end_head(self) -> int | None:
+        if self.is_complete:
+            return None
         if self._partial_status < _FIRST_FINAL_STATUS:
+            self._is_status_line_next = True
             return None
         self.is_complete = True
         self.status = self._partial_status
@@ -146,9 +161,9 @@
     kind = _FAILURE_KINDS.get(code, exchanges.FailureKind.BROKEN)
     if head.is_ambiguous:
         kind = exchanges.FailureKind.BROKEN
-    if head.is_invalid:
+    if head.fault:
         kind = exchanges.FailureKind.BROKEN
-        text = "the status line is invalid"
+        text = head.fault
     if head.is_overlong or code == _E_TOO_LARGE:
         kind = exchanges.FailureKind.ENDLESS
         text = f"the head is over {MAX_LINES} lines or {MAX_LINE_BYTES} bytes"
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -81,6 +81,8 @@
         self.ctrl.permits.close()
         for server in self.servers:
             server.close()
+        self.ctrl.client.close()
+        self.loop.close()
 
     def endpoint(self, name, serve, pool="s1", **fields):
         """Starts a fake endpoint and writes its entry to the store."""
--- a/tests/test_odd_headers.py
+++ b/tests/test_odd_headers.py
@@ -48,13 +48,20 @@
 
 
 @pytest.mark.parametrize("name", ["X Odd", "X\u00e9", "X@Odd"])
-def test_a_reply_with_an_odd_header_name_is_answered(world, name):
+@pytest.mark.parametrize("is_stream", [False, True])
+def test_a_reply_with_an_odd_header_name_is_refused_at_once(
+    world, name, is_stream
+):
+    requests = []
     odd = f"{name}: v\r\n".encode("latin-1")
-    reply = answer().replace(b"Request-Id", odd + b"Request-Id", 1)
-    world.endpoint("e1", lh.answer_with(reply))
-    world.start(route_document(max_attempts=1))
+    reply = stream(events(1, 2)) if is_stream else answer()
+    reply = reply.replace(b"Request-Id", odd + b"Request-Id", 1)
+    world.endpoint("e1", lh.answer_with(reply, requests))
+    route = stream_route_document if is_stream else route_document
+    world.start(route(max_attempts=1))
     received = world.fetch(KEY)
-    assert status(received) == 200 and odd not in received
+    assert status(received) == 502 and len(requests) == 1
+    assert odd not in received and b"response-stamp" not in received.lower()
 
 
 @pytest.mark.parametrize("code", [100, 102, 199, 204, 304, 600, 999])
--- a/tests/test_reply_framing.py
+++ b/tests/test_reply_framing.py
@@ -6,8 +6,7 @@
 import loop_helpers as lh
 import pytest
 
-from chervilarch import clocks, exchanges, http_client, transfers
-from chervilarch import loop as loops
+from chervilarch import exchanges
 
 _CHUNKED = b"Transfer-Encoding: chunked\r\n"
 # Name, header lines and body.
@@ -69,24 +68,6 @@
 ]
 
 
-@pytest.fixture
-def closing_server_of():
-    """Returns a server that sends some bytes and closes the connection."""
-    servers = []
-
-    def create(data):
-        def serve(conn):
-            lh.read_request(conn)
-            conn.sendall(data)
-
-        servers.append(lh.RawServer(serve))
-        return servers[-1]
-
-    yield create
-    for server in servers:
-        server.close()
-
-
 @pytest.fixture
 def server_of():
     """Returns a server that sends one reply on each request."""
@@ -105,71 +86,6 @@
         server.close()
 
 
-@pytest.fixture
-def gateway_call():
-    loop = loops.Loop(clocks.SystemClock())
-    client = http_client.Client(loop)
-
-    def call(exchange):
-        fut = client.call(exchange)
-        lh.run_until(loop, fut.done)
-        return fut.result()
-
-    yield call
-    client.close()
-    loop.close()
-
-
-@pytest.fixture
-def router_call():
-    thread = transfers.TransferThread()
-    thread.start()
-    yield thread.send_and_wait
-    thread.stop()
-
-
-@pytest.fixture(params=["gateway_call", "router_call"])
-def call(request):
-    return request.getfixturevalue(request.param)
-
-
-@pytest.fixture
-def gateway_stream():
-    loop = loops.Loop(clocks.SystemClock())
-    client = http_client.Client(loop)
-
-    def stream(exchange):
-        chunks, results = [], []
-        transfer = client.start(exchange, results.append, chunks.append)
-        lh.run_until(loop, lambda: results)
-        return transfer.head.status, b"".join(chunks), results[0]
-
-    yield stream
-    client.close()
-    loop.close()
-
-
-@pytest.fixture
-def router_stream():
-    thread = transfers.TransferThread()
-    thread.start()
-
-    def stream(exchange):
-        chunks = thread.open_stream(exchange)
-        data = b""
-        while got := chunks.read(lh.TIMEOUT_S):
-            data += got
-        return chunks.status, data, chunks.result
-
-    yield stream
-    thread.stop()
-
-
-@pytest.fixture(params=["gateway_stream", "router_stream"])
-def stream(request):
-    return request.getfixturevalue(request.param)
-
-
 class EarlyServer:
     """Answers before it has read the request, which it reads up to a point.
 
