Count a reply whose stamp can't be passed on as not stamped

What callers saw: a 200 without the server's Response-Stamp, where the stamp's value held a control byte; another value where it began or ended with one that str.strip takes for a blank (1c to 1f, 0b, 0c, 85, a0). Found beside the odd names, not reported.

Cause: the stamp was asked for before the filter that leaves out lines with values that HTTP doesn't allow, and values were stripped as text.

Change: a stamp counts only if it can be passed on; values lose blanks and tabs only (RFC 9110, section 5.6.3). Such an answer is one that isn't stamped: another endpoint, or 502. Lines of other fields with such values are left out as before.

--- a/chervilarch/platform/wire.py
+++ b/chervilarch/platform/wire.py
@@ -189,7 +189,7 @@
         return routed.ReplyHead(
             status,
             by_name.get("request-id", ""),
-            bool(by_name.get("response-stamp")),
+            _is_stamp(by_name.get("response-stamp", "")),
             "not-executed" in by_name or status == _MISDIRECTED_STATUS,
             status == _MISDIRECTED_STATUS,
             [
@@ -394,6 +394,11 @@
     return _HOP_BY_HOP_HEADERS | options
 
 
+def _is_stamp(value: str) -> bool:
+    """Returns whether a stamp is there and can be passed on as it is."""
+    return bool(value) and _HEADER_VALUE.fullmatch(value) is not None
+
+
 def _is_valid_header(name: str, value: str) -> bool:
     """Returns whether HTTP allows a header; others can't be forwarded."""
     return bool(_HEADER_NAME.fullmatch(name) and _HEADER_VALUE.fullmatch(value))
--- a/chervilarch/reply_head.py
+++ b/chervilarch/reply_head.py
@@ -24,6 +24,9 @@
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01]\s+([1-5][0-9]{2})(\s|$)")
 # RFC 9110, section 5.1: the name of a field is a token.
 _FIELD_NAME = re.compile(rb"[-!#$%&'*+.^_`|~0-9A-Za-z]+")
+# RFC 9110, section 5.6.3: what may stand around a field's value. Other bytes
+# that `str.strip` removes belong to the value.
+_BLANKS = b" \t"
 _MAX_LENGTH_DIGITS = 18
 _LENGTH_HEADERS = {"content-length", "transfer-encoding"}
 
@@ -134,7 +137,7 @@
             self.fault = "the name of a field is invalid"
             return 0
         if not self.is_complete:
-            text = value.decode("latin-1").strip()
+            text = value.strip(_BLANKS).decode("latin-1")
             self._partial_headers.append((name.decode().lower(), text))
         return None
 
--- a/tests/test_odd_headers.py
+++ b/tests/test_odd_headers.py
@@ -64,6 +64,33 @@
     assert odd not in received and b"response-stamp" not in received.lower()
 
 
+# An answer counts by its stamp, which has to reach the caller as it was sent.
+@pytest.mark.parametrize(
+    "value", ["s\x011", "s1\x1b2", "\x7fs1", "s\x0b1", "s1\x1f"]
+)
+@pytest.mark.parametrize("is_stream", [False, True])
+def test_a_reply_whose_stamp_cannot_be_passed_on_is_refused(
+    world, value, is_stream
+):
+    reply = stream(events(1, 2)) if is_stream else answer()
+    reply = reply.replace(b"Stamp: s1", f"Stamp: {value}".encode(), 1)
+    world.endpoint("e1", lh.answer_with(reply))
+    route = stream_route_document if is_stream else route_document
+    world.start(route(max_attempts=1))
+    received = world.fetch(KEY)
+    assert status(received) == 502
+    assert b"response-stamp" not in received.lower()
+
+
+@pytest.mark.parametrize("value", ["\xa0s1", "s1\x85", "s\xa01"])
+def test_a_stamp_beyond_ascii_reaches_the_caller_as_it_was_sent(world, value):
+    reply = answer().replace(b"Stamp: s1", f"Stamp: {value}".encode("latin-1"))
+    world.endpoint("e1", lh.answer_with(reply))
+    world.start(route_document(max_attempts=1))
+    received = world.fetch(KEY)
+    assert f"response-stamp: {value}\r\n".encode("latin-1") in received.lower()
+
+
 @pytest.mark.parametrize("code", [100, 102, 199, 204, 304, 600, 999])
 def test_a_reply_with_an_odd_status_is_answered(world, code):
     world.endpoint("e1", lh.answer_with(answer(code, b"")))
