Read replies to long requests while these are sent

Cause: libcurl sends a request that is over its buffer of 64 KiB in several parts and looks for an answer between them. While its reply was deferred it didn't, so that the next part met a closed connection: "Send failure", and the answer in the socket was lost.

For the others a part that the network took only half is followed by a check before the next.

--- a/chervilarch/deferred_replies.py
+++ b/chervilarch/deferred_replies.py
@@ -20,10 +20,10 @@
 
 
 class _Deferred(NamedTuple):
-    """A transfer whose reply isn't read."""
+    """A transfer whose reply isn't read, and the check of its head."""
 
     curl: pycurl.Curl
-    check: "_Check"
+    check: "_HeadCheck"
 
 
 class DeferredReplies:
@@ -55,6 +55,10 @@
         """Returns whether a transfer may not read its reply yet."""
         return curl in self._new or curl in self._fds
 
+    def is_watched(self, fd: int) -> bool:
+        """Returns whether a socket is one of a transfer that may not read."""
+        return fd in self._by_fd
+
     def defer(self, curl: pycurl.Curl, head: reply_head.ReplyHead) -> int:
         """Stops the reading of a reply, before the request is sent."""
         curl.pause(pycurl.PAUSE_RECV)
@@ -74,15 +78,15 @@
             if fd < 0:
                 continue  # The transfer has failed.
             self._fds[curl] = fd
-            self._by_fd[fd] = _Deferred(curl, _Check(head))
+            self._by_fd[fd] = _Deferred(curl, _HeadCheck(head))
             self._epoll.register(fd, select.EPOLLIN)
 
     def check(self) -> list[pycurl.Curl]:
-        """Checks what has arrived.
+        """Checks the heads of which more has arrived.
 
         Returns:
-            The transfers that may read their replies now, also those whose head
-            has a fault.
+            The transfers whose replies libcurl may read now. It gives up those
+            whose head has a fault.
         """
         ready = []
         for fd, _ in self._epoll.poll(0):
@@ -106,7 +110,7 @@
             pass  # libcurl has closed it.
 
 
-class _Check:
+class _HeadCheck:
     """Parses the head of a reply while its bytes wait in the socket."""
 
     def __init__(self, head: reply_head.ReplyHead) -> None:
--- a/chervilarch/http_client.py
+++ b/chervilarch/http_client.py
@@ -32,6 +32,10 @@
     largest=MAX_REPLY_BYTES,
     small=16 * 1024 * 1024,
 )
+# libcurl sends a request with a longer body in several parts, and gives up
+# without a look at an early answer if the endpoint refuses one of them. So it
+# has to read between them. Its buffer of 64 KiB holds the head, too.
+MAX_DEFERRED_BODY_BYTES = 40 * 1024
 # While transfers wait for room, this often it is looked whether they wait for a
 # silent one.
 _ROOM_CHECK_INTERVAL_S = 0.25
@@ -308,12 +312,15 @@
 
     def _read_checked(self) -> None:
         """Reads replies whose heads have arrived and were checked."""
+        self._resume_checked()
+        self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+        self._deliver()
+
+    def _resume_checked(self) -> None:
         for curl in self.deferred.check():
             transfer = self._running[curl]
             if not transfer.is_paused:
                 transfer.resume()
-        self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
-        self._deliver()
 
     def open_holder(self, transfer: Transfer) -> byte_room.Holder:
         """Returns a holder of room for the body of a transfer."""
@@ -425,6 +432,9 @@
         self._deliver()
 
     def _on_socket_ready(self, fd: int, mask: int) -> None:
+        if self.deferred.is_watched(fd):
+            # Before libcurl sends more, which may fail after an early answer.
+            self._resume_checked()
         bits = 0
         if mask & selectors.EVENT_READ:
             bits |= pycurl.CSELECT_IN
@@ -511,6 +521,7 @@
     curl.setopt(pycurl.MAXAGE_CONN, _CONNECTION_MAX_IDLE_S)
     curl.setopt(pycurl.FRESH_CONNECT, int(exchange.fresh))
     curl.setopt(pycurl.FORBID_REUSE, int(exchange.fresh))
-    curl.setopt(pycurl.PREREQFUNCTION, transfer.defer_reading)
+    if len(exchange.body) <= MAX_DEFERRED_BODY_BYTES:
+        curl.setopt(pycurl.PREREQFUNCTION, transfer.defer_reading)
     curl.setopt(pycurl.HEADERFUNCTION, transfer.head.on_libcurl_line)
     curl.setopt(pycurl.WRITEFUNCTION, transfer.on_body_chunk)
